Lay out the workspace; add rule file and wire format

Nothing ran before. The rule file is parsed whole or refused with line, column and what was expected; the wire crate frames prost messages with a keyed handshake. Not yet tested; the tests come with the path.

--- /dev/null
+++ b/crates/sesamebarrow_ctl/src/main.rs
@@ -0,0 +1,3 @@
+fn main() {
+    println!("Hello, world!");
+}
--- /dev/null
+++ b/crates/sesamebarrow_rules/src/diff.rs
@@ -0,0 +1,38 @@
+//! Tells what differs between two rule files, rule by rule.
+
+use std::collections::BTreeSet;
+
+use crate::lexer;
+
+/// One rule that only one of two files holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Only the new file holds it.
+    Added(String),
+    /// Only the old file holds it.
+    Removed(String),
+}
+
+/// Returns the changes from `old` to `new`; order of lines and requesters do not count.
+pub fn diff(old: &str, new: &str) -> Vec<Change> {
+    let old = rules_of(old);
+    let new = rules_of(new);
+    let removed = old.difference(&new).cloned().map(Change::Removed);
+    let added = new.difference(&old).cloned().map(Change::Added);
+    removed.chain(added).collect()
+}
+
+fn rules_of(text: &str) -> BTreeSet<String> {
+    let mut rules = BTreeSet::new();
+    for line in text.lines() {
+        let words: Vec<&str> = lexer::split_line(line)
+            .words
+            .iter()
+            .map(|w| w.text)
+            .collect();
+        if !words.is_empty() {
+            rules.insert(words.join(" "));
+        }
+    }
+    rules
+}
--- /dev/null
+++ b/crates/sesamebarrow_rules/src/lib.rs
@@ -0,0 +1,25 @@
+//! The rule file: which customers may call which services, where their data may
+//! live, how much they may spend and which requests are not idempotent.
+//!
+//! One line is one rule, and each line ends in a comment that names who asked for
+//! it. [`parse`] either accepts a whole file or returns every fault with its line,
+//! column and what was expected; a file with one bad line yields no [`Rules`].
+//!
+//! ```
+//! let text = "region lima # ana\n\
+//!             domain lim-1 region=lima slots=2 # ana\n\
+//!             service statements kind=model # ana\n";
+//! let rules = sesamebarrow_rules::parse(text).expect("valid rules");
+//! assert_eq!(rules.total_slots(), 2);
+//! ```
+
+pub mod diff;
+mod lexer;
+pub mod model;
+pub mod parser;
+pub mod print;
+
+pub use diff::diff;
+pub use model::{Customer, Digest, Domain, Effect, Kind, Route, Rules, Service};
+pub use parser::{Fault, parse};
+pub use print::print;
--- /dev/null
+++ b/crates/sesamebarrow_rules/src/parser.rs
@@ -0,0 +1,444 @@
+//! Parses and checks a rule file.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use smol_str::SmolStr;
+
+use crate::lexer::{self, Line, Word};
+use crate::model::{Customer, Digest, Domain, Effect, Kind, Route, Rules, Service};
+
+/// A fault in a rule file.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub struct Fault {
+    /// Line, from 1.
+    pub line: usize,
+    /// Column in characters, from 1.
+    pub column: usize,
+    /// What was found and what was expected.
+    pub message: String,
+    /// Who asked for the rule, where the line says so.
+    pub requester: Option<SmolStr>,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}", self.line, self.column, self.message)?;
+        match &self.requester {
+            Some(name) => write!(f, " (asked by {name})"),
+            None => Ok(()),
+        }
+    }
+}
+
+/// The largest rate or burst, in tokens.
+///
+/// Shares are kept in millionths of a token, which must fit into 63 bits.
+pub const MAX_TOKENS: u64 = 1_000_000_000_000;
+
+/// The largest number of instance slots of one failure domain.
+pub const MAX_SLOTS: u16 = 64;
+
+const KEYWORDS: &str = "region, domain, service, customer, key, allow or route";
+
+/// Parses `text`, returning the rules or every fault found.
+pub fn parse(text: &str) -> Result<Rules, Vec<Fault>> {
+    let mut parser = Parser::default();
+    let mut lines = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        let split = lexer::split_line(line);
+        if !split.words.is_empty() {
+            lines.push((index + 1, split));
+        }
+    }
+    // Declarations may stand below the lines that use them.
+    for pass in [Pass::Declare, Pass::Refer] {
+        for (number, line) in &lines {
+            parser.take_line(pass, *number, line);
+        }
+    }
+    parser.finish()
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Pass {
+    Declare,
+    Refer,
+}
+
+#[derive(Default)]
+struct Parser {
+    rules: Rules,
+    faults: Vec<Fault>,
+}
+
+/// A fault without its line.
+struct Problem {
+    column: usize,
+    message: String,
+}
+
+fn problem(column: usize, message: impl Into<String>) -> Problem {
+    Problem {
+        column,
+        message: message.into(),
+    }
+}
+
+impl Parser {
+    fn take_line(&mut self, pass: Pass, number: usize, line: &Line<'_>) {
+        let result = self.take_rule(pass, line);
+        if let Err(found) = result {
+            self.faults.push(Fault {
+                line: number,
+                column: found.column,
+                message: found.message,
+                requester: line.requester.filter(|r| !r.is_empty()).map(SmolStr::new),
+            });
+        }
+    }
+
+    fn take_rule(&mut self, pass: Pass, line: &Line<'_>) -> Result<(), Problem> {
+        let keyword = line.words[0];
+        let declares = matches!(keyword.text, "region" | "domain" | "service" | "customer");
+        if pass == Pass::Declare {
+            check_requester(line)?;
+        }
+        if declares != (pass == Pass::Declare) {
+            return Ok(());
+        }
+        let mut args = Args::new(line);
+        match keyword.text {
+            "region" => self.take_region(&mut args)?,
+            "domain" => self.take_domain(&mut args)?,
+            "service" => self.take_service(&mut args)?,
+            "customer" => self.take_customer(&mut args)?,
+            "key" => self.take_key(&mut args)?,
+            "allow" => self.take_allow(&mut args)?,
+            "route" => self.take_route(&mut args)?,
+            other => {
+                let message = format!("unknown rule `{other}`: expected {KEYWORDS}");
+                return Err(problem(keyword.column, message));
+            }
+        }
+        args.finish()
+    }
+
+    fn take_region(&mut self, args: &mut Args<'_>) -> Result<(), Problem> {
+        let name = args.name("a region's name")?;
+        if !self.rules.regions.insert(name.value.clone()) {
+            return Err(twice(&name, "region"));
+        }
+        Ok(())
+    }
+
+    fn take_domain(&mut self, args: &mut Args<'_>) -> Result<(), Problem> {
+        let name = args.name("a failure domain's name")?;
+        let region = args.setting("region")?;
+        let slots = args.number("slots", 1, u64::from(MAX_SLOTS))?;
+        let domain = Domain {
+            region: SmolStr::new(region.text),
+            slots: u16::try_from(slots).unwrap_or(MAX_SLOTS),
+        };
+        if !self.rules.regions.contains(region.text) {
+            return Err(unknown(region, "region"));
+        }
+        if self
+            .rules
+            .domains
+            .insert(name.value.clone(), domain)
+            .is_some()
+        {
+            return Err(twice(&name, "failure domain"));
+        }
+        Ok(())
+    }
+
+    fn take_service(&mut self, args: &mut Args<'_>) -> Result<(), Problem> {
+        let name = args.name("a service's name")?;
+        let kind = args.setting("kind")?;
+        let kind = kind
+            .text
+            .parse::<Kind>()
+            .map_err(|_| problem(kind.column, "expected kind=model or kind=plain"))?;
+        let cost = args.optional_number("cost", 1, u64::from(u32::MAX))?;
+        let service = Service {
+            kind,
+            cost: cost.and_then(|c| u32::try_from(c).ok()).unwrap_or(1),
+        };
+        if self
+            .rules
+            .services
+            .insert(name.value.clone(), service)
+            .is_some()
+        {
+            return Err(twice(&name, "service"));
+        }
+        Ok(())
+    }
+
+    fn take_customer(&mut self, args: &mut Args<'_>) -> Result<(), Problem> {
+        let name = args.name("a customer's name")?;
+        let listed = args.setting("regions")?;
+        let mut regions = BTreeSet::new();
+        for region in listed.text.split(',') {
+            if !self.rules.regions.contains(region) {
+                let message = format!("unknown region `{region}`: expected one that is declared");
+                return Err(problem(listed.column, message));
+            }
+            if !regions.insert(SmolStr::new(region)) {
+                let message = format!("region `{region}` stands twice in the list");
+                return Err(problem(listed.column, message));
+            }
+        }
+        let customer = Customer {
+            regions,
+            rate: args.number("rate", 1, MAX_TOKENS)?,
+            burst: args.number("burst", 1, MAX_TOKENS)?,
+            services: BTreeSet::new(),
+        };
+        if self
+            .rules
+            .customers
+            .insert(name.value.clone(), customer)
+            .is_some()
+        {
+            return Err(twice(&name, "customer"));
+        }
+        Ok(())
+    }
+
+    fn take_key(&mut self, args: &mut Args<'_>) -> Result<(), Problem> {
+        let customer = args.name("a customer's name")?;
+        let digest = args.setting("blake3")?;
+        let parsed = digest
+            .text
+            .parse::<Digest>()
+            .map_err(|_| problem(digest.column, "expected blake3= and 64 hexadecimal digits"))?;
+        if !self.rules.customers.contains_key(&customer.value) {
+            return Err(customer.unknown("customer"));
+        }
+        if self.rules.keys.insert(parsed, customer.value).is_some() {
+            return Err(problem(digest.column, "this key is already given out"));
+        }
+        Ok(())
+    }
+
+    fn take_allow(&mut self, args: &mut Args<'_>) -> Result<(), Problem> {
+        let customer = args.name("a customer's name")?;
+        let service = args.name("a service's name")?;
+        if !self.rules.services.contains_key(&service.value) {
+            return Err(service.unknown("service"));
+        }
+        let Some(entry) = self.rules.customers.get_mut(&customer.value) else {
+            return Err(customer.unknown("customer"));
+        };
+        if !entry.services.insert(service.value.clone()) {
+            return Err(problem(service.column, "this is already allowed"));
+        }
+        Ok(())
+    }
+
+    fn take_route(&mut self, args: &mut Args<'_>) -> Result<(), Problem> {
+        let service = args.name("a service's name")?;
+        let method = args.word("an HTTP method in capitals")?;
+        if !method.text.bytes().all(|b| b.is_ascii_uppercase()) {
+            return Err(problem(
+                method.column,
+                "expected an HTTP method in capitals",
+            ));
+        }
+        let path = args.word("a path")?;
+        if !path.text.starts_with('/') {
+            return Err(problem(path.column, "expected a path that begins with `/`"));
+        }
+        let effect = args.word("idempotent, non-idempotent or open")?;
+        let parsed = effect.text.parse::<Effect>().map_err(|_| {
+            problem(
+                effect.column,
+                "expected idempotent, non-idempotent or open",
+            )
+        })?;
+        let Some(declared) = self.rules.services.get(&service.value) else {
+            return Err(service.unknown("service"));
+        };
+        if declared.kind == Kind::Model && parsed != Effect::Idempotent {
+            let message = format!("`{parsed}` contradicts kind=model: expected idempotent");
+            return Err(problem(effect.column, message));
+        }
+        let route = Route {
+            service: service.value,
+            method: SmolStr::new(method.text),
+            path: SmolStr::new(path.text),
+            effect: parsed,
+        };
+        let clash = self.rules.routes.iter().any(|r| {
+            r.service == route.service && r.method == route.method && r.path == route.path
+        });
+        if clash {
+            return Err(problem(path.column, "this route already has a rule"));
+        }
+        self.rules.routes.push(route);
+        Ok(())
+    }
+
+    fn finish(mut self) -> Result<Rules, Vec<Fault>> {
+        if self.faults.is_empty() {
+            self.rules
+                .routes
+                .sort_by_key(|r| std::cmp::Reverse((!r.path.ends_with('*'), r.path.len())));
+            return Ok(self.rules);
+        }
+        self.faults.sort_by_key(|f| (f.line, f.column));
+        Err(self.faults)
+    }
+}
+
+fn check_requester(line: &Line<'_>) -> Result<(), Problem> {
+    match line.requester {
+        Some(name) if !name.is_empty() => Ok(()),
+        _ => Err(problem(
+            line.end,
+            "expected a comment `# …` that names who asked for the rule",
+        )),
+    }
+}
+
+fn unknown(word: Word<'_>, what: &str) -> Problem {
+    let message = format!(
+        "unknown {what} `{}`: expected one that is declared",
+        word.text
+    );
+    problem(word.column, message)
+}
+
+fn twice(name: &Name, what: &str) -> Problem {
+    let message = format!("{what} `{}` is declared twice", name.value);
+    problem(name.column, message)
+}
+
+/// A name and where it stood.
+struct Name {
+    value: SmolStr,
+    column: usize,
+}
+
+impl Name {
+    fn unknown(&self, what: &str) -> Problem {
+        let word = Word {
+            text: &self.value,
+            column: self.column,
+        };
+        unknown(word, what)
+    }
+}
+
+/// The words of a rule behind its keyword, taken in any order of settings.
+struct Args<'a> {
+    plain: std::collections::VecDeque<Word<'a>>,
+    settings: Vec<(&'a str, Word<'a>)>,
+    end: usize,
+}
+
+impl<'a> Args<'a> {
+    fn new(line: &Line<'a>) -> Self {
+        let mut plain = std::collections::VecDeque::new();
+        let mut settings = Vec::new();
+        for word in &line.words[1..] {
+            // A path may hold `=`, a setting never begins with `/`.
+            match word.text.split_once('=') {
+                Some((key, value)) if !word.text.starts_with('/') => {
+                    let column = word.column + key.chars().count() + 1;
+                    settings.push((
+                        key,
+                        Word {
+                            text: value,
+                            column,
+                        },
+                    ));
+                }
+                _ => plain.push_back(*word),
+            }
+        }
+        let end = line.words.last().map_or(line.end, |w| {
+            w.column + w.text.chars().count()
+        });
+        Self {
+            plain,
+            settings,
+            end,
+        }
+    }
+
+    fn word(&mut self, expected: &str) -> Result<Word<'a>, Problem> {
+        self.plain
+            .pop_front()
+            .ok_or_else(|| problem(self.end, format!("expected {expected}")))
+    }
+
+    fn name(&mut self, expected: &str) -> Result<Name, Problem> {
+        let word = self.word(expected)?;
+        let fits = word
+            .text
+            .bytes()
+            .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-');
+        if !fits {
+            let message = format!(
+                "`{}` is no name: expected {expected} of a-z, 0-9 and `-`",
+                word.text
+            );
+            return Err(problem(word.column, message));
+        }
+        Ok(Name {
+            value: SmolStr::new(word.text),
+            column: word.column,
+        })
+    }
+
+    fn optional(&mut self, key: &str) -> Option<Word<'a>> {
+        let index = self.settings.iter().position(|(k, _)| *k == key)?;
+        Some(self.settings.remove(index).1)
+    }
+
+    fn setting(&mut self, key: &str) -> Result<Word<'a>, Problem> {
+        self.optional(key)
+            .ok_or_else(|| problem(self.end, format!("expected {key}=…")))
+    }
+
+    fn optional_number(
+        &mut self,
+        key: &str,
+        min: u64,
+        max: u64,
+    ) -> Result<Option<u64>, Problem> {
+        let Some(word) = self.optional(key) else {
+            return Ok(None);
+        };
+        match word.text.parse::<u64>() {
+            Ok(value) if (min..=max).contains(&value) => Ok(Some(value)),
+            _ => {
+                let message = format!("expected {key}= and a whole number from {min} to {max}");
+                Err(problem(word.column, message))
+            }
+        }
+    }
+
+    fn number(&mut self, key: &str, min: u64, max: u64) -> Result<u64, Problem> {
+        let end = self.end;
+        self.optional_number(key, min, max)?
+            .ok_or_else(|| problem(end, format!("expected {key}=…")))
+    }
+
+    fn finish(self) -> Result<(), Problem> {
+        if let Some(word) = self.plain.front() {
+            let message = format!("unexpected word `{}`", word.text);
+            return Err(problem(word.column, message));
+        }
+        if let Some((key, word)) = self.settings.first() {
+            let message = format!("unknown or repeated setting `{key}=`");
+            let column = word.column - key.chars().count() - 1;
+            return Err(problem(column, message));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sesamebarrow_rules/src/print.rs
@@ -0,0 +1,37 @@
+//! Prints a rule file in its customary layout.
+
+use std::fmt::Write;
+
+use crate::lexer;
+
+/// The column at which requesters begin.
+const COMMENT_COLUMN: usize = 60;
+
+/// Returns `text` with single spaces between words and aligned comments.
+///
+/// The order of lines, empty lines and lines of comment alone are kept. The text
+/// should have passed [`crate::parse`]; words are never changed.
+pub fn print(text: &str) -> String {
+    let mut out = String::new();
+    for line in text.lines() {
+        print_line(&mut out, line);
+        out.push('\n');
+    }
+    out
+}
+
+fn print_line(out: &mut String, line: &str) {
+    let split = lexer::split_line(line);
+    let words: Vec<&str> = split.words.iter().map(|w| w.text).collect();
+    if words.is_empty() {
+        out.push_str(line.trim());
+        return;
+    }
+    let body = words.join(" ");
+    out.push_str(&body);
+    if let Some(requester) = split.requester {
+        let width = COMMENT_COLUMN.saturating_sub(body.chars().count()).max(1);
+        // Writing to a string never fails.
+        let _ = write!(out, "{:width$}# {requester}", "");
+    }
+}
--- /dev/null
+++ b/crates/sesamebarrow_wire/src/auth.rs
@@ -0,0 +1,119 @@
+//! The handshake by which both ends of a link prove the fleet's secret.
+//!
+//! Each end sends a [`Hello`] with a fresh nonce and then a [`Proof`]: a keyed hash
+//! over its role, both nonces and both names. The role keeps one end's proof from
+//! being sent back to it.
+
+use prost::Message;
+use subtle::ConstantTimeEq;
+
+/// Length of a nonce in bytes.
+pub const NONCE_BYTES: usize = 16;
+
+/// The version of the protocol between instances.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+const LINK_CONTEXT: &str = "sesamebarrow 2026-12 link handshake";
+const TICKET_CONTEXT: &str = "sesamebarrow 2026-12 request ticket";
+const ADMIN_CONTEXT: &str = "sesamebarrow 2026-12 admin interface";
+
+/// Opens the handshake.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    /// [`PROTOCOL_VERSION`] of the sender.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// The sender's name.
+    #[prost(string, tag = "2")]
+    pub name: String,
+    /// The sender's failure domain.
+    #[prost(string, tag = "3")]
+    pub domain: String,
+    /// Random number of the sender's process.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
+    /// [`NONCE_BYTES`] random bytes.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub nonce: bytes::Bytes,
+}
+
+/// Closes the handshake.
+#[derive(Clone, PartialEq, Message)]
+pub struct Proof {
+    /// Keyed hash: 32 bytes.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub mac: bytes::Bytes,
+}
+
+/// Which end of the link proves itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// The end that opened the connection.
+    Dialler,
+    /// The end that accepted it.
+    Listener,
+}
+
+/// Keys derived from the fleet's secret, one for each use.
+#[derive(Clone)]
+pub struct Secret {
+    link: [u8; 32],
+    ticket: [u8; 32],
+    admin: [u8; 32],
+}
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+impl Secret {
+    /// Derives the keys from `secret`.
+    pub fn new(secret: &[u8]) -> Self {
+        Self {
+            link: blake3::derive_key(LINK_CONTEXT, secret),
+            ticket: blake3::derive_key(TICKET_CONTEXT, secret),
+            admin: blake3::derive_key(ADMIN_CONTEXT, secret),
+        }
+    }
+
+    /// Returns the key that authenticates tickets.
+    pub fn ticket_key(&self) -> [u8; 32] {
+        self.ticket
+    }
+
+    /// Returns the bearer token of the admin interface, in hexadecimal digits.
+    pub fn admin_token(&self) -> String {
+        blake3::Hash::from(self.admin).to_hex().to_string()
+    }
+
+    /// Returns the proof of the end `role`.
+    pub fn prove(&self, role: Role, dialler: &Hello, listener: &Hello) -> Proof {
+        let mac = self.link_mac(role, dialler, listener);
+        Proof {
+            mac: bytes::Bytes::copy_from_slice(mac.as_bytes()),
+        }
+    }
+
+    /// Tells whether `proof` is that of the end `role`.
+    pub fn accepts(&self, proof: &Proof, role: Role, dialler: &Hello, listener: &Hello) -> bool {
+        let mac = self.link_mac(role, dialler, listener);
+        bool::from(mac.as_bytes().as_slice().ct_eq(&proof.mac))
+    }
+
+    fn link_mac(&self, role: Role, dialler: &Hello, listener: &Hello) -> blake3::Hash {
+        let mut hasher = blake3::Hasher::new_keyed(&self.link);
+        hasher.update(match role {
+            Role::Dialler => b"dialler",
+            Role::Listener => b"listenr",
+        });
+        for hello in [dialler, listener] {
+            let bytes = hello.encode_to_vec();
+            // CAST: a greeting is far shorter than 4 GiB.
+            hasher.update(&(bytes.len() as u32).to_be_bytes());
+            hasher.update(&bytes);
+        }
+        hasher.finalize()
+    }
+}
--- /dev/null
+++ b/crates/sesamebarrow_wire/src/frame.rs
@@ -0,0 +1,137 @@
+//! One frame of a link and its codec.
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::{auth, control, stream};
+
+/// The largest frame, in bytes. A whole document of a megabyte must fit.
+pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
+
+/// One frame.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    /// What the frame carries. A frame without a known payload is a fault.
+    #[prost(
+        oneof = "Payload",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+    )]
+    pub payload: Option<Payload>,
+}
+
+/// The kinds of payload.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Payload {
+    /// First message of each end.
+    #[prost(message, tag = "1")]
+    Hello(auth::Hello),
+    /// Second message of each end.
+    #[prost(message, tag = "2")]
+    Proof(auth::Proof),
+    /// Liveness, revisions and load.
+    #[prost(message, tag = "3")]
+    Heartbeat(control::Heartbeat),
+    /// Asks for a document.
+    #[prost(message, tag = "4")]
+    DocumentAsk(control::DocumentAsk),
+    /// A document, whole or as a change.
+    #[prost(message, tag = "5")]
+    Document(control::Document),
+    /// Asks for tokens.
+    #[prost(message, tag = "6")]
+    LoanAsk(control::LoanAsk),
+    /// Tokens lent.
+    #[prost(message, tag = "7")]
+    Loan(control::Loan),
+    /// What was spent of a loan.
+    #[prost(message, tag = "8")]
+    LoanReport(control::LoanReport),
+    /// A forwarded request's head.
+    #[prost(message, tag = "9")]
+    Open(stream::Open),
+    /// An answer's head.
+    #[prost(message, tag = "10")]
+    Head(stream::Head),
+    /// Bytes of a body.
+    #[prost(message, tag = "11")]
+    Data(stream::Data),
+    /// The whole body was sent.
+    #[prost(message, tag = "12")]
+    End(stream::End),
+    /// The stream ends before its end.
+    #[prost(message, tag = "13")]
+    Reset(stream::Reset),
+    /// Room for further bytes.
+    #[prost(message, tag = "14")]
+    Credit(stream::Credit),
+    /// The receiver refuses the request.
+    #[prost(message, tag = "15")]
+    Refused(stream::Refused),
+}
+
+impl From<Payload> for Frame {
+    fn from(payload: Payload) -> Self {
+        Self {
+            payload: Some(payload),
+        }
+    }
+}
+
+/// A fault on a link, after which the link must be closed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The connection failed or a frame was too large.
+    #[error("link I/O: {0}")]
+    Io(#[from] std::io::Error),
+    /// The bytes are no frame.
+    #[error("malformed frame: {0}")]
+    Malformed(#[from] prost::DecodeError),
+    /// The frame has no payload that this version knows.
+    #[error("frame without a known payload")]
+    Empty,
+}
+
+/// Splits a connection into frames.
+#[derive(Debug)]
+pub struct Codec {
+    lengths: LengthDelimitedCodec,
+}
+
+impl Default for Codec {
+    fn default() -> Self {
+        let lengths = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_codec();
+        Self { lengths }
+    }
+}
+
+impl Decoder for Codec {
+    type Item = Payload;
+    type Error = Error;
+
+    fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Payload>, Error> {
+        let Some(bytes) = self.lengths.decode(buf)? else {
+            return Ok(None);
+        };
+        let frame = Frame::decode(bytes.freeze())?;
+        frame.payload.map(Some).ok_or(Error::Empty)
+    }
+}
+
+impl Encoder<Payload> for Codec {
+    type Error = Error;
+
+    fn encode(&mut self, payload: Payload, buf: &mut BytesMut) -> Result<(), Error> {
+        let bytes = Frame::from(payload).encode_to_vec();
+        self.lengths.encode(Bytes::from(bytes), buf)?;
+        Ok(())
+    }
+}
+
+/// Returns the bytes that `payload` takes on a link, its length prefix included.
+pub fn encoded_len(payload: &Payload) -> usize {
+    const PREFIX_BYTES: usize = 4;
+    Frame::from(payload.clone()).encoded_len() + PREFIX_BYTES
+}
