--- /dev/null
+++ b/crates/sesamebarrow_policy/src/config.rs
@@ -0,0 +1,197 @@
+//! Published documents: who reads them, how they pass between instances, and when they
+//! come into force.
+//!
+//! In each failure domain one instance waits on the platform; which one changes with
+//! every revision, so that the cost of reading goes round. The others take changes from
+//! neighbours and read for themselves only when their knowledge grows old.
+
+mod adopt;
+mod relay;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::RngExt;
+use sesamebarrow_rules::Document;
+use sesamebarrow_rules::document::Delta;
+use sesamebarrow_wire::control::DocumentKind;
+use smol_str::SmolStr;
+
+use crate::board::Board;
+use crate::event::Action;
+use crate::member;
+
+pub(crate) use relay::{answer_ask, ask_if_newer, take_document};
+
+/// Changes kept for neighbours that are behind.
+const HISTORY_STEPS: usize = 64;
+
+/// One change of a document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// The revision before.
+    pub base: u64,
+    /// The revision after.
+    pub revision: u64,
+    /// What changed.
+    pub delta: Delta,
+    /// Digest of the revision after.
+    pub digest: [u8; 32],
+}
+
+/// One published document and what is known of its age.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Shelf {
+    /// The revision in force. Its number only rises.
+    pub current: Option<Document>,
+    /// The newest changes, oldest first.
+    pub steps: VecDeque<Step>,
+    /// When the platform was last known to have nothing newer than `current`.
+    pub confirmed: Option<Duration>,
+    /// The newest revision that was refused.
+    pub refused: u64,
+    /// Why, or what went wrong with the last read.
+    pub fault: Option<SmolStr>,
+    /// When the read under way began.
+    pub reading: Option<Duration>,
+    /// When a read may be made again after one that failed.
+    pub read_after: Duration,
+    /// When a neighbour was last asked.
+    pub asked: Option<Duration>,
+}
+
+impl Shelf {
+    /// Returns the revision in force; 0 for none.
+    pub fn revision(&self) -> u64 {
+        self.current.as_ref().map_or(0, |d| d.revision)
+    }
+
+    /// Returns the newest revision looked at, also if it was refused.
+    pub fn seen(&self) -> u64 {
+        self.revision().max(self.refused)
+    }
+
+    /// Returns the time since the platform confirmed the revision in force.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        Some(now.saturating_sub(self.confirmed?))
+    }
+
+    /// Gives up a read that was under way before a pause.
+    pub(crate) fn forget_read(&mut self) {
+        self.reading = None;
+        self.read_after = Duration::ZERO;
+    }
+
+    fn confirm(&mut self, at: Duration) {
+        self.confirmed = Some(self.confirmed.map_or(at, |c| c.max(at)));
+    }
+}
+
+/// Starts the reads of the platform that this instance has to make.
+pub(crate) fn read_platform(board: &mut Board) {
+    for kind in [DocumentKind::Rules, DocumentKind::List] {
+        let now = board.now();
+        let shelf = &board.shelves[&kind];
+        if shelf.reading.is_some() || now < shelf.read_after {
+            continue;
+        }
+        let quiet = shelf
+            .age(now)
+            .is_none_or(|age| age >= board.settings.relay_quiet);
+        let reader = is_reader(board, shelf.revision());
+        if !quiet && !reader {
+            continue;
+        }
+        let have = shelf.seen();
+        let fresh = shelf.age(now).is_some() && !quiet;
+        if let Some(shelf) = board.shelves.get_mut(&kind) {
+            shelf.reading = Some(now);
+        }
+        board.counters.platform_reads += 1;
+        board.act(Action::Read {
+            kind,
+            have,
+            wait: reader && fresh,
+        });
+    }
+}
+
+/// Tells whether this instance waits on the platform for its failure domain.
+fn is_reader(board: &Board, revision: u64) -> bool {
+    let weight = |name: &str| member::weigh(name, &revision.to_be_bytes());
+    let mine = weight(&board.me.name);
+    board
+        .instances
+        .values()
+        .filter(|i| i.domain == board.me.domain && board.is_heard(i))
+        .all(|i| weight(&i.name) < mine)
+}
+
+/// Takes a newer document from the platform.
+pub(crate) fn take_read(board: &mut Board, kind: DocumentKind, document: Document) {
+    let now = board.now();
+    let revision = document.revision;
+    if end_read(board, kind).is_none() {
+        // A read from before a pause may be old; neighbours or the next read tell.
+        return;
+    }
+    if revision < board.shelves[&kind].revision() {
+        note_behind(board, kind, revision);
+        return;
+    }
+    adopt::adopt(board, kind, document);
+    if let Some(shelf) = board.shelves.get_mut(&kind) {
+        shelf.confirm(now);
+    }
+    crate::clock::end_waking(board);
+}
+
+/// Takes the platform's word that nothing is newer.
+pub(crate) fn take_confirmation(board: &mut Board, kind: DocumentKind, revision: u64) {
+    let now = board.now();
+    if end_read(board, kind).is_none() {
+        return;
+    }
+    if revision < board.shelves[&kind].revision() {
+        note_behind(board, kind, revision);
+        return;
+    }
+    if let Some(shelf) = board.shelves.get_mut(&kind)
+        && shelf.current.is_some()
+    {
+        shelf.confirm(now);
+    }
+    crate::clock::end_waking(board);
+}
+
+/// Takes a failed read.
+pub(crate) fn take_failure(board: &mut Board, kind: DocumentKind, fault: SmolStr) {
+    end_read(board, kind);
+    back_off(board, kind);
+    if let Some(shelf) = board.shelves.get_mut(&kind) {
+        shelf.fault = Some(fault);
+    }
+}
+
+fn end_read(board: &mut Board, kind: DocumentKind) -> Option<Duration> {
+    board.shelves.get_mut(&kind)?.reading.take()
+}
+
+/// A platform that was restored from a copy may be behind; it cannot take us back.
+fn note_behind(board: &mut Board, kind: DocumentKind, revision: u64) {
+    back_off(board, kind);
+    if let Some(shelf) = board.shelves.get_mut(&kind) {
+        let held = shelf.revision();
+        let fault = format!("the platform offers revision {revision}, {held} is in force");
+        shelf.fault = Some(SmolStr::from(fault));
+    }
+}
+
+/// Spreads the next read over one to two times the pause between reads.
+fn back_off(board: &mut Board, kind: DocumentKind) {
+    let spread = 1.0 + board.rng.random::<f64>();
+    let until = board.now() + board.settings.read_backoff.mul_f64(spread);
+    if let Some(shelf) = board.shelves.get_mut(&kind) {
+        shelf.read_after = until;
+    }
+}
--- /dev/null
+++ b/crates/sesamebarrow_policy/src/config/relay.rs
@@ -0,0 +1,132 @@
+//! Passes documents between neighbours as changes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamebarrow_rules::Document;
+use sesamebarrow_rules::document::Delta;
+use sesamebarrow_wire::control::{self, DocumentKind};
+use smol_str::SmolStr;
+
+use super::{Shelf, adopt};
+use crate::board::Board;
+use crate::event::Message;
+
+/// Time after which an unanswered question is asked again.
+const ASK_AGAIN: Duration = Duration::from_secs(1);
+
+/// Takes a neighbour's word on its revision and its age; asks for one that is newer.
+pub(crate) fn ask_if_newer(
+    board: &mut Board,
+    from: &SmolStr,
+    kind: DocumentKind,
+    revision: u64,
+    age: Duration,
+) {
+    let now = board.now();
+    let Some(shelf) = board.shelves.get_mut(&kind) else {
+        return;
+    };
+    if revision > 0 && revision == shelf.revision() {
+        shelf.confirm(now.saturating_sub(age));
+        crate::clock::end_waking(board);
+        return;
+    }
+    let waiting = shelf.asked.is_some_and(|at| now - at < ASK_AGAIN);
+    if revision <= shelf.seen() || waiting {
+        return;
+    }
+    shelf.asked = Some(now);
+    let have = shelf.revision();
+    ask(board, from, kind, have);
+}
+
+fn ask(board: &mut Board, from: &SmolStr, kind: DocumentKind, have: u64) {
+    let ask = control::DocumentAsk {
+        kind: kind.into(),
+        have,
+    };
+    board.send(from.clone(), Message::DocumentAsk(ask));
+}
+
+/// Answers a neighbour that is behind: the changes since its revision, or the whole.
+pub(crate) fn answer_ask(board: &mut Board, from: &SmolStr, ask: &control::DocumentAsk) {
+    let Ok(kind) = DocumentKind::try_from(ask.kind) else {
+        return;
+    };
+    let messages = changes_since(&board.shelves[&kind], kind, ask.have);
+    for message in messages {
+        board.send(from.clone(), Message::Document(message));
+    }
+}
+
+fn changes_since(shelf: &Shelf, kind: DocumentKind, have: u64) -> Vec<control::Document> {
+    let Some(current) = &shelf.current else {
+        return Vec::new();
+    };
+    if have >= current.revision {
+        return Vec::new();
+    }
+    let start = shelf.steps.iter().position(|s| s.base == have);
+    if let Some(start) = start.filter(|_| have > 0) {
+        return shelf
+            .steps
+            .iter()
+            .skip(start)
+            .map(|s| encode(kind, s.revision, s.base, &s.delta, &s.digest))
+            .collect();
+    }
+    let whole = current.delta_from_nothing();
+    vec![encode(kind, current.revision, 0, &whole, current.digest())]
+}
+
+fn encode(
+    kind: DocumentKind,
+    revision: u64,
+    base: u64,
+    delta: &Delta,
+    digest: &[u8],
+) -> control::Document {
+    let strings = |lines: &[Arc<str>]| lines.iter().map(ToString::to_string).collect();
+    control::Document {
+        kind: kind.into(),
+        revision,
+        base,
+        removed: strings(&delta.removed),
+        added: strings(&delta.added),
+        digest: bytes::Bytes::copy_from_slice(digest),
+    }
+}
+
+/// Takes a document that a neighbour passed on.
+pub(crate) fn take_document(board: &mut Board, from: &SmolStr, message: &control::Document) {
+    let Ok(kind) = DocumentKind::try_from(message.kind) else {
+        return;
+    };
+    let Some(shelf) = board.shelves.get_mut(&kind) else {
+        return;
+    };
+    shelf.asked = None;
+    if message.revision <= shelf.seen() {
+        return;
+    }
+    let base = shelf.current.as_ref().filter(|_| message.base > 0);
+    if message.base != base.map_or(0, |d| d.revision) {
+        // Another neighbour's answer came in between; the next heartbeat asks again.
+        return;
+    }
+    let lines = |lines: &[String]| lines.iter().map(|l| Arc::from(l.as_str())).collect();
+    let delta = Delta {
+        removed: lines(&message.removed),
+        added: lines(&message.added),
+    };
+    match Document::apply(base, message.revision, &delta, &message.digest) {
+        Ok(document) => {
+            adopt::adopt(board, kind, document);
+        }
+        Err(mismatch) => {
+            shelf.fault = Some(SmolStr::from(format!("from {from}: {mismatch}")));
+            ask(board, from, kind, 0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamebarrow_policy/src/event.rs
@@ -0,0 +1,329 @@
+//! What happens to an instance, and what it has to do.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use sesamebarrow_rules::{Digest, Document};
+use sesamebarrow_wire::control::{self, DocumentKind};
+use smol_str::SmolStr;
+
+use crate::board::UpstreamKey;
+use crate::refusal::Refusal;
+
+/// A request's number in this process, given by whoever drives the board.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestId(pub u64);
+
+/// Where a request came from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller, with the digest of the key that came with the request.
+    Caller {
+        /// `None` for a request without a key.
+        key: Option<Digest>,
+    },
+    /// Another instance, which has identified the customer and reserved its tokens.
+    Instance {
+        /// The sender's name.
+        name: SmolStr,
+        /// The customer; `None` on a route open to all.
+        customer: Option<SmolStr>,
+        /// Revision of the rules by which the sender let it pass.
+        rules_revision: u64,
+        /// Instances that the request has passed.
+        hops: u32,
+    },
+}
+
+/// All of a request that decisions depend on; it holds no data of the request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// Where it came from.
+    pub origin: Origin,
+    /// The service.
+    pub service: SmolStr,
+    /// HTTP method.
+    pub method: SmolStr,
+    /// Path below the service, without the query.
+    pub path: SmolStr,
+    /// The ticket, from the `Idempotency-Key`.
+    pub ticket: Option<SmolStr>,
+    /// Time left until the caller's deadline.
+    pub deadline: Duration,
+    /// An upper bound of the tokens that the request may cost at a model.
+    pub estimate: u64,
+}
+
+/// A whole answer that is kept for repeated sendings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Fields for the caller.
+    pub fields: Vec<(SmolStr, Bytes)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole answer came.
+    Whole {
+        /// Tokens that the request really cost, where the answer says so.
+        tokens: Option<u64>,
+        /// The answer, of a request with a ticket.
+        answer: Option<Arc<Answer>>,
+    },
+    /// No byte of the request can have reached the other end.
+    NotSent,
+    /// The instance to which it was handed refused it.
+    Refused(Refusal),
+    /// It broke off after bytes of the request were sent.
+    Broken {
+        /// Whether bytes of the answer have gone to the caller.
+        relayed: bool,
+    },
+}
+
+/// A control message between instances.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Message {
+    /// Liveness, revisions and load.
+    Heartbeat(control::Heartbeat),
+    /// Asks for a document.
+    DocumentAsk(control::DocumentAsk),
+    /// A document.
+    Document(control::Document),
+    /// Asks for tokens.
+    LoanAsk(control::LoanAsk),
+    /// Lends tokens.
+    Loan(control::Loan),
+    /// Reports on a loan.
+    LoanReport(control::LoanReport),
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time passed. Driven ten times a second or more often.
+    Tick,
+    /// The platform answered a read with a newer document.
+    DocumentRead {
+        /// Which document.
+        kind: DocumentKind,
+        /// The document.
+        document: Box<Document>,
+    },
+    /// The platform answered that it has nothing newer.
+    DocumentConfirmed {
+        /// Which document.
+        kind: DocumentKind,
+        /// The platform's revision.
+        revision: u64,
+    },
+    /// The platform did not answer, or not as it should.
+    DocumentFailed {
+        /// Which document.
+        kind: DocumentKind,
+        /// What went wrong.
+        fault: SmolStr,
+    },
+    /// A link to an instance stands.
+    LinkUp {
+        /// The instance.
+        name: SmolStr,
+        /// Its failure domain.
+        domain: SmolStr,
+        /// Its process.
+        incarnation: u64,
+    },
+    /// A link is gone.
+    LinkDown {
+        /// The instance.
+        name: SmolStr,
+        /// Its process.
+        incarnation: u64,
+    },
+    /// An instance sent a control message.
+    Received {
+        /// The sender.
+        name: SmolStr,
+        /// The sender's process.
+        incarnation: u64,
+        /// The message.
+        message: Message,
+    },
+    /// An upstream reported its load.
+    LoadRead {
+        /// The upstream.
+        upstream: SmolStr,
+        /// Requests that run.
+        running: u32,
+        /// Requests that wait.
+        queued: u32,
+    },
+    /// A request's head was read.
+    Arrived {
+        /// The request.
+        id: RequestId,
+        /// Its head.
+        head: Head,
+    },
+    /// A request is about to be sent; answered by [`Action::Go`] or a refusal.
+    Departing {
+        /// The request.
+        id: RequestId,
+    },
+    /// The head of an answer goes to the caller.
+    Answering {
+        /// The request.
+        id: RequestId,
+    },
+    /// An attempt ended.
+    Finished {
+        /// The request.
+        id: RequestId,
+        /// How.
+        outcome: Outcome,
+    },
+    /// The caller went away.
+    CallerGone {
+        /// The request.
+        id: RequestId,
+    },
+    /// A caller asks which instances to use.
+    PlacementAsked {
+        /// The question's number, among those of requests.
+        id: RequestId,
+        /// The digest of the key that came with it.
+        key: Option<Digest>,
+        /// The service.
+        service: SmolStr,
+    },
+    /// The process is to stop.
+    Drain,
+}
+
+/// Where to send an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// An upstream.
+    Upstream {
+        /// Its key.
+        key: UpstreamKey,
+        /// Its name.
+        name: SmolStr,
+        /// Its address.
+        address: std::net::SocketAddr,
+    },
+    /// Another instance.
+    Instance {
+        /// Its name.
+        name: SmolStr,
+        /// The customer, for the envelope.
+        customer: Option<SmolStr>,
+        /// Revision of the rules that let the request pass.
+        rules_revision: u64,
+        /// Tokens reserved.
+        reserved: u64,
+    },
+}
+
+/// An instance named to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Its name.
+    pub name: SmolStr,
+    /// Its region.
+    pub region: SmolStr,
+    /// Where callers reach it.
+    pub http: std::net::SocketAddr,
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Connect to the target; then say [`Event::Departing`].
+    Dispatch {
+        /// The request.
+        id: RequestId,
+        /// Where to.
+        target: Target,
+        /// Whether it must never be sent twice.
+        once: bool,
+    },
+    /// Send the request now.
+    Go {
+        /// The request.
+        id: RequestId,
+    },
+    /// Answer the request with a refusal. It is forgotten.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// The refusal.
+        refusal: Refusal,
+    },
+    /// Answer the request with a kept answer. It is forgotten.
+    Replay {
+        /// The request.
+        id: RequestId,
+        /// The answer.
+        answer: Arc<Answer>,
+    },
+    /// Break the request off: its key was withdrawn.
+    Cancel {
+        /// The request.
+        id: RequestId,
+    },
+    /// Answer a placement question.
+    Placed {
+        /// The question.
+        id: RequestId,
+        /// Instances to use, the best first.
+        candidates: Vec<Candidate>,
+        /// How long the answer holds.
+        ttl: Duration,
+        /// A ticket for a request that is not idempotent.
+        ticket: Option<SmolStr>,
+    },
+    /// Send a control message.
+    Send {
+        /// The receiver.
+        to: SmolStr,
+        /// The message.
+        message: Message,
+    },
+    /// Open a link.
+    Dial {
+        /// The instance.
+        name: SmolStr,
+        /// Its address for instances.
+        address: std::net::SocketAddr,
+    },
+    /// Close a link that is silent.
+    Drop {
+        /// The instance.
+        name: SmolStr,
+    },
+    /// Read a document from the platform; answered by one `Document…` event.
+    Read {
+        /// Which document.
+        kind: DocumentKind,
+        /// The revision held; 0 for none.
+        have: u64,
+        /// Whether to wait for a newer one.
+        wait: bool,
+    },
+    /// Read an upstream's load.
+    PollLoad {
+        /// The upstream.
+        upstream: SmolStr,
+        /// Its address.
+        address: std::net::SocketAddr,
+    },
+    /// All work has ended: the process may exit.
+    Drained,
+}
--- a/crates/sesamebarrow_policy/src/lib.rs
+++ b/crates/sesamebarrow_policy/src/lib.rs
@@ -1,14 +1,48 @@
-pub fn add(left: u64, right: u64) -> u64 {
-    left + right
-}
+//! The decisions of an instance, without I/O.
+//!
+//! A [`Board`] holds all that an instance knows, as plain tables. [`handle`] takes one
+//! [`Event`] with the time at which it happened, lets the controllers read and write
+//! the board, and returns [`Action`]s for the caller to carry out. There is no clock,
+//! no socket and no thread here, so that the same code runs in an instance, in a
+//! scripted scenario and in a random run over virtual time.
+//!
+//! Time is a [`std::time::Duration`] since any fixed moment of the process.
+//!
+//! ```
+//! use std::time::Duration;
+//! use sesamebarrow_policy::{Board, Event, Identity, Settings, handle};
+//!
+//! let me = Identity {
+//!     name: "lim-1-a".into(),
+//!     domain: "lim-1".into(),
+//!     slot: 0,
+//!     incarnation: 7,
+//! };
+//! let mut board = Board::new(me, Settings::default(), [0; 32], 1);
+//! let actions = handle(&mut board, Duration::ZERO, Event::Tick);
+//! assert!(!actions.is_empty(), "a new instance asks for its configuration");
+//! ```
 
-#[cfg(test)]
-mod tests {
-    use super::*;
+pub mod board;
+pub mod check;
+pub mod clock;
+pub mod config;
+pub mod event;
+pub mod limit;
+pub mod member;
+pub mod once;
+pub mod path;
+pub mod place;
+pub mod refusal;
+pub mod schedule;
+pub mod settings;
+pub mod snapshot;
+pub mod upstream;
 
-    #[test]
-    fn it_works() {
-        let result = add(2, 2);
-        assert_eq!(result, 4);
-    }
-}
+pub use board::{Board, Identity};
+pub use check::check;
+pub use event::{Action, Answer, Event, Head, Message, Origin, Outcome, RequestId};
+pub use refusal::{Reason, Refusal, Result as Verdict};
+pub use schedule::handle;
+pub use settings::Settings;
+pub use snapshot::snapshot;
--- /dev/null
+++ b/crates/sesamebarrow_policy/src/limit.rs
@@ -0,0 +1,211 @@
+//! Rate and burst of each customer, counted over the whole fleet without shared state.
+//!
+//! The slots that hold a customer split its rate and burst into equal shares. Tokens
+//! move between shares by loans: the lender takes them off its own share before it
+//! sends them, so that a token is never in two places, and one whose message is lost is
+//! lost. Over the whole fleet the unspent tokens never exceed the burst and are minted
+//! at the rate at most, which bounds what is admitted in any window.
+
+mod holder;
+mod loan;
+mod share;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use sesamebarrow_rules::Rules;
+use slotmap::SlotMap;
+use smol_str::SmolStr;
+
+use crate::board::{Board, CustomerKey};
+use crate::event::RequestId;
+use crate::path;
+use crate::settings::Sharing;
+
+pub use holder::holders;
+pub(crate) use loan::{answer_ask, forget_borrower, return_loans, take_loan, take_report};
+pub use share::{Borrowed, Lent, Reservation, Share};
+
+/// Millionths of a token, the unit in which shares are kept.
+pub const MICRO: u64 = 1_000_000;
+
+/// Requests of one customer that may wait for tokens at a time.
+const WAITING: usize = 32;
+
+/// Longest wait for tokens that others may lend.
+const WAIT: Duration = Duration::from_millis(250);
+
+/// Shortest time after which a caller without tokens should come back.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// All customers' shares at this instance.
+#[derive(Clone, Debug, Default)]
+pub struct Limits {
+    /// The shares.
+    pub shares: SlotMap<CustomerKey, Share>,
+    /// Shares by the customer's name; the same set as `shares`.
+    pub names: HashMap<SmolStr, CustomerKey>,
+    /// The number of the newest ask or reservation.
+    pub sequence: u64,
+    /// The newest ask taken from each instance's process, so that a repeated or late
+    /// ask is not served twice.
+    pub seen: BTreeMap<SmolStr, (u64, u64)>,
+}
+
+impl Limits {
+    fn next(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+}
+
+/// What came of an attempt to reserve tokens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Reserved {
+    /// The tokens are reserved.
+    Now(Reservation),
+    /// Others may lend them soon.
+    Wait,
+    /// Come back after this time.
+    Never(Duration),
+}
+
+/// Reserves `tokens` of the customer, which is under the rules in force.
+pub(crate) fn reserve(board: &mut Board, customer: &str, tokens: u64, id: RequestId) -> Reserved {
+    let Some(key) = board.limits.names.get(customer).copied() else {
+        return Reserved::Never(RETRY_AFTER);
+    };
+    let now = board.now();
+    let cost = tokens.saturating_mul(MICRO);
+    let number = board.limits.next();
+    let share = &mut board.limits.shares[key];
+    share.accrue(now);
+    share.note_demand(now, cost);
+    if share.waiting.is_empty()
+        && let Some(reservation) = share.take(key, number, cost, now)
+    {
+        return Reserved::Now(reservation);
+    }
+    let fits = cost <= share.whole_burst;
+    let room = share.waiting.len() < WAITING;
+    let retry = share.time_until(cost).max(RETRY_AFTER);
+    if !fits || !room {
+        return Reserved::Never(retry);
+    }
+    share.waiting.push_back(share::Waiting {
+        id,
+        cost,
+        until: now + WAIT,
+    });
+    loan::borrow(board, key);
+    Reserved::Wait
+}
+
+/// Settles a reservation against the tokens that were really spent.
+pub(crate) fn settle(board: &mut Board, reservation: &Reservation, spent: u64) {
+    let now = board.now();
+    if let Some(share) = board.limits.shares.get_mut(reservation.customer) {
+        share.accrue(now);
+        share.settle(reservation, spent.saturating_mul(MICRO));
+    }
+}
+
+/// Brings the shares in line with the rules that replaced `previous`.
+pub(crate) fn follow_rules(board: &mut Board, previous: Option<&Rules>) {
+    let Some(rules) = board.rules.clone() else {
+        return;
+    };
+    let now = board.now();
+    let propagation = board.settings.propagation;
+    for (name, customer) in &rules.customers {
+        let held = holders(&rules, name, board.settings.holders_per_region);
+        let mine = held
+            .iter()
+            .any(|h| h.domain == board.me.domain && h.slot == board.me.slot);
+        let count = if mine { held.len() as u64 } else { 0 };
+        let key = find_or_add(&mut board.limits, name, now);
+        let share = &mut board.limits.shares[key];
+        share.whole_rate = customer.rate * MICRO;
+        share.whole_burst = customer.burst * MICRO;
+        let part = |whole: u64| whole.checked_div(count).unwrap_or(0);
+        let rate = part(share.whole_rate);
+        let burst = part(share.whole_burst);
+        let known = previous.is_some_and(|p| p.customers.contains_key(name));
+        if known {
+            share.rebase(now, rate, burst, propagation);
+        } else {
+            share.start(now, rate, burst);
+        }
+    }
+    for (name, key) in &board.limits.names {
+        if !rules.customers.contains_key(name) {
+            let share = &mut board.limits.shares[*key];
+            share.rebase(now, 0, 0, propagation);
+        }
+    }
+}
+
+fn find_or_add(limits: &mut Limits, name: &SmolStr, now: Duration) -> CustomerKey {
+    if let Some(key) = limits.names.get(name) {
+        return *key;
+    }
+    let key = limits.shares.insert(Share::new(name.clone(), now));
+    limits.names.insert(name.clone(), key);
+    key
+}
+
+/// Lets nothing accrue for a pause of the process.
+pub(crate) fn forget_pause(board: &mut Board) {
+    let now = board.clock.now;
+    for share in board.limits.shares.values_mut() {
+        share.skip_to(now);
+    }
+}
+
+/// Lets shares accrue, serves waiting requests and borrows ahead of demand.
+pub(crate) fn tick(board: &mut Board) {
+    let now = board.now();
+    let busy: Vec<CustomerKey> = board
+        .limits
+        .shares
+        .iter()
+        .filter(|(_, s)| s.is_busy(now))
+        .map(|(key, _)| key)
+        .collect();
+    for key in busy {
+        let share = &mut board.limits.shares[key];
+        share.accrue(now);
+        loan::expire(board, key);
+        serve_waiting(board, key);
+        if board.settings.sharing == Sharing::Lending {
+            loan::report(board, key);
+            loan::borrow(board, key);
+        }
+    }
+}
+
+/// Serves the requests that wait for tokens, in their order.
+fn serve_waiting(board: &mut Board, key: CustomerKey) {
+    let now = board.now();
+    while let Some(first) = board.limits.shares[key].waiting.front().copied() {
+        let number = board.limits.next();
+        let share = &mut board.limits.shares[key];
+        if let Some(reservation) = share.take(key, number, first.cost, now) {
+            share.waiting.pop_front();
+            path::resume(board, first.id, reservation);
+        } else if now >= first.until {
+            let retry = share.time_until(first.cost).max(RETRY_AFTER);
+            share.waiting.pop_front();
+            path::refuse_rate(board, first.id, retry);
+        } else {
+            return;
+        }
+    }
+}
+
+/// Forgets that a request waits for tokens.
+pub(crate) fn stop_waiting(board: &mut Board, customer: &str, id: RequestId) {
+    if let Some(key) = board.limits.names.get(customer) {
+        board.limits.shares[*key].waiting.retain(|w| w.id != id);
+    }
+}
--- /dev/null
+++ b/crates/sesamebarrow_policy/src/limit/holder.rs
@@ -0,0 +1,49 @@
+//! Which slots hold a share of a customer's rate.
+
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+
+use sesamebarrow_rules::Rules;
+
+use crate::member;
+
+/// A slot that holds a share.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The failure domain.
+    pub domain: SmolStr,
+    /// The slot in it.
+    pub slot: u16,
+}
+
+/// Returns the slots that hold a share of the rate of `customer`: in each region that
+/// it allows, `per_region` slots chosen by the highest weight.
+///
+/// Only the rules decide, so that all instances with one revision agree. The state of
+/// the fleet thus grows with the customers and their regions, not with the instances.
+pub fn holders(rules: &Rules, customer: &str, per_region: usize) -> Vec<Holder> {
+    let Some(entry) = rules.customers.get(customer) else {
+        return Vec::new();
+    };
+    let mut by_region: BTreeMap<&str, Vec<(u64, Holder)>> = BTreeMap::new();
+    for (name, domain) in &rules.domains {
+        if !entry.regions.contains(&domain.region) {
+            continue;
+        }
+        let slots = by_region.entry(&domain.region).or_default();
+        for slot in 0..domain.slots {
+            let label = format!("{name}/{slot}");
+            let holder = Holder {
+                domain: name.clone(),
+                slot,
+            };
+            slots.push((member::weigh(&label, customer.as_bytes()), holder));
+        }
+    }
+    let mut chosen = Vec::new();
+    for mut slots in by_region.into_values() {
+        slots.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        chosen.extend(slots.into_iter().take(per_region).map(|(_, h)| h));
+    }
+    chosen
+}
--- /dev/null
+++ b/crates/sesamebarrow_policy/src/member/heartbeat.rs
@@ -0,0 +1,108 @@
+//! Heartbeats on every link.
+
+use std::time::Duration;
+
+use sesamebarrow_wire::control::{self, DocumentKind};
+use smol_str::SmolStr;
+
+use super::find;
+use crate::board::{Board, Instance};
+use crate::event::Message;
+use crate::{config, upstream};
+
+/// Lets the next tick send heartbeats, whenever the last went out.
+pub(crate) fn beat_now(board: &mut Board) {
+    board.beaten = None;
+    send_heartbeats(board);
+}
+
+/// Sends heartbeats when they are due.
+pub(crate) fn send_heartbeats(board: &mut Board) {
+    let now = board.now();
+    let due = board
+        .beaten
+        .is_none_or(|at| now - at >= board.settings.heartbeat);
+    if !due {
+        return;
+    }
+    board.beaten = Some(now);
+    board.beat_sequence += 1;
+    let loads = upstream::loads_to_tell(board);
+    let receivers: Vec<(SmolStr, bool)> = board
+        .instances
+        .values()
+        .filter(|i| i.link.is_some())
+        .map(|i| (i.name.clone(), i.domain == board.me.domain))
+        .collect();
+    for (name, same_domain) in receivers {
+        let loads = if same_domain { loads.clone() } else { Vec::new() };
+        let beat = compose(board, loads);
+        board.send(name, Message::Heartbeat(beat));
+    }
+}
+
+fn compose(board: &Board, loads: Vec<control::UpstreamLoad>) -> control::Heartbeat {
+    let age = |kind| {
+        let age = board.shelves[&kind].age(board.now());
+        age.map_or(u32::MAX, millis)
+    };
+    control::Heartbeat {
+        sequence: board.beat_sequence,
+        rules_revision: board.shelves[&DocumentKind::Rules].revision(),
+        list_revision: board.shelves[&DocumentKind::List].revision(),
+        rules_age_ms: age(DocumentKind::Rules),
+        list_age_ms: age(DocumentKind::List),
+        running: u32::try_from(board.requests.len()).unwrap_or(u32::MAX),
+        ready: board.is_ready(),
+        draining: board.draining,
+        loads,
+    }
+}
+
+pub(crate) fn millis(age: Duration) -> u32 {
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Takes a heartbeat.
+pub(super) fn take(board: &mut Board, from: &SmolStr, beat: &control::Heartbeat) {
+    let now = board.now();
+    let Some(key) = find(board, from) else {
+        return;
+    };
+    let Some(link) = board.instances[key].link.as_mut() else {
+        return;
+    };
+    if beat.sequence <= link.sequence {
+        return;
+    }
+    link.sequence = beat.sequence;
+    link.heard = now;
+    link.rules_revision = beat.rules_revision;
+    link.list_revision = beat.list_revision;
+    link.ready = beat.ready && !beat.draining;
+    link.running = beat.running;
+    take_revisions(board, from, beat);
+    for load in &beat.loads {
+        let age = Duration::from_millis(u64::from(load.age_ms));
+        upstream::take_load(board, &load.upstream, load.running, load.queued, age);
+    }
+}
+
+fn take_revisions(board: &mut Board, from: &SmolStr, beat: &control::Heartbeat) {
+    let told = [
+        (DocumentKind::Rules, beat.rules_revision, beat.rules_age_ms),
+        (DocumentKind::List, beat.list_revision, beat.list_age_ms),
+    ];
+    for (kind, revision, age) in told {
+        let age = Duration::from_millis(u64::from(age));
+        config::ask_if_newer(board, from, kind, revision, age);
+    }
+}
+
+/// Tells whether a neighbour has newer rules than this instance.
+pub(crate) fn is_behind(board: &Board, instance: &Instance) -> bool {
+    instance
+        .link
+        .as_ref()
+        .is_some_and(|l| l.rules_revision > board.rules_revision())
+}
--- /dev/null
+++ b/crates/sesamebarrow_policy/src/path/dispatch.rs
@@ -0,0 +1,120 @@
+//! Sends a request on its way, checking all once more when it leaves.
+
+use super::{Stage, TargetKey, authorise, choose, identify, refuse, settle};
+use crate::board::Board;
+use crate::event::{Action, RequestId, Target};
+use crate::refusal::{Reason, Refusal};
+use crate::{member, once};
+
+use sesamebarrow_rules::list::State;
+
+/// Begins an attempt at `target`.
+pub(super) fn dispatch(board: &mut Board, id: RequestId, target: TargetKey) {
+    let Some(address) = address_of(board, id, target) else {
+        return;
+    };
+    let Some(request) = board.requests.get_mut(&id) else {
+        return;
+    };
+    request.target = Some(target);
+    request.stage = Stage::Dispatching;
+    request.attempts += 1;
+    let once = request.is_once();
+    match target {
+        TargetKey::Upstream(key) => {
+            request.tried.push(key);
+            board.upstreams[key].own += 1;
+        }
+        TargetKey::Instance(_) => board.counters.forwarded += 1,
+    }
+    board.act(Action::Dispatch {
+        id,
+        target: address,
+        once,
+    });
+}
+
+fn address_of(board: &Board, id: RequestId, target: TargetKey) -> Option<Target> {
+    let request = board.requests.get(&id)?;
+    match target {
+        TargetKey::Upstream(key) => {
+            let upstream = board.upstreams.get(key)?;
+            Some(Target::Upstream {
+                key,
+                name: upstream.name.clone(),
+                address: upstream.address,
+            })
+        }
+        TargetKey::Instance(key) => Some(Target::Instance {
+            name: board.instances.get(key)?.name.clone(),
+            customer: request.customer.clone(),
+            rules_revision: board.rules_revision(),
+            reserved: request.reservation.map_or(0, |_| request.cost),
+        }),
+    }
+}
+
+/// Lets the request go, or refuses it, by what is known at this moment.
+pub(super) fn depart(board: &mut Board, id: RequestId) {
+    let Some(request) = board.requests.get(&id) else {
+        return;
+    };
+    if request.stage != Stage::Dispatching {
+        return;
+    }
+    if let Err(refusal) = check(board, id) {
+        refuse(board, id, refusal);
+        return;
+    }
+    if !target_stands(board, id) {
+        settle::release_target(board, id);
+        choose::choose(board, id);
+        return;
+    }
+    let Some(request) = board.requests.get_mut(&id) else {
+        return;
+    };
+    request.stage = Stage::Running;
+    if let Some(number) = request.ticket {
+        once::note_departure(board, number);
+    }
+    board.act(Action::Go { id });
+}
+
+/// Checks what may have changed since the request arrived.
+fn check(board: &Board, id: RequestId) -> Result<(), Refusal> {
+    let request = &board.requests[&id];
+    if board.clock.waking.is_some() {
+        let wait = board.settings.wake;
+        return Err(Refusal::not_run(Reason::NotReady).after(wait));
+    }
+    if board.now() >= request.deadline {
+        return Err(Refusal::not_run(Reason::DeadlinePassed));
+    }
+    if !identify::is_in_force(board, request) {
+        return Err(Refusal::not_run(Reason::BadKey));
+    }
+    let Some(customer) = &request.customer else {
+        return Ok(());
+    };
+    authorise::check_service(board, customer, &request.head.service)?;
+    authorise::check_region(board, customer)
+}
+
+/// Tells whether the target may still have the request.
+fn target_stands(board: &Board, id: RequestId) -> bool {
+    let request = &board.requests[&id];
+    match request.target {
+        Some(TargetKey::Upstream(key)) => board
+            .upstreams
+            .get(key)
+            .is_some_and(|u| u.state == State::Live),
+        Some(TargetKey::Instance(key)) => {
+            let customer = request.customer.as_deref().unwrap_or_default();
+            board.instances.get(key).is_some_and(|i| {
+                board.may_be_in(customer, &i.region) && !member::is_behind(board, i)
+            })
+        }
+        None => false,
+    }
+}
--- /dev/null
+++ b/crates/sesamebarrow_policy/src/path/identify.rs
@@ -0,0 +1,54 @@
+//! Who asks: the customer of the key that came with the request.
+
+use sesamebarrow_rules::{Digest, Effect};
+use smol_str::SmolStr;
+
+use super::Request;
+use crate::board::Board;
+use crate::event::{Head, Origin};
+use crate::refusal::{Reason, Refusal};
+
+/// Who a request is from and how it may be treated.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Caller {
+    pub(super) customer: Option<SmolStr>,
+    pub(super) key: Option<Digest>,
+    pub(super) effect: Effect,
+}
+
+/// Finds the customer and the effect of a request.
+pub(super) fn identify(board: &Board, head: &Head) -> Result<Caller, Refusal> {
+    let wait = board.settings.wake;
+    let Some(rules) = &board.rules else {
+        return Err(Refusal::not_run(Reason::NotReady).after(wait));
+    };
+    if board.clock.waking.is_some() {
+        return Err(Refusal::not_run(Reason::NotReady).after(wait));
+    }
+    if board.draining && !matches!(head.origin, Origin::Instance { .. }) {
+        return Err(Refusal::not_run(Reason::Draining).after(wait));
+    }
+    let effect = rules.effect(&head.service, &head.method, &head.path);
+    let effect = effect.ok_or_else(|| Refusal::not_run(Reason::UnknownService))?;
+    let open = effect == Effect::Open;
+    let (customer, key) = match &head.origin {
+        Origin::Caller { key } => (key.and_then(|k| board.customer_of(&k).cloned()), *key),
+        Origin::Instance { customer, .. } => (customer.clone(), None),
+    };
+    if customer.is_none() && (!open || key.is_some()) {
+        return Err(Refusal::not_run(Reason::BadKey));
+    }
+    Ok(Caller {
+        customer,
+        key,
+        effect,
+    })
+}
+
+/// Tells whether the request's key still names its customer.
+pub(super) fn is_in_force(board: &Board, request: &Request) -> bool {
+    match (&request.key, &request.customer) {
+        (Some(key), Some(customer)) => board.customer_of(key) == Some(customer),
+        _ => true,
+    }
+}
--- /dev/null
+++ b/crates/sesamebarrow_policy/src/path/settle.rs
@@ -0,0 +1,175 @@
+//! The end of an attempt: another one, the final answer, and the tokens' account.
+
+use std::sync::Arc;
+
+use super::{Stage, TargetKey, choose, refuse};
+use crate::board::{Board, UpstreamKey};
+use crate::event::{Answer, Outcome, RequestId};
+use crate::refusal::{Reason, Refusal, Result as Verdict};
+use crate::{limit, once, upstream};
+
+/// Hundredths of a retry that one attempt costs.
+const RETRY_COST: u32 = 100;
+
+/// Most hundredths of a retry that may be saved up.
+const RETRY_SAVED: u32 = 100 * RETRY_COST;
+
+/// Takes the end of an attempt.
+pub(super) fn settle(board: &mut Board, id: RequestId, outcome: Outcome) {
+    if !board.requests.contains_key(&id) {
+        return;
+    }
+    match outcome {
+        Outcome::Whole { tokens, answer } => complete(board, id, tokens, answer),
+        Outcome::NotSent => take_unsent(board, id),
+        Outcome::Refused(refusal) => take_refusal(board, id, refusal),
+        Outcome::Broken { relayed } => break_off(board, id, relayed),
+    }
+}
+
+fn complete(board: &mut Board, id: RequestId, tokens: Option<u64>, answer: Option<Arc<Answer>>) {
+    board.counters.completed += 1;
+    let earned = board.settings.retry_percent;
+    board.retry_credit = (board.retry_credit + earned).min(RETRY_SAVED);
+    let cost = board.requests[&id].cost;
+    if let Some(key) = upstream_of(board, id) {
+        upstream::note_success(board, key);
+    }
+    if let Some(number) = board.requests[&id].ticket {
+        once::note_answer(board, number, answer);
+    }
+    close(board, id, tokens.unwrap_or(cost));
+}
+
+/// Takes a refusal by the instance to which the request was handed.
+fn take_refusal(board: &mut Board, id: RequestId, refusal: Refusal) {
+    if refusal.result == Verdict::NotRun {
+        rewind(board, id);
+    }
+    let again = refusal.result == Verdict::NotRun && !board.requests[&id].is_once();
+    if again && may_retry(board, id) {
+        retry(board, id);
+    } else {
+        pass_on(board, id, refusal);
+    }
+}
+
+/// Takes an attempt of which no byte can have reached the other end.
+fn take_unsent(board: &mut Board, id: RequestId) {
+    if let Some(key) = upstream_of(board, id) {
+        upstream::note_failure(board, key);
+    }
+    rewind(board, id);
+    let request = &board.requests[&id];
+    let handed_over = matches!(request.target, Some(TargetKey::Instance(_)));
+    if request.is_once() && handed_over {
+        // Only the owner may run it, and an earlier sending may have reached it.
+        pass_on(board, id, Refusal::unknown(Reason::OwnerLost));
+    } else if may_retry(board, id) {
+        retry(board, id);
+    } else {
+        let wait = board.settings.read_backoff;
+        refuse(board, id, Refusal::not_run(Reason::UpstreamFailed).after(wait));
+    }
+}
+
+/// Sets a request back to where it stood before its attempt, of which nothing came.
+fn rewind(board: &mut Board, id: RequestId) {
+    if let Some(request) = board.requests.get_mut(&id) {
+        request.stage = Stage::Dispatching;
+    }
+}
+
+/// Passes a refusal on as it is.
+fn pass_on(board: &mut Board, id: RequestId, refusal: Refusal) {
+    let told = board.requests[&id].detached;
+    forget(board, id);
+    if !told {
+        super::say_refusal(board, id, refusal);
+    }
+}
+
+fn break_off(board: &mut Board, id: RequestId, relayed: bool) {
+    board.counters.broken += 1;
+    if let Some(key) = upstream_of(board, id) {
+        upstream::note_failure(board, key);
+    }
+    if let Some(number) = board.requests[&id].ticket {
+        once::note_loss(board, number);
+    }
+    let request = &board.requests[&id];
+    let once = request.is_once();
+    if relayed {
+        let cost = request.cost;
+        close(board, id, cost);
+    } else if !once && may_retry(board, id) {
+        retry(board, id);
+    } else {
+        let reason = match request.target {
+            Some(TargetKey::Instance(_)) if once => Reason::OwnerLost,
+            _ => Reason::UpstreamFailed,
+        };
+        refuse(board, id, Refusal::unknown(reason));
+    }
+}
+
+fn may_retry(board: &Board, id: RequestId) -> bool {
+    let request = &board.requests[&id];
+    request.attempts < board.settings.attempts
+        && board.now() < request.deadline
+        && board.retry_credit >= RETRY_COST
+        && !request.is_forwarded()
+}
+
+fn retry(board: &mut Board, id: RequestId) {
+    board.retry_credit -= RETRY_COST;
+    board.counters.retried += 1;
+    release_target(board, id);
+    choose::choose(board, id);
+}
+
+fn upstream_of(board: &Board, id: RequestId) -> Option<UpstreamKey> {
+    match board.requests.get(&id)?.target {
+        Some(TargetKey::Upstream(key)) => Some(key),
+        _ => None,
+    }
+}
+
+/// Takes the request off its target's account.
+pub(super) fn release_target(board: &mut Board, id: RequestId) {
+    let key = upstream_of(board, id);
+    if let Some(request) = board.requests.get_mut(&id) {
+        request.target = None;
+    }
+    if let Some(upstream) = key.and_then(|k| board.upstreams.get_mut(k)) {
+        upstream.own = upstream.own.saturating_sub(1);
+    }
+}
+
+/// Forgets a request; one of which no byte has left costs nothing.
+pub(crate) fn forget(board: &mut Board, id: RequestId) {
+    let Some(request) = board.requests.get(&id) else {
+        return;
+    };
+    let spent = match request.stage {
+        Stage::Running | Stage::Answering => request.cost,
+        Stage::Waiting | Stage::Dispatching => 0,
+    };
+    close(board, id, spent);
+}
+
+/// Settles the tokens and takes the request off the board.
+fn close(board: &mut Board, id: RequestId, spent: u64) {
+    release_target(board, id);
+    let Some(request) = board.requests.remove(&id) else {
+        return;
+    };
+    if request.stage == Stage::Waiting
+        && let Some(customer) = &request.customer
+    {
+        limit::stop_waiting(board, customer, id);
+    }
+    if let Some(reservation) = &request.reservation {
+        limit::settle(board, reservation, spent);
+    }
+}
--- /dev/null
+++ b/crates/sesamebarrow_policy/src/place.rs
@@ -0,0 +1,130 @@
+//! Placement: which instances a caller should use.
+//!
+//! Every instance answers, also when it is cut off, by what it knows.
+
+use std::time::Duration;
+
+use sesamebarrow_rules::Digest;
+use smol_str::SmolStr;
+
+use crate::board::Board;
+use crate::event::{Action, Candidate, RequestId};
+use crate::limit;
+use crate::member;
+use crate::once;
+use crate::refusal::{Reason, Refusal};
+
+/// Answers a placement question.
+pub(crate) fn answer(board: &mut Board, id: RequestId, key: Option<Digest>, service: &str) {
+    match place(board, id, key, service) {
+        Ok(action) => board.act(action),
+        Err(refusal) => board.act(Action::Refuse { id, refusal }),
+    }
+}
+
+fn place(
+    board: &mut Board,
+    id: RequestId,
+    key: Option<Digest>,
+    service: &str,
+) -> Result<Action, Refusal> {
+    let wait = board.settings.wake;
+    let Some(rules) = board.rules.clone() else {
+        return Err(Refusal::not_run(Reason::NotReady).after(wait));
+    };
+    let customer = key.and_then(|k| board.customer_of(&k).cloned());
+    let customer = customer.ok_or_else(|| Refusal::not_run(Reason::BadKey))?;
+    if !rules.services.contains_key(service) {
+        return Err(Refusal::not_run(Reason::UnknownService));
+    }
+    if !rules.customers[&customer].services.contains(service) {
+        return Err(Refusal::not_run(Reason::NotAllowed));
+    }
+    let candidates = candidates(board, &customer);
+    let ticket = may_own(board, &customer).then(|| once::issue(board, &customer, service));
+    Ok(Action::Placed {
+        id,
+        candidates,
+        ttl: ttl(board),
+        ticket,
+    })
+}
+
+/// A ticket's owner must be where the customer's data may be, and must last.
+fn may_own(board: &Board, customer: &str) -> bool {
+    let Some(region) = board.my_region() else {
+        return false;
+    };
+    board.is_ready() && board.may_be_in(customer, region)
+}
+
+fn ttl(board: &Board) -> Duration {
+    if board.draining {
+        Duration::ZERO
+    } else {
+        board.settings.placement
+    }
+}
+
+/// Returns the instances that may serve the customer, the best first: those that hold a
+/// share of its rate, by this domain, this region and the rest, and by their load.
+pub(crate) fn candidates(board: &Board, customer: &str) -> Vec<Candidate> {
+    let Some(rules) = &board.rules else {
+        return Vec::new();
+    };
+    let region = board.my_region().cloned().unwrap_or_default();
+    let held = limit::holders(rules, customer, board.settings.holders_per_region);
+    let holds = |domain: &str, slot: Option<u16>| {
+        held.iter()
+            .any(|h| h.domain == domain && Some(h.slot) == slot)
+    };
+    let mut ranked = Vec::new();
+    for instance in board.instances.values() {
+        let Some(http) = instance.http else {
+            continue;
+        };
+        if !member::takes_work(board, instance) || !board.may_be_in(customer, &instance.region) {
+            continue;
+        }
+        let distance = distance(board, &region, &instance.domain, &instance.region);
+        let running = instance.link.as_ref().map_or(0, |l| l.running);
+        let candidate = Candidate {
+            name: instance.name.clone(),
+            region: instance.region.clone(),
+            http,
+        };
+        let holder = holds(&instance.domain, instance.slot);
+        ranked.push(((distance, !holder, running), candidate));
+    }
+    if let Some(candidate) = myself(board, customer, &region) {
+        let holder = holds(&board.me.domain, Some(board.me.slot));
+        let running = u32::try_from(board.requests.len()).unwrap_or(u32::MAX);
+        ranked.push(((0, !holder, running), candidate));
+    }
+    ranked.sort_by(|(a, x), (b, y)| (a, &x.name).cmp(&(b, &y.name)));
+    ranked.into_iter().map(|(_, c)| c).collect()
+}
+
+/// Returns 0 in this domain, 1 in this region and 2 elsewhere.
+fn distance(board: &Board, region: &str, domain: &str, other: &SmolStr) -> u8 {
+    if domain == board.me.domain {
+        0
+    } else if other == region {
+        1
+    } else {
+        2
+    }
+}
+
+fn myself(board: &Board, customer: &str, region: &SmolStr) -> Option<Candidate> {
+    if !board.is_ready() || !board.may_be_in(customer, region) {
+        return None;
+    }
+    let entry = board.list.instances.get(&board.me.name)?;
+    let live = entry.state == sesamebarrow_rules::list::State::Live;
+    live.then(|| Candidate {
+        name: board.me.name.clone(),
+        region: region.clone(),
+        http: entry.http,
+    })
+}
--- /dev/null
+++ b/crates/sesamebarrow_policy/src/schedule.rs
@@ -0,0 +1,64 @@
+//! The order in which controllers run.
+
+use std::time::Duration;
+
+use crate::board::Board;
+use crate::event::{Action, Event};
+use crate::{clock, config, limit, member, once, path, place, upstream};
+
+/// Lets the controllers take `event`, which happened at `now`, and returns what to do.
+pub fn handle(board: &mut Board, now: Duration, event: Event) -> Vec<Action> {
+    clock::advance(board, now);
+    route(board, event);
+    std::mem::take(&mut board.out)
+}
+
+fn route(board: &mut Board, event: Event) {
+    match event {
+        Event::Tick => tick(board),
+        Event::DocumentRead { kind, document } => config::take_read(board, kind, *document),
+        Event::DocumentConfirmed { kind, revision } => {
+            config::take_confirmation(board, kind, revision);
+        }
+        Event::DocumentFailed { kind, fault } => config::take_failure(board, kind, fault),
+        Event::LinkUp {
+            name,
+            domain,
+            incarnation,
+        } => member::take_link_up(board, name, domain, incarnation),
+        Event::LinkDown { name, incarnation } => {
+            member::take_link_down(board, &name, incarnation);
+        }
+        Event::Received {
+            name,
+            incarnation,
+            message,
+        } => member::take_message(board, &name, incarnation, message),
+        Event::LoadRead {
+            upstream,
+            running,
+            queued,
+        } => upstream::take_load(board, &upstream, running, queued, Duration::ZERO),
+        Event::Arrived { id, head } => path::take_arrival(board, id, head),
+        Event::Departing { id } => path::take_departure(board, id),
+        Event::Answering { id } => path::take_answer_begun(board, id),
+        Event::Finished { id, outcome } => path::take_end(board, id, outcome),
+        Event::CallerGone { id } => path::take_caller_gone(board, id),
+        Event::PlacementAsked { id, key, service } => place::answer(board, id, key, &service),
+        Event::Drain => member::drain(board),
+    }
+}
+
+/// Runs every controller that acts with time, in this order.
+fn tick(board: &mut Board) {
+    config::read_platform(board);
+    clock::end_waking(board);
+    member::drop_silent_links(board);
+    member::dial_neighbours(board);
+    member::send_heartbeats(board);
+    upstream::poll_loads(board);
+    limit::tick(board);
+    once::expire(board);
+    path::expire(board);
+    member::finish_drain(board);
+}
--- a/crates/sesamebarrow_rules/src/lib.rs
+++ b/crates/sesamebarrow_rules/src/lib.rs
@@ -13,13 +13,18 @@
 //! assert_eq!(rules.total_slots(), 2);
 //! ```
 
+mod args;
 pub mod diff;
+pub mod document;
 mod lexer;
+pub mod list;
 pub mod model;
 pub mod parser;
 pub mod print;
 
 pub use diff::diff;
+pub use document::Document;
+pub use list::List;
 pub use model::{Customer, Digest, Domain, Effect, Kind, Route, Rules, Service};
 pub use parser::{Fault, parse};
 pub use print::print;
--- a/crates/sesamebarrow_rules/src/parser.rs
+++ b/crates/sesamebarrow_rules/src/parser.rs
@@ -5,7 +5,8 @@
 
 use smol_str::SmolStr;
 
-use crate::lexer::{self, Line, Word};
+use crate::args::{Args, Problem, problem, twice, unknown};
+use crate::lexer::{self, Line};
 use crate::model::{Customer, Digest, Domain, Effect, Kind, Route, Rules, Service};
 
 /// A fault in a rule file.
@@ -72,19 +73,6 @@
     faults: Vec<Fault>,
 }
 
-/// A fault without its line.
-struct Problem {
-    column: usize,
-    message: String,
-}
-
-fn problem(column: usize, message: impl Into<String>) -> Problem {
-    Problem {
-        column,
-        message: message.into(),
-    }
-}
-
 impl Parser {
     fn take_line(&mut self, pass: Pass, number: usize, line: &Line<'_>) {
         let result = self.take_rule(pass, line);
@@ -303,142 +291,3 @@
         )),
     }
 }
-
-fn unknown(word: Word<'_>, what: &str) -> Problem {
-    let message = format!(
-        "unknown {what} `{}`: expected one that is declared",
-        word.text
-    );
-    problem(word.column, message)
-}
-
-fn twice(name: &Name, what: &str) -> Problem {
-    let message = format!("{what} `{}` is declared twice", name.value);
-    problem(name.column, message)
-}
-
-/// A name and where it stood.
-struct Name {
-    value: SmolStr,
-    column: usize,
-}
-
-impl Name {
-    fn unknown(&self, what: &str) -> Problem {
-        let word = Word {
-            text: &self.value,
-            column: self.column,
-        };
-        unknown(word, what)
-    }
-}
-
-/// The words of a rule behind its keyword, taken in any order of settings.
-struct Args<'a> {
-    plain: std::collections::VecDeque<Word<'a>>,
-    settings: Vec<(&'a str, Word<'a>)>,
-    end: usize,
-}
-
-impl<'a> Args<'a> {
-    fn new(line: &Line<'a>) -> Self {
-        let mut plain = std::collections::VecDeque::new();
-        let mut settings = Vec::new();
-        for word in &line.words[1..] {
-            // A path may hold `=`, a setting never begins with `/`.
-            match word.text.split_once('=') {
-                Some((key, value)) if !word.text.starts_with('/') => {
-                    let column = word.column + key.chars().count() + 1;
-                    settings.push((
-                        key,
-                        Word {
-                            text: value,
-                            column,
-                        },
-                    ));
-                }
-                _ => plain.push_back(*word),
-            }
-        }
-        let end = line.words.last().map_or(line.end, |w| {
-            w.column + w.text.chars().count()
-        });
-        Self {
-            plain,
-            settings,
-            end,
-        }
-    }
-
-    fn word(&mut self, expected: &str) -> Result<Word<'a>, Problem> {
-        self.plain
-            .pop_front()
-            .ok_or_else(|| problem(self.end, format!("expected {expected}")))
-    }
-
-    fn name(&mut self, expected: &str) -> Result<Name, Problem> {
-        let word = self.word(expected)?;
-        let fits = word
-            .text
-            .bytes()
-            .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-');
-        if !fits {
-            let message = format!(
-                "`{}` is no name: expected {expected} of a-z, 0-9 and `-`",
-                word.text
-            );
-            return Err(problem(word.column, message));
-        }
-        Ok(Name {
-            value: SmolStr::new(word.text),
-            column: word.column,
-        })
-    }
-
-    fn optional(&mut self, key: &str) -> Option<Word<'a>> {
-        let index = self.settings.iter().position(|(k, _)| *k == key)?;
-        Some(self.settings.remove(index).1)
-    }
-
-    fn setting(&mut self, key: &str) -> Result<Word<'a>, Problem> {
-        self.optional(key)
-            .ok_or_else(|| problem(self.end, format!("expected {key}=…")))
-    }
-
-    fn optional_number(
-        &mut self,
-        key: &str,
-        min: u64,
-        max: u64,
-    ) -> Result<Option<u64>, Problem> {
-        let Some(word) = self.optional(key) else {
-            return Ok(None);
-        };
-        match word.text.parse::<u64>() {
-            Ok(value) if (min..=max).contains(&value) => Ok(Some(value)),
-            _ => {
-                let message = format!("expected {key}= and a whole number from {min} to {max}");
-                Err(problem(word.column, message))
-            }
-        }
-    }
-
-    fn number(&mut self, key: &str, min: u64, max: u64) -> Result<u64, Problem> {
-        let end = self.end;
-        self.optional_number(key, min, max)?
-            .ok_or_else(|| problem(end, format!("expected {key}=…")))
-    }
-
-    fn finish(self) -> Result<(), Problem> {
-        if let Some(word) = self.plain.front() {
-            let message = format!("unexpected word `{}`", word.text);
-            return Err(problem(word.column, message));
-        }
-        if let Some((key, word)) = self.settings.first() {
-            let message = format!("unknown or repeated setting `{key}=`");
-            let column = word.column - key.chars().count() - 1;
-            return Err(problem(column, message));
-        }
-        Ok(())
-    }
-}
--- a/crates/sesamebarrow_wire/src/control.rs
+++ b/crates/sesamebarrow_wire/src/control.rs
@@ -129,7 +129,7 @@
     /// The loan's id.
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    /// Tokens spent so far.
+    /// Millionths of a token spent so far.
     #[prost(uint64, tag = "2")]
     pub spent: u64,
     /// Whether the borrower gives all the rest back.
--- a/crates/sesamebarrow_wire/src/stream.rs
+++ b/crates/sesamebarrow_wire/src/stream.rs
@@ -131,4 +131,10 @@
     /// Instances that may take the request.
     #[prost(string, repeated, tag = "4")]
     pub instances: Vec<String>,
+    /// Name of what it says of the request's having run.
+    #[prost(string, tag = "5")]
+    pub result: String,
+    /// A fresh ticket; empty for none.
+    #[prost(string, tag = "6")]
+    pub ticket: String,
 }
