--- /dev/null
+++ b/crates/sesamebarrow_ctl/src/client.rs
@@ -0,0 +1,40 @@
+//! A small HTTP client.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// A whole answer.
+pub struct Answer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Sends a request with a bearer token and reads the whole answer.
+pub async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    token: &str,
+) -> anyhow::Result<Answer> {
+    let stream = TcpStream::connect(address).await?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    let req = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", address.to_string())
+        .header("authorization", format!("Bearer {token}"))
+        .body(Full::new(Bytes::new()))?;
+    let response = sender.send_request(req).await?;
+    let status = response.status();
+    let body = response.into_body().collect().await?.to_bytes();
+    Ok(Answer { status, body })
+}
--- /dev/null
+++ b/crates/sesamebarrow_node/src/admin.rs
@@ -0,0 +1,134 @@
+//! The operators' interface, on an address of its own.
+//!
+//! `/health` and `/ready` are open; `/state`, `/metrics` and `/drain` want the token
+//! that is derived from the fleet's secret.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use metrics_exporter_prometheus::PrometheusHandle;
+use sesamebarrow_policy::Event;
+use subtle::ConstantTimeEq;
+use tokio::net::TcpListener;
+
+use crate::accept;
+use crate::driver::Command;
+use crate::node::Node;
+use crate::problem::Problem;
+use crate::relay::{self, Body};
+
+/// What the interface needs.
+pub struct Context {
+    /// The process.
+    pub node: Arc<Node>,
+    /// The token that operators show.
+    pub token: String,
+    /// The metrics.
+    pub metrics: PrometheusHandle,
+}
+
+/// Serves operators for as long as the process lives.
+pub async fn serve(cx: Arc<Context>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let cx = cx.clone();
+        tokio::spawn(async move {
+            let service = hyper::service::service_fn(move |req| answer(cx.clone(), req));
+            let builder = auto::Builder::new(TokioExecutor::new());
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!(error:% = error; "admin connection ended");
+            }
+        });
+    }
+}
+
+async fn answer(cx: Arc<Context>, req: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+    let response = match route(&cx, &req).await {
+        Ok(response) => response,
+        Err(problem) => problem.into_response(None),
+    };
+    Ok(response)
+}
+
+async fn route(cx: &Context, req: &Request<Incoming>) -> Result<Response<Body>, Problem> {
+    match (req.method(), req.uri().path()) {
+        (&Method::GET, "/health") => Ok(text("ok\n")),
+        (&Method::GET, "/ready") => ready(cx).await,
+        (&Method::GET, "/state") => {
+            check_token(cx, req)?;
+            let state = cx.node.driver.ask(Command::Snapshot).await;
+            Ok(accept::json(&state.map_err(stopping)?))
+        }
+        (&Method::GET, "/metrics") => {
+            check_token(cx, req)?;
+            let published = cx.node.driver.ask(Command::Publish).await;
+            published.map_err(stopping)?;
+            Ok(text(cx.metrics.render()))
+        }
+        (&Method::POST, "/drain") => {
+            check_token(cx, req)?;
+            log::info!("drain asked for");
+            cx.node.driver.tell(Event::Drain);
+            Ok(text("draining\n"))
+        }
+        _ => {
+            let title = "expected /health, /ready, /state, /metrics or POST /drain";
+            Err(Problem::bad_input(
+                StatusCode::NOT_FOUND,
+                "no-such-path",
+                title,
+            ))
+        }
+    }
+}
+
+async fn ready(cx: &Context) -> Result<Response<Body>, Problem> {
+    let ready = cx.node.driver.ask(Command::Ready).await.map_err(stopping)?;
+    if ready {
+        return Ok(text("ready\n"));
+    }
+    let title = "This instance takes no work.";
+    Err(Problem::bad_input(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "not-ready",
+        title,
+    ))
+}
+
+fn check_token(cx: &Context, req: &Request<Incoming>) -> Result<(), Problem> {
+    let shown = req
+        .headers()
+        .get(AUTHORIZATION)
+        .and_then(|v| v.as_bytes().strip_prefix(b"Bearer "))
+        .unwrap_or_default();
+    if bool::from(shown.ct_eq(cx.token.as_bytes())) {
+        return Ok(());
+    }
+    let title = "expected the fleet's admin token";
+    Err(Problem::bad_input(
+        StatusCode::UNAUTHORIZED,
+        "bad-token",
+        title,
+    ))
+}
+
+fn stopping(error: anyhow::Error) -> Problem {
+    Problem::bad_input(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "stopping",
+        error.to_string(),
+    )
+}
+
+fn text(body: impl Into<bytes::Bytes>) -> Response<Body> {
+    Response::new(relay::full(body))
+}
--- /dev/null
+++ b/crates/sesamebarrow_node/src/driver.rs
@@ -0,0 +1,308 @@
+//! The actor that owns the board: events in, actions out.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use sesamebarrow_policy::{Action, Board, Event, Head, RequestId};
+use sesamebarrow_wire::control::DocumentKind;
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, watch};
+
+use crate::peer::Links;
+use crate::platform::Platform;
+use crate::{platform, telemetry};
+
+/// Time between two ticks.
+pub const TICK: Duration = Duration::from_millis(50);
+
+/// What the actor takes.
+pub enum Command {
+    /// Something happened.
+    Event(Event),
+    /// A request or a placement question arrived; its actions go to `tx`.
+    Begin {
+        /// The event that opens it.
+        event: Event,
+        /// The request.
+        id: RequestId,
+        /// Where its actions go.
+        tx: mpsc::UnboundedSender<Action>,
+    },
+    /// Somebody wants the state, as JSON.
+    Snapshot(RpcReplyPort<serde_json::Value>),
+    /// Somebody wants the metrics to be up to date.
+    Publish(RpcReplyPort<()>),
+    /// Somebody wants the address at which an instance takes links.
+    PeerAddress(SmolStr, RpcReplyPort<Option<SocketAddr>>),
+    /// Somebody wants to know whether this instance takes work.
+    Ready(RpcReplyPort<bool>),
+}
+
+/// The way to the actor.
+#[derive(Clone)]
+pub struct Handle {
+    actor: ActorRef<Command>,
+    next: Arc<AtomicU64>,
+}
+
+impl Handle {
+    /// Tells the board of an event.
+    pub fn tell(&self, event: Event) {
+        // The actor ends only with the process.
+        let _ = self.actor.cast(Command::Event(event));
+    }
+
+    /// Brings a request before the board.
+    pub fn arrive(&self, head: Head) -> Ticket {
+        self.begin(|id| Event::Arrived { id, head })
+    }
+
+    /// Brings a question before the board.
+    pub fn begin(&self, event: impl FnOnce(RequestId) -> Event) -> Ticket {
+        let id = RequestId(self.next.fetch_add(1, Ordering::Relaxed));
+        let (tx, rx) = mpsc::unbounded_channel();
+        let event = event(id);
+        let _ = self.actor.cast(Command::Begin { event, id, tx });
+        Ticket { id, rx }
+    }
+
+    /// Asks the actor.
+    pub async fn ask<T: Send + 'static>(
+        &self,
+        command: impl FnOnce(RpcReplyPort<T>) -> Command,
+    ) -> anyhow::Result<T> {
+        let (tx, rx) = ractor::concurrency::oneshot();
+        self.actor
+            .cast(command(tx.into()))
+            .map_err(|_| anyhow::anyhow!("the process is stopping"))?;
+        Ok(rx.await?)
+    }
+}
+
+/// A request before the board and the actions that concern it.
+pub struct Ticket {
+    /// The request.
+    pub id: RequestId,
+    /// Its actions.
+    pub rx: mpsc::UnboundedReceiver<Action>,
+}
+
+/// What the actor needs besides the board.
+pub struct Setup {
+    /// The board.
+    pub board: Board,
+    /// Links to other instances.
+    pub links: Links,
+    /// The platform.
+    pub platform: Platform,
+    /// Told once all work has ended.
+    pub drained: watch::Sender<bool>,
+}
+
+struct Driver;
+
+struct State {
+    setup: Setup,
+    handle: Handle,
+    began: Instant,
+    /// Where the actions of requests under way go.
+    requests: HashMap<RequestId, mpsc::UnboundedSender<Action>>,
+}
+
+/// Starts the actor and its ticks.
+pub async fn start(setup: Setup) -> anyhow::Result<Handle> {
+    let (actor, _) = Actor::spawn(None, Driver, setup).await?;
+    let handle = Handle {
+        actor: actor.clone(),
+        next: Arc::new(AtomicU64::new(FIRST_REQUEST)),
+    };
+    tokio::spawn(tick(actor));
+    Ok(handle)
+}
+
+const FIRST_REQUEST: u64 = 1;
+
+async fn tick(actor: ActorRef<Command>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        interval.tick().await;
+        if actor.cast(Command::Event(Event::Tick)).is_err() {
+            return;
+        }
+    }
+}
+
+impl Actor for Driver {
+    type Msg = Command;
+    type State = State;
+    type Arguments = Setup;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Command>,
+        setup: Setup,
+    ) -> Result<State, ActorProcessingErr> {
+        let handle = Handle {
+            actor: myself,
+            next: Arc::new(AtomicU64::new(0)),
+        };
+        Ok(State {
+            setup,
+            handle,
+            began: Instant::now(),
+            requests: HashMap::new(),
+        })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Command>,
+        command: Command,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        match command {
+            Command::Event(event) => state.handle(event),
+            Command::Begin { event, id, tx } => {
+                state.requests.insert(id, tx);
+                state.handle(event);
+            }
+            Command::Snapshot(reply) => {
+                let snapshot = sesamebarrow_policy::snapshot(&state.setup.board);
+                let _ = reply.send(serde_json::to_value(snapshot)?);
+            }
+            Command::Publish(reply) => {
+                telemetry::publish(&state.setup.board);
+                let _ = reply.send(());
+            }
+            Command::PeerAddress(name, reply) => {
+                let board = &state.setup.board;
+                let entry = board.list.instances.get(&name);
+                let _ = reply.send(entry.map(|i| i.peer));
+            }
+            Command::Ready(reply) => {
+                let _ = reply.send(state.setup.board.is_ready());
+            }
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    fn handle(&mut self, event: Event) {
+        let ended = match &event {
+            Event::Finished { id, .. } | Event::CallerGone { id } => Some(*id),
+            _ => None,
+        };
+        let before = may_change_documents(&event).then(|| Before::of(&self.setup.board));
+        let now = self.began.elapsed();
+        let actions = sesamebarrow_policy::handle(&mut self.setup.board, now, event);
+        if let Some(before) = before {
+            before.note_changes(&self.setup.board);
+        }
+        for action in actions {
+            self.carry_out(action);
+        }
+        if let Some(id) = ended
+            && !self.setup.board.requests.contains_key(&id)
+        {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Dispatch { id, .. } | Action::Go { id } => {
+                if let Some(tx) = self.requests.get(&id) {
+                    // A receiver that is gone says so by an event of its own.
+                    let _ = tx.send(action);
+                }
+            }
+            Action::Refuse { id, .. }
+            | Action::Replay { id, .. }
+            | Action::Cancel { id }
+            | Action::Placed { id, .. } => {
+                if let Some(tx) = self.requests.remove(&id) {
+                    let _ = tx.send(action);
+                }
+            }
+            Action::Send { to, message } => self.setup.links.send(&to, message),
+            Action::Dial { name, address } => {
+                let links = self.setup.links.clone();
+                tokio::spawn(async move { links.dial(Some(name), address).await });
+            }
+            Action::Drop { name } => {
+                log::warn!(instance = name.as_str(); "link silent, dropped");
+                self.setup.links.drop_link(&name);
+            }
+            Action::Read { kind, have, wait } => {
+                let read = platform::read(self.setup.platform, kind, have, wait);
+                let handle = self.handle.clone();
+                tokio::spawn(async move { handle.tell(read.await) });
+            }
+            Action::PollLoad { upstream, address } => {
+                let handle = self.handle.clone();
+                tokio::spawn(async move {
+                    if let Some(event) = platform::poll_load(upstream, address).await {
+                        handle.tell(event);
+                    }
+                });
+            }
+            Action::Drained => {
+                let _ = self.setup.drained.send(true);
+            }
+        }
+    }
+}
+
+fn may_change_documents(event: &Event) -> bool {
+    matches!(
+        event,
+        Event::DocumentRead { .. }
+            | Event::DocumentConfirmed { .. }
+            | Event::DocumentFailed { .. }
+            | Event::Received { .. }
+    )
+}
+
+/// What is logged when an event changes it.
+struct Before {
+    rules: u64,
+    list: u64,
+    faults: Vec<Option<SmolStr>>,
+}
+
+impl Before {
+    fn of(board: &Board) -> Self {
+        Self {
+            rules: board.shelves[&DocumentKind::Rules].revision(),
+            list: board.shelves[&DocumentKind::List].revision(),
+            faults: board
+                .shelves
+                .values()
+                .flat_map(|s| [s.fault.clone(), s.read_fault.clone()])
+                .collect(),
+        }
+    }
+
+    fn note_changes(&self, board: &Board) {
+        let after = Self::of(board);
+        if after.rules != self.rules {
+            log::info!(revision = after.rules, before = self.rules; "rules in force");
+        }
+        if after.list != self.list {
+            log::info!(revision = after.list, before = self.list; "list in force");
+        }
+        for (old, new) in self.faults.iter().zip(&after.faults) {
+            if let Some(fault) = new
+                && old != new
+            {
+                log::warn!(fault = fault.as_str(); "document fault");
+            }
+        }
+    }
+}
--- a/crates/sesamebarrow_node/src/main.rs
+++ b/crates/sesamebarrow_node/src/main.rs
@@ -1,3 +1,31 @@
-fn main() {
-    println!("Hello, world!");
+//! The entry instance's program.
+
+use std::process::ExitCode;
+
+use sesamebarrow_node::{Settings, cli, logs, run};
+
+fn main() -> ExitCode {
+    let matches = cli::command().get_matches();
+    match start(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("sesamebarrow: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(matches: &clap::ArgMatches) -> anyhow::Result<()> {
+    let path = cli::settings_path(matches);
+    let settings = Settings::load(&path)?;
+    if cli::only_check(matches) {
+        println!("{}: settings are valid", path.display());
+        return Ok(());
+    }
+    logs::start(settings.log.level)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .enable_all()
+        .build()?;
+    runtime.block_on(run(settings))
 }
--- /dev/null
+++ b/crates/sesamebarrow_node/src/node.rs
@@ -0,0 +1,184 @@
+//! The process: starts its parts and stops them gracefully.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use anyhow::Context;
+use sesamebarrow_policy::{self as policy, Board, Event, Identity};
+use sesamebarrow_wire::auth::Secret;
+use smol_str::{SmolStr, format_smolstr};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::driver::{self, Command, Handle, Setup};
+use crate::peer::Links;
+use crate::platform::Platform;
+use crate::pool::Pool;
+use crate::settings::Settings;
+use crate::{accept, admin, peer, telemetry};
+
+/// Pause between two tries to reach the peers of the settings while no link stands.
+const SEED_PAUSE: Duration = Duration::from_secs(1);
+
+/// What all parts of the process share.
+pub struct Node {
+    /// The settings.
+    pub settings: Settings,
+    /// Who this instance is.
+    pub identity: Identity,
+    /// The way to the board.
+    pub driver: Handle,
+    /// Links to other instances.
+    pub links: Links,
+    /// Connections to upstreams.
+    pub pool: Pool,
+    requests: AtomicU64,
+}
+
+impl Node {
+    /// Returns a fresh id for a request, unique in the fleet.
+    pub fn next_request_id(&self) -> SmolStr {
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        format_smolstr!("{:08x}-{number:x}", self.identity.incarnation >> 32)
+    }
+}
+
+impl Node {
+    /// Returns the address at which the instance `name` takes links.
+    pub async fn peer_address(&self, name: &str) -> Option<SocketAddr> {
+        let name = SmolStr::new(name);
+        let ask = self.driver.ask(|reply| Command::PeerAddress(name, reply));
+        ask.await.ok().flatten()
+    }
+}
+
+/// Runs the process until it is told to stop.
+pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    let secret = Secret::new(&settings.secret()?);
+    let metrics = telemetry::install()?;
+    let listen = settings.listen;
+    let http = bind("listen.http", listen.http).await?;
+    let peers = bind("listen.peer", listen.peer).await?;
+    let admin_listener = bind("listen.admin", listen.admin).await?;
+    let (drained_tx, drained) = watch::channel(false);
+    let node = build(settings, &secret, drained_tx).await?;
+    let stop = CancellationToken::new();
+    tokio::spawn(peer::listen(node.clone(), peers));
+    tokio::spawn(seed(node.clone()));
+    let admin_cx = admin::Context {
+        node: node.clone(),
+        token: secret.admin_token(),
+        metrics,
+    };
+    tokio::spawn(admin::serve(Arc::new(admin_cx), admin_listener));
+    let serving = tokio::spawn(accept::serve(node.clone(), http, stop.clone()));
+    log::info!(
+        name = node.identity.name.as_str(), domain = node.identity.domain.as_str(),
+        http:% = listen.http, peer:% = listen.peer, admin:% = listen.admin; "started"
+    );
+    shut_down(&node, stop, serving, drained).await
+}
+
+async fn bind(field: &str, address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("{field}: cannot listen on {address}"))
+}
+
+async fn build(
+    settings: Settings,
+    secret: &Secret,
+    drained: watch::Sender<bool>,
+) -> anyhow::Result<Arc<Node>> {
+    let identity = Identity {
+        name: settings.name.clone(),
+        domain: settings.domain.clone(),
+        slot: settings.slot,
+        incarnation: rand::random(),
+    };
+    let rules = policy::Settings {
+        sharing: settings.policy.sharing,
+        balancing: settings.policy.balancing,
+        spill: settings.policy.spill,
+        ..policy::Settings::default()
+    };
+    let board = Board::new(identity.clone(), rules, secret.ticket_key(), rand::random());
+    let links = Links::new(identity.clone(), secret.clone());
+    let setup = Setup {
+        board,
+        links: links.clone(),
+        platform: Platform {
+            address: settings.platform.address,
+            watch: settings.platform.watch,
+            timeout: settings.platform.timeout,
+        },
+        drained,
+    };
+    let driver = driver::start(setup).await?;
+    let node = Arc::new(Node {
+        settings,
+        identity,
+        driver,
+        links: links.clone(),
+        pool: Pool::default(),
+        requests: AtomicU64::new(1),
+    });
+    links.attach(&node);
+    Ok(node)
+}
+
+/// Reaches the peers of the settings for as long as no link stands.
+async fn seed(node: Arc<Node>) {
+    loop {
+        if node.links.is_empty() {
+            for address in &node.settings.peers {
+                node.links.dial(None, *address).await;
+            }
+        }
+        tokio::time::sleep(SEED_PAUSE).await;
+    }
+}
+
+/// Waits for a signal and lets all work end before the process does.
+async fn shut_down(
+    node: &Node,
+    stop: CancellationToken,
+    serving: tokio::task::JoinHandle<()>,
+    mut drained: watch::Receiver<bool>,
+) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        _ = drained.wait_for(|drained| *drained) => {}
+    }
+    let shutdown = node.settings.shutdown;
+    log::info!(limit:? = shutdown.limit; "draining");
+    node.driver.tell(Event::Drain);
+    let graceful = async {
+        // Callers and instances learn first that this one takes no new work.
+        tokio::time::sleep(shutdown.notice).await;
+        stop.cancel();
+        let _ = drained.wait_for(|drained| *drained).await;
+        let _ = serving.await;
+    };
+    let finished = tokio::select! {
+        () = graceful => true,
+        () = tokio::time::sleep(shutdown.limit) => false,
+        _ = terminate.recv() => false,
+        _ = interrupt.recv() => false,
+    };
+    if finished {
+        log::info!("stopped");
+        return Ok(());
+    }
+    let state = node.driver.ask(Command::Snapshot).await?;
+    let cut = state["requests"].as_array().map_or(0, Vec::len);
+    log::error!(cut; "stopped with requests cut off");
+    anyhow::bail!("stopped with {cut} requests cut off")
+}
--- /dev/null
+++ b/crates/sesamebarrow_node/src/peer/handshake.rs
@@ -0,0 +1,82 @@
+//! Proves the fleet's secret on a new connection.
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use sesamebarrow_policy::Identity;
+use sesamebarrow_wire::auth::{Hello, NONCE_BYTES, PROTOCOL_VERSION, Role, Secret};
+use sesamebarrow_wire::{Codec, Payload};
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+/// Why a link was not opened.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum Error {
+    #[error("connect: {0}")]
+    Io(#[from] std::io::Error),
+    #[error(transparent)]
+    Wire(#[from] sesamebarrow_wire::Error),
+    #[error("the other end closed the connection")]
+    Closed,
+    #[error("expected the handshake")]
+    Unexpected,
+    #[error("the other end speaks version {0} of the protocol")]
+    Version(u32),
+    #[error("the other end does not hold the fleet's secret")]
+    Secret,
+}
+
+/// A connection whose ends have proved themselves.
+pub(super) struct Greeted {
+    /// What the other end said of itself.
+    pub(super) hello: Hello,
+    /// The connection.
+    pub(super) framed: Framed<TcpStream, Codec>,
+}
+
+/// Runs the handshake as `role`.
+pub(super) async fn run(
+    stream: TcpStream,
+    role: Role,
+    identity: &Identity,
+    secret: &Secret,
+) -> Result<Greeted, Error> {
+    let mut framed = Framed::new(stream, Codec::default());
+    let nonce: [u8; NONCE_BYTES] = rand::random();
+    let mine = Hello {
+        version: PROTOCOL_VERSION,
+        name: identity.name.to_string(),
+        domain: identity.domain.to_string(),
+        incarnation: identity.incarnation,
+        nonce: Bytes::copy_from_slice(&nonce),
+    };
+    framed.send(Payload::Hello(mine.clone())).await?;
+    let Payload::Hello(theirs) = read(&mut framed).await? else {
+        return Err(Error::Unexpected);
+    };
+    if theirs.version != PROTOCOL_VERSION {
+        return Err(Error::Version(theirs.version));
+    }
+    let (dialler, listener, other) = match role {
+        Role::Dialler => (&mine, &theirs, Role::Listener),
+        Role::Listener => (&theirs, &mine, Role::Dialler),
+    };
+    let proof = secret.prove(role, dialler, listener);
+    framed.send(Payload::Proof(proof)).await?;
+    let Payload::Proof(proof) = read(&mut framed).await? else {
+        return Err(Error::Unexpected);
+    };
+    if !secret.accepts(&proof, other, dialler, listener) {
+        return Err(Error::Secret);
+    }
+    Ok(Greeted {
+        hello: theirs,
+        framed,
+    })
+}
+
+async fn read(framed: &mut Framed<TcpStream, Codec>) -> Result<Payload, Error> {
+    match framed.next().await {
+        Some(payload) => Ok(payload?),
+        None => Err(Error::Closed),
+    }
+}
--- /dev/null
+++ b/crates/sesamebarrow_node/src/peer/serve.rs
@@ -0,0 +1,177 @@
+//! Runs a request that another instance handed over.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use hyper::{HeaderMap, Method, StatusCode};
+use sesamebarrow_policy::{Head, Origin, Reason, Refusal};
+use sesamebarrow_wire::stream::{self as frames, Open};
+use smol_str::SmolStr;
+use tokio::sync::{mpsc, oneshot};
+
+use super::stream::{Inbound, Stream};
+use crate::attempt::Call;
+use crate::exchange::{self, ReadCall, Reply};
+use crate::node::Node;
+use crate::problem::{self, Problem};
+use crate::relay::Broken;
+
+/// Starts serving the stream that `open` opened.
+pub(super) fn start(node: Arc<Node>, stream: Stream, open: Open) {
+    tokio::spawn(serve(node, stream, open));
+}
+
+async fn serve(node: Arc<Node>, mut stream: Stream, open: Open) {
+    let id = SmolStr::new(&open.request);
+    let head = read_head(stream.instance(), &open);
+    let (body_tx, body_rx) = oneshot::channel();
+    let limit = node.settings.request.max_body_bytes;
+    let timeout = node.settings.request.read_timeout;
+    let read = read_call(open, body_rx, timeout);
+    let exchange = exchange::run(node, head, read);
+    tokio::pin!(exchange);
+    let mut collect = Collect::new(body_tx, limit);
+    let reply = loop {
+        tokio::select! {
+            reply = &mut exchange => break reply,
+            inbound = stream.next() => {
+                if !collect.take(inbound) {
+                    // The sender gave up; the exchange goes on where it must.
+                    return;
+                }
+            }
+        }
+    };
+    log::info!(request = id.as_str(), from = stream.instance(); "served for an instance");
+    send_reply(&mut stream, reply).await;
+}
+
+fn read_head(sender: &str, open: &Open) -> Head {
+    let path = open.path.split('?').next().unwrap_or_default();
+    let customer = (!open.customer.is_empty()).then(|| SmolStr::new(&open.customer));
+    Head {
+        origin: Origin::Instance {
+            name: SmolStr::new(sender),
+            customer,
+            rules_revision: open.rules_revision,
+            hops: open.hops,
+        },
+        service: SmolStr::new(&open.service),
+        method: SmolStr::new(&open.method),
+        path: SmolStr::new(path),
+        ticket: (!open.ticket.is_empty()).then(|| SmolStr::new(&open.ticket)),
+        deadline: Duration::from_millis(u64::from(open.deadline_ms)),
+        estimate: open.reserved,
+    }
+}
+
+/// Gathers the body as it comes in.
+struct Collect {
+    tx: Option<oneshot::Sender<Option<Bytes>>>,
+    buf: BytesMut,
+    limit: usize,
+}
+
+impl Collect {
+    fn new(tx: oneshot::Sender<Option<Bytes>>, limit: usize) -> Self {
+        Self {
+            tx: Some(tx),
+            buf: BytesMut::new(),
+            limit,
+        }
+    }
+
+    /// Takes what came in; false once the sender has given up.
+    fn take(&mut self, inbound: Option<Inbound>) -> bool {
+        match inbound {
+            Some(Inbound::Data(bytes)) => {
+                self.buf.extend_from_slice(&bytes);
+                if self.buf.len() > self.limit {
+                    self.finish(None);
+                }
+                true
+            }
+            Some(Inbound::End) => {
+                let body = self.buf.split().freeze();
+                self.finish(Some(body));
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn finish(&mut self, body: Option<Bytes>) {
+        if let Some(tx) = self.tx.take() {
+            // An exchange that is over needs no body.
+            let _ = tx.send(body);
+        }
+    }
+}
+
+fn read_call(open: Open, body: oneshot::Receiver<Option<Bytes>>, timeout: Duration) -> ReadCall {
+    Box::pin(async move {
+        let body = tokio::time::timeout(timeout, body).await;
+        let Ok(Ok(Some(body))) = body else {
+            let title = "the body did not come whole";
+            return Err(bad_input("body-broken", title));
+        };
+        let method = Method::from_bytes(open.method.as_bytes())
+            .map_err(|_| bad_input("bad-method", "expected an HTTP method"))?;
+        Ok(Call {
+            id: SmolStr::new(&open.request),
+            method,
+            path: open.path,
+            fields: super::read_fields(&open.fields),
+            body,
+        })
+    })
+}
+
+fn bad_input(name: &str, title: &str) -> Problem {
+    Problem::bad_input(StatusCode::BAD_REQUEST, name, title)
+}
+
+async fn send_reply(stream: &mut Stream, reply: Option<Reply>) {
+    match reply {
+        Some(Reply::Answer {
+            status,
+            fields,
+            body,
+        }) => send_answer(stream, status, &fields, body).await,
+        Some(Reply::Refused(refusal)) => {
+            stream.send_refusal(problem::write_refusal(stream.id(), &refusal));
+            stream.close();
+        }
+        Some(Reply::Problem(_)) => {
+            // Only the sender's body can be at fault, and it knows.
+            let refusal = Refusal::unknown(Reason::UpstreamFailed);
+            stream.send_refusal(problem::write_refusal(stream.id(), &refusal));
+            stream.close();
+        }
+        None => {}
+    }
+}
+
+async fn send_answer(
+    stream: &mut Stream,
+    status: StatusCode,
+    fields: &HeaderMap,
+    mut body: mpsc::Receiver<Result<Bytes, Broken>>,
+) {
+    stream.send_head(frames::Head {
+        stream: stream.id(),
+        status: u32::from(status.as_u16()),
+        fields: super::write_fields(fields),
+    });
+    while let Some(chunk) = body.recv().await {
+        let Ok(bytes) = chunk else {
+            return;
+        };
+        if !stream.send_data(bytes).await {
+            return;
+        }
+    }
+    stream.send_end();
+    stream.close();
+}
--- /dev/null
+++ b/crates/sesamebarrow_node/src/platform.rs
@@ -0,0 +1,154 @@
+//! Reads what the platform publishes, and upstreams' loads.
+//!
+//! `GET /v1/documents/{rules|list}?after=REVISION&wait=MILLISECONDS` answers 200 with
+//! the document and its revision in `x-revision`, or 304 where it has nothing newer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Bytes;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use sesamebarrow_policy::Event;
+use sesamebarrow_rules::Document;
+use sesamebarrow_wire::control::DocumentKind;
+use smol_str::SmolStr;
+use tokio::net::TcpStream;
+
+/// Largest document, in bytes.
+const MAX_DOCUMENT_BYTES: usize = 1024 * 1024;
+
+/// Largest report of load, in bytes.
+const MAX_LOAD_BYTES: usize = 4096;
+
+/// Longest time to read a load.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Where the platform is and how long it may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Platform {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Longest wait of one watch.
+    pub watch: Duration,
+    /// Longest time for the rest of a read.
+    pub timeout: Duration,
+}
+
+/// What went wrong with a read.
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error("connect: {0}")]
+    Io(#[from] std::io::Error),
+    #[error("http: {0}")]
+    Http(#[from] hyper::Error),
+    #[error("body: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    #[error("status {0}")]
+    Status(StatusCode),
+    #[error("x-revision is missing or no number")]
+    Revision,
+    #[error("the document is not UTF-8")]
+    Text,
+    #[error("no answer in time")]
+    Timeout,
+}
+
+struct Answer {
+    status: StatusCode,
+    revision: Option<u64>,
+    body: Bytes,
+}
+
+/// Reads a document and returns what the board is to be told.
+pub async fn read(platform: Platform, kind: DocumentKind, have: u64, wait: bool) -> Event {
+    match fetch_document(platform, kind, have, wait).await {
+        Ok(event) => event,
+        Err(error) => {
+            let fault = SmolStr::from(error.to_string());
+            log::debug!(document:? = kind, fault = fault.as_str(); "platform read failed");
+            Event::DocumentFailed { kind, fault }
+        }
+    }
+}
+
+async fn fetch_document(
+    platform: Platform,
+    kind: DocumentKind,
+    have: u64,
+    wait: bool,
+) -> Result<Event, Error> {
+    let name = match kind {
+        DocumentKind::Rules => "rules",
+        DocumentKind::List => "list",
+    };
+    let wait = if wait { platform.watch } else { Duration::ZERO };
+    let path = format!(
+        "/v1/documents/{name}?after={have}&wait={}",
+        wait.as_millis()
+    );
+    let fetch = fetch(platform.address, &path, MAX_DOCUMENT_BYTES);
+    let answer = tokio::time::timeout(wait + platform.timeout, fetch)
+        .await
+        .map_err(|_| Error::Timeout)??;
+    let revision = answer.revision.ok_or(Error::Revision);
+    match answer.status {
+        StatusCode::NOT_MODIFIED => Ok(Event::DocumentConfirmed {
+            kind,
+            revision: revision?,
+        }),
+        StatusCode::OK => {
+            let text = std::str::from_utf8(&answer.body).map_err(|_| Error::Text)?;
+            let document = Box::new(Document::new(revision?, text));
+            Ok(Event::DocumentRead { kind, document })
+        }
+        other => Err(Error::Status(other)),
+    }
+}
+
+async fn fetch(address: SocketAddr, path: &str, limit: usize) -> Result<Answer, Error> {
+    let stream = TcpStream::connect(address).await?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    let driver = tokio::spawn(connection);
+    let mut req = Request::new(Empty::<Bytes>::new());
+    *req.uri_mut() = path.parse().map_err(|_| Error::Text)?;
+    let host = hyper::header::HeaderValue::from_str(&address.to_string());
+    if let Ok(host) = host {
+        req.headers_mut().insert(hyper::header::HOST, host);
+    }
+    let response = sender.send_request(req).await?;
+    let status = response.status();
+    let revision = response
+        .headers()
+        .get("x-revision")
+        .and_then(|v| v.to_str().ok()?.parse().ok());
+    let body = Limited::new(response.into_body(), limit);
+    let body = body.collect().await.map_err(Error::Body)?.to_bytes();
+    driver.abort();
+    Ok(Answer {
+        status,
+        revision,
+        body,
+    })
+}
+
+#[derive(Deserialize)]
+struct Load {
+    running: u32,
+    queued: u32,
+}
+
+/// Reads an upstream's load; `None` if it does not tell.
+pub async fn poll_load(upstream: SmolStr, address: SocketAddr) -> Option<Event> {
+    let fetch = fetch(address, "/load", MAX_LOAD_BYTES);
+    let answer = tokio::time::timeout(LOAD_TIMEOUT, fetch).await.ok()?.ok()?;
+    let load: Load = serde_json::from_slice(&answer.body).ok()?;
+    Some(Event::LoadRead {
+        upstream,
+        running: load.running,
+        queued: load.queued,
+    })
+}
--- /dev/null
+++ b/crates/sesamebarrow_node/src/problem.rs
@@ -0,0 +1,135 @@
+//! Refusals as problem documents (RFC 9457).
+
+use std::time::Duration;
+
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+use sesamebarrow_policy::{Reason, Refusal, Verdict};
+use smol_str::SmolStr;
+
+use crate::relay::{self, Body};
+
+/// A problem document.
+#[derive(Clone, Debug, Serialize)]
+pub struct Problem {
+    /// A URN that ends in the reason.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// A sentence.
+    pub title: String,
+    /// The HTTP status.
+    pub status: u16,
+    /// What it says of the request's having run.
+    pub outcome: Verdict,
+    /// When to come back.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+    /// Instances that may take the request.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub instances: Vec<SmolStr>,
+    /// A ticket with which to send the request again.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ticket: Option<SmolStr>,
+}
+
+/// A problem document with the request that it is about.
+#[derive(Serialize)]
+struct Document<'a> {
+    #[serde(flatten)]
+    problem: &'a Problem,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    request: Option<&'a SmolStr>,
+}
+
+impl Problem {
+    /// Turns a refusal into a document.
+    pub fn from_refusal(refusal: &Refusal) -> Self {
+        Self {
+            kind: urn(&refusal.reason.to_string()),
+            title: refusal.reason.title().to_owned(),
+            status: refusal.reason.status(),
+            outcome: refusal.result,
+            retry_after_ms: refusal.retry_after.map(millis),
+            instances: refusal.instances.clone(),
+            ticket: refusal.ticket.clone(),
+        }
+    }
+
+    /// A fault of the caller's.
+    pub fn bad_input(status: StatusCode, name: &str, title: impl Into<String>) -> Self {
+        Self {
+            kind: urn(name),
+            title: title.into(),
+            status: status.as_u16(),
+            outcome: Verdict::NotRun,
+            retry_after_ms: None,
+            instances: Vec::new(),
+            ticket: None,
+        }
+    }
+
+    /// Says nothing of the outcome where an earlier sending may have run.
+    pub fn doubted(mut self, has_ticket: bool) -> Self {
+        if has_ticket && self.outcome == Verdict::NotRun {
+            self.outcome = Verdict::Unknown;
+        }
+        self
+    }
+
+    /// Returns the HTTP answer to the request `request`.
+    pub fn into_response(self, request: Option<&SmolStr>) -> Response<Body> {
+        let document = Document {
+            problem: &self,
+            request,
+        };
+        let body = serde_json::to_vec(&document).unwrap_or_default();
+        let mut response = Response::new(relay::full(body));
+        let status = StatusCode::from_u16(self.status);
+        *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = response.headers_mut();
+        headers.insert(
+            CONTENT_TYPE,
+            HeaderValue::from_static("application/problem+json"),
+        );
+        if let Some(after) = self.retry_after_ms {
+            headers.insert(RETRY_AFTER, HeaderValue::from(after.div_ceil(1000)));
+        }
+        response
+    }
+}
+
+fn urn(name: &str) -> String {
+    format!("urn:sesamebarrow:problem:{name}")
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Reads a refusal that another instance sent. What it does not say clearly is unknown.
+pub fn read_refusal(refused: &sesamebarrow_wire::stream::Refused) -> Refusal {
+    let reason = refused.reason.parse().unwrap_or(Reason::UpstreamFailed);
+    let result = refused.result.parse().unwrap_or(Verdict::Unknown);
+    let after = Duration::from_millis(u64::from(refused.retry_after_ms));
+    Refusal {
+        reason,
+        result,
+        retry_after: (!after.is_zero()).then_some(after),
+        instances: refused.instances.iter().map(SmolStr::from).collect(),
+        ticket: Some(SmolStr::from(&refused.ticket)).filter(|t| !t.is_empty()),
+    }
+}
+
+/// Writes a refusal for the instance that sent the request.
+pub fn write_refusal(stream: u64, refusal: &Refusal) -> sesamebarrow_wire::stream::Refused {
+    let after = refusal.retry_after.map_or(0, millis);
+    sesamebarrow_wire::stream::Refused {
+        stream,
+        reason: refusal.reason.to_string(),
+        retry_after_ms: u32::try_from(after).unwrap_or(u32::MAX),
+        instances: refusal.instances.iter().map(ToString::to_string).collect(),
+        result: refusal.result.to_string(),
+        ticket: refusal.ticket.as_deref().unwrap_or_default().to_owned(),
+    }
+}
--- a/crates/sesamebarrow_policy/src/board.rs
+++ b/crates/sesamebarrow_policy/src/board.rs
@@ -270,9 +270,10 @@
 
     /// Tells whether `instance` was heard from lately.
     pub fn is_heard(&self, instance: &Instance) -> bool {
-        instance.link.as_ref().is_some_and(|link| {
-            self.now().saturating_sub(link.heard) < self.settings.link_timeout
-        })
+        instance
+            .link
+            .as_ref()
+            .is_some_and(|link| self.now().saturating_sub(link.heard) < self.settings.link_timeout)
     }
 
     pub(crate) fn act(&mut self, action: Action) {
--- a/crates/sesamebarrow_policy/src/check.rs
+++ b/crates/sesamebarrow_policy/src/check.rs
@@ -21,7 +21,11 @@
 }
 
 fn ensure(holds: bool, message: impl FnOnce() -> String) -> Result<(), Broken> {
-    if holds { Ok(()) } else { Err(Broken(message())) }
+    if holds {
+        Ok(())
+    } else {
+        Err(Broken(message()))
+    }
 }
 
 /// No share holds more than its burst.
@@ -77,7 +81,10 @@
             State::Done(_) | State::Lost | State::Void => false,
         };
         ensure(agrees, || {
-            format!("request {} is {} in {:?}", id.0, request.stage, record.state)
+            format!(
+                "request {} is {} in {:?}",
+                id.0, request.stage, record.state
+            )
         })?;
     }
     Ok(())
--- a/crates/sesamebarrow_policy/src/config.rs
+++ b/crates/sesamebarrow_policy/src/config.rs
@@ -50,8 +50,10 @@
     pub confirmed: Option<Duration>,
     /// The newest revision that was refused.
     pub refused: u64,
-    /// Why, or what went wrong with the last read.
+    /// Why it was refused, or why a neighbour's change could not be applied.
     pub fault: Option<SmolStr>,
+    /// What went wrong with the last read of the platform.
+    pub read_fault: Option<SmolStr>,
     /// When the read under way began.
     pub reading: Option<Duration>,
     /// When a read may be made again after one that failed.
@@ -169,12 +171,14 @@
     end_read(board, kind);
     back_off(board, kind);
     if let Some(shelf) = board.shelves.get_mut(&kind) {
-        shelf.fault = Some(fault);
+        shelf.read_fault = Some(fault);
     }
 }
 
 fn end_read(board: &mut Board, kind: DocumentKind) -> Option<Duration> {
-    board.shelves.get_mut(&kind)?.reading.take()
+    let shelf = board.shelves.get_mut(&kind)?;
+    shelf.read_fault = None;
+    shelf.reading.take()
 }
 
 /// A platform that was restored from a copy may be behind; it cannot take us back.
@@ -183,7 +187,7 @@
     if let Some(shelf) = board.shelves.get_mut(&kind) {
         let held = shelf.revision();
         let fault = format!("the platform offers revision {revision}, {held} is in force");
-        shelf.fault = Some(SmolStr::from(fault));
+        shelf.read_fault = Some(SmolStr::from(fault));
     }
 }
 
--- a/crates/sesamebarrow_policy/src/member.rs
+++ b/crates/sesamebarrow_policy/src/member.rs
@@ -33,12 +33,7 @@
 }
 
 /// Takes a control message.
-pub(crate) fn take_message(
-    board: &mut Board,
-    from: &SmolStr,
-    incarnation: u64,
-    message: Message,
-) {
+pub(crate) fn take_message(board: &mut Board, from: &SmolStr, incarnation: u64, message: Message) {
     // A message from a link that was given up may be old, whatever it says.
     let current = find(board, from)
         .and_then(|key| board.instances[key].link.as_ref())
--- a/crates/sesamebarrow_policy/src/member/heartbeat.rs
+++ b/crates/sesamebarrow_policy/src/member/heartbeat.rs
@@ -35,7 +35,11 @@
         .map(|i| (i.name.clone(), i.domain == board.me.domain))
         .collect();
     for (name, same_domain) in receivers {
-        let loads = if same_domain { loads.clone() } else { Vec::new() };
+        let loads = if same_domain {
+            loads.clone()
+        } else {
+            Vec::new()
+        };
         let beat = compose(board, loads);
         board.send(name, Message::Heartbeat(beat));
     }
--- a/crates/sesamebarrow_policy/src/member/links.rs
+++ b/crates/sesamebarrow_policy/src/member/links.rs
@@ -15,12 +15,7 @@
 const DIAL_AGAIN: Duration = Duration::from_secs(1);
 
 /// Takes a link that stands.
-pub(crate) fn take_link_up(
-    board: &mut Board,
-    name: SmolStr,
-    domain: SmolStr,
-    incarnation: u64,
-) {
+pub(crate) fn take_link_up(board: &mut Board, name: SmolStr, domain: SmolStr, incarnation: u64) {
     if name == board.me.name {
         return;
     }
@@ -53,7 +48,11 @@
         return;
     };
     let instance = &mut board.instances[key];
-    if instance.link.as_ref().is_some_and(|l| l.incarnation == incarnation) {
+    if instance
+        .link
+        .as_ref()
+        .is_some_and(|l| l.incarnation == incarnation)
+    {
         instance.link = None;
     }
 }
--- a/crates/sesamebarrow_policy/src/path.rs
+++ b/crates/sesamebarrow_policy/src/path.rs
@@ -173,7 +173,11 @@
 /// Refuses a request whose tokens have not come.
 pub(crate) fn refuse_rate(board: &mut Board, id: RequestId, retry: Duration) {
     board.counters.refused_rate += 1;
-    refuse(board, id, Refusal::not_run(Reason::RateExceeded).after(retry));
+    refuse(
+        board,
+        id,
+        Refusal::not_run(Reason::RateExceeded).after(retry),
+    );
 }
 
 /// Checks a request once more at the moment of sending.
--- a/crates/sesamebarrow_policy/src/path/settle.rs
+++ b/crates/sesamebarrow_policy/src/path/settle.rs
@@ -69,7 +69,11 @@
         retry(board, id);
     } else {
         let wait = board.settings.read_backoff;
-        refuse(board, id, Refusal::not_run(Reason::UpstreamFailed).after(wait));
+        refuse(
+            board,
+            id,
+            Refusal::not_run(Reason::UpstreamFailed).after(wait),
+        );
     }
 }
 
--- a/crates/sesamebarrow_policy/src/refusal.rs
+++ b/crates/sesamebarrow_policy/src/refusal.rs
@@ -22,8 +22,18 @@
 
 /// Why a request is refused.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, strum::EnumString,
-    strum::Display, strum::IntoStaticStr, strum::EnumIter,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::EnumString,
+    strum::Display,
+    strum::IntoStaticStr,
+    strum::EnumIter,
 )]
 #[strum(serialize_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
--- a/crates/sesamebarrow_policy/src/snapshot.rs
+++ b/crates/sesamebarrow_policy/src/snapshot.rs
@@ -57,8 +57,10 @@
     pub age_ms: Option<u64>,
     /// Revision that was refused last; 0 for none.
     pub refused: u64,
-    /// What is wrong.
+    /// What is wrong with the document.
     pub fault: Option<SmolStr>,
+    /// What is wrong with reading the platform.
+    pub read_fault: Option<SmolStr>,
 }
 
 /// Another instance.
@@ -172,6 +174,7 @@
         age_ms: shelf.age(board.now()).map(millis),
         refused: shelf.refused,
         fault: shelf.fault.clone(),
+        read_fault: shelf.read_fault.clone(),
     }
 }
 
--- a/crates/sesamebarrow_policy/src/upstream.rs
+++ b/crates/sesamebarrow_policy/src/upstream.rs
@@ -90,13 +90,7 @@
 }
 
 /// Takes a report of load that is `age` old.
-pub(crate) fn take_load(
-    board: &mut Board,
-    name: &str,
-    running: u32,
-    queued: u32,
-    age: Duration,
-) {
+pub(crate) fn take_load(board: &mut Board, name: &str, running: u32, queued: u32, age: Duration) {
     let at = board.now().saturating_sub(age);
     let Some(key) = board.upstream_names.get(name) else {
         return;
@@ -115,7 +109,10 @@
         .upstreams
         .iter()
         .filter(|(_, u)| u.state == State::Live && polls(board, u))
-        .filter(|(_, u)| u.polled.is_none_or(|at| now - at >= board.settings.load_poll))
+        .filter(|(_, u)| {
+            u.polled
+                .is_none_or(|at| now - at >= board.settings.load_poll)
+        })
         .map(|(key, _)| key)
         .collect();
     for key in due {
@@ -241,9 +238,8 @@
 fn busier(board: &Board, a: UpstreamKey, b: UpstreamKey) -> bool {
     let a = &board.upstreams[a];
     let b = &board.upstreams[b];
-    let share = |u: &Upstream, other: &Upstream| {
-        u64::from(load(board, u)) * u64::from(other.capacity)
-    };
+    let share =
+        |u: &Upstream, other: &Upstream| u64::from(load(board, u)) * u64::from(other.capacity);
     share(a, b) > share(b, a)
 }
 
--- a/crates/sesamebarrow_rules/src/args.rs
+++ b/crates/sesamebarrow_rules/src/args.rs
@@ -75,9 +75,10 @@
                 _ => plain.push_back(*word),
             }
         }
-        let end = line.words.last().map_or(line.end, |w| {
-            w.column + w.text.chars().count()
-        });
+        let end = line
+            .words
+            .last()
+            .map_or(line.end, |w| w.column + w.text.chars().count());
         Self {
             plain,
             settings,
--- a/crates/sesamebarrow_rules/src/list.rs
+++ b/crates/sesamebarrow_rules/src/list.rs
@@ -116,7 +116,11 @@
         peer: take_address(args, "peer")?,
         state: take_state(args)?,
     };
-    if list.instances.insert(name.value.clone(), instance).is_some() {
+    if list
+        .instances
+        .insert(name.value.clone(), instance)
+        .is_some()
+    {
         return Err(twice(&name, "instance"));
     }
     Ok(())
@@ -132,7 +136,11 @@
         capacity: u32::try_from(capacity).unwrap_or(u32::MAX),
         state: take_state(args)?,
     };
-    if list.upstreams.insert(name.value.clone(), upstream).is_some() {
+    if list
+        .upstreams
+        .insert(name.value.clone(), upstream)
+        .is_some()
+    {
         return Err(twice(&name, "upstream"));
     }
     Ok(())
--- a/crates/sesamebarrow_rules/src/parser.rs
+++ b/crates/sesamebarrow_rules/src/parser.rs
@@ -52,8 +52,8 @@
             lines.push((index + 1, split));
         }
     }
-    // Declarations may stand below the lines that use them.
-    for pass in [Pass::Declare, Pass::Refer] {
+    // The order of lines carries no meaning: a rule may stand above what it names.
+    for pass in [Pass::Regions, Pass::Declarations, Pass::References] {
         for (number, line) in &lines {
             parser.take_line(pass, *number, line);
         }
@@ -63,8 +63,20 @@
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Pass {
-    Declare,
-    Refer,
+    Regions,
+    Declarations,
+    References,
+}
+
+impl Pass {
+    /// Returns the pass in which the rule `keyword` is taken.
+    fn of(keyword: &str) -> Self {
+        match keyword {
+            "region" => Self::Regions,
+            "domain" | "service" | "customer" => Self::Declarations,
+            _ => Self::References,
+        }
+    }
 }
 
 #[derive(Default)]
@@ -88,13 +100,10 @@
 
     fn take_rule(&mut self, pass: Pass, line: &Line<'_>) -> Result<(), Problem> {
         let keyword = line.words[0];
-        let declares = matches!(keyword.text, "region" | "domain" | "service" | "customer");
-        if pass == Pass::Declare {
-            check_requester(line)?;
-        }
-        if declares != (pass == Pass::Declare) {
+        if Pass::of(keyword.text) != pass {
             return Ok(());
         }
+        check_requester(line)?;
         let mut args = Args::new(line);
         match keyword.text {
             "region" => self.take_region(&mut args)?,
@@ -241,12 +250,10 @@
             return Err(problem(path.column, "expected a path that begins with `/`"));
         }
         let effect = args.word("idempotent, non-idempotent or open")?;
-        let parsed = effect.text.parse::<Effect>().map_err(|_| {
-            problem(
-                effect.column,
-                "expected idempotent, non-idempotent or open",
-            )
-        })?;
+        let parsed = effect
+            .text
+            .parse::<Effect>()
+            .map_err(|_| problem(effect.column, "expected idempotent, non-idempotent or open"))?;
         let Some(declared) = self.rules.services.get(&service.value) else {
             return Err(service.unknown("service"));
         };
--- /dev/null
+++ b/crates/sesamebarrow_standin/examples/tour.rs
@@ -0,0 +1,170 @@
+//! Starts a small deployment on loopback as separate processes and sends it work.
+//!
+//! Run with `cargo build && cargo run -p sesamebarrow_standin --example tour`.
+//!
+//! Shows a placement, a streamed answer, a payout that runs at most once, a status
+//! check and a refusal, then stops every instance gracefully.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use anyhow::Context;
+use sesamebarrow_rules::Digest;
+use sesamebarrow_standin::Deployment;
+use sesamebarrow_standin::http;
+use sesamebarrow_standin::process::{self, Process};
+
+const KEY: &str = "tour-key-0123456789";
+
+fn rules() -> String {
+    let digest = Digest::of(KEY.as_bytes());
+    format!(
+        "region lima # ana\n\
+         region piura # ana\n\
+         domain lim-1 region=lima slots=2 # ana\n\
+         domain piu-1 region=piura slots=2 # ana\n\
+         service statements kind=model # luis\n\
+         service payouts kind=plain cost=10 # luis\n\
+         customer paita regions=lima rate=2000 burst=8000 # rosa\n\
+         key paita blake3={digest} # rosa\n\
+         allow paita statements # rosa\n\
+         allow paita payouts # rosa\n\
+         route payouts POST /payouts non-idempotent # luis\n\
+         route payouts GET /status idempotent # luis\n"
+    )
+}
+
+fn plan() -> anyhow::Result<Deployment> {
+    let mut deployment = Deployment::new()?;
+    for (name, domain, slot) in [
+        ("lim-1-a", "lim-1", 0),
+        ("lim-1-b", "lim-1", 1),
+        ("piu-1-a", "piu-1", 0),
+        ("piu-1-b", "piu-1", 1),
+    ] {
+        deployment.add_instance(name, domain, slot)?;
+    }
+    deployment.add_backend("eng-lim", "lim-1", "statements", 8)?;
+    deployment.add_backend("pay-lim", "lim-1", "payouts", 8)?;
+    deployment.add_backend("eng-piu", "piu-1", "statements", 8)?;
+    Ok(deployment)
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let folder = std::env::temp_dir().join(format!("sesamebarrow-tour-{}", std::process::id()));
+    let result = tour(&folder).await;
+    // The folder holds settings and logs of this run only.
+    let _ = std::fs::remove_dir_all(&folder);
+    result
+}
+
+async fn tour(folder: &Path) -> anyhow::Result<()> {
+    let deployment = plan()?;
+    let settings = deployment.write(folder)?;
+    let programs = process::program_folder()?;
+    let standins = start_standins(&deployment, &programs.join("standin")).await?;
+    publish(deployment.platform, "rules", &rules()).await?;
+    publish(deployment.platform, "list", &deployment.list(&[])).await?;
+    let mut instances = Vec::new();
+    for (instance, settings) in deployment.instances.iter().zip(&settings) {
+        let settings = settings.to_string_lossy();
+        let args = ["--settings", settings.as_ref()];
+        let program = programs.join("sesamebarrow");
+        instances.push(Process::start(&instance.name, &program, &args, None)?);
+    }
+    for instance in &deployment.instances {
+        process::until_ok(instance.admin, "/ready").await?;
+    }
+    println!("{} instances are ready", instances.len());
+    send_work(&deployment).await?;
+    for process in &mut instances {
+        let status = process.stop()?;
+        anyhow::ensure!(status.success(), "an instance stopped with {status}");
+    }
+    println!("all instances stopped gracefully");
+    drop(standins);
+    Ok(())
+}
+
+async fn start_standins(deployment: &Deployment, program: &Path) -> anyhow::Result<Vec<Process>> {
+    let platform = deployment.platform.to_string();
+    let mut processes = vec![Process::start(
+        "platform",
+        program,
+        &["platform", &platform],
+        None,
+    )?];
+    process::until_listening(deployment.platform).await?;
+    for backend in &deployment.backends {
+        let address = backend.http.to_string();
+        let role = if backend.service == "statements" {
+            "model"
+        } else {
+            "plain"
+        };
+        let args = [role, address.as_str(), backend.name.as_str()];
+        processes.push(Process::start(&backend.name, program, &args, None)?);
+        process::until_listening(backend.http).await?;
+    }
+    Ok(processes)
+}
+
+async fn publish(platform: SocketAddr, name: &str, text: &str) -> anyhow::Result<()> {
+    let path = format!("/v1/documents/{name}");
+    let answer = http::call(
+        platform,
+        "PUT",
+        &path,
+        &[("x-revision", "1")],
+        text.to_owned(),
+    );
+    anyhow::ensure!(answer.await?.status.is_success(), "not published");
+    Ok(())
+}
+
+async fn send_work(deployment: &Deployment) -> anyhow::Result<()> {
+    let bearer = format!("Bearer {KEY}");
+    let key = ("authorization", bearer.as_str());
+    let any = deployment.instances[2].http;
+    let placement = http::call(any, "GET", "/placement?service=payouts", &[key], "").await?;
+    println!("placement: {}", placement.text());
+    let first = placement.json()["instances"][0]["url"]
+        .as_str()
+        .and_then(|u| u.strip_prefix("http://"))
+        .context("no instance in the placement")?
+        .parse::<SocketAddr>()?;
+
+    let body = "{\"prompt\":\"why did my share change?\",\"max_tokens\":4}";
+    let answer = http::call(
+        first,
+        "POST",
+        "/s/statements/v1/generate",
+        &[key, ("x-max-tokens", "4")],
+        body,
+    )
+    .await?;
+    println!("streamed answer ({}):\n{}", answer.status, answer.text());
+
+    let asked = http::call(first, "GET", "/placement?service=payouts", &[key], "").await?;
+    let ticket = asked.json()["ticket"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned();
+    let order = "{\"boat\":\"Estrella\",\"soles\":120}";
+    let fields = [key, ("idempotency-key", ticket.as_str())];
+    let payout = http::call(first, "POST", "/s/payouts/payouts", &fields, order).await?;
+    println!("payout ({}): {}", payout.status, payout.text());
+    let again = http::call(first, "POST", "/s/payouts/payouts", &fields, order).await?;
+    println!("the same payout again ({}): {}", again.status, again.text());
+    let backend = &deployment.backends[1];
+    let seen = http::call(backend.http, "GET", "/seen", &[], "").await?;
+    println!("times that it ran: {}", seen.json()["runs"][order]);
+
+    let status = http::call(first, "GET", "/s/payouts/status", &[key], "").await?;
+    println!("status check ({}): {}", status.status, status.text());
+
+    let refused = http::call(any, "POST", "/s/statements/v1/generate", &[key], body).await?;
+    println!("refusal ({}): {}", refused.status, refused.text());
+    Ok(())
+}
--- a/crates/sesamebarrow_standin/src/lib.rs
+++ b/crates/sesamebarrow_standin/src/lib.rs
@@ -1,14 +1,17 @@
-pub fn add(left: u64, right: u64) -> u64 {
-    left + right
-}
+//! Small stand-ins for what the gateway meets: the platform, a model engine and a plain
+//! service. For development and tests only.
+//!
+//! Each runs in a task of the calling process or, by the `standin` program, in a
+//! process of its own.
 
-#[cfg(test)]
-mod tests {
-    use super::*;
+pub mod deploy;
+pub mod fleet;
+pub mod http;
+pub mod platform;
+pub mod process;
+pub mod upstream;
 
-    #[test]
-    fn it_works() {
-        let result = add(2, 2);
-        assert_eq!(result, 4);
-    }
-}
+pub use deploy::Deployment;
+pub use fleet::Fleet;
+pub use platform::Platform;
+pub use upstream::Upstream;
--- a/crates/sesamebarrow_wire/src/control.rs
+++ b/crates/sesamebarrow_wire/src/control.rs
@@ -52,9 +52,7 @@
 }
 
 /// The documents that the platform publishes.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
 pub enum DocumentKind {
     /// The rule file.
--- a/crates/sesamebarrow_wire/src/stream.rs
+++ b/crates/sesamebarrow_wire/src/stream.rs
@@ -92,9 +92,6 @@
     /// The stream's number.
     #[prost(uint64, tag = "1")]
     pub stream: u64,
-    /// On an answer, tokens that the request really cost.
-    #[prost(uint64, tag = "2")]
-    pub tokens: u64,
 }
 
 /// The stream breaks off; what came of the body is not whole.
