--- a/crates/sesamebarrow_node/src/driver.rs
+++ b/crates/sesamebarrow_node/src/driver.rs
@@ -239,8 +239,13 @@
                 log::warn!(instance = name.as_str(); "link silent, dropped");
                 self.setup.links.drop_link(&name);
             }
-            Action::Read { kind, have, wait } => {
-                let read = platform::read(self.setup.platform, kind, have, wait);
+            Action::Read {
+                kind,
+                read,
+                have,
+                wait,
+            } => {
+                let read = platform::read(self.setup.platform, kind, read, have, wait);
                 let handle = self.handle.clone();
                 tokio::spawn(async move { handle.tell(read.await) });
             }
--- a/crates/sesamebarrow_node/src/platform.rs
+++ b/crates/sesamebarrow_node/src/platform.rs
@@ -62,14 +62,35 @@
     body: Bytes,
 }
 
+/// What a read brought.
+enum Fetched {
+    Newer(Box<Document>),
+    Unchanged(u64),
+}
+
 /// Reads a document and returns what the board is to be told.
-pub async fn read(platform: Platform, kind: DocumentKind, have: u64, wait: bool) -> Event {
+pub async fn read(
+    platform: Platform,
+    kind: DocumentKind,
+    read: u64,
+    have: u64,
+    wait: bool,
+) -> Event {
     match fetch_document(platform, kind, have, wait).await {
-        Ok(event) => event,
+        Ok(Fetched::Newer(document)) => Event::DocumentRead {
+            kind,
+            read,
+            document,
+        },
+        Ok(Fetched::Unchanged(revision)) => Event::DocumentConfirmed {
+            kind,
+            read,
+            revision,
+        },
         Err(error) => {
             let fault = SmolStr::from(error.to_string());
             log::debug!(document:? = kind, fault = fault.as_str(); "platform read failed");
-            Event::DocumentFailed { kind, fault }
+            Event::DocumentFailed { kind, read, fault }
         }
     }
 }
@@ -79,7 +100,7 @@
     kind: DocumentKind,
     have: u64,
     wait: bool,
-) -> Result<Event, Error> {
+) -> Result<Fetched, Error> {
     let name = match kind {
         DocumentKind::Rules => "rules",
         DocumentKind::List => "list",
@@ -95,14 +116,11 @@
         .map_err(|_| Error::Timeout)??;
     let revision = answer.revision.ok_or(Error::Revision);
     match answer.status {
-        StatusCode::NOT_MODIFIED => Ok(Event::DocumentConfirmed {
-            kind,
-            revision: revision?,
-        }),
+        StatusCode::NOT_MODIFIED => Ok(Fetched::Unchanged(revision?)),
         StatusCode::OK => {
             let text = std::str::from_utf8(&answer.body).map_err(|_| Error::Text)?;
             let document = Box::new(Document::new(revision?, text));
-            Ok(Event::DocumentRead { kind, document })
+            Ok(Fetched::Newer(document))
         }
         other => Err(Error::Status(other)),
     }
--- a/crates/sesamebarrow_policy/src/config.rs
+++ b/crates/sesamebarrow_policy/src/config.rs
@@ -54,8 +54,10 @@
     pub fault: Option<SmolStr>,
     /// What went wrong with the last read of the platform.
     pub read_fault: Option<SmolStr>,
-    /// When the read under way began.
-    pub reading: Option<Duration>,
+    /// Number of the read under way.
+    pub reading: Option<u64>,
+    /// Number of the newest read.
+    pub reads: u64,
     /// When a read may be made again after one that failed.
     pub read_after: Duration,
     /// When a neighbour was last asked.
@@ -106,12 +108,16 @@
         }
         let have = shelf.seen();
         let fresh = shelf.age(now).is_some() && !quiet;
-        if let Some(shelf) = board.shelves.get_mut(&kind) {
-            shelf.reading = Some(now);
-        }
+        let Some(shelf) = board.shelves.get_mut(&kind) else {
+            continue;
+        };
+        shelf.reads += 1;
+        shelf.reading = Some(shelf.reads);
+        let read = shelf.reads;
         board.counters.platform_reads += 1;
         board.act(Action::Read {
             kind,
+            read,
             have,
             wait: reader && fresh,
         });
@@ -130,11 +136,10 @@
 }
 
 /// Takes a newer document from the platform.
-pub(crate) fn take_read(board: &mut Board, kind: DocumentKind, document: Document) {
+pub(crate) fn take_read(board: &mut Board, kind: DocumentKind, read: u64, document: Document) {
     let now = board.now();
     let revision = document.revision;
-    if end_read(board, kind).is_none() {
-        // A read from before a pause may be old; neighbours or the next read tell.
+    if !end_read(board, kind, read) {
         return;
     }
     if revision < board.shelves[&kind].revision() {
@@ -149,9 +154,9 @@
 }
 
 /// Takes the platform's word that nothing is newer.
-pub(crate) fn take_confirmation(board: &mut Board, kind: DocumentKind, revision: u64) {
+pub(crate) fn take_confirmation(board: &mut Board, kind: DocumentKind, read: u64, revision: u64) {
     let now = board.now();
-    if end_read(board, kind).is_none() {
+    if !end_read(board, kind, read) {
         return;
     }
     if revision < board.shelves[&kind].revision() {
@@ -167,18 +172,28 @@
 }
 
 /// Takes a failed read.
-pub(crate) fn take_failure(board: &mut Board, kind: DocumentKind, fault: SmolStr) {
-    end_read(board, kind);
+pub(crate) fn take_failure(board: &mut Board, kind: DocumentKind, read: u64, fault: SmolStr) {
+    if !end_read(board, kind, read) {
+        return;
+    }
     back_off(board, kind);
     if let Some(shelf) = board.shelves.get_mut(&kind) {
         shelf.read_fault = Some(fault);
     }
 }
 
-fn end_read(board: &mut Board, kind: DocumentKind) -> Option<Duration> {
-    let shelf = board.shelves.get_mut(&kind)?;
+/// Ends a read; false if it was given up, as after a pause, in which its answer may have
+/// grown old on the way.
+fn end_read(board: &mut Board, kind: DocumentKind, read: u64) -> bool {
+    let Some(shelf) = board.shelves.get_mut(&kind) else {
+        return false;
+    };
+    if shelf.reading != Some(read) {
+        return false;
+    }
     shelf.read_fault = None;
-    shelf.reading.take()
+    shelf.reading = None;
+    true
 }
 
 /// A platform that was restored from a copy may be behind; it cannot take us back.
--- a/crates/sesamebarrow_policy/src/event.rs
+++ b/crates/sesamebarrow_policy/src/event.rs
@@ -113,6 +113,8 @@
     DocumentRead {
         /// Which document.
         kind: DocumentKind,
+        /// Number of the read.
+        read: u64,
         /// The document.
         document: Box<Document>,
     },
@@ -120,6 +122,8 @@
     DocumentConfirmed {
         /// Which document.
         kind: DocumentKind,
+        /// Number of the read.
+        read: u64,
         /// The platform's revision.
         revision: u64,
     },
@@ -127,6 +131,8 @@
     DocumentFailed {
         /// Which document.
         kind: DocumentKind,
+        /// Number of the read.
+        read: u64,
         /// What went wrong.
         fault: SmolStr,
     },
@@ -312,6 +318,8 @@
     Read {
         /// Which document.
         kind: DocumentKind,
+        /// Number of the read, for its answer.
+        read: u64,
         /// The revision held; 0 for none.
         have: u64,
         /// Whether to wait for a newer one.
--- a/crates/sesamebarrow_policy/src/once.rs
+++ b/crates/sesamebarrow_policy/src/once.rs
@@ -14,7 +14,7 @@
 use smol_str::SmolStr;
 
 use crate::board::Board;
-use crate::event::{Answer, RequestId};
+use crate::event::Answer;
 use crate::refusal::{Reason, Refusal, Result as Verdict};
 
 pub use ticket::{Bearer, Ticket};
@@ -232,18 +232,3 @@
         .kept
         .retain(|number| records.by_number.contains_key(number));
 }
-
-/// Turns a refusal of a request that carries a ticket into one that is true.
-///
-/// Before it is known whether the ticket is this process's and unused, an earlier
-/// sending may have run.
-pub(crate) fn doubt(id: RequestId, ticket: Option<&SmolStr>, refusal: Refusal) -> Refusal {
-    debug_assert!(id.0 > 0, "requests are numbered from 1");
-    if ticket.is_none() || refusal.result != Verdict::NotRun {
-        return refusal;
-    }
-    Refusal {
-        result: Verdict::Unknown,
-        ..refusal
-    }
-}
--- a/crates/sesamebarrow_policy/src/path.rs
+++ b/crates/sesamebarrow_policy/src/path.rs
@@ -74,6 +74,9 @@
     pub attempts: u32,
     /// Upstreams tried.
     pub tried: Vec<UpstreamKey>,
+    /// Whether an earlier attempt broke off after bytes of it had left, so that the
+    /// request may have run whatever becomes of the attempt in hand.
+    pub may_have_run: bool,
     /// Whether the caller has its final answer or is gone, while the attempt goes on.
     pub detached: bool,
 }
@@ -100,7 +103,12 @@
     match admit(board, id, head) {
         Ok(()) => {}
         Err(refusal) => {
-            let refusal = once::doubt(id, ticket.as_ref(), refusal);
+            // Whether the ticket is this process's and unused was not looked at: an
+            // earlier sending may have run.
+            let refusal = match ticket {
+                Some(_) => refusal.doubted(),
+                None => refusal,
+            };
             say_refusal(board, id, refusal);
         }
     }
@@ -123,6 +131,7 @@
         target: None,
         attempts: 0,
         tried: Vec::new(),
+        may_have_run: false,
         detached: false,
     };
     if !request.is_once() {
@@ -234,10 +243,7 @@
             }
             refusal
         }
-        None if request.is_once() => Refusal {
-            result: crate::refusal::Result::Unknown,
-            ..refusal
-        },
+        None if request.is_once() || request.may_have_run => refusal.doubted(),
         None => refusal,
     };
     let told = board.requests.get(&id).is_some_and(|r| r.detached);
--- a/crates/sesamebarrow_policy/src/path/settle.rs
+++ b/crates/sesamebarrow_policy/src/path/settle.rs
@@ -49,6 +49,8 @@
     let again = refusal.result == Verdict::NotRun && !board.requests[&id].is_once();
     if again && may_retry(board, id) {
         retry(board, id);
+    } else if board.requests[&id].may_have_run {
+        pass_on(board, id, refusal.doubted());
     } else {
         pass_on(board, id, refusal);
     }
@@ -107,6 +109,9 @@
         let cost = request.cost;
         close(board, id, cost);
     } else if !once && may_retry(board, id) {
+        if let Some(request) = board.requests.get_mut(&id) {
+            request.may_have_run = true;
+        }
         retry(board, id);
     } else {
         let reason = match request.target {
@@ -150,13 +155,14 @@
     }
 }
 
-/// Forgets a request; one of which no byte has left costs nothing.
+/// Forgets a request; one that cannot have run costs nothing.
 pub(crate) fn forget(board: &mut Board, id: RequestId) {
     let Some(request) = board.requests.get(&id) else {
         return;
     };
     let spent = match request.stage {
         Stage::Running | Stage::Answering => request.cost,
+        Stage::Waiting | Stage::Dispatching if request.may_have_run => request.cost,
         Stage::Waiting | Stage::Dispatching => 0,
     };
     close(board, id, spent);
--- a/crates/sesamebarrow_policy/src/refusal.rs
+++ b/crates/sesamebarrow_policy/src/refusal.rs
@@ -170,6 +170,14 @@
         }
     }
 
+    /// Takes back that the request did not run, where an earlier attempt may have.
+    pub fn doubted(mut self) -> Self {
+        if self.result == Result::NotRun {
+            self.result = Result::Unknown;
+        }
+        self
+    }
+
     /// Adds when to come back.
     pub fn after(mut self, delay: Duration) -> Self {
         self.retry_after = Some(delay);
--- a/crates/sesamebarrow_policy/src/schedule.rs
+++ b/crates/sesamebarrow_policy/src/schedule.rs
@@ -16,11 +16,19 @@
 fn route(board: &mut Board, event: Event) {
     match event {
         Event::Tick => tick(board),
-        Event::DocumentRead { kind, document } => config::take_read(board, kind, *document),
-        Event::DocumentConfirmed { kind, revision } => {
-            config::take_confirmation(board, kind, revision);
+        Event::DocumentRead {
+            kind,
+            read,
+            document,
+        } => config::take_read(board, kind, read, *document),
+        Event::DocumentConfirmed {
+            kind,
+            read,
+            revision,
+        } => config::take_confirmation(board, kind, read, revision),
+        Event::DocumentFailed { kind, read, fault } => {
+            config::take_failure(board, kind, read, fault);
         }
-        Event::DocumentFailed { kind, fault } => config::take_failure(board, kind, fault),
         Event::LinkUp {
             name,
             domain,
--- /dev/null
+++ b/crates/sesamebarrow_trial/src/script.rs
@@ -0,0 +1,335 @@
+//! The test language: one command a block, with its arguments and its expected output.
+//!
+//! ```text
+//! world                 builds the small deployment and lets it settle
+//! ticket as=T node=N    asks for a ticket; `key=` names another key than the usual
+//! order id=O node=N ticket=T      sends work that is done once only
+//! ask id=O node=N [estimate=E]    asks a model
+//! run time=5s           lets time pass and prints what ended
+//! cut a=N b=N · heal · kill node=N · start node=N · pause node=N time=5s
+//! upstream name=U conduct=sound|silent|cut|closed
+//! publish what=rules|list revision=R     publishes the block's text behind the usual
+//!                       rules, or `whole` as it is; KEY stands for the usual key's digest
+//! platform down=true|false
+//! runs id=O             prints how often an order ran
+//! state node=N          prints what a board says of itself
+//! promises              prints what was broken, or `kept`
+//! ```
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sesamebarrow_policy::{Event, Settings};
+use sesamebarrow_rules::Digest;
+use sesamebarrow_wire::control::DocumentKind;
+use smol_str::SmolStr;
+
+use crate::world::{Conduct, World};
+
+/// The usual key.
+pub const KEY: &str = "key-of-rosa-0001";
+
+/// A command's arguments.
+pub type Args = BTreeMap<String, String>;
+
+/// A running script.
+pub struct Script {
+    /// The world.
+    pub world: World,
+    tickets: BTreeMap<String, SmolStr>,
+    told: usize,
+}
+
+impl Default for Script {
+    fn default() -> Self {
+        Self {
+            world: World::new(1, Settings::default()),
+            tickets: BTreeMap::new(),
+            told: 0,
+        }
+    }
+}
+
+/// Returns the rules of the small deployment, with more lines behind.
+pub fn rules(more: &str) -> String {
+    let digest = Digest::of(KEY.as_bytes());
+    format!(
+        "region lima # ana\n\
+         region piura # ana\n\
+         domain lim-1 region=lima slots=2 # ana\n\
+         domain piu-1 region=piura slots=2 # ana\n\
+         service statements kind=model # luis\n\
+         service payouts kind=plain cost=1 # luis\n\
+         route payouts POST /payouts non-idempotent # luis\n\
+         customer rosa regions=lima,piura rate=1000 burst=4000 # rosa\n\
+         allow rosa statements # rosa\n\
+         allow rosa payouts # rosa\n\
+         key rosa blake3={digest} # rosa\n{more}"
+    )
+}
+
+/// Returns the list of the small deployment, in which `leaving` are leaving.
+pub fn list(leaving: &[&str]) -> String {
+    let state = |name: &str| {
+        if leaving.contains(&name) {
+            "leaving"
+        } else {
+            "live"
+        }
+    };
+    let mut text = String::new();
+    for (index, (name, domain, slot)) in INSTANCES.iter().enumerate() {
+        text.push_str(&format!(
+            "instance {name} domain={domain} slot={slot} http=10.0.0.{index}:80 \
+             peer=10.0.0.{index}:81 state={}\n",
+            state(name)
+        ));
+    }
+    for (index, (name, domain, service)) in UPSTREAMS.iter().enumerate() {
+        text.push_str(&format!(
+            "upstream {name} domain={domain} service={service} http=10.0.1.{index}:80 \
+             capacity=4 state={}\n",
+            state(name)
+        ));
+    }
+    text
+}
+
+/// The instances of the small deployment.
+pub const INSTANCES: [(&str, &str, u16); 4] = [
+    ("lim-a", "lim-1", 0),
+    ("lim-b", "lim-1", 1),
+    ("piu-a", "piu-1", 0),
+    ("piu-b", "piu-1", 1),
+];
+
+/// The upstreams of the small deployment.
+pub const UPSTREAMS: [(&str, &str, &str); 6] = [
+    ("eng-lim-1", "lim-1", "statements"),
+    ("eng-lim-2", "lim-1", "statements"),
+    ("pay-lim", "lim-1", "payouts"),
+    ("eng-piu-1", "piu-1", "statements"),
+    ("eng-piu-2", "piu-1", "statements"),
+    ("pay-piu", "piu-1", "payouts"),
+];
+
+/// Builds the small deployment in `world` and starts it.
+pub fn deploy(world: &mut World) {
+    for (name, domain, slot) in INSTANCES {
+        world.add_node(name, domain, slot);
+    }
+    for (name, _, _) in UPSTREAMS {
+        world.add_upstream(name, Duration::from_millis(100));
+    }
+    world.publish(DocumentKind::Rules, 1, &rules(""));
+    world.publish(DocumentKind::List, 1, &list(&[]));
+    for node in 0..world.nodes.len() {
+        world.start(node);
+    }
+}
+
+impl Script {
+    /// Runs one command and returns what it prints.
+    pub fn execute(&mut self, command: &str, args: &Args, input: &str) -> String {
+        match self.try_execute(command, args, input) {
+            Ok(output) if output.is_empty() => "ok\n".to_owned(),
+            Ok(output) => output,
+            Err(error) => format!("error: {error}\n"),
+        }
+    }
+
+    fn try_execute(&mut self, command: &str, args: &Args, input: &str) -> anyhow::Result<String> {
+        match command {
+            "world" => {
+                deploy(&mut self.world);
+                self.world.run(Duration::from_secs(5));
+            }
+            "run" => {
+                self.world.run(time(args)?);
+                return Ok(self.ended());
+            }
+            "ticket" => return self.ticket(args),
+            "order" => self.order(args)?,
+            "ask" => self.ask(args)?,
+            "runs" => {
+                let runs = self.world.promises.runs.get(&text(args, "id")?);
+                return Ok(format!("{}\n", runs.copied().unwrap_or(0)));
+            }
+            "publish" => self.publish(args, input)?,
+            "state" => return self.state(args),
+            "promises" => return Ok(self.promises()),
+            _ => self.disturb(command, args)?,
+        }
+        Ok(String::new())
+    }
+
+    fn disturb(&mut self, command: &str, args: &Args) -> anyhow::Result<()> {
+        match command {
+            "cut" => self.world.faults.cut(&text(args, "a")?, &text(args, "b")?),
+            "heal" => self.world.faults.heal(),
+            "kill" => {
+                let node = self.node(args)?;
+                self.world.kill(node);
+            }
+            "start" => {
+                let node = self.node(args)?;
+                self.world.start(node);
+            }
+            "pause" => {
+                let node = self.node(args)?;
+                self.world.pause(node, time(args)?);
+            }
+            "drain" => {
+                let node = self.node(args)?;
+                self.world.tell(node, Event::Drain);
+            }
+            "platform" => self.world.platform.down = text(args, "down")? == "true",
+            "upstream" => self.set_conduct(args)?,
+            other => anyhow::bail!("unknown command {other}"),
+        }
+        Ok(())
+    }
+
+    fn node(&self, args: &Args) -> anyhow::Result<usize> {
+        let name = text(args, "node")?;
+        self.world
+            .node(&name)
+            .ok_or_else(|| anyhow::anyhow!("no node {name}"))
+    }
+
+    fn ticket(&mut self, args: &Args) -> anyhow::Result<String> {
+        let node = self.node(args)?;
+        let key = args.get("key").map_or(KEY, String::as_str);
+        match self.world.ask_ticket(node, key, "payouts") {
+            Some(ticket) => {
+                self.tickets.insert(text(args, "as")?, ticket);
+                Ok(String::new())
+            }
+            None => Ok("none\n".to_owned()),
+        }
+    }
+
+    fn order(&mut self, args: &Args) -> anyhow::Result<()> {
+        let node = self.node(args)?;
+        let key = args.get("key").map_or(KEY, String::as_str);
+        let name = text(args, "ticket")?;
+        let ticket = self.tickets.get(&name).cloned();
+        let ticket = ticket.unwrap_or_else(|| SmolStr::new(&name));
+        let mut call = World::order(&text(args, "id")?, key, ticket);
+        if name == "none" {
+            call.ticket = None;
+        }
+        self.world.send(node, call);
+        Ok(())
+    }
+
+    fn ask(&mut self, args: &Args) -> anyhow::Result<()> {
+        let node = self.node(args)?;
+        let key = args.get("key").map_or(KEY, String::as_str);
+        let estimate = args.get("estimate").map_or(Ok(10), |e| e.parse())?;
+        let call = World::question(&text(args, "id")?, key, estimate, estimate);
+        self.world.send(node, call);
+        Ok(())
+    }
+
+    fn set_conduct(&mut self, args: &Args) -> anyhow::Result<()> {
+        let name = text(args, "name")?;
+        let conduct = match text(args, "conduct")?.as_str() {
+            "sound" => Conduct::Sound,
+            "silent" => Conduct::Silent,
+            "cut" => Conduct::Cut,
+            "closed" => Conduct::Closed,
+            other => anyhow::bail!("unknown conduct {other}"),
+        };
+        for upstream in &mut self.world.upstreams {
+            if upstream.name == name {
+                upstream.conduct = conduct;
+            }
+        }
+        Ok(())
+    }
+
+    fn publish(&mut self, args: &Args, input: &str) -> anyhow::Result<()> {
+        let revision = text(args, "revision")?.parse()?;
+        match text(args, "what")?.as_str() {
+            "rules" => {
+                let digest = Digest::of(KEY.as_bytes()).to_string();
+                let input = &input.replace("KEY", &digest);
+                let text = if input.trim_start().starts_with("whole") {
+                    input.trim_start().trim_start_matches("whole").to_owned()
+                } else {
+                    rules(input)
+                };
+                self.world.publish(DocumentKind::Rules, revision, &text);
+            }
+            "list" => {
+                let leaving: Vec<&str> = input.split_whitespace().collect();
+                self.world
+                    .publish(DocumentKind::List, revision, &list(&leaving));
+            }
+            other => anyhow::bail!("unknown document {other}"),
+        }
+        Ok(())
+    }
+
+    fn state(&self, args: &Args) -> anyhow::Result<String> {
+        let node = self.node(args)?;
+        let Some(board) = &self.world.nodes[node].board else {
+            return Ok("no process\n".to_owned());
+        };
+        let shelf = &board.shelves[&DocumentKind::Rules];
+        let fault = shelf.fault.as_deref().unwrap_or("none");
+        Ok(format!(
+            "ready={} rules={} list={} drained={} fault={fault}\n",
+            board.is_ready(),
+            board.rules_revision(),
+            board.shelves[&DocumentKind::List].revision(),
+            self.world.nodes[node].drained,
+        ))
+    }
+
+    /// Returns the sendings that have ended since the last call.
+    fn ended(&mut self) -> String {
+        let mut ended: Vec<(Duration, String)> = Vec::new();
+        for sending in &self.world.sendings {
+            if let Some((at, end)) = &sending.end {
+                let node = &self.world.nodes[sending.node].name;
+                let line = format!("{} at {node}: {}", sending.call.order, end.text());
+                ended.push((*at, line));
+            }
+        }
+        ended.sort();
+        let fresh = ended.split_off(self.told.min(ended.len()));
+        self.told += fresh.len();
+        if fresh.is_empty() {
+            return "nothing ended\n".to_owned();
+        }
+        fresh.into_iter().map(|(_, line)| line + "\n").collect()
+    }
+
+    fn promises(&mut self) -> String {
+        let World {
+            promises, platform, ..
+        } = &mut self.world;
+        promises.check_rates(platform);
+        if promises.broken.is_empty() {
+            return "kept\n".to_owned();
+        }
+        promises.broken.iter().map(|b| format!("{b}\n")).collect()
+    }
+}
+
+fn text(args: &Args, name: &str) -> anyhow::Result<String> {
+    args.get(name)
+        .cloned()
+        .ok_or_else(|| anyhow::anyhow!("expected {name}=…"))
+}
+
+fn time(args: &Args) -> anyhow::Result<Duration> {
+    let text = text(args, "time")?;
+    if let Some(millis) = text.strip_suffix("ms") {
+        return Ok(Duration::from_millis(millis.parse()?));
+    }
+    let seconds = text.strip_suffix('s').unwrap_or(&text);
+    Ok(Duration::from_secs(seconds.parse()?))
+}
--- /dev/null
+++ b/crates/sesamebarrow_trial/src/traffic.rs
@@ -0,0 +1,76 @@
+//! Requests of a world, as their callers see them.
+
+use std::time::Duration;
+
+use sesamebarrow_policy::{Refusal, Verdict};
+use smol_str::SmolStr;
+
+/// A request to send.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The caller's name for what it wants done; the same for repeated sendings.
+    pub order: String,
+    /// The key, or none.
+    pub key: Option<String>,
+    /// The service.
+    pub service: SmolStr,
+    /// HTTP method.
+    pub method: SmolStr,
+    /// Path below the service.
+    pub path: SmolStr,
+    /// The ticket.
+    pub ticket: Option<SmolStr>,
+    /// Time until the deadline.
+    pub deadline: Duration,
+    /// Tokens that it may cost.
+    pub estimate: u64,
+    /// Tokens that it will cost.
+    pub real: u64,
+}
+
+impl Call {
+    /// Returns what names the work: its ticket, or its order without one.
+    pub fn name(&self) -> &str {
+        self.ticket.as_deref().unwrap_or(&self.order)
+    }
+}
+
+/// How a sending ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// A whole answer, and the order that it answers.
+    Whole(String),
+    /// A refusal.
+    Refused(Refusal),
+    /// The connection broke off.
+    Broken,
+}
+
+impl End {
+    /// Returns a short text.
+    pub fn text(&self) -> String {
+        match self {
+            Self::Whole(_) => "whole".to_owned(),
+            Self::Refused(r) => format!("{} {}", r.result, r.reason),
+            Self::Broken => "broken".to_owned(),
+        }
+    }
+
+    /// Tells whether the caller was told that the order did not run.
+    pub fn says_not_run(&self) -> bool {
+        matches!(self, Self::Refused(r) if r.result == Verdict::NotRun)
+    }
+}
+
+/// A sending.
+#[derive(Clone, Debug)]
+pub struct Sending {
+    /// What was sent.
+    pub call: Call,
+    /// To which instance.
+    pub node: usize,
+    /// When.
+    pub at: Duration,
+    /// How it ended.
+    pub end: Option<(Duration, End)>,
+}
--- /dev/null
+++ b/crates/sesamebarrow_trial/src/world/carry.rs
@@ -0,0 +1,117 @@
+//! Carries out what a board wants done.
+
+use std::time::Duration;
+
+use sesamebarrow_policy::{Action, Event};
+use sesamebarrow_rules::Document;
+
+use super::World;
+use super::queue::{Item, Read};
+
+/// Longest wait of a watch.
+const WATCH: Duration = Duration::from_secs(10);
+
+/// Time until a read that gets no answer has failed.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+impl World {
+    pub(super) fn carry_out(&mut self, node: usize, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send_message(node, &to, &message),
+            Action::Dial { name, .. } => self.dial(node, &name),
+            Action::Drop { name } => self.drop_link(node, &name),
+            Action::Read {
+                kind,
+                read,
+                have,
+                wait,
+            } => self.begin_read(node, kind, read, have, wait),
+            Action::PollLoad { upstream, .. } => self.poll_load(node, &upstream),
+            Action::Drained => self.nodes[node].drained = true,
+            Action::Placed { .. } => {}
+            request => self.carry_request(node, request),
+        }
+    }
+
+    fn begin_read(
+        &mut self,
+        node: usize,
+        kind: sesamebarrow_wire::control::DocumentKind,
+        read: u64,
+        have: u64,
+        wait: bool,
+    ) {
+        self.platform.calls += 1;
+        let read = Read {
+            node,
+            incarnation: self.nodes[node].incarnation,
+            kind,
+            read,
+            have,
+        };
+        let newer = self
+            .platform
+            .values
+            .get(&kind)
+            .is_some_and(|v| v.revision > have);
+        let delay = if wait && !newer {
+            WATCH
+        } else {
+            Duration::from_millis(3)
+        };
+        self.queue.push(self.now + delay, Item::Read(read));
+    }
+
+    pub(super) fn answer_read(&mut self, read: Read) {
+        let passes = self.faults.passes(&self.nodes[read.node].name, "platform");
+        let event = match self.platform.values.get(&read.kind) {
+            _ if !passes || self.platform.down => None,
+            None => None,
+            Some(value) if value.revision > read.have => Some(Event::DocumentRead {
+                kind: read.kind,
+                read: read.read,
+                document: Box::new(Document::new(value.revision, &value.text)),
+            }),
+            Some(value) => Some(Event::DocumentConfirmed {
+                kind: read.kind,
+                read: read.read,
+                revision: value.revision,
+            }),
+        };
+        let (event, delay) = match event {
+            Some(event) => (event, Duration::from_millis(3)),
+            None => {
+                let fault = "no answer".into();
+                let failed = Event::DocumentFailed {
+                    kind: read.kind,
+                    read: read.read,
+                    fault,
+                };
+                (failed, READ_TIMEOUT)
+            }
+        };
+        let item = Item::Event {
+            node: read.node,
+            incarnation: read.incarnation,
+            event: Box::new(event),
+        };
+        self.queue.push(self.now + delay, item);
+    }
+
+    fn poll_load(&mut self, node: usize, name: &str) {
+        let Some(upstream) = self.upstreams.iter().find(|u| u.name == name) else {
+            return;
+        };
+        let event = Event::LoadRead {
+            upstream: name.into(),
+            running: upstream.running,
+            queued: 0,
+        };
+        let item = Item::Event {
+            node,
+            incarnation: self.nodes[node].incarnation,
+            event: Box::new(event),
+        };
+        self.queue.push(self.now + Duration::from_millis(500), item);
+    }
+}
--- /dev/null
+++ b/crates/sesamebarrow_trial/src/world/queue.rs
@@ -0,0 +1,88 @@
+//! The queue of timed events.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sesamebarrow_policy::Event;
+use sesamebarrow_wire::control::DocumentKind;
+
+use super::link;
+use super::request;
+
+/// A read of the platform under way.
+#[derive(Clone, Debug)]
+pub(super) struct Read {
+    pub(super) node: usize,
+    pub(super) incarnation: u64,
+    pub(super) kind: DocumentKind,
+    pub(super) read: u64,
+    pub(super) have: u64,
+}
+
+/// Something that will happen.
+#[derive(Clone, Debug)]
+pub(super) enum Item {
+    Tick {
+        node: usize,
+        incarnation: u64,
+    },
+    Event {
+        node: usize,
+        incarnation: u64,
+        event: Box<Event>,
+    },
+    Arrive {
+        sending: usize,
+    },
+    Link(link::Step),
+    Request(Box<request::Step>),
+    Read(Read),
+}
+
+impl Item {
+    /// Returns the process at which it happens, which delays it by its pauses.
+    pub(super) fn node(&self) -> Option<usize> {
+        match self {
+            Self::Tick { node, .. } | Self::Event { node, .. } => Some(*node),
+            Self::Request(step) => step.node(),
+            Self::Arrive { .. } | Self::Link(_) | Self::Read(_) => None,
+        }
+    }
+}
+
+/// Items by time, and in the order of their coming at one time.
+#[derive(Default)]
+pub(super) struct Queue {
+    items: BTreeMap<(Duration, u64), Item>,
+    next: u64,
+}
+
+impl Queue {
+    pub(super) fn push(&mut self, at: Duration, item: Item) {
+        self.next += 1;
+        self.items.insert((at, self.next), item);
+    }
+
+    pub(super) fn pop_until(&mut self, until: Duration) -> Option<(Duration, Item)> {
+        let first = self.items.first_entry()?;
+        let at = first.key().0;
+        (at <= until).then(|| (at, first.remove()))
+    }
+
+    /// Lets the reads that wait for a newer document end now.
+    pub(super) fn wake_watchers(&mut self, now: Duration, kind: DocumentKind, revision: u64) {
+        let waiting: Vec<(Duration, u64)> = self
+            .items
+            .iter()
+            .filter(
+                |(_, item)| matches!(item, Item::Read(r) if r.kind == kind && r.have < revision),
+            )
+            .map(|(key, _)| *key)
+            .collect();
+        for key in waiting {
+            if let Some(item) = self.items.remove(&key) {
+                self.push(now, item);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamebarrow_trial/src/world/request.rs
@@ -0,0 +1,545 @@
+//! Requests on their way through a world.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamebarrow_policy::event::Target;
+use sesamebarrow_policy::{Action, Answer, Event, Head, Origin, Outcome, RequestId};
+use sesamebarrow_rules::{Digest, Effect, Kind};
+use smol_str::SmolStr;
+
+use super::queue::Item;
+use super::{Conduct, World};
+use crate::traffic::{Call, End};
+
+/// Time to connect to anything.
+const CONNECT: Duration = Duration::from_millis(1);
+
+/// Silence after which an attempt has broken off.
+const STALL: Duration = Duration::from_secs(15);
+
+/// Who waits for the end of a request at a process.
+#[derive(Clone, Debug)]
+pub(super) enum Waiter {
+    /// A caller's sending.
+    Caller(usize),
+    /// A request at another process, and that process.
+    Instance {
+        node: usize,
+        incarnation: u64,
+        id: RequestId,
+    },
+}
+
+/// A request at a process.
+#[derive(Clone, Debug)]
+pub(super) struct Running {
+    call: Call,
+    waiter: Waiter,
+    target: Option<Target>,
+    /// Whether the request may run once only.
+    once: bool,
+    /// When its tokens were taken here.
+    admitted: Option<Duration>,
+}
+
+/// Something that happens to a request.
+#[derive(Clone, Debug)]
+pub(super) enum Step {
+    /// The connection to the target stands, or does not.
+    Connected {
+        node: usize,
+        incarnation: u64,
+        id: RequestId,
+    },
+    /// It arrives at another process.
+    Forwarded {
+        node: usize,
+        incarnation: u64,
+        call: Box<Call>,
+        head: Box<Head>,
+        waiter: Waiter,
+        admitted: Option<Duration>,
+    },
+    /// An attempt ends.
+    Ended {
+        node: usize,
+        incarnation: u64,
+        id: RequestId,
+        outcome: Outcome,
+        order: String,
+        upstream: Option<usize>,
+    },
+}
+
+impl Step {
+    pub(super) fn node(&self) -> Option<usize> {
+        match self {
+            Self::Connected { node, .. }
+            | Self::Forwarded { node, .. }
+            | Self::Ended { node, .. } => Some(*node),
+        }
+    }
+}
+
+/// Returns a kept answer that carries the order which it answers.
+fn answer_of(order: &str) -> Arc<Answer> {
+    Arc::new(Answer {
+        status: 200,
+        fields: Vec::new(),
+        body: order.as_bytes().to_vec().into(),
+    })
+}
+
+impl World {
+    pub(super) fn arrive(&mut self, sending: usize) {
+        let record = &self.sendings[sending];
+        let node = record.node;
+        let call = record.call.clone();
+        if self.nodes[node].board.is_none() {
+            self.end_sending(sending, End::Broken);
+            return;
+        }
+        if let Some(until) = self.nodes[node].paused {
+            if self.now < until {
+                self.queue.push(until, Item::Arrive { sending });
+                return;
+            }
+            self.nodes[node].paused = None;
+        }
+        let head = Head {
+            origin: Origin::Caller {
+                key: call.key.as_ref().map(|k| Digest::of(k.as_bytes())),
+            },
+            service: call.service.clone(),
+            method: call.method.clone(),
+            path: call.path.clone(),
+            ticket: call.ticket.clone(),
+            deadline: call.deadline,
+            estimate: call.estimate,
+        };
+        self.begin(node, call, head, Waiter::Caller(sending), None);
+    }
+
+    fn begin(
+        &mut self,
+        node: usize,
+        call: Call,
+        head: Head,
+        waiter: Waiter,
+        admitted: Option<Duration>,
+    ) {
+        let process = &mut self.nodes[node];
+        let id = RequestId(process.next_request);
+        process.next_request += 1;
+        let once = process
+            .board
+            .as_ref()
+            .and_then(|b| b.rules.as_ref())
+            .and_then(|r| r.effect(&call.service, &call.method, &call.path))
+            == Some(Effect::NonIdempotent);
+        let running = Running {
+            call,
+            waiter,
+            target: None,
+            once,
+            admitted,
+        };
+        process.running.insert(id, running);
+        self.tell(node, Event::Arrived { id, head });
+    }
+
+    pub(super) fn carry_request(&mut self, node: usize, action: Action) {
+        match action {
+            Action::Dispatch { id, target, .. } => self.connect(node, id, target),
+            Action::Go { id } => self.go(node, id),
+            Action::Refuse { id, refusal } => self.end(node, id, End::Refused(refusal)),
+            Action::Replay { id, answer } => {
+                let order = String::from_utf8_lossy(&answer.body).into_owned();
+                self.end(node, id, End::Whole(order));
+            }
+            Action::Cancel { id } => self.end(node, id, End::Broken),
+            _ => {}
+        }
+    }
+
+    fn connect(&mut self, node: usize, id: RequestId, target: Target) {
+        let reserved = self.nodes[node]
+            .board
+            .as_ref()
+            .and_then(|b| b.requests.get(&id))
+            .is_some_and(|r| r.reservation.is_some());
+        let now = self.now;
+        let incarnation = self.nodes[node].incarnation;
+        let Some(running) = self.nodes[node].running.get_mut(&id) else {
+            return;
+        };
+        running.target = Some(target);
+        if reserved && running.admitted.is_none() {
+            running.admitted = Some(now);
+        }
+        let step = Step::Connected {
+            node,
+            incarnation,
+            id,
+        };
+        self.queue
+            .push(now + CONNECT, Item::Request(Box::new(step)));
+    }
+
+    pub(super) fn take_request_step(&mut self, step: Step) {
+        match step {
+            Step::Connected {
+                node,
+                incarnation,
+                id,
+            } => {
+                if self.nodes[node].incarnation == incarnation {
+                    self.connected(node, id);
+                }
+            }
+            Step::Forwarded {
+                node,
+                incarnation,
+                call,
+                head,
+                waiter,
+                admitted,
+            } => {
+                if self.nodes[node].incarnation == incarnation {
+                    self.begin(node, *call, *head, waiter, admitted);
+                }
+            }
+            Step::Ended {
+                node,
+                incarnation,
+                id,
+                outcome,
+                order,
+                upstream,
+            } => {
+                if let Some(upstream) = upstream {
+                    self.upstreams[upstream].running -= 1;
+                }
+                if self.nodes[node].incarnation == incarnation {
+                    self.attempt_ended(node, id, outcome, order);
+                }
+            }
+        }
+    }
+
+    /// Goes on once a connection stands, or says that none does.
+    fn connected(&mut self, node: usize, id: RequestId) {
+        let Some(running) = self.nodes[node].running.get(&id) else {
+            return;
+        };
+        let stands = match &running.target {
+            Some(Target::Upstream { name, .. }) => self
+                .upstreams
+                .iter()
+                .any(|u| u.name == *name && u.conduct != Conduct::Closed),
+            Some(Target::Instance { name, .. }) => self.node(name).is_some_and(|to| {
+                self.nodes[to].board.is_some() && self.faults.passes(&self.nodes[node].name, name)
+            }),
+            None => false,
+        };
+        let event = if stands {
+            Event::Departing { id }
+        } else {
+            Event::Finished {
+                id,
+                outcome: Outcome::NotSent,
+            }
+        };
+        self.tell(node, event);
+    }
+
+    fn go(&mut self, node: usize, id: RequestId) {
+        let Some(running) = self.nodes[node].running.get_mut(&id) else {
+            return;
+        };
+        let running = running.clone();
+        self.watch_departure(node, &running);
+        match running.target.clone() {
+            Some(Target::Upstream { name, .. }) => self.run_at(node, id, &running, &name),
+            Some(Target::Instance {
+                name,
+                customer,
+                rules_revision,
+                reserved,
+            }) => {
+                let origin = Origin::Instance {
+                    name: self.nodes[node].name.as_str().into(),
+                    customer,
+                    rules_revision,
+                    hops: 1,
+                };
+                self.forward(node, id, running, &name, origin, reserved);
+            }
+            None => {}
+        }
+    }
+
+    /// Checks the promises that hold at the moment of sending.
+    fn watch_departure(&mut self, node: usize, running: &Running) {
+        let now = self.now;
+        let reached = self.should_know(node);
+        if let Some(key) = &running.call.key {
+            let digest = Digest::of(key.as_bytes());
+            self.promises
+                .note_key(&self.platform, &digest, reached, now);
+        }
+        let Some(customer) = self.customer_of(node, &running.call) else {
+            return;
+        };
+        let region = match &running.target {
+            Some(Target::Instance { name, .. }) => self.region_of_node(name),
+            _ => self.region_of_node(&self.nodes[node].name.clone()),
+        };
+        if let Some(region) = region
+            && reached
+        {
+            self.promises
+                .note_place(&self.platform, &customer, &region, now);
+        }
+        let runs_here = matches!(running.target, Some(Target::Upstream { .. }));
+        if let Some(at) = running.admitted.filter(|_| runs_here) {
+            let tokens = self.real_cost(node, &running.call);
+            let name = running.call.name();
+            self.promises.note_admitted(name, &customer, tokens, at);
+        }
+    }
+
+    fn customer_of(&self, node: usize, call: &Call) -> Option<String> {
+        let key = Digest::of(call.key.as_ref()?.as_bytes());
+        let board = self.nodes[node].board.as_ref()?;
+        board.customer_of(&key).map(ToString::to_string)
+    }
+
+    fn region_of_node(&self, name: &str) -> Option<String> {
+        let domain = &self.nodes[self.node(name)?].domain;
+        let rules = self
+            .nodes
+            .iter()
+            .find_map(|n| n.board.as_ref()?.rules.clone());
+        rules?.region_of(domain).map(ToString::to_string)
+    }
+
+    fn real_cost(&self, node: usize, call: &Call) -> u64 {
+        let rules = self.nodes[node]
+            .board
+            .as_ref()
+            .and_then(|b| b.rules.clone());
+        let service = rules.and_then(|r| r.services.get(&call.service).cloned());
+        match service {
+            Some(s) if s.kind == Kind::Plain => u64::from(s.cost),
+            _ => call.real,
+        }
+    }
+
+    fn run_at(&mut self, node: usize, id: RequestId, running: &Running, name: &str) {
+        let now = self.now;
+        let reached = self.should_know(node);
+        let order = running.call.order.clone();
+        self.promises.note_work(&self.platform, name, reached, now);
+        if running.once {
+            let ticket = running.call.ticket.clone().unwrap_or_default();
+            self.promises.note_run(&order, &ticket, now);
+        } else {
+            self.promises.note_idempotent_run(&order, now);
+        }
+        let Some(index) = self.upstreams.iter().position(|u| u.name == name) else {
+            return;
+        };
+        let tokens = Some(self.real_cost(node, &running.call));
+        let upstream = &mut self.upstreams[index];
+        upstream.running += 1;
+        let whole = Outcome::Whole {
+            tokens,
+            answer: running.once.then(|| answer_of(&order)),
+        };
+        let broken = Outcome::Broken { relayed: false };
+        let (outcome, time) = match upstream.conduct {
+            Conduct::Sound => (whole, upstream.pace),
+            Conduct::Silent => (broken, STALL),
+            Conduct::Cut | Conduct::Closed => (broken, upstream.pace),
+        };
+        let step = Step::Ended {
+            node,
+            incarnation: self.nodes[node].incarnation,
+            id,
+            outcome,
+            order,
+            upstream: Some(index),
+        };
+        self.queue.push(now + time, Item::Request(Box::new(step)));
+    }
+
+    fn forward(
+        &mut self,
+        node: usize,
+        id: RequestId,
+        running: Running,
+        name: &str,
+        origin: Origin,
+        reserved: u64,
+    ) {
+        let Some(to) = self.node(name) else {
+            return;
+        };
+        let incarnation = self.nodes[node].incarnation;
+        let call = running.call;
+        let order = call.order.clone();
+        let head = Head {
+            origin,
+            service: call.service.clone(),
+            method: call.method.clone(),
+            path: call.path.clone(),
+            ticket: call.ticket.clone().filter(|_| running.once),
+            deadline: call.deadline,
+            estimate: reserved,
+        };
+        let waiter = Waiter::Instance {
+            node,
+            incarnation,
+            id,
+        };
+        // What never arrives ends by silence.
+        let lost = Step::Ended {
+            node,
+            incarnation,
+            id,
+            outcome: Outcome::Broken { relayed: false },
+            order,
+            upstream: None,
+        };
+        self.queue
+            .push(self.now + STALL, Item::Request(Box::new(lost)));
+        if !self.faults.passes(&self.nodes[node].name, name) {
+            return;
+        }
+        let delay = self.faults.delay(&mut self.rng);
+        let step = Step::Forwarded {
+            node: to,
+            incarnation: self.nodes[to].incarnation,
+            call: Box::new(call),
+            head: Box::new(head),
+            waiter,
+            admitted: running.admitted,
+        };
+        self.queue
+            .push(self.now + delay, Item::Request(Box::new(step)));
+    }
+
+    fn attempt_ended(&mut self, node: usize, id: RequestId, outcome: Outcome, order: String) {
+        let whole = matches!(outcome, Outcome::Whole { .. });
+        let known = self.nodes[node].running.contains_key(&id);
+        let waits = self.nodes[node]
+            .board
+            .as_ref()
+            .and_then(|b| b.requests.get(&id))
+            .is_some_and(|r| !r.detached);
+        self.tell(node, Event::Finished { id, outcome });
+        if whole && known && waits {
+            self.end(node, id, End::Whole(order));
+        } else if whole {
+            self.nodes[node].running.remove(&id);
+        }
+    }
+
+    /// Ends a request at a process and tells whoever waits.
+    fn end(&mut self, node: usize, id: RequestId, end: End) {
+        let Some(running) = self.nodes[node].running.remove(&id) else {
+            return;
+        };
+        let detached = self.nodes[node]
+            .board
+            .as_ref()
+            .and_then(|b| b.requests.get(&id))
+            .is_some_and(|r| r.detached);
+        if detached {
+            // The attempt goes on without its caller.
+            let mut left = running.clone();
+            left.waiter = Waiter::Caller(usize::MAX);
+            self.nodes[node].running.insert(id, left);
+        }
+        self.tell_waiter(node, running, end);
+    }
+
+    fn tell_waiter(&mut self, node: usize, running: Running, end: End) {
+        match running.waiter {
+            Waiter::Caller(usize::MAX) => {}
+            Waiter::Caller(sending) => self.end_sending(sending, end),
+            Waiter::Instance {
+                node: to,
+                incarnation,
+                id,
+            } => {
+                if !self
+                    .faults
+                    .passes(&self.nodes[node].name, &self.nodes[to].name)
+                {
+                    return;
+                }
+                let order = match &end {
+                    End::Whole(order) => order.clone(),
+                    _ => running.call.order.clone(),
+                };
+                let outcome = match end {
+                    End::Whole(_) => Outcome::Whole {
+                        tokens: Some(running.call.real),
+                        answer: None,
+                    },
+                    End::Refused(refusal) => Outcome::Refused(refusal),
+                    End::Broken => Outcome::Broken { relayed: false },
+                };
+                let delay = self.faults.delay(&mut self.rng);
+                let step = Step::Ended {
+                    node: to,
+                    incarnation,
+                    id,
+                    outcome,
+                    order,
+                    upstream: None,
+                };
+                self.queue
+                    .push(self.now + delay, Item::Request(Box::new(step)));
+            }
+        }
+    }
+
+    /// Ends a request whose process was killed.
+    pub(super) fn lose_request(&mut self, node: usize, _id: RequestId, running: Running) {
+        self.tell_waiter(node, running, End::Broken);
+    }
+
+    /// Asks for work that is done once only.
+    pub fn order(order: &str, key: &str, ticket: SmolStr) -> Call {
+        Call {
+            order: order.to_owned(),
+            key: Some(key.to_owned()),
+            service: "payouts".into(),
+            method: "POST".into(),
+            path: "/payouts".into(),
+            ticket: Some(ticket),
+            deadline: Duration::from_secs(10),
+            estimate: 1,
+            real: 1,
+        }
+    }
+
+    /// Asks a model.
+    pub fn question(order: &str, key: &str, estimate: u64, real: u64) -> Call {
+        Call {
+            order: order.to_owned(),
+            key: Some(key.to_owned()),
+            service: "statements".into(),
+            method: "POST".into(),
+            path: "/generate".into(),
+            ticket: None,
+            deadline: Duration::from_secs(10),
+            estimate,
+            real,
+        }
+    }
+}
