Never look elsewhere for a request that its ticket's owner must run

Change: choosing refuses a request that another process owns; check() asserts it; a test at one board's level holds the sequence.

--- a/crates/sesamebarrow_node/src/peer.rs
+++ b/crates/sesamebarrow_node/src/peer.rs
@@ -16,7 +16,6 @@
 use hyper::header::{HeaderName, HeaderValue};
 use sesamebarrow_policy::event::Target;
 use sesamebarrow_policy::{Event, Identity, Message};
-use sesamebarrow_wire::Payload;
 use sesamebarrow_wire::auth::{Role, Secret};
 use sesamebarrow_wire::stream::{Field, Open};
 use smol_str::SmolStr;
@@ -84,7 +83,7 @@
     /// whoever still needs it.
     pub fn send(&self, to: &str, message: Message) {
         if let Some(link) = self.get(to) {
-            link.send(encode(message));
+            link.send(message.into());
         }
     }
 
@@ -196,17 +195,6 @@
     }
 }
 
-fn encode(message: Message) -> Payload {
-    match message {
-        Message::Heartbeat(m) => Payload::Heartbeat(m),
-        Message::DocumentAsk(m) => Payload::DocumentAsk(m),
-        Message::Document(m) => Payload::Document(m),
-        Message::LoanAsk(m) => Payload::LoanAsk(m),
-        Message::Loan(m) => Payload::Loan(m),
-        Message::LoanReport(m) => Payload::LoanReport(m),
-    }
-}
-
 /// Returns the head of a request that is handed to another instance.
 pub fn envelope(stream: u64, target: &Target, call: &Call, envelope: &Envelope) -> Open {
     let (customer, rules_revision, reserved) = match target {
--- a/crates/sesamebarrow_policy/src/check.rs
+++ b/crates/sesamebarrow_policy/src/check.rs
@@ -66,9 +66,15 @@
     Ok(())
 }
 
-/// A ticket's record agrees with the request that is under way for it.
+/// A request that runs at most once goes to an upstream only at its ticket's owner, and
+/// the ticket's record agrees with the request that is under way for it.
 fn check_tickets(board: &Board) -> Result<(), Broken> {
     for (id, request) in &board.requests {
+        let to_upstream = matches!(request.target, Some(TargetKey::Upstream(_)));
+        let owned = request.ticket.is_some() || !request.is_once();
+        ensure(owned || !to_upstream, || {
+            format!("request {} goes to an upstream without its owner", id.0)
+        })?;
         let Some(number) = request.ticket else {
             continue;
         };
--- a/crates/sesamebarrow_policy/src/event.rs
+++ b/crates/sesamebarrow_policy/src/event.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use sesamebarrow_rules::{Digest, Document};
+use sesamebarrow_wire::Payload;
 use sesamebarrow_wire::control::{self, DocumentKind};
 use smol_str::SmolStr;
 
@@ -104,6 +105,19 @@
     LoanReport(control::LoanReport),
 }
 
+impl From<Message> for Payload {
+    fn from(message: Message) -> Self {
+        match message {
+            Message::Heartbeat(m) => Self::Heartbeat(m),
+            Message::DocumentAsk(m) => Self::DocumentAsk(m),
+            Message::Document(m) => Self::Document(m),
+            Message::LoanAsk(m) => Self::LoanAsk(m),
+            Message::Loan(m) => Self::Loan(m),
+            Message::LoanReport(m) => Self::LoanReport(m),
+        }
+    }
+}
+
 /// Something that happened.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/crates/sesamebarrow_policy/src/path/choose.rs
+++ b/crates/sesamebarrow_policy/src/path/choose.rs
@@ -19,6 +19,11 @@
     let Some(request) = board.requests.get(&id) else {
         return;
     };
+    if request.is_once() && request.ticket.is_none() {
+        // Another process owns the ticket: this one must never run it.
+        refuse(board, id, Refusal::unknown(Reason::OwnerLost));
+        return;
+    }
     let service = request.head.service.clone();
     let tried = request.tried.clone();
     let missing = match upstream::choose(board, &service, &tried) {
--- /dev/null
+++ b/crates/sesamebarrow_policy/tests/once.rs
@@ -0,0 +1,126 @@
+//! At most once, at the level of one board.
+
+use std::time::Duration;
+
+use sesamebarrow_policy::event::Target;
+use sesamebarrow_policy::once::{Bearer, Ticket};
+use sesamebarrow_policy::{
+    Action, Board, Event, Head, Identity, Message, Origin, Reason, RequestId, Settings, Verdict,
+    handle,
+};
+use sesamebarrow_rules::{Digest, Document};
+use sesamebarrow_wire::control::{DocumentKind, Heartbeat};
+
+const TICKET_KEY: [u8; 32] = [3; 32];
+const KEY: &[u8] = b"key-of-rosa-0001";
+const OWNER: u64 = 99;
+
+fn rules() -> String {
+    let digest = Digest::of(KEY);
+    format!(
+        "region lima # a\ndomain lim-1 region=lima slots=2 # a\nservice payouts kind=plain # a\n\
+         customer rosa regions=lima rate=100 burst=100 # a\nallow rosa payouts # a\n\
+         key rosa blake3={digest} # a\n"
+    )
+}
+
+const LIST: &str = "instance lim-a domain=lim-1 slot=0 http=10.0.0.1:1 peer=10.0.0.1:2 state=live\n\
+     instance lim-b domain=lim-1 slot=1 http=10.0.0.2:1 peer=10.0.0.2:2 state=live\n\
+     upstream pay domain=lim-1 service=payouts http=10.0.1.1:1 capacity=4 state=live\n";
+
+/// A board with configuration and a link to the instance `lim-b`.
+fn board() -> Board {
+    let me = Identity {
+        name: "lim-a".into(),
+        domain: "lim-1".into(),
+        slot: 0,
+        incarnation: 1,
+    };
+    let mut board = Board::new(me, Settings::default(), TICKET_KEY, 1);
+    for action in handle(&mut board, Duration::ZERO, Event::Tick) {
+        let Action::Read { kind, read, .. } = action else {
+            continue;
+        };
+        let text = match kind {
+            DocumentKind::Rules => rules(),
+            DocumentKind::List => LIST.to_owned(),
+        };
+        let document = Box::new(Document::new(1, &text));
+        let event = Event::DocumentRead {
+            kind,
+            read,
+            document,
+        };
+        handle(&mut board, Duration::ZERO, event);
+    }
+    let up = Event::LinkUp {
+        name: "lim-b".into(),
+        domain: "lim-1".into(),
+        incarnation: OWNER,
+    };
+    handle(&mut board, Duration::ZERO, up);
+    beat(&mut board, 1, 1);
+    board
+}
+
+fn beat(board: &mut Board, sequence: u64, rules_revision: u64) -> Vec<Action> {
+    let beat = Heartbeat {
+        sequence,
+        rules_revision,
+        list_revision: 1,
+        ready: true,
+        ..Heartbeat::default()
+    };
+    let event = Event::Received {
+        name: "lim-b".into(),
+        incarnation: OWNER,
+        message: Message::Heartbeat(beat),
+    };
+    handle(board, Duration::from_millis(10), event)
+}
+
+fn order(id: u64) -> Event {
+    let ticket = Ticket {
+        owner: "lim-b".into(),
+        incarnation: OWNER,
+        issued: Duration::ZERO,
+        number: 5,
+    };
+    let bearer = Bearer {
+        customer: "rosa",
+        service: "payouts",
+    };
+    Event::Arrived {
+        id: RequestId(id),
+        head: Head {
+            origin: Origin::Caller {
+                key: Some(Digest::of(KEY)),
+            },
+            service: "payouts".into(),
+            method: "POST".into(),
+            path: "/pay".into(),
+            ticket: Some(ticket.sign(&TICKET_KEY, &bearer)),
+            deadline: Duration::from_secs(5),
+            estimate: 1,
+        },
+    }
+}
+
+#[test]
+fn a_request_whose_owner_is_lost_at_departure_runs_nowhere_else() {
+    let mut board = board();
+    let actions = handle(&mut board, Duration::from_millis(20), order(1));
+    let handed_over = actions.iter().any(|a| {
+        matches!(a, Action::Dispatch { target: Target::Instance { name, .. }, .. } if name == "lim-b")
+    });
+    assert!(handed_over, "{actions:?}");
+    // The owner turns out to have newer rules: nothing may be sent to it just now.
+    beat(&mut board, 2, 2);
+    let departing = Event::Departing { id: RequestId(1) };
+    let actions = handle(&mut board, Duration::from_millis(30), departing);
+    let [Action::Refuse { refusal, .. }] = actions.as_slice() else {
+        panic!("expected a refusal alone, got {actions:?}");
+    };
+    assert_eq!(refusal.reason, Reason::OwnerLost);
+    assert_eq!(refusal.result, Verdict::Unknown);
+}
--- a/crates/sesamebarrow_standin/src/deploy.rs
+++ b/crates/sesamebarrow_standin/src/deploy.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 /// The secret of deployments on loopback.
 pub const SECRET: &str = "loopback-only-secret-of-a-trial-deployment";
@@ -50,10 +51,28 @@
     pub backends: Vec<Backend>,
 }
 
-/// Returns a free address on loopback.
+/// First port that is given out; below the range from which connections take theirs.
+const FIRST_PORT: u16 = 10_000;
+
+/// Ports that are given out.
+const PORTS: u16 = 20_000;
+
+/// Ports between the first of one process and of the next.
+const STRIDE: u32 = 211;
+
+/// Returns an address on loopback that was free and that nothing else here was given.
 pub fn free_address() -> anyhow::Result<SocketAddr> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-    Ok(listener.local_addr()?)
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = std::process::id().wrapping_mul(STRIDE) % u32::from(PORTS);
+    for _ in 0..PORTS {
+        let step = u32::from(NEXT.fetch_add(1, Ordering::Relaxed) % PORTS);
+        let offset = u16::try_from((start + step) % u32::from(PORTS))?;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + offset));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    anyhow::bail!("no free port on loopback")
 }
 
 impl Deployment {
--- /dev/null
+++ b/crates/sesamebarrow_trial/examples/capacity.rs
@@ -0,0 +1,286 @@
+//! Measures what control costs as a fleet grows, in one process over virtual time.
+//!
+//! Run with `cargo run --release -p sesamebarrow_trial --example capacity`. It prints the
+//! rows of `docs/CAPACITY.md` and, with `--json FILE`, writes them for plots. Messages
+//! and bytes are counted at the encoder. Processor time is the policy's alone, given in
+//! milliseconds and as a ratio to a loop that hashes a mebibyte.
+
+use std::time::{Duration, Instant};
+
+use clap::{Arg, Command};
+use serde::Serialize;
+use sesamebarrow_policy::Settings;
+use sesamebarrow_trial::World;
+use sesamebarrow_trial::fleet::Size;
+use sesamebarrow_trial::world::Meter;
+use sesamebarrow_wire::control::DocumentKind;
+
+/// Parts of the full size that are measured, the smallest first.
+const PARTS: [usize; 5] = [16, 8, 4, 2, 1];
+
+/// Virtual time in which a fleet settles before it is measured.
+const SETTLE: Duration = Duration::from_secs(20);
+
+/// Virtual time that is measured.
+const MEASURED: Duration = Duration::from_secs(95);
+
+/// Time between two changes of the rules: 4,500 a day.
+const CHANGE: Duration = Duration::from_millis(19_200);
+
+/// One measured size, all figures for one instance and one second unless said otherwise.
+#[derive(Clone, Debug, Serialize)]
+struct Row {
+    instances: usize,
+    heartbeats: f64,
+    heartbeat_bytes: f64,
+    document_bytes: f64,
+    most_bytes: f64,
+    platform_bytes: f64,
+    /// Of the whole fleet.
+    platform_calls: f64,
+    /// Longest time until a change was in force everywhere, in seconds.
+    in_force: f64,
+    busy_percent: f64,
+    /// Reference loops a second.
+    busy_loops: f64,
+    most_busy_percent: f64,
+    /// Mebibytes.
+    memory: f64,
+    links_mean: f64,
+    links_most: usize,
+}
+
+/// Hashes a mebibyte and returns the time that it took.
+fn reference_loop() -> Duration {
+    let block = vec![7u8; 1024 * 1024];
+    let clock = Instant::now();
+    for _ in 0..REFERENCE_ROUNDS {
+        std::hint::black_box(blake3::hash(std::hint::black_box(&block)));
+    }
+    clock.elapsed() / REFERENCE_ROUNDS
+}
+
+const REFERENCE_ROUNDS: u32 = 200;
+
+/// Returns the memory of this process in bytes.
+fn resident() -> u64 {
+    const PAGE_BYTES: u64 = 4096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|n| n.parse::<u64>().ok());
+    pages.unwrap_or_default() * PAGE_BYTES
+}
+
+fn sum(world: &World, pick: impl Fn(&Meter) -> f64) -> f64 {
+    world.nodes.iter().map(|n| pick(&n.meter)).sum()
+}
+
+fn most(world: &World, pick: impl Fn(&Meter) -> f64) -> f64 {
+    world
+        .nodes
+        .iter()
+        .map(|n| pick(&n.meter))
+        .fold(0.0, f64::max)
+}
+
+fn reset(world: &mut World) {
+    for node in &mut world.nodes {
+        node.meter = Meter::default();
+    }
+    world.platform.calls = 0;
+}
+
+/// Runs until the rules' revision is in force everywhere and returns how long it took.
+fn until_in_force(world: &mut World, revision: u64) -> Duration {
+    const STEP: Duration = Duration::from_millis(20);
+    let began = world.now;
+    loop {
+        let late = world.nodes.iter().any(|n| {
+            n.board
+                .as_ref()
+                .is_some_and(|b| b.rules_revision() < revision)
+        });
+        if !late || world.now - began > MEASURED {
+            return world.now - began;
+        }
+        world.run(STEP);
+    }
+}
+
+fn measure(size: Size, reference: Duration) -> Row {
+    let before = resident();
+    let mut world = size.build(Settings::default());
+    world.run(SETTLE);
+    let memory = resident().saturating_sub(before);
+    reset(&mut world);
+    let began = world.now;
+    let mut slowest = Duration::ZERO;
+    let mut revision = 1;
+    while world.now - began < MEASURED {
+        revision += 1;
+        let text = size.rules(usize::try_from(revision).unwrap_or_default());
+        let published = world.now;
+        world.publish(DocumentKind::Rules, revision, &text);
+        slowest = slowest.max(until_in_force(&mut world, revision));
+        world.run_until(published + CHANGE);
+    }
+    row(&world, size, world.now - began, slowest, memory, reference)
+}
+
+fn row(
+    world: &World,
+    size: Size,
+    time: Duration,
+    slowest: Duration,
+    memory: u64,
+    reference: Duration,
+) -> Row {
+    // CAST: counts of this size are exact in a float.
+    let instances = size.instances as f64;
+    let seconds = time.as_secs_f64();
+    let each = |total: f64| total / instances / seconds;
+    let busy = |m: &Meter| m.busy.as_secs_f64();
+    let links: Vec<usize> = world
+        .nodes
+        .iter()
+        .filter_map(|n| n.board.as_ref())
+        .map(|b| b.instances.values().filter(|i| i.link.is_some()).count())
+        .collect();
+    Row {
+        instances: size.instances,
+        heartbeats: each(sum(world, |m| m.heartbeats.messages as f64)),
+        heartbeat_bytes: each(sum(world, |m| m.heartbeats.bytes as f64)),
+        document_bytes: each(sum(world, |m| m.documents.bytes as f64)),
+        most_bytes: most(world, |m| m.sent_bytes() as f64) / seconds,
+        platform_bytes: each(sum(world, |m| m.platform_bytes as f64)),
+        platform_calls: world.platform.calls as f64 / seconds,
+        in_force: slowest.as_secs_f64(),
+        busy_percent: 100.0 * each(sum(world, busy)),
+        busy_loops: each(sum(world, busy)) / reference.as_secs_f64(),
+        most_busy_percent: 100.0 * most(world, busy) / seconds,
+        memory: memory as f64 / instances / 1024.0 / 1024.0,
+        links_mean: links.iter().sum::<usize>() as f64 / instances,
+        links_most: links.iter().copied().max().unwrap_or_default(),
+    }
+}
+
+/// A line through measured points.
+struct Fit {
+    slope: f64,
+    base: f64,
+    /// Largest distance of a point from the line, in percent of the largest value.
+    residual: f64,
+}
+
+fn fit(points: &[(f64, f64)]) -> Fit {
+    let n = points.len() as f64;
+    let (sx, sy) = points
+        .iter()
+        .fold((0.0, 0.0), |s, p| (s.0 + p.0, s.1 + p.1));
+    let (mx, my) = (sx / n, sy / n);
+    let sxy: f64 = points.iter().map(|p| (p.0 - mx) * (p.1 - my)).sum();
+    let sxx: f64 = points.iter().map(|p| (p.0 - mx).powi(2)).sum();
+    let slope = sxy / sxx;
+    let base = my - slope * mx;
+    let worst = points
+        .iter()
+        .map(|p| (p.1 - base - slope * p.0).abs())
+        .fold(0.0, f64::max);
+    let largest = points
+        .iter()
+        .map(|p| p.1.abs())
+        .fold(f64::MIN_POSITIVE, f64::max);
+    Fit {
+        slope,
+        base,
+        residual: 100.0 * worst / largest,
+    }
+}
+
+fn print_fits(rows: &[Row]) {
+    type Pick = fn(&Row) -> f64;
+    let columns: [(&str, Pick); 7] = [
+        ("heartbeats/s", |r| r.heartbeats),
+        ("heartbeat bytes/s", |r| r.heartbeat_bytes),
+        ("document bytes/s", |r| r.document_bytes),
+        ("platform bytes/s", |r| r.platform_bytes),
+        ("platform calls/s of the fleet", |r| r.platform_calls),
+        ("policy % of a core", |r| r.busy_percent),
+        ("memory MiB", |r| r.memory),
+    ];
+    println!("\n| of one instance | slope per 100 instances | at none | residual % |");
+    println!("|---|---|---|---|");
+    for (name, pick) in columns {
+        let points: Vec<(f64, f64)> = rows.iter().map(|r| (r.instances as f64, pick(r))).collect();
+        let fit = fit(&points);
+        println!(
+            "| {name} | {:.3} | {:.3} | {:.1} |",
+            fit.slope * 100.0,
+            fit.base,
+            fit.residual
+        );
+    }
+}
+
+/// Starts the whole fleet at once beside a platform that was down, the worst minute.
+fn measure_start(size: Size) {
+    let mut world = size.build(Settings::default());
+    world.platform.down = true;
+    world.run(Duration::from_secs(60));
+    let waiting = world.platform.calls as f64 / 60.0;
+    world.platform.down = false;
+    reset(&mut world);
+    let took = until_in_force(&mut world, 1);
+    let calls = world.platform.calls as f64 / took.as_secs_f64().max(1.0);
+    println!(
+        "\nstart of {} instances without the platform: {waiting:.0} calls/s; after its return \
+         all ready in {:.1} s at {calls:.0} calls/s, {:.0} KB read and {:.0} KB sent by each",
+        size.instances,
+        took.as_secs_f64(),
+        sum(&world, |m| m.platform_bytes as f64) / size.instances as f64 / 1000.0,
+        sum(&world, |m| m.sent_bytes() as f64) / size.instances as f64 / 1000.0,
+    );
+}
+
+fn main() -> anyhow::Result<()> {
+    let matches = Command::new("capacity")
+        .arg(Arg::new("json").long("json").value_name("FILE"))
+        .get_matches();
+    let reference = reference_loop();
+    println!("reference loop: {:.3} ms", reference.as_secs_f64() * 1000.0);
+    println!(
+        "| instances | links mean/most | heartbeats/s | heartbeat B/s | documents B/s | most sent B/s \
+         | platform B/s | fleet calls/s | in force s | policy % | loops/s | most % | MiB |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    let mut rows = Vec::new();
+    for part in PARTS {
+        let row = measure(Size::divided(part), reference);
+        println!(
+            "| {} | {:.1}/{} | {:.1} | {:.0} | {:.0} | {:.0} | {:.0} | {:.1} | {:.2} | {:.3} | {:.3} | {:.3} | {:.1} |",
+            row.instances,
+            row.links_mean,
+            row.links_most,
+            row.heartbeats,
+            row.heartbeat_bytes,
+            row.document_bytes,
+            row.most_bytes,
+            row.platform_bytes,
+            row.platform_calls,
+            row.in_force,
+            row.busy_percent,
+            row.busy_loops,
+            row.most_busy_percent,
+            row.memory
+        );
+        rows.push(row);
+    }
+    print_fits(&rows);
+    measure_start(Size::FULL);
+    if let Some(path) = matches.get_one::<String>("json") {
+        std::fs::write(path, serde_json::to_vec_pretty(&rows)?)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/sesamebarrow_trial/src/fleet.rs
@@ -0,0 +1,160 @@
+//! Large fleets for measuring what control costs.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use sesamebarrow_policy::Settings;
+use sesamebarrow_rules::Digest;
+use sesamebarrow_wire::control::DocumentKind;
+
+use crate::world::World;
+
+/// How large a fleet is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Instances.
+    pub instances: usize,
+    /// Failure domains.
+    pub domains: usize,
+    /// Regions.
+    pub regions: usize,
+    /// Upstreams.
+    pub upstreams: usize,
+    /// Customers.
+    pub customers: usize,
+}
+
+impl Size {
+    /// The size to design for.
+    pub const FULL: Self = Self {
+        instances: 350,
+        domains: 53,
+        regions: 19,
+        upstreams: 3000,
+        customers: 1200,
+    };
+
+    /// Returns the size to design for, divided by `part`.
+    pub fn divided(part: usize) -> Self {
+        let full = Self::FULL;
+        Self {
+            instances: full.instances / part,
+            domains: full.domains.div_ceil(part),
+            regions: full.regions.div_ceil(part),
+            upstreams: full.upstreams / part,
+            customers: full.customers / part,
+        }
+    }
+
+    fn domain(&self, index: usize) -> String {
+        format!("d{:02}", index % self.domains)
+    }
+
+    fn region(&self, index: usize) -> String {
+        format!("r{:02}", index % self.regions)
+    }
+
+    /// Returns the key of a customer.
+    pub fn key(customer: usize) -> String {
+        format!("key-of-customer-{customer:05}")
+    }
+
+    /// Returns the rules; `turn` changes a customer's rate.
+    pub fn rules(&self, turn: usize) -> String {
+        let mut text = String::new();
+        for region in 0..self.regions {
+            // Writing to a string never fails.
+            let _ = writeln!(text, "region {} # ops", self.region(region));
+        }
+        for domain in 0..self.domains {
+            let slots = self.instances.div_ceil(self.domains);
+            let (name, region) = (self.domain(domain), self.region(domain));
+            let _ = writeln!(text, "domain {name} region={region} slots={slots} # ops");
+        }
+        for model in 0..MODELS {
+            let _ = writeln!(text, "service model-{model} kind=model # ops");
+        }
+        for customer in 0..self.customers {
+            self.write_customer(&mut text, customer, turn);
+        }
+        text
+    }
+
+    fn write_customer(&self, text: &mut String, customer: usize, turn: usize) {
+        let regions: Vec<String> = if customer.is_multiple_of(HOME_ONE_IN) {
+            vec![self.region(customer)]
+        } else {
+            (0..self.regions).map(|r| self.region(r)).collect()
+        };
+        let regions = regions.join(",");
+        let changed = usize::from(turn > 0 && customer == turn % self.customers);
+        let rate = 20_000 + changed * turn;
+        let digest = Digest::of(Self::key(customer).as_bytes());
+        let name = format!("customer-{customer:04}");
+        let _ = writeln!(
+            text,
+            "customer {name} regions={regions} rate={rate} burst=200000 # someone-{customer}"
+        );
+        let _ = writeln!(text, "key {name} blake3={digest} # someone-{customer}");
+        for model in 0..MODELS {
+            let _ = writeln!(text, "allow {name} model-{model} # someone-{customer}");
+        }
+    }
+
+    /// Returns the list; with `turn`, one upstream is leaving.
+    pub fn list(&self, turn: usize) -> String {
+        let mut text = String::new();
+        for index in 0..self.instances {
+            let (name, domain) = (Self::instance(index), self.domain(index));
+            let slot = index / self.domains;
+            let ip = format!("10.1.{}.{}", index / 250, index % 250);
+            let _ = writeln!(
+                text,
+                "instance {name} domain={domain} slot={slot} http={ip}:80 peer={ip}:81 state=live"
+            );
+        }
+        for index in 0..self.upstreams {
+            let domain = self.domain(index);
+            let leaving = turn > 0 && index == turn % self.upstreams;
+            let state = if leaving { "leaving" } else { "live" };
+            let ip = format!("10.2.{}.{}", index / 250, index % 250);
+            let _ = writeln!(
+                text,
+                "upstream u{index:04} domain={domain} service=model-{} http={ip}:80 capacity=16 state={state}",
+                index % MODELS
+            );
+        }
+        text
+    }
+
+    fn instance(index: usize) -> String {
+        format!("i{index:03}")
+    }
+
+    /// Builds the fleet, starts it and lets it settle.
+    pub fn build(&self, settings: Settings) -> World {
+        let mut world = World::new(1, settings);
+        world.watched = false;
+        world.faults.least_delay = Duration::from_millis(40);
+        world.faults.most_delay = Duration::from_millis(80);
+        for index in 0..self.instances {
+            let slot = u16::try_from(index / self.domains).unwrap_or_default();
+            world.add_node(&Self::instance(index), &self.domain(index), slot);
+        }
+        for index in 0..self.upstreams {
+            world.add_upstream(&format!("u{index:04}"), Duration::from_millis(200));
+        }
+        world.publish(DocumentKind::Rules, 1, &self.rules(0));
+        world.publish(DocumentKind::List, 1, &self.list(0));
+        for node in 0..self.instances {
+            world.start(node);
+        }
+        world
+    }
+}
+
+/// Models in steady use.
+pub const MODELS: usize = 4;
+
+/// One customer in this many is bound to a home region.
+const HOME_ONE_IN: usize = 8;
--- a/crates/sesamebarrow_trial/src/lib.rs
+++ b/crates/sesamebarrow_trial/src/lib.rs
@@ -6,6 +6,7 @@
 //! an order ran, whether a refusal told the truth, what was admitted in any window.
 
 pub mod fault;
+pub mod fleet;
 pub mod platform;
 pub mod promise;
 pub mod script;
--- a/crates/sesamebarrow_trial/src/storm.rs
+++ b/crates/sesamebarrow_trial/src/storm.rs
@@ -18,6 +18,20 @@
 /// Longest time in which all must be in force everywhere after faults have ended.
 const SETTLE: Duration = Duration::from_secs(45);
 
+/// Length of a wave of demand, in seconds.
+const WAVE_SECS: u64 = 10;
+
+/// Requests that a rush brings with each step.
+const RUSH: usize = 4;
+
+/// How demand stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Busy,
+    Lull,
+    Rush,
+}
+
 /// Which faults a run draws.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Mix {
@@ -122,6 +136,19 @@
     }
 
     fn step(&mut self) {
+        match self.phase() {
+            Phase::Busy => {}
+            Phase::Lull => {
+                if self.world.rng.random_bool(0.9) {
+                    return;
+                }
+            }
+            Phase::Rush => {
+                for _ in 0..RUSH {
+                    self.ask();
+                }
+            }
+        }
         match self.world.rng.random_range(0..100) {
             0..70 => self.ask(),
             70..80 => self.order(),
@@ -134,6 +161,15 @@
         }
     }
 
+    /// Demand comes in waves, so that tokens are left unspent and then wanted at once.
+    fn phase(&self) -> Phase {
+        match self.world.now.as_secs() % WAVE_SECS {
+            0..5 => Phase::Busy,
+            5..9 => Phase::Lull,
+            _ => Phase::Rush,
+        }
+    }
+
     fn any_node(&mut self) -> usize {
         self.world.rng.random_range(0..self.world.nodes.len())
     }
@@ -149,7 +185,12 @@
     fn ask(&mut self) {
         let node = self.any_node();
         let key = self.any_key();
-        let estimate = self.world.rng.random_range(1..400);
+        let most = if self.phase() == Phase::Lull {
+            2000
+        } else {
+            400
+        };
+        let estimate = self.world.rng.random_range(1..most);
         let real = self.world.rng.random_range(0..=estimate);
         self.next_order += 1;
         let name = format!("q{}", self.next_order);
@@ -231,9 +272,13 @@
             return;
         }
         let node = self.any_node();
-        if self.world.nodes[node].board.is_some() {
-            self.world.kill(node);
-        } else {
+        if self.world.nodes[node].board.is_none() {
+            self.world.start(node);
+            return;
+        }
+        self.world.kill(node);
+        // Most are replaced at once, so that the new process finds the old one's traces.
+        if self.world.rng.random_bool(0.8) {
             self.world.start(node);
         }
     }
--- a/crates/sesamebarrow_trial/src/world.rs
+++ b/crates/sesamebarrow_trial/src/world.rs
@@ -2,11 +2,12 @@
 
 mod carry;
 mod link;
+mod meter;
 mod queue;
 mod request;
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -17,6 +18,7 @@
 use crate::platform::Platform;
 use crate::promise::{IN_FORCE, Promises};
 use crate::traffic::{Call, End, Sending};
+pub use meter::Meter;
 use queue::{Item, Queue};
 use request::Running;
 
@@ -45,6 +47,8 @@
     running: BTreeMap<RequestId, Running>,
     /// Whether [`Action::Drained`] was said.
     pub drained: bool,
+    /// What its control costs.
+    pub meter: Meter,
 }
 
 /// How an upstream behaves.
@@ -90,6 +94,8 @@
     pub sendings: Vec<Sending>,
     /// What was promised and seen.
     pub promises: Promises,
+    /// Whether every board is checked after every event, and every promise watched.
+    pub watched: bool,
     settings: Settings,
     queue: Queue,
     links: BTreeMap<u64, link::Link>,
@@ -108,6 +114,7 @@
             upstreams: Vec::new(),
             sendings: Vec::new(),
             promises: Promises::default(),
+            watched: true,
             settings,
             queue: Queue::default(),
             links: BTreeMap::new(),
@@ -139,6 +146,7 @@
             unreached: Duration::ZERO,
             running: BTreeMap::new(),
             drained: false,
+            meter: Meter::default(),
         });
         self.nodes.len() - 1
     }
@@ -291,7 +299,12 @@
         };
         let now = self.now.saturating_sub(process.began);
         let before = board.rules_revision();
+        let clock = Instant::now();
         let actions = policy::handle(board, now, event);
+        process.meter.busy += clock.elapsed();
+        if !self.watched {
+            return actions;
+        }
         if let Err(broken) = policy::check(board) {
             let message = format!("{:?}: {}: {broken}", self.now, process.name);
             self.promises.broken.push(message);
--- a/crates/sesamebarrow_trial/src/world/carry.rs
+++ b/crates/sesamebarrow_trial/src/world/carry.rs
@@ -42,6 +42,7 @@
         wait: bool,
     ) {
         self.platform.calls += 1;
+        self.nodes[node].meter.platform_calls += 1;
         let read = Read {
             node,
             incarnation: self.nodes[node].incarnation,
@@ -67,11 +68,15 @@
         let event = match self.platform.values.get(&read.kind) {
             _ if !passes || self.platform.down => None,
             None => None,
-            Some(value) if value.revision > read.have => Some(Event::DocumentRead {
-                kind: read.kind,
-                read: read.read,
-                document: Box::new(Document::new(value.revision, &value.text)),
-            }),
+            Some(value) if value.revision > read.have => {
+                // CAST: a document is a megabyte at most.
+                self.nodes[read.node].meter.platform_bytes += value.text.len() as u64;
+                Some(Event::DocumentRead {
+                    kind: read.kind,
+                    read: read.read,
+                    document: Box::new(Document::new(value.revision, &value.text)),
+                })
+            }
             Some(value) => Some(Event::DocumentConfirmed {
                 kind: read.kind,
                 read: read.read,
--- a/crates/sesamebarrow_trial/src/world/link.rs
+++ b/crates/sesamebarrow_trial/src/world/link.rs
@@ -98,6 +98,7 @@
         let Some((link, end)) = self.link_to(from, to) else {
             return;
         };
+        self.nodes[from].meter.count(message);
         let copies = self.faults.copies(&mut self.rng);
         for _ in 0..copies {
             let mut at = self.now + self.faults.delay(&mut self.rng);
