Hold control of 350 instances within its bounds; measure it

Cause: the first measurement of growth gave 13.5 links and 4.1 KB/s of heartbeats for each of 175 instances, 33 platform calls/s, 0.44% of a core (most 1.46%), growing faster than the fleet. Found: every instance took itself for its domain's only one before links stood and opened all fingers, which stayed; it kept telling loads that it no longer read; watches of 10 s against a quiet limit of 5 s sent everybody to the platform; missing links were looked for at every tick; every change of rules drew all holders anew. Change: listed instances count for the first 5 s; only loads read by the instance are told; watch 4 s, quiet 10 s; a look at links every 500 ms; only changed customers are drawn. After a wake reads no longer wait.

--- a/crates/sesamebarrow_node/src/settings.rs
+++ b/crates/sesamebarrow_node/src/settings.rs
@@ -212,7 +212,7 @@
 }
 
 fn default_watch() -> Duration {
-    Duration::from_secs(10)
+    Duration::from_secs(4)
 }
 
 fn default_read_timeout() -> Duration {
--- a/crates/sesamebarrow_policy/src/board.rs
+++ b/crates/sesamebarrow_policy/src/board.rs
@@ -112,8 +112,10 @@
     pub reported: u32,
     /// When that report was true.
     pub reported_at: Option<Duration>,
-    /// When its load was last asked for.
-    pub polled: Option<Duration>,
+    /// When it was last looked at whether to ask for its load.
+    pub looked: Option<Duration>,
+    /// Whether this instance asks for its load, for all of the domain.
+    pub mine: bool,
     /// Failures in a row.
     pub failures: u32,
     /// Until when it is ejected.
@@ -158,6 +160,8 @@
     pub draining: bool,
     /// Whether [`Action::Drained`] was said.
     pub drained: bool,
+    /// When missing links were last looked for.
+    pub dialled: Option<Duration>,
     /// When heartbeats were last sent.
     pub beaten: Option<Duration>,
     /// Sequence of the newest heartbeat.
@@ -225,6 +229,7 @@
             counters: Counters::default(),
             draining: false,
             drained: false,
+            dialled: None,
             beaten: None,
             beat_sequence: 0,
             turn: 0,
--- a/crates/sesamebarrow_policy/src/config.rs
+++ b/crates/sesamebarrow_policy/src/config.rs
@@ -21,7 +21,7 @@
 use crate::event::Action;
 use crate::member;
 
-pub(crate) use relay::{answer_ask, ask_if_newer, take_document};
+pub(crate) use relay::{answer_ask, ask_if_newer, refused_to_tell, take_document, take_refused};
 
 /// Changes kept for neighbours that are behind.
 const HISTORY_STEPS: usize = 64;
@@ -50,7 +50,9 @@
     pub confirmed: Option<Duration>,
     /// The newest revision that was refused.
     pub refused: u64,
-    /// Why it was refused, or why a neighbour's change could not be applied.
+    /// The newest published revision that is known to have a fault, here or elsewhere.
+    pub faulty: u64,
+    /// The fault, or why a neighbour's change could not be applied.
     pub fault: Option<SmolStr>,
     /// What went wrong with the last read of the platform.
     pub read_fault: Option<SmolStr>,
@@ -103,11 +105,12 @@
             .age(now)
             .is_none_or(|age| age >= board.settings.relay_quiet);
         let reader = is_reader(board, shelf.revision());
-        if !quiet && !reader {
+        let waking = board.clock.waking.is_some();
+        if !quiet && !reader && !waking {
             continue;
         }
         let have = shelf.seen();
-        let fresh = shelf.age(now).is_some() && !quiet;
+        let fresh = shelf.age(now).is_some() && !quiet && !waking;
         let Some(shelf) = board.shelves.get_mut(&kind) else {
             continue;
         };
--- a/crates/sesamebarrow_policy/src/config/adopt.rs
+++ b/crates/sesamebarrow_policy/src/config/adopt.rs
@@ -70,8 +70,11 @@
         .map(ToString::to_string)
         .collect();
     let fault = format!("revision {revision} refused: {}", shown.join("; "));
+    // Operators look at any instance: neighbours are told.
+    member::beat_soon(board);
     if let Some(shelf) = board.shelves.get_mut(&kind) {
         shelf.refused = revision;
+        shelf.faulty = revision;
         shelf.fault = Some(SmolStr::from(fault));
     }
 }
--- a/crates/sesamebarrow_policy/src/config/relay.rs
+++ b/crates/sesamebarrow_policy/src/config/relay.rs
@@ -11,6 +11,7 @@
 use super::{Shelf, adopt};
 use crate::board::Board;
 use crate::event::Message;
+use crate::member;
 
 /// Time after which an unanswered question is asked again.
 const ASK_AGAIN: Duration = Duration::from_secs(1);
@@ -41,6 +42,36 @@
     ask(board, from, kind, have);
 }
 
+/// Returns the refused revisions that neighbours are to hear of.
+pub(crate) fn refused_to_tell(board: &Board) -> Vec<control::RefusedDocument> {
+    let faulty = board
+        .shelves
+        .iter()
+        .filter(|(_, s)| s.faulty > s.revision());
+    faulty
+        .map(|(kind, shelf)| control::RefusedDocument {
+            kind: (*kind).into(),
+            revision: shelf.faulty,
+            fault: shelf.fault.as_deref().unwrap_or_default().to_owned(),
+        })
+        .collect()
+}
+
+/// Takes a neighbour's word that a newer revision has a fault.
+pub(crate) fn take_refused(board: &mut Board, refused: &control::RefusedDocument) {
+    let Ok(kind) = DocumentKind::try_from(refused.kind) else {
+        return;
+    };
+    let Some(shelf) = board.shelves.get_mut(&kind) else {
+        return;
+    };
+    if refused.revision > shelf.faulty.max(shelf.revision()) {
+        shelf.faulty = refused.revision;
+        shelf.fault = Some(SmolStr::new(&refused.fault));
+        member::beat_soon(board);
+    }
+}
+
 fn ask(board: &mut Board, from: &SmolStr, kind: DocumentKind, have: u64) {
     let ask = control::DocumentAsk {
         kind: kind.into(),
--- a/crates/sesamebarrow_policy/src/limit.rs
+++ b/crates/sesamebarrow_policy/src/limit.rs
@@ -117,7 +117,12 @@
     };
     let now = board.now();
     let propagation = board.settings.propagation;
+    let same_domains = previous.is_some_and(|p| p.domains == rules.domains);
     for (name, customer) in &rules.customers {
+        let before = previous.and_then(|p| p.customers.get(name));
+        if same_domains && before == Some(customer) {
+            continue;
+        }
         let held = holders(&rules, name, board.settings.holders_per_region);
         let mine = held
             .iter()
@@ -130,8 +135,7 @@
         let part = |whole: u64| whole.checked_div(count).unwrap_or(0);
         let rate = part(share.whole_rate);
         let burst = part(share.whole_burst);
-        let known = previous.is_some_and(|p| p.customers.contains_key(name));
-        if known {
+        if before.is_some() {
             share.rebase(now, rate, burst, propagation);
         } else {
             share.start(now, rate, burst);
--- a/crates/sesamebarrow_policy/src/member.rs
+++ b/crates/sesamebarrow_policy/src/member.rs
@@ -16,7 +16,7 @@
 use crate::event::{Action, Message};
 use crate::{config, limit};
 
-pub(crate) use heartbeat::{beat_now, is_behind, millis, send_heartbeats};
+pub(crate) use heartbeat::{beat_now, beat_soon, is_behind, millis, send_heartbeats};
 pub(crate) use links::{
     dial_neighbours, drop_all_links, drop_silent_links, take_link_down, take_link_up,
 };
--- a/crates/sesamebarrow_policy/src/member/heartbeat.rs
+++ b/crates/sesamebarrow_policy/src/member/heartbeat.rs
@@ -10,12 +10,17 @@
 use crate::event::Message;
 use crate::{config, upstream};
 
-/// Lets the next tick send heartbeats, whenever the last went out.
+/// Sends heartbeats, whenever the last went out.
 pub(crate) fn beat_now(board: &mut Board) {
-    board.beaten = None;
+    beat_soon(board);
     send_heartbeats(board);
 }
 
+/// Lets the next tick send heartbeats.
+pub(crate) fn beat_soon(board: &mut Board) {
+    board.beaten = None;
+}
+
 /// Sends heartbeats when they are due.
 pub(crate) fn send_heartbeats(board: &mut Board) {
     let now = board.now();
@@ -60,6 +65,7 @@
         ready: board.is_ready(),
         draining: board.draining,
         loads,
+        refused: config::refused_to_tell(board),
     }
 }
 
@@ -86,6 +92,9 @@
     link.ready = beat.ready && !beat.draining;
     link.running = beat.running;
     take_revisions(board, from, beat);
+    for refused in &beat.refused {
+        config::take_refused(board, refused);
+    }
     for load in &beat.loads {
         let age = Duration::from_millis(u64::from(load.age_ms));
         upstream::take_load(board, &load.upstream, load.running, load.queued, age);
--- a/crates/sesamebarrow_policy/src/member/links.rs
+++ b/crates/sesamebarrow_policy/src/member/links.rs
@@ -7,13 +7,20 @@
 use smol_str::SmolStr;
 
 use super::{find, find_or_add};
-use crate::board::{Board, InstanceKey, Link};
+use crate::board::{Board, Instance, InstanceKey, Link};
 use crate::event::Action;
 use crate::limit;
 
 /// Time between two tries to open a link to one instance.
 const DIAL_AGAIN: Duration = Duration::from_secs(1);
 
+/// Time between two looks at which links are missing.
+const LOOK_AGAIN: Duration = Duration::from_millis(500);
+
+/// Time that the instances of a domain get to find each other. Until then all that are
+/// listed count, lest each of them takes itself for the only one and links to everybody.
+const FINDING: Duration = Duration::from_secs(5);
+
 /// Takes a link that stands.
 pub(crate) fn take_link_up(board: &mut Board, name: SmolStr, domain: SmolStr, incarnation: u64) {
     if name == board.me.name {
@@ -93,6 +100,11 @@
 
 /// Opens the links to neighbours that are missing.
 pub(crate) fn dial_neighbours(board: &mut Board) {
+    let now = board.now();
+    if board.dialled.is_some_and(|at| now - at < LOOK_AGAIN) {
+        return;
+    }
+    board.dialled = Some(now);
     let wanted = wanted_neighbours(board);
     for instance in board.instances.values_mut() {
         instance.neighbour = false;
@@ -164,12 +176,14 @@
     wanted
 }
 
-/// Returns this instance's rank among those of its domain that it hears, and their number.
+/// Returns this instance's rank among those of its domain that live, and their number.
 fn rank_in_domain(board: &Board) -> (usize, usize) {
+    let finding = board.now() < FINDING;
+    let lives = |i: &Instance| board.is_heard(i) || (finding && i.listed == Some(State::Live));
     let heard = board
         .instances
         .values()
-        .filter(|i| i.domain == board.me.domain && board.is_heard(i));
+        .filter(|i| i.domain == board.me.domain && lives(i));
     let mut rank = 0;
     let mut width = 1;
     for instance in heard {
--- a/crates/sesamebarrow_policy/src/settings.rs
+++ b/crates/sesamebarrow_policy/src/settings.rs
@@ -88,7 +88,7 @@
             link_timeout: Duration::from_secs(3),
             pause: Duration::from_secs(2),
             wake: Duration::from_secs(1),
-            relay_quiet: Duration::from_secs(5),
+            relay_quiet: Duration::from_secs(10),
             read_backoff: Duration::from_secs(1),
             propagation: Duration::from_secs(14),
             loan: Duration::from_secs(2),
--- a/crates/sesamebarrow_policy/src/upstream.rs
+++ b/crates/sesamebarrow_policy/src/upstream.rs
@@ -42,7 +42,8 @@
             own: 0,
             reported: 0,
             reported_at: None,
-            polled: None,
+            looked: None,
+            mine: false,
             failures: 0,
             ejected: None,
         };
@@ -105,19 +106,22 @@
 /// Asks for the loads that this instance reads for its domain.
 pub(crate) fn poll_loads(board: &mut Board) {
     let now = board.now();
+    let every = board.settings.load_poll;
+    let is_due = |u: &Upstream| u.looked.is_none_or(|at| now - at >= every);
     let due: Vec<UpstreamKey> = board
         .upstreams
         .iter()
-        .filter(|(_, u)| u.state == State::Live && polls(board, u))
-        .filter(|(_, u)| {
-            u.polled
-                .is_none_or(|at| now - at >= board.settings.load_poll)
-        })
+        .filter(|(_, u)| u.state == State::Live && is_due(u))
         .map(|(key, _)| key)
         .collect();
     for key in due {
+        let mine = polls(board, &board.upstreams[key]);
         let upstream = &mut board.upstreams[key];
-        upstream.polled = Some(now);
+        upstream.looked = Some(now);
+        upstream.mine = mine;
+        if !mine {
+            continue;
+        }
         let action = Action::PollLoad {
             upstream: upstream.name.clone(),
             address: upstream.address,
@@ -143,7 +147,7 @@
 /// Returns the loads that this instance has read itself, for its neighbours.
 pub(crate) fn loads_to_tell(board: &Board) -> Vec<control::UpstreamLoad> {
     let now = board.now();
-    let own = board.upstreams.values().filter(|u| u.polled.is_some());
+    let own = board.upstreams.values().filter(|u| u.mine);
     own.filter_map(|u| {
         let age = now.saturating_sub(u.reported_at?);
         if age > board.settings.load_age {
--- a/crates/sesamebarrow_wire/src/control.rs
+++ b/crates/sesamebarrow_wire/src/control.rs
@@ -32,6 +32,23 @@
     /// Loads that the sender read itself from upstreams of its domain.
     #[prost(message, repeated, tag = "9")]
     pub loads: Vec<UpstreamLoad>,
+    /// Newer revisions that were refused somewhere, and why.
+    #[prost(message, repeated, tag = "10")]
+    pub refused: Vec<RefusedDocument>,
+}
+
+/// A published revision that has a fault.
+#[derive(Clone, PartialEq, Message)]
+pub struct RefusedDocument {
+    /// Which document.
+    #[prost(enumeration = "DocumentKind", tag = "1")]
+    pub kind: i32,
+    /// The revision.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Line, column, what was expected and who asked, for the first faults.
+    #[prost(string, tag = "3")]
+    pub fault: String,
 }
 
 /// An upstream's own report of its load.
