--- /dev/null
+++ b/crates/sesamebarrow_rules/tests/rules.rs
@@ -0,0 +1,149 @@
+//! The rule file: what is accepted, and what a fault says.
+
+use proptest::prelude::*;
+use rstest::rstest;
+use sesamebarrow_rules::{Digest, Document, Effect, diff, list, parse, print};
+
+const SOUND: &str = "\
+region lima # ana
+domain lim-1 region=lima slots=2 # ana
+service statements kind=model # ana
+service payouts kind=plain cost=10 # ana
+customer paita regions=lima rate=100 burst=200 # rosa
+allow paita payouts # rosa
+route payouts POST /payouts non-idempotent # luis
+route payouts GET /hours* open # luis
+";
+
+#[test]
+fn the_order_of_lines_does_not_matter() {
+    let mut lines: Vec<&str> = SOUND.lines().collect();
+    let rules = parse(SOUND).expect("sound");
+    lines.reverse();
+    assert_eq!(parse(&lines.join("\n")).expect("sound"), rules);
+    let document = Document::new(1, SOUND);
+    assert_eq!(parse(&document.text()).expect("sound"), rules);
+}
+
+#[rstest]
+#[case::no_requester("region piura", "1:13", "names who asked")]
+#[case::empty_requester("region piura #", "1:15", "names who asked")]
+#[case::unknown_rule("regoin piura # a", "1:1", "unknown rule `regoin`")]
+#[case::unknown_region("domain x region=mars slots=1 # a", "1:17", "unknown region `mars`")]
+#[case::no_slots("domain x region=lima # a", "1:21", "expected slots=")]
+#[case::too_many_slots("domain x region=lima slots=65 # a", "1:28", "from 1 to 64")]
+#[case::unknown_setting(
+    "region piura size=3 # a",
+    "1:14",
+    "unknown or repeated setting `size=`"
+)]
+#[case::second_word("region piura lima # a", "1:14", "unexpected word `lima`")]
+#[case::bad_kind(
+    "service x kind=magic # a",
+    "1:16",
+    "expected kind=model or kind=plain"
+)]
+#[case::bad_rate("customer x regions=lima rate=-1 burst=1 # a", "1:30", "whole number")]
+#[case::region_twice(
+    "customer x regions=lima,lima rate=1 burst=1 # a",
+    "1:20",
+    "stands twice"
+)]
+#[case::bad_digest("key paita blake3=abc # a", "1:18", "64 hexadecimal digits")]
+#[case::unknown_service("allow paita nothing # a", "1:13", "unknown service `nothing`")]
+#[case::bad_effect("route payouts GET /x maybe # a", "1:22", "non-idempotent or open")]
+#[case::bad_path("route payouts GET x open # a", "1:19", "begins with `/`")]
+#[case::contradiction(
+    "route statements POST /g non-idempotent # a",
+    "1:26",
+    "contradicts kind=model"
+)]
+#[case::twice("region lima # a", "2:8", "declared twice")]
+#[case::bad_name("region Lima # a", "1:8", "is no name")]
+fn a_bad_line_is_refused_with_its_place(
+    #[case] line: &str,
+    #[case] place: &str,
+    #[case] expected: &str,
+) {
+    let faults = parse(&format!("{line}\n{SOUND}")).expect_err("a fault");
+    let shown: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    let found = shown
+        .iter()
+        .any(|f| f.starts_with(place) && f.contains(expected));
+    assert!(found, "{shown:?}");
+}
+
+#[test]
+fn a_fault_names_who_asked() {
+    let faults = parse("regoin x # eve").expect_err("a fault");
+    assert!(faults[0].to_string().ends_with("(asked by eve)"));
+}
+
+#[rstest]
+#[case("payouts", "POST", "/payouts", Some(Effect::NonIdempotent))]
+#[case("payouts", "POST", "/other", Some(Effect::NonIdempotent))]
+#[case("payouts", "GET", "/other", Some(Effect::Idempotent))]
+#[case("payouts", "GET", "/hours/today", Some(Effect::Open))]
+#[case("statements", "POST", "/generate", Some(Effect::Idempotent))]
+#[case("nothing", "GET", "/", None)]
+fn what_no_route_names_is_treated_safely(
+    #[case] service: &str,
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] effect: Option<Effect>,
+) {
+    let rules = parse(SOUND).expect("sound");
+    assert_eq!(rules.effect(service, method, path), effect);
+}
+
+#[test]
+fn printing_changes_no_rule() {
+    let printed = print(SOUND);
+    assert_eq!(
+        parse(&printed).expect("sound"),
+        parse(SOUND).expect("sound")
+    );
+    assert_eq!(print(&printed), printed);
+    assert!(diff(SOUND, &printed).is_empty());
+    assert_eq!(diff(SOUND, "region lima # eve\n").len(), 7);
+}
+
+#[test]
+fn digests_are_not_shown_by_debug() {
+    let digest = Digest::of(b"a key");
+    assert!(!format!("{digest:?}").contains(&digest.to_string()));
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_taken_or_refused(text in "\\PC{0,200}(\n\\PC{0,60}){0,5}") {
+        let _ = parse(&text);
+        let _ = list::parse(&text);
+        let _ = print(&text);
+    }
+
+    #[test]
+    fn broken_sound_files_never_panic(at in 0..SOUND.len(), with in "\\PC") {
+        let mut text = SOUND.to_owned();
+        if text.is_char_boundary(at) {
+            text.insert_str(at, &with);
+        }
+        let _ = parse(&text);
+    }
+
+    #[test]
+    fn a_change_leads_from_any_revision_to_any_other(
+        old in proptest::collection::vec("[a-d]{1,3}", 0..12),
+        new in proptest::collection::vec("[a-d]{1,3}", 0..12),
+    ) {
+        let old = Document::new(1, &old.join("\n"));
+        let new = Document::new(2, &new.join("\n"));
+        let delta = new.delta_from(&old);
+        prop_assert_eq!(Document::apply(Some(&old), 2, &delta, new.digest()), Ok(new.clone()));
+        let whole = new.delta_from_nothing();
+        prop_assert_eq!(Document::apply(None, 2, &whole, new.digest()), Ok(new.clone()));
+        if old.digest() != new.digest() {
+            prop_assert!(Document::apply(Some(&old), 2, &delta, old.digest()).is_err());
+        }
+    }
+}
--- a/crates/sesamebarrow_standin/src/lib.rs
+++ b/crates/sesamebarrow_standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http;
 pub mod platform;
 pub mod process;
+pub mod relay;
 pub mod upstream;
 
 pub use deploy::Deployment;
--- a/crates/sesamebarrow_standin/src/process.rs
+++ b/crates/sesamebarrow_standin/src/process.rs
@@ -48,6 +48,11 @@
         })
     }
 
+    /// Returns the process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) -> anyhow::Result<()> {
         let pid = Pid::from_raw(i32::try_from(self.child.id())?);
--- /dev/null
+++ b/crates/sesamebarrow_trial/examples/shares.rs
@@ -0,0 +1,192 @@
+//! Measures refusals of a customer within its rate, by the way its rate is shared.
+//!
+//! Run with `cargo run --release -p sesamebarrow_trial --example shares`. One customer with
+//! rate 1,000 and burst 2,000 tokens/s sends requests of 50 tokens to 8 slots in 3
+//! regions; the hot region moves each minute. A refusal is wrongful if one bucket for the
+//! whole fleet, fed with the same arrivals, would have admitted the request.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use sesamebarrow_policy::Settings;
+use sesamebarrow_policy::settings::Sharing;
+use sesamebarrow_rules::Digest;
+use sesamebarrow_trial::World;
+use sesamebarrow_trial::traffic::End;
+use sesamebarrow_wire::control::DocumentKind;
+
+const KEY: &str = "key-of-rosa-0001";
+const RATE: f64 = 1000.0;
+const BURST: f64 = 2000.0;
+const COST: u64 = 50;
+const WARM: Duration = Duration::from_secs(10);
+const MEASURED: Duration = Duration::from_secs(180);
+const HOT: u64 = 60;
+const NODES: [(&str, &str, u16); 8] = [
+    ("a1", "akl-1", 0),
+    ("a2", "akl-1", 1),
+    ("a3", "akl-1", 2),
+    ("w1", "wlg-1", 0),
+    ("w2", "wlg-1", 1),
+    ("w3", "wlg-1", 2),
+    ("c1", "chc-1", 0),
+    ("c2", "chc-1", 1),
+];
+
+/// What is varied.
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    sharing: Sharing,
+    load: f64,
+    skew: f64,
+    /// Instances that run, of eight.
+    filled: usize,
+}
+
+/// What came of it.
+struct Outcome {
+    wrongful: f64,
+    over: usize,
+    loan_messages: f64,
+    loan_bytes: f64,
+}
+
+fn build(case: Case) -> World {
+    let settings = Settings {
+        sharing: case.sharing,
+        ..Settings::default()
+    };
+    let mut world = World::new(1, settings);
+    world.faults.least_delay = Duration::from_micros(500);
+    world.faults.most_delay = Duration::from_millis(40);
+    let digest = Digest::of(KEY.as_bytes());
+    let mut rules = format!(
+        "service statements kind=model # a\n\
+         customer rosa regions=auckland,wellington,christchurch rate={RATE} burst={BURST} # a\n\
+         allow rosa statements # a\nkey rosa blake3={digest} # a\n"
+    );
+    let mut list = String::new();
+    for (domain, region, slots) in [
+        ("akl-1", "auckland", 3),
+        ("wlg-1", "wellington", 3),
+        ("chc-1", "christchurch", 2),
+    ] {
+        rules +=
+            &format!("region {region} # a\ndomain {domain} region={region} slots={slots} # a\n");
+        let name = format!("eng-{domain}");
+        list += &format!(
+            "upstream {name} domain={domain} service=statements http=10.0.1.1:80 capacity=10000 state=live\n"
+        );
+        world.add_upstream(&name, Duration::from_millis(100));
+    }
+    for (index, (name, domain, slot)) in NODES.iter().enumerate() {
+        world.add_node(name, domain, *slot);
+        list += &format!(
+            "instance {name} domain={domain} slot={slot} http=10.0.0.{index}:80 peer=10.0.0.{index}:81 state=live\n"
+        );
+    }
+    world.publish(DocumentKind::Rules, 1, &rules);
+    world.publish(DocumentKind::List, 1, &list);
+    // The last slots of the first two regions stay empty.
+    let empty = ["a3", "w3"];
+    let start: Vec<usize> = (0..NODES.len())
+        .filter(|n| !empty[..NODES.len() - case.filled].contains(&NODES[*n].0))
+        .collect();
+    for node in start {
+        world.start(node);
+    }
+    world.run(WARM);
+    world
+}
+
+/// Draws the instance that the next request goes to: regions are weighted by the skew.
+fn draw_node(world: &mut World, case: Case) -> usize {
+    let hot = usize::try_from(world.now.as_secs() / HOT % 3).unwrap_or_default();
+    let region = |n: usize| match NODES[n].1 {
+        "akl-1" => 0,
+        "wlg-1" => 1,
+        _ => 2,
+    };
+    let live: Vec<usize> = (0..NODES.len())
+        .filter(|n| world.nodes[*n].board.is_some())
+        .collect();
+    let weight = |n: usize| if region(n) == hot { case.skew } else { 1.0 };
+    let total: f64 = live.iter().map(|n| weight(*n)).sum();
+    let mut draw = world.rng.random::<f64>() * total;
+    for node in &live {
+        draw -= weight(*node);
+        if draw <= 0.0 {
+            return *node;
+        }
+    }
+    live[live.len() - 1]
+}
+
+fn measure(case: Case) -> Outcome {
+    let mut world = build(case);
+    let began = world.now;
+    let (mut ideal, mut last) = (BURST, world.now);
+    let mut due = Vec::new();
+    let first = world.sendings.len();
+    while world.now - began < MEASURED {
+        let gap = -(1.0 - world.rng.random::<f64>()).ln() * COST as f64 / (RATE * case.load);
+        world.run(Duration::from_secs_f64(gap));
+        let elapsed = (world.now - last).as_secs_f64();
+        ideal = f64::min(ideal + RATE * elapsed, BURST);
+        last = world.now;
+        let admitted = ideal >= COST as f64;
+        if admitted {
+            ideal -= COST as f64;
+        }
+        due.push(admitted);
+        let node = draw_node(&mut world, case);
+        let call = World::question(&format!("q{}", due.len()), KEY, COST, COST);
+        world.send(node, call);
+    }
+    world.run(Duration::from_secs(20));
+    let refused =
+        |s: &sesamebarrow_trial::traffic::Sending| !matches!(s.end, Some((_, End::Whole(_))));
+    let wrongful = world.sendings[first..]
+        .iter()
+        .zip(&due)
+        .filter(|(s, due)| **due && refused(s))
+        .count();
+    let flow = |pick: fn(&sesamebarrow_trial::world::Meter) -> u64| {
+        world.nodes.iter().map(|n| pick(&n.meter)).sum::<u64>() as f64 / MEASURED.as_secs_f64()
+    };
+    let (messages, bytes) = (flow(|m| m.loans.messages), flow(|m| m.loans.bytes));
+    let World {
+        promises, platform, ..
+    } = &mut world;
+    promises.check_rates(platform);
+    Outcome {
+        wrongful: 100.0 * wrongful as f64 / due.len() as f64,
+        over: promises.broken.len(),
+        loan_messages: messages,
+        loan_bytes: bytes,
+    }
+}
+
+fn main() {
+    println!(
+        "| sharing | slots filled | load | skew | wrongful % | promises broken | loan messages/s | loan B/s |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
+    for filled in [8, 6] {
+        for (load, skew) in [(0.6, 1.0), (0.6, 10.0), (0.9, 1.0), (0.9, 10.0)] {
+            for sharing in [Sharing::Static, Sharing::Lending] {
+                let case = Case {
+                    sharing,
+                    load,
+                    skew,
+                    filled,
+                };
+                let outcome = measure(case);
+                println!(
+                    "| {sharing} | {filled} of 8 | {load} | {skew} | {:.2} | {} | {:.1} | {:.0} |",
+                    outcome.wrongful, outcome.over, outcome.loan_messages, outcome.loan_bytes
+                );
+            }
+        }
+    }
+}
