--- a/crates/sesamebarrow_standin/examples/tour.rs
+++ b/crates/sesamebarrow_standin/examples/tour.rs
@@ -3,10 +3,12 @@
 //! Run with `cargo build && cargo run -p sesamebarrow_standin --example tour`.
 //!
 //! Shows a placement, a streamed answer, a payout that runs at most once, a status
-//! check and a refusal, then stops every instance gracefully.
+//! check and a refusal, then stops every instance gracefully. With `--stay SECONDS` the
+//! deployment stays up for so long before it stops, for trying out `docs/callers.md`.
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 use anyhow::Context;
 use sesamebarrow_rules::Digest;
@@ -78,6 +80,7 @@
     }
     println!("{} instances are ready", instances.len());
     send_work(&deployment).await?;
+    stay(&deployment, folder).await?;
     for process in &mut instances {
         let status = process.stop()?;
         anyhow::ensure!(status.success(), "an instance stopped with {status}");
@@ -87,6 +90,27 @@
     Ok(())
 }
 
+/// Leaves the deployment up for as long as the command line says.
+async fn stay(deployment: &Deployment, folder: &Path) -> anyhow::Result<()> {
+    let args: Vec<String> = std::env::args().collect();
+    let Some(at) = args.iter().position(|a| a == "--stay") else {
+        return Ok(());
+    };
+    let seconds = args
+        .get(at + 1)
+        .context("expected --stay SECONDS")?
+        .parse()?;
+    let first = &deployment.instances[0];
+    println!("export GATEWAY=http://{} KEY={KEY}", first.http);
+    println!(
+        "export ADMIN={} SECRET={}",
+        first.admin,
+        folder.join("secret").display()
+    );
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    Ok(())
+}
+
 async fn start_standins(deployment: &Deployment, program: &Path) -> anyhow::Result<Vec<Process>> {
     let platform = deployment.platform.to_string();
     let mut processes = vec![Process::start(
--- a/crates/sesamebarrow_trial/examples/capacity.rs
+++ b/crates/sesamebarrow_trial/examples/capacity.rs
@@ -244,6 +244,70 @@
     );
 }
 
+/// Sends work as at the peak, and with a customer that sends a multiple of its rate.
+fn measure_work(size: Size, hot_one_in: u32) {
+    let mut world = size.build(Settings::default());
+    world.run(SETTLE);
+    reset(&mut world);
+    let before: u64 = sent_requests(&world);
+    size.drive(&mut world, REQUESTS, WORK, hot_one_in);
+    let requests = (sent_requests(&world) - before) as f64;
+    let seconds = WORK.as_secs_f64() * size.instances as f64;
+    println!(
+        "| {} | {} | {:.0} | {:.1} | {:.0} | {:.0} | {:.1} |",
+        size.instances,
+        if hot_one_in == u32::MAX {
+            "as drawn"
+        } else {
+            "half"
+        },
+        requests / seconds,
+        sum(&world, |m| m.loans.messages as f64) / seconds,
+        sum(&world, |m| m.loans.bytes as f64) / seconds,
+        most(&world, |m| m.loans.bytes as f64) / WORK.as_secs_f64(),
+        sum(&world, |m| m.busy.as_secs_f64()) / requests * 1e6,
+    );
+}
+
+/// Requests that each instance gets a second at the peak.
+const REQUESTS: f64 = 66.0;
+
+/// Virtual time in which work is sent.
+const WORK: Duration = Duration::from_secs(4);
+
+fn sent_requests(world: &World) -> u64 {
+    let boards = world.nodes.iter().filter_map(|n| n.board.as_ref());
+    boards.map(|b| b.counters.arrived).sum()
+}
+
+/// Ends all instances of two failure domains at once.
+fn measure_loss(size: Size) {
+    let mut world = size.build(Settings::default());
+    world.run(SETTLE);
+    reset(&mut world);
+    let lost: Vec<usize> = (0..size.instances)
+        .filter(|n| n % size.domains < 2)
+        .collect();
+    for node in &lost {
+        world.kill(*node);
+    }
+    let watched = Duration::from_secs(20);
+    world.run(watched);
+    let rules = size.rules(2);
+    world.publish(DocumentKind::Rules, 2, &rules);
+    let took = until_in_force(&mut world, 2);
+    println!(
+        "\nloss of 2 of {} failure domains, {} instances: in the 20 s after it the busiest of \
+         the others sent {:.0} B/s and used {:.2}% of a core; the next change was in force \
+         everywhere else after {:.2} s",
+        size.domains,
+        lost.len(),
+        most(&world, |m| m.sent_bytes() as f64) / watched.as_secs_f64(),
+        100.0 * most(&world, |m| m.busy.as_secs_f64()) / watched.as_secs_f64(),
+        took.as_secs_f64()
+    );
+}
+
 fn main() -> anyhow::Result<()> {
     let matches = Command::new("capacity")
         .arg(Arg::new("json").long("json").value_name("FILE"))
@@ -286,6 +350,15 @@
         rows.push(row);
     }
     print_fits(&rows);
+    println!(
+        "\n| instances | share of the hot customer | requests/s each | loan messages/s | loan B/s | most loan B/s | policy us a request |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for part in [16, 8, 4, 2].into_iter().filter(|p| *p >= largest) {
+        measure_work(Size::divided(part), u32::MAX);
+    }
+    measure_work(Size::divided(largest.max(4)), 2);
+    measure_loss(Size::divided(largest.max(2)));
     measure_start(Size::divided(largest));
     if let Some(path) = matches.get_one::<String>("json") {
         std::fs::write(path, serde_json::to_vec_pretty(&rows)?)?;
--- a/crates/sesamebarrow_trial/src/fleet.rs
+++ b/crates/sesamebarrow_trial/src/fleet.rs
@@ -3,7 +3,8 @@
 use std::fmt::Write;
 use std::time::Duration;
 
-use sesamebarrow_policy::Settings;
+use rand::RngExt;
+use sesamebarrow_policy::{Settings, limit};
 use sesamebarrow_rules::Digest;
 use sesamebarrow_wire::control::DocumentKind;
 
@@ -127,6 +128,50 @@
         text
     }
 
+    /// Sends requests to instances that hold a share of their customer's rate, `rate` a
+    /// second for each instance and for `time`. The customer `index` is drawn with a
+    /// weight of one in `index + 1`, and one request in `hot_one_in` is [`HOT_CUSTOMER`]'s.
+    pub fn drive(&self, world: &mut World, rate: f64, time: Duration, hot_one_in: u32) {
+        let rules = sesamebarrow_rules::parse(&self.rules(0)).unwrap_or_default();
+        let settings = Settings::default();
+        let places: Vec<Vec<usize>> = (0..self.customers)
+            .map(|customer| {
+                let name = format!("customer-{customer:04}");
+                limit::holders(&rules, &name, settings.holders_per_region)
+                    .iter()
+                    .filter_map(|h| self.index_of(&h.domain, h.slot))
+                    .collect()
+            })
+            .collect();
+        let weights: Vec<f64> = (1..=self.customers).map(|rank| 1.0 / rank as f64).collect();
+        let total: f64 = weights.iter().sum();
+        let end = world.now + time;
+        let mut sent = 0u64;
+        while world.now < end {
+            let gap = -(1.0 - world.rng.random::<f64>()).ln() / (rate * self.instances as f64);
+            world.run(Duration::from_secs_f64(gap));
+            let customer = if world.rng.random_ratio(1, hot_one_in) {
+                HOT_CUSTOMER
+            } else {
+                draw_weighted(world, &weights, total)
+            };
+            let among = &places[customer];
+            let node = among[world.rng.random_range(0..among.len())];
+            sent += 1;
+            let key = Self::key(customer);
+            let mut call = World::question(&format!("q{sent}"), &key, TOKENS, TOKENS);
+            call.service = "model-0".into();
+            world.send(node, call);
+        }
+    }
+
+    /// Returns the instance in a slot, where one runs there.
+    fn index_of(&self, domain: &str, slot: u16) -> Option<usize> {
+        let domain: usize = domain.trim_start_matches('d').parse().ok()?;
+        let index = usize::from(slot) * self.domains + domain;
+        (index < self.instances).then_some(index)
+    }
+
     fn instance(index: usize) -> String {
         format!("i{index:03}")
     }
@@ -153,6 +198,23 @@
     }
 }
 
+fn draw_weighted(world: &mut World, weights: &[f64], total: f64) -> usize {
+    let mut draw = world.rng.random::<f64>() * total;
+    for (index, weight) in weights.iter().enumerate() {
+        draw -= weight;
+        if draw <= 0.0 {
+            return index;
+        }
+    }
+    weights.len() - 1
+}
+
+/// Tokens of a request: 5.6 million tokens in 23,000 requests a second.
+const TOKENS: u64 = 243;
+
+/// The customer that sends a multiple of its rate; it is bound to no region.
+pub const HOT_CUSTOMER: usize = 1;
+
 /// Models in steady use.
 pub const MODELS: usize = 4;
 
