--- a/crates/sesamebarrow_policy/tests/once.rs
+++ b/crates/sesamebarrow_policy/tests/board.rs
@@ -1,4 +1,4 @@
-//! At most once, at the level of one board.
+//! Sequences of events at one board that scenarios and storms meet by chance only.
 
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
     handle,
 };
 use sesamebarrow_rules::{Digest, Document};
-use sesamebarrow_wire::control::{DocumentKind, Heartbeat};
+use sesamebarrow_wire::control::{DocumentKind, Heartbeat, LoanAsk};
 
 const TICKET_KEY: [u8; 32] = [3; 32];
 const KEY: &[u8] = b"key-of-rosa-0001";
@@ -124,3 +124,68 @@
     assert_eq!(refusal.reason, Reason::OwnerLost);
     assert_eq!(refusal.result, Verdict::Unknown);
 }
+
+/// Returns the numbers of the reads of the rules that `actions` begin.
+fn reads(actions: &[Action]) -> Vec<u64> {
+    let rules = actions.iter().filter_map(|a| match a {
+        Action::Read {
+            kind: DocumentKind::Rules,
+            read,
+            ..
+        } => Some(*read),
+        _ => None,
+    });
+    rules.collect()
+}
+
+#[test]
+fn an_answer_from_before_a_pause_does_not_end_the_waking() {
+    let mut board = board();
+    let at = Duration::from_millis;
+    // The rules grow old, so that a read is under way when the process is stopped.
+    let mut before = Vec::new();
+    for second in 1..30 {
+        before.extend(reads(&handle(&mut board, at(second * 1000), Event::Tick)));
+    }
+    let old = *before.last().expect("a read under way");
+    let woken = handle(&mut board, at(60_000), Event::Tick);
+    let fresh = *reads(&woken).last().expect("a read after the pause");
+    let confirmed = |read| Event::DocumentConfirmed {
+        kind: DocumentKind::Rules,
+        read,
+        revision: 1,
+    };
+    handle(&mut board, at(60_001), confirmed(old));
+    assert!(!board.is_ready(), "the old answer proves nothing");
+    handle(&mut board, at(60_002), confirmed(fresh));
+    assert!(board.is_ready());
+}
+
+#[test]
+fn a_repeated_ask_is_served_once() {
+    let mut board = board();
+    let now = Duration::from_secs(1);
+    handle(&mut board, now, Event::Tick);
+    let ask = Event::Received {
+        name: "lim-b".into(),
+        incarnation: OWNER,
+        message: Message::LoanAsk(LoanAsk {
+            id: 7,
+            customer: "rosa".to_owned(),
+            tokens: 10,
+        }),
+    };
+    let first = handle(&mut board, now, ask.clone());
+    let lent = |actions: &[Action]| {
+        let loans = actions.iter().filter_map(|a| match a {
+            Action::Send {
+                message: Message::Loan(loan),
+                ..
+            } => Some(loan.tokens),
+            _ => None,
+        });
+        loans.sum::<u64>()
+    };
+    assert_eq!(lent(&first), 10);
+    assert_eq!(lent(&handle(&mut board, now, ask)), 0);
+}
--- a/crates/sesamebarrow_standin/src/deploy.rs
+++ b/crates/sesamebarrow_standin/src/deploy.rs
@@ -21,6 +21,8 @@
     pub http: SocketAddr,
     /// For instances.
     pub peer: SocketAddr,
+    /// Where other instances reach it, if not at `peer`.
+    pub via: Option<SocketAddr>,
     /// For operators.
     pub admin: SocketAddr,
 }
@@ -93,6 +95,7 @@
             slot,
             http: free_address()?,
             peer: free_address()?,
+            via: None,
             admin: free_address()?,
         });
         Ok(())
@@ -135,7 +138,7 @@
                 i.domain,
                 i.slot,
                 i.http,
-                i.peer,
+                i.via.unwrap_or(i.peer),
                 state(&i.name)
             );
         }
@@ -160,12 +163,12 @@
             .instances
             .iter()
             .filter(|i| i.name != instance.name)
-            .map(|i| format!("\"{}\"", i.peer))
+            .map(|i| format!("\"{}\"", i.via.unwrap_or(i.peer)))
             .collect();
         format!(
             "name = \"{}\"\ndomain = \"{}\"\nslot = {}\nsecret_file = {:?}\npeers = [{}]\n\n\
              [listen]\nhttp = \"{}\"\npeer = \"{}\"\nadmin = \"{}\"\n\n\
-             [platform]\naddress = \"{}\"\n\n[shutdown]\nnotice = \"200ms\"\nlimit = \"20s\"\n",
+             [platform]\naddress = \"{}\"\n\n[request]\nread_timeout = \"1s\"\n\n[shutdown]\nnotice = \"200ms\"\nlimit = \"20s\"\n",
             instance.name,
             instance.domain,
             instance.slot,
--- a/crates/sesamebarrow_standin/src/fleet.rs
+++ b/crates/sesamebarrow_standin/src/fleet.rs
@@ -10,6 +10,7 @@
 use crate::deploy::{Deployment, Instance};
 use crate::platform::Platform;
 use crate::process::{self, Process};
+use crate::relay::Relay;
 use crate::upstream::{Kind, Upstream};
 
 /// A running deployment.
@@ -112,6 +113,23 @@
         )?)
     }
 
+    /// Leads the links between instances through relays, in the list and in the settings
+    /// of instances that are launched from now on. Returns the relays in their order.
+    pub async fn relay_links(&mut self, revision: u64) -> anyhow::Result<Vec<Relay>> {
+        let mut relays = Vec::new();
+        for instance in &mut self.deployment.instances {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            let relay = Relay::new(instance.peer, Duration::ZERO);
+            instance.via = Some(listener.local_addr()?);
+            tokio::spawn(relay.clone().serve(listener));
+            relays.push(relay);
+        }
+        self.deployment.write(&self.folder)?;
+        self.platform
+            .publish("list", revision, self.deployment.list(&[]));
+        Ok(relays)
+    }
+
     /// Cuts the platform off for good.
     pub fn stop_platform(&self) {
         self.platform_task.abort();
--- a/crates/sesamebarrow_standin/tests/processes.rs
+++ b/crates/sesamebarrow_standin/tests/processes.rs
@@ -422,3 +422,74 @@
     .await?;
     assert_eq!(ask(trial.fleet.instance(0).http, KEY, 1).await?.status, 200);
 });
+
+case!(a_slow_caller_is_told_so_and_holds_nothing, trial, {
+    let http = trial.fleet.instance(0).http;
+    let mut stream = tokio::net::TcpStream::connect(http).await?;
+    let head = format!(
+        "POST /s/statements/g HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: 100\r\n\r\nonly this"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let mut answer = vec![0; 4096];
+    let length = stream.read(&mut answer).await?;
+    let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(
+        answer.contains("body-too-slow") && answer.contains("not-run"),
+        "{answer}"
+    );
+    assert!(trial.fleet.upstreams[0].seen().paths.is_empty());
+});
+
+case!(
+    a_silent_upstream_costs_an_idempotent_caller_no_more_than_its_deadline,
+    trial,
+    {
+        let http = trial.fleet.instance(0).http;
+        trial.fleet.upstreams[0].set_fault(Fault::Silent);
+        let bearer = bearer(KEY);
+        let fields = [("authorization", bearer.as_str()), ("x-deadline-ms", "500")];
+        let answer = http::call(http, "POST", "/s/statements/g", &fields, "{}").await?;
+        assert_eq!(answer.status, 504, "{}", answer.text());
+        assert_eq!(outcome(&answer), "unknown");
+        trial.fleet.upstreams[0].set_fault(Fault::None);
+        assert_eq!(ask(http, KEY, 1).await?.status, 200);
+    }
+);
+
+case!(a_link_that_went_silent_is_replaced, mut trial, {
+    let (a, b) = (trial.fleet.instance(0).http, trial.fleet.instance(1).http);
+    let relays = trial.fleet.relay_links(2).await?;
+    // The instances start anew, so that all links go through the relays.
+    for index in 0..3 {
+        trial.fleet.instances[index].kill()?;
+    }
+    for index in 0..3 {
+        trial.fleet.relaunch(index)?;
+    }
+    trial.fleet.until_ready().await?;
+    let handed_over = |ticket: String, order: &'static str| async move {
+        pay(b, &ticket, order).await.is_ok_and(|a| a.status == 200)
+    };
+    let first = ticket(a).await?;
+    until("a first hand-over", || handed_over(first.clone(), "pay-1")).await?;
+    // What stands between the ends loses track of every connection that is open.
+    for relay in &relays {
+        relay.set_cut(true);
+    }
+    let second = ticket(a).await?;
+    let lost = pay(b, &second, "pay-2").await?;
+    assert_eq!(outcome(&lost), "unknown", "{}", lost.text());
+    for relay in &relays {
+        relay.set_cut(false);
+    }
+    let third = ticket(a).await?;
+    until("a hand-over on a new link", || {
+        handed_over(third.clone(), "pay-3")
+    })
+    .await?;
+    let runs = trial.fleet.upstreams[1].seen().runs;
+    assert_eq!((runs["pay-1"], runs["pay-3"]), (1, 1));
+    assert!(runs.get("pay-2").copied().unwrap_or(0) <= 1);
+});
--- a/crates/sesamebarrow_trial/examples/plot_capacity.rs
+++ b/crates/sesamebarrow_trial/examples/plot_capacity.rs
@@ -11,11 +11,27 @@
 
 /// A figure's field, its title and its bound, where one is stated.
 const FIGURES: [(&str, &str, Option<f64>); 6] = [
-    ("heartbeat_bytes", "heartbeats, B/s of one instance", Some(6000.0)),
-    ("platform_bytes", "read from the platform, B/s of one instance", Some(6000.0)),
+    (
+        "heartbeat_bytes",
+        "heartbeats, B/s of one instance",
+        Some(6000.0),
+    ),
+    (
+        "platform_bytes",
+        "read from the platform, B/s of one instance",
+        Some(6000.0),
+    ),
     ("platform_calls", "platform calls/s of the fleet", None),
-    ("busy_percent", "policy, % of a core of one instance", Some(2.0)),
-    ("most_busy_percent", "policy, % of a core, busiest instance", Some(2.0)),
+    (
+        "busy_percent",
+        "policy, % of a core of one instance",
+        Some(2.0),
+    ),
+    (
+        "most_busy_percent",
+        "policy, % of a core, busiest instance",
+        Some(2.0),
+    ),
     ("memory", "policy state, MiB of one instance", None),
 ];
 
@@ -27,7 +43,10 @@
         .iter()
         .filter_map(|r| Some((r["instances"].as_f64()?, r[field].as_f64()?)))
         .collect();
-    let largest = points.iter().map(|p| p.1).fold(bound.unwrap_or(0.0), f64::max);
+    let largest = points
+        .iter()
+        .map(|p| p.1)
+        .fold(bound.unwrap_or(0.0), f64::max);
     let root = SVGBackend::new(path, SIZE).into_drawing_area();
     root.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(&root)
@@ -47,7 +66,11 @@
 }
 
 fn main() -> anyhow::Result<()> {
-    let path = |name: &'static str| Arg::new(name).required(true).value_parser(value_parser!(PathBuf));
+    let path = |name: &'static str| {
+        Arg::new(name)
+            .required(true)
+            .value_parser(value_parser!(PathBuf))
+    };
     let matches = Command::new("plot_capacity")
         .arg(path("file"))
         .arg(path("folder"))
