Let only the process that the list names in a slot mint its share

Cause: an old process that still ran beside its replacement counted the slot's share twice for as long as both lived. Ruled out: incarnations in heartbeats, since the two may not hear each other. Change: the list decides; of several live ones in a slot the first by name has it, one that is leaving or not named mints nothing; a regained slot waits out the propagation time. What is left: the time in which the two hold different lists. The choice of who does a domain's duty stood twice; one function serves both now. Test: board.rs, a_process_whose_slot_the_list_gives_to_another_mints_nothing.

--- a/crates/sesamebarrow_policy/src/config.rs
+++ b/crates/sesamebarrow_policy/src/config.rs
@@ -104,7 +104,8 @@
         let quiet = shelf
             .age(now)
             .is_none_or(|age| age >= board.settings.relay_quiet);
-        let reader = is_reader(board, shelf.revision());
+        // Who waits on the platform changes with every revision.
+        let reader = member::has_duty(board, &shelf.revision().to_be_bytes());
         let waking = board.clock.waking.is_some();
         if !quiet && !reader && !waking {
             continue;
@@ -127,17 +128,6 @@
     }
 }
 
-/// Tells whether this instance waits on the platform for its failure domain.
-fn is_reader(board: &Board, revision: u64) -> bool {
-    let weight = |name: &str| member::weigh(name, &revision.to_be_bytes());
-    let mine = weight(&board.me.name);
-    board
-        .instances
-        .values()
-        .filter(|i| i.domain == board.me.domain && board.is_heard(i))
-        .all(|i| weight(&i.name) < mine)
-}
-
 /// Takes a newer document from the platform.
 pub(crate) fn take_read(board: &mut Board, kind: DocumentKind, read: u64, document: Document) {
     let now = board.now();
--- a/crates/sesamebarrow_policy/src/config/adopt.rs
+++ b/crates/sesamebarrow_policy/src/config/adopt.rs
@@ -83,6 +83,7 @@
 fn apply(board: &mut Board, kind: DocumentKind, previous: Option<&Rules>) {
     if kind == DocumentKind::List {
         member::follow_list(board);
+        limit::follow_list(board);
     }
     member::follow_rules(board);
     upstream::follow_list(board);
--- a/crates/sesamebarrow_policy/src/limit.rs
+++ b/crates/sesamebarrow_policy/src/limit.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use sesamebarrow_rules::Rules;
+use sesamebarrow_rules::list::State;
 use slotmap::SlotMap;
 use smol_str::SmolStr;
 
@@ -45,6 +46,10 @@
     pub shares: SlotMap<CustomerKey, Share>,
     /// Shares by the customer's name; the same set as `shares`.
     pub names: HashMap<SmolStr, CustomerKey>,
+    /// Whether the list in force names this process as the one of its slot.
+    pub named: bool,
+    /// Whether any list did so before.
+    was_named: bool,
     /// The number of the newest ask or reservation.
     pub sequence: u64,
     /// The newest ask taken from each instance's process, so that a repeated or late
@@ -127,14 +132,13 @@
         let mine = held
             .iter()
             .any(|h| h.domain == board.me.domain && h.slot == board.me.slot);
-        let count = if mine { held.len() as u64 } else { 0 };
         let key = find_or_add(&mut board.limits, name, now);
+        let named = board.limits.named;
         let share = &mut board.limits.shares[key];
         share.whole_rate = customer.rate * MICRO;
         share.whole_burst = customer.burst * MICRO;
-        let part = |whole: u64| whole.checked_div(count).unwrap_or(0);
-        let rate = part(share.whole_rate);
-        let burst = part(share.whole_burst);
+        share.parts = if mine { held.len() as u64 } else { 0 };
+        let (rate, burst) = share.part(named);
         if before.is_some() {
             share.rebase(now, rate, burst, propagation);
         } else {
@@ -149,6 +153,40 @@
     }
 }
 
+/// Brings the shares in line with the list: the process that it names in a slot has the
+/// slot's shares, and another that still runs there has none.
+pub(crate) fn follow_list(board: &mut Board) {
+    let named = holds_slot(board);
+    if named == board.limits.named {
+        return;
+    }
+    let now = board.now();
+    let propagation = board.settings.propagation;
+    let first = !board.limits.was_named;
+    board.limits.named = named;
+    board.limits.was_named |= named;
+    for share in board.limits.shares.values_mut() {
+        let (rate, burst) = share.part(named);
+        if first {
+            share.start(now, rate, burst);
+        } else {
+            share.rebase(now, rate, burst, propagation);
+        }
+    }
+}
+
+/// Tells whether the list gives this instance its slot. Of several live ones in a slot
+/// the first by name has it, so that all who hold one list agree.
+fn holds_slot(board: &Board) -> bool {
+    let me = &board.me;
+    let mut there = board
+        .list
+        .instances
+        .iter()
+        .filter(|(_, i)| i.domain == me.domain && i.slot == me.slot && i.state == State::Live);
+    there.next().is_some_and(|(name, _)| *name == me.name)
+}
+
 fn find_or_add(limits: &mut Limits, name: &SmolStr, now: Duration) -> CustomerKey {
     if let Some(key) = limits.names.get(name) {
         return *key;
--- a/crates/sesamebarrow_policy/src/limit/share.rs
+++ b/crates/sesamebarrow_policy/src/limit/share.rs
@@ -100,6 +100,8 @@
     pub whole_rate: u64,
     /// The customer's burst over the fleet.
     pub whole_burst: u64,
+    /// Shares into which rate and burst are split; 0 where this slot holds none.
+    pub parts: u64,
     /// This share's rate under the rules in force, per second.
     pub rate: u64,
     /// This share's burst under the rules in force.
@@ -141,6 +143,7 @@
             name,
             whole_rate: 0,
             whole_burst: 0,
+            parts: 0,
             rate: 0,
             burst: 0,
             former: None,
@@ -160,6 +163,15 @@
         }
     }
 
+    /// Returns this share's rate and burst; nothing where the slot is not this process's.
+    pub(super) fn part(&self, named: bool) -> (u64, u64) {
+        if !named {
+            return (0, 0);
+        }
+        let part = |whole: u64| whole.checked_div(self.parts).unwrap_or(0);
+        (part(self.whole_rate), part(self.whole_burst))
+    }
+
     /// Takes a new share of rate and burst. For `propagation` the smaller of old and
     /// new holds, since others may still go by the old rules.
     pub(super) fn rebase(&mut self, now: Duration, rate: u64, burst: u64, propagation: Duration) {
--- a/crates/sesamebarrow_policy/src/member.rs
+++ b/crates/sesamebarrow_policy/src/member.rs
@@ -32,6 +32,17 @@
     u64::from_be_bytes(first)
 }
 
+/// Tells whether a duty of the failure domain falls to this instance: to the one with the
+/// highest weight for `subject` among those that it hears.
+pub(crate) fn has_duty(board: &Board, subject: &[u8]) -> bool {
+    let mine = weigh(&board.me.name, subject);
+    board
+        .instances
+        .values()
+        .filter(|i| i.domain == board.me.domain && board.is_heard(i))
+        .all(|i| weigh(&i.name, subject) < mine)
+}
+
 /// Takes a control message.
 pub(crate) fn take_message(board: &mut Board, from: &SmolStr, incarnation: u64, message: Message) {
     // A message from a link that was given up may be old, whatever it says.
--- a/crates/sesamebarrow_policy/src/upstream.rs
+++ b/crates/sesamebarrow_policy/src/upstream.rs
@@ -132,16 +132,7 @@
 
 /// Tells whether this instance reads the load of `upstream` for its domain.
 fn polls(board: &Board, upstream: &Upstream) -> bool {
-    if upstream.domain != board.me.domain {
-        return false;
-    }
-    let weight = |name: &str| member::weigh(name, upstream.name.as_bytes());
-    let mine = weight(&board.me.name);
-    board
-        .instances
-        .values()
-        .filter(|i| i.domain == board.me.domain && board.is_heard(i))
-        .all(|i| weight(&i.name) < mine)
+    upstream.domain == board.me.domain && member::has_duty(board, upstream.name.as_bytes())
 }
 
 /// Returns the loads that this instance has read itself, for its neighbours.
--- a/crates/sesamebarrow_policy/tests/board.rs
+++ b/crates/sesamebarrow_policy/tests/board.rs
@@ -125,6 +125,48 @@
     assert_eq!(refusal.result, Verdict::Unknown);
 }
 
+/// Publishes a list to the board by a neighbour's word, whole.
+fn take_list(board: &mut Board, now: Duration, revision: u64, text: &str) {
+    let document = Document::new(revision, text);
+    let whole = document.delta_from_nothing();
+    let message = sesamebarrow_wire::control::Document {
+        kind: DocumentKind::List.into(),
+        revision,
+        base: 0,
+        removed: Vec::new(),
+        added: whole.added.iter().map(ToString::to_string).collect(),
+        digest: document.digest().to_vec().into(),
+    };
+    let event = Event::Received {
+        name: "lim-b".into(),
+        incarnation: OWNER,
+        message: Message::Document(message),
+    };
+    handle(board, now, event);
+}
+
+fn rate_of(board: &Board) -> u64 {
+    let key = board.limits.names["rosa"];
+    board.limits.shares[key].rate
+}
+
+#[test]
+fn a_process_whose_slot_the_list_gives_to_another_mints_nothing() {
+    let mut board = board();
+    assert!(rate_of(&board) > 0);
+    let now = Duration::from_secs(1);
+    // The new process is listed before the old one has left the list.
+    let both = LIST.replace(
+        "upstream",
+        "instance lim-0 domain=lim-1 slot=0 http=10.0.0.3:1 peer=10.0.0.3:2 state=live\nupstream",
+    );
+    take_list(&mut board, now, 2, &both);
+    assert_eq!(rate_of(&board), 0, "lim-0 comes first in slot 0");
+    let leaving = LIST.replacen("state=live", "state=leaving", 1);
+    take_list(&mut board, now, 3, &leaving);
+    assert_eq!(rate_of(&board), 0, "what leaves has no share");
+}
+
 /// Returns the numbers of the reads of the rules that `actions` begin.
 fn reads(actions: &[Action]) -> Vec<u64> {
     let rules = actions.iter().filter_map(|a| match a {
--- a/crates/sesamebarrow_trial/src/world/request.rs
+++ b/crates/sesamebarrow_trial/src/world/request.rs
@@ -282,6 +282,9 @@
 
     /// Checks the promises that hold at the moment of sending.
     fn watch_departure(&mut self, node: usize, running: &Running) {
+        if !self.watched {
+            return;
+        }
         let now = self.now;
         let reached = self.should_know(node);
         if let Some(key) = &running.call.key {
@@ -339,9 +342,11 @@
 
     fn run_at(&mut self, node: usize, id: RequestId, running: &Running, name: &str) {
         let now = self.now;
-        let reached = self.should_know(node);
         let order = running.call.order.clone();
-        self.promises.note_work(&self.platform, name, reached, now);
+        if self.watched {
+            let reached = self.should_know(node);
+            self.promises.note_work(&self.platform, name, reached, now);
+        }
         if running.once {
             let ticket = running.call.ticket.clone().unwrap_or_default();
             self.promises.note_run(&order, &ticket, now);
