--- a/crates/sesamebarrow_trial/src/world.rs
+++ b/crates/sesamebarrow_trial/src/world.rs
@@ -1,10 +1,12 @@
 //! Boards, a platform and upstreams in one queue of timed events.
 
+mod calls;
 mod carry;
 mod link;
 mod meter;
 mod queue;
 mod request;
+mod watch;
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
--- a/crates/sesamebarrow_trial/src/world/request.rs
+++ b/crates/sesamebarrow_trial/src/world/request.rs
@@ -5,8 +5,7 @@
 
 use sesamebarrow_policy::event::Target;
 use sesamebarrow_policy::{Action, Answer, Event, Head, Origin, Outcome, RequestId};
-use sesamebarrow_rules::{Digest, Effect, Kind};
-use smol_str::SmolStr;
+use sesamebarrow_rules::{Digest, Effect};
 
 use super::queue::Item;
 use super::{Conduct, World};
@@ -34,13 +33,13 @@
 /// A request at a process.
 #[derive(Clone, Debug)]
 pub(super) struct Running {
-    call: Call,
+    pub(super) call: Call,
     waiter: Waiter,
-    target: Option<Target>,
+    pub(super) target: Option<Target>,
     /// Whether the request may run once only.
     once: bool,
     /// When its tokens were taken here.
-    admitted: Option<Duration>,
+    pub(super) admitted: Option<Duration>,
 }
 
 /// Something that happens to a request.
@@ -280,66 +279,6 @@
         }
     }
 
-    /// Checks the promises that hold at the moment of sending.
-    fn watch_departure(&mut self, node: usize, running: &Running) {
-        if !self.watched {
-            return;
-        }
-        let now = self.now;
-        let reached = self.should_know(node);
-        if let Some(key) = &running.call.key {
-            let digest = Digest::of(key.as_bytes());
-            self.promises
-                .note_key(&self.platform, &digest, reached, now);
-        }
-        let Some(customer) = self.customer_of(node, &running.call) else {
-            return;
-        };
-        let region = match &running.target {
-            Some(Target::Instance { name, .. }) => self.region_of_node(name),
-            _ => self.region_of_node(&self.nodes[node].name.clone()),
-        };
-        if let Some(region) = region
-            && reached
-        {
-            self.promises
-                .note_place(&self.platform, &customer, &region, now);
-        }
-        let runs_here = matches!(running.target, Some(Target::Upstream { .. }));
-        if let Some(at) = running.admitted.filter(|_| runs_here) {
-            let tokens = self.real_cost(node, &running.call);
-            let name = running.call.name();
-            self.promises.note_admitted(name, &customer, tokens, at);
-        }
-    }
-
-    fn customer_of(&self, node: usize, call: &Call) -> Option<String> {
-        let key = Digest::of(call.key.as_ref()?.as_bytes());
-        let board = self.nodes[node].board.as_ref()?;
-        board.customer_of(&key).map(ToString::to_string)
-    }
-
-    fn region_of_node(&self, name: &str) -> Option<String> {
-        let domain = &self.nodes[self.node(name)?].domain;
-        let rules = self
-            .nodes
-            .iter()
-            .find_map(|n| n.board.as_ref()?.rules.clone());
-        rules?.region_of(domain).map(ToString::to_string)
-    }
-
-    fn real_cost(&self, node: usize, call: &Call) -> u64 {
-        let rules = self.nodes[node]
-            .board
-            .as_ref()
-            .and_then(|b| b.rules.clone());
-        let service = rules.and_then(|r| r.services.get(&call.service).cloned());
-        match service {
-            Some(s) if s.kind == Kind::Plain => u64::from(s.cost),
-            _ => call.real,
-        }
-    }
-
     fn run_at(&mut self, node: usize, id: RequestId, running: &Running, name: &str) {
         let now = self.now;
         let order = running.call.order.clone();
@@ -517,34 +456,4 @@
     pub(super) fn lose_request(&mut self, node: usize, _id: RequestId, running: Running) {
         self.tell_waiter(node, running, End::Broken);
     }
-
-    /// Asks for work that is done once only.
-    pub fn order(order: &str, key: &str, ticket: SmolStr) -> Call {
-        Call {
-            order: order.to_owned(),
-            key: Some(key.to_owned()),
-            service: "payouts".into(),
-            method: "POST".into(),
-            path: "/payouts".into(),
-            ticket: Some(ticket),
-            deadline: Duration::from_secs(10),
-            estimate: 1,
-            real: 1,
-        }
-    }
-
-    /// Asks a model.
-    pub fn question(order: &str, key: &str, estimate: u64, real: u64) -> Call {
-        Call {
-            order: order.to_owned(),
-            key: Some(key.to_owned()),
-            service: "statements".into(),
-            method: "POST".into(),
-            path: "/generate".into(),
-            ticket: None,
-            deadline: Duration::from_secs(10),
-            estimate,
-            real,
-        }
-    }
 }
--- /dev/null
+++ b/crates/sesamebarrow_trial/src/world/watch.rs
@@ -0,0 +1,70 @@
+//! Watches the promises that hold when a request leaves.
+
+use sesamebarrow_policy::event::Target;
+use sesamebarrow_rules::{Digest, Kind};
+
+use super::World;
+use super::request::Running;
+use crate::traffic::Call;
+
+impl World {
+    /// Checks the promises that hold at the moment of sending.
+    pub(super) fn watch_departure(&mut self, node: usize, running: &Running) {
+        if !self.watched {
+            return;
+        }
+        let now = self.now;
+        let reached = self.should_know(node);
+        if let Some(key) = &running.call.key {
+            let digest = Digest::of(key.as_bytes());
+            self.promises
+                .note_key(&self.platform, &digest, reached, now);
+        }
+        let Some(customer) = self.customer_of(node, &running.call) else {
+            return;
+        };
+        let region = match &running.target {
+            Some(Target::Instance { name, .. }) => self.region_of_node(name),
+            _ => self.region_of_node(&self.nodes[node].name.clone()),
+        };
+        if let Some(region) = region
+            && reached
+        {
+            self.promises
+                .note_place(&self.platform, &customer, &region, now);
+        }
+        let runs_here = matches!(running.target, Some(Target::Upstream { .. }));
+        if let Some(at) = running.admitted.filter(|_| runs_here) {
+            let tokens = self.real_cost(node, &running.call);
+            let name = running.call.name();
+            self.promises.note_admitted(name, &customer, tokens, at);
+        }
+    }
+
+    fn customer_of(&self, node: usize, call: &Call) -> Option<String> {
+        let key = Digest::of(call.key.as_ref()?.as_bytes());
+        let board = self.nodes[node].board.as_ref()?;
+        board.customer_of(&key).map(ToString::to_string)
+    }
+
+    fn region_of_node(&self, name: &str) -> Option<String> {
+        let domain = &self.nodes[self.node(name)?].domain;
+        let rules = self
+            .nodes
+            .iter()
+            .find_map(|n| n.board.as_ref()?.rules.clone());
+        rules?.region_of(domain).map(ToString::to_string)
+    }
+
+    pub(super) fn real_cost(&self, node: usize, call: &Call) -> u64 {
+        let rules = self.nodes[node]
+            .board
+            .as_ref()
+            .and_then(|b| b.rules.clone());
+        let service = rules.and_then(|r| r.services.get(&call.service).cloned());
+        match service {
+            Some(s) if s.kind == Kind::Plain => u64::from(s.cost),
+            _ => call.real,
+        }
+    }
+}
