Give test deployments a host of their own; wait until a freeze is one

Deployments now listen on a host number of their own in 127.0.0.0/8, from which no connection leaves; the test waits until every thread is in state T, which is stricter than before.

--- a/crates/sesamebarrow_standin/src/deploy.rs
+++ b/crates/sesamebarrow_standin/src/deploy.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 /// The secret of deployments on loopback.
 pub const SECRET: &str = "loopback-only-secret-of-a-trial-deployment";
@@ -53,23 +53,24 @@
     pub backends: Vec<Backend>,
 }
 
-/// First port that is given out; below the range from which connections take theirs.
+/// First port that is given out on a host of its own.
 const FIRST_PORT: u16 = 10_000;
 
-/// Ports that are given out.
-const PORTS: u16 = 20_000;
-
-/// Ports between the first of one process and of the next.
-const STRIDE: u32 = 211;
+/// Ports that are given out on one host.
+const PORTS: u32 = 1_000;
 
 /// Returns an address on loopback that was free and that nothing else here was given.
+///
+/// Each process takes a host number of its own in 127.0.0.0/8. Outgoing connections leave
+/// from 127.0.0.1, so that none of them can take a port that was just given out.
 pub fn free_address() -> anyhow::Result<SocketAddr> {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let start = std::process::id().wrapping_mul(STRIDE) % u32::from(PORTS);
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
     for _ in 0..PORTS {
-        let step = u32::from(NEXT.fetch_add(1, Ordering::Relaxed) % PORTS);
-        let offset = u16::try_from((start + step) % u32::from(PORTS))?;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + offset));
+        let step = NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let host = Ipv4Addr::new(127, high.wrapping_add(1), middle, low);
+        let port = FIRST_PORT + u16::try_from(step)?;
+        let address = SocketAddr::from((host, port));
         if TcpListener::bind(address).is_ok() {
             return Ok(address);
         }
--- a/crates/sesamebarrow_standin/src/process.rs
+++ b/crates/sesamebarrow_standin/src/process.rs
@@ -59,6 +59,16 @@
         signal::kill(pid, signal).with_context(|| format!("cannot signal {}", self.name))
     }
 
+    /// Stops the process in its tracks and waits until every thread of it stands.
+    pub async fn freeze(&self) -> anyhow::Result<()> {
+        self.signal(Signal::SIGSTOP)?;
+        let tasks = PathBuf::from(format!("/proc/{}/task", self.id()));
+        until("the freeze", || async {
+            all_stand(&tasks).unwrap_or(false)
+        })
+        .await
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) -> anyhow::Result<()> {
         self.child.kill()?;
@@ -93,6 +103,21 @@
     }
 }
 
+/// Tells whether all threads below `tasks` are stopped.
+fn all_stand(tasks: &Path) -> anyhow::Result<bool> {
+    for task in std::fs::read_dir(tasks)? {
+        let stat = std::fs::read_to_string(task?.path().join("stat"))?;
+        let state = stat
+            .rsplit(')')
+            .next()
+            .and_then(|rest| rest.split_whitespace().next());
+        if state != Some("T") {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 /// Returns the folder of the programs that were built with this one.
 pub fn program_folder() -> anyhow::Result<PathBuf> {
     let here = std::env::current_exe()?;
--- a/crates/sesamebarrow_standin/tests/processes.rs
+++ b/crates/sesamebarrow_standin/tests/processes.rs
@@ -231,7 +231,7 @@
 case!(a_frozen_instance_does_not_act_on_a_withdrawn_key, trial, {
     let http = trial.fleet.instance(0).http;
     assert_eq!(ask(http, KEY, 1).await?.status, 200);
-    trial.fleet.instances[0].signal(Signal::SIGSTOP)?;
+    trial.fleet.instances[0].freeze().await?;
     let waiting = tokio::spawn(ask(http, KEY, 1));
     trial
         .fleet
