Draw a customer's holders once for each rule, not for each ask

Cause: the policy's time for a request grew with the fleet, 7.9 13.5 22.5 50.8 us at 21 43 87 175 instances; next_lender drew all holders (a hash for each slot) at each tick for each share in need. Ruled out: the choice of upstream, whose region does not grow with the fleet. Change: holders are kept beside the share.

--- a/crates/sesamebarrow_policy/src/limit.rs
+++ b/crates/sesamebarrow_policy/src/limit.rs
@@ -23,7 +23,7 @@
 use crate::path;
 use crate::settings::Sharing;
 
-pub use holder::holders;
+pub use holder::{Holder, holders};
 pub(crate) use loan::{answer_ask, forget_borrower, return_loans, take_loan, take_report};
 pub use share::{Borrowed, Lent, Reservation, Share};
 
@@ -138,6 +138,7 @@
         share.whole_rate = customer.rate * MICRO;
         share.whole_burst = customer.burst * MICRO;
         share.parts = if mine { held.len() as u64 } else { 0 };
+        share.holders = held;
         let (rate, burst) = share.part(named);
         if before.is_some() {
             share.rebase(now, rate, burst, propagation);
--- a/crates/sesamebarrow_policy/src/limit/loan.rs
+++ b/crates/sesamebarrow_policy/src/limit/loan.rs
@@ -5,8 +5,8 @@
 use sesamebarrow_wire::control;
 use smol_str::SmolStr;
 
+use super::MICRO;
 use super::share::{Ask, Borrowed, Lent, Share};
-use super::{MICRO, holder};
 use crate::board::{Board, CustomerKey};
 use crate::event::Message;
 use crate::member;
@@ -64,17 +64,17 @@
 /// Returns the next instance in turn that holds a share, those of this region first in
 /// each round.
 fn next_lender(board: &mut Board, key: CustomerKey) -> Option<SmolStr> {
-    let rules = board.rules.clone()?;
     let region = board.my_region().cloned()?;
     let share = &board.limits.shares[key];
     let asked: Vec<&SmolStr> = share.asks.values().map(|a| &a.lender).collect();
-    let held = holder::holders(&rules, &share.name, board.settings.holders_per_region);
     let mut lenders: Vec<(bool, SmolStr)> = board
         .instances
         .values()
         .filter(|i| member::takes_work(board, i) && i.link.is_some())
         .filter(|i| {
-            held.iter()
+            share
+                .holders
+                .iter()
                 .any(|h| h.domain == i.domain && Some(h.slot) == i.slot)
         })
         .filter(|i| !asked.contains(&&i.name))
--- a/crates/sesamebarrow_policy/src/limit/share.rs
+++ b/crates/sesamebarrow_policy/src/limit/share.rs
@@ -5,7 +5,7 @@
 
 use smol_str::SmolStr;
 
-use super::MICRO;
+use super::{Holder, MICRO};
 use crate::board::CustomerKey;
 use crate::event::RequestId;
 
@@ -100,6 +100,8 @@
     pub whole_rate: u64,
     /// The customer's burst over the fleet.
     pub whole_burst: u64,
+    /// The slots that hold a share, drawn anew with each change of the customer's rule.
+    pub holders: Vec<Holder>,
     /// Shares into which rate and burst are split; 0 where this slot holds none.
     pub parts: u64,
     /// This share's rate under the rules in force, per second.
@@ -143,6 +145,7 @@
             name,
             whole_rate: 0,
             whole_burst: 0,
+            holders: Vec::new(),
             parts: 0,
             rate: 0,
             burst: 0,
--- a/crates/sesamebarrow_policy/src/place.rs
+++ b/crates/sesamebarrow_policy/src/place.rs
@@ -9,7 +9,6 @@
 
 use crate::board::Board;
 use crate::event::{Action, Candidate, RequestId};
-use crate::limit;
 use crate::member;
 use crate::once;
 use crate::refusal::{Reason, Refusal};
@@ -69,11 +68,11 @@
 /// Returns the instances that may serve the customer, the best first: those that hold a
 /// share of its rate, by this domain, this region and the rest, and by their load.
 pub(crate) fn candidates(board: &Board, customer: &str) -> Vec<Candidate> {
-    let Some(rules) = &board.rules else {
+    let region = board.my_region().cloned().unwrap_or_default();
+    let Some(key) = board.limits.names.get(customer) else {
         return Vec::new();
     };
-    let region = board.my_region().cloned().unwrap_or_default();
-    let held = limit::holders(rules, customer, board.settings.holders_per_region);
+    let held = &board.limits.shares[*key].holders;
     let holds = |domain: &str, slot: Option<u16>| {
         held.iter()
             .any(|h| h.domain == domain && Some(h.slot) == slot)
--- a/crates/sesamebarrow_trial/examples/capacity.rs
+++ b/crates/sesamebarrow_trial/examples/capacity.rs
@@ -308,6 +308,18 @@
     );
 }
 
+/// Prints what requests cost at every size up to the full one divided by `largest`.
+fn print_work(largest: usize) {
+    println!(
+        "\n| instances | share of the hot customer | requests/s each | loan messages/s | loan B/s | most loan B/s | policy us a request |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for part in [16, 8, 4, 2].into_iter().filter(|p| *p >= largest) {
+        measure_work(Size::divided(part), u32::MAX);
+    }
+    measure_work(Size::divided(largest.max(4)), 2);
+}
+
 fn main() -> anyhow::Result<()> {
     let matches = Command::new("capacity")
         .arg(Arg::new("json").long("json").value_name("FILE"))
@@ -318,7 +330,17 @@
                 .value_parser(clap::value_parser!(usize))
                 .help("Stop at the full size divided by this"),
         )
+        .arg(
+            Arg::new("work-only")
+                .long("work-only")
+                .action(clap::ArgAction::SetTrue)
+                .help("Measure the cost of requests alone"),
+        )
         .get_matches();
+    if matches.get_flag("work-only") {
+        print_work(1);
+        return Ok(());
+    }
     let largest = matches.get_one::<usize>("largest").copied().unwrap_or(1);
     let reference = reference_loop();
     println!("reference loop: {:.3} ms", reference.as_secs_f64() * 1000.0);
@@ -350,14 +372,7 @@
         rows.push(row);
     }
     print_fits(&rows);
-    println!(
-        "\n| instances | share of the hot customer | requests/s each | loan messages/s | loan B/s | most loan B/s | policy us a request |"
-    );
-    println!("|---|---|---|---|---|---|---|");
-    for part in [16, 8, 4, 2].into_iter().filter(|p| *p >= largest) {
-        measure_work(Size::divided(part), u32::MAX);
-    }
-    measure_work(Size::divided(largest.max(4)), 2);
+    print_work(largest);
     measure_loss(Size::divided(largest.max(2)));
     measure_start(Size::divided(largest));
     if let Some(path) = matches.get_one::<String>("json") {
