Never let a request cost more than its customer pays for

Cause: the prompt was reserved at two bytes a token, which is no upper bound, and a cost beyond the reservation was taken off what the share held and otherwise forgotten.

--- a/crates/sesamebarrow_node/src/accept.rs
+++ b/crates/sesamebarrow_node/src/accept.rs
@@ -1,26 +1,25 @@
 //! The callers' interface: HTTP/1.1 and HTTP/2 with prior knowledge.
 
+mod head;
+mod placement;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::HeaderValue;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
-use serde::Serialize;
-use sesamebarrow_policy::event::Candidate;
-use sesamebarrow_policy::{Action, Event, Head, Origin};
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use crate::attempt::Call;
 use crate::credential::{self, Key};
-use crate::exchange::{self, ReadCall, Reply};
+use crate::exchange::{self, Reply};
 use crate::node::Node;
 use crate::problem::Problem;
 use crate::relay::{self, Body};
@@ -29,13 +28,6 @@
 /// Largest head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
-/// Characters of a prompt that make a token at the least.
-const BYTES_PER_TOKEN: u64 = 2;
-
-/// Largest body whose length the head does not tell, in bytes. Its tokens are reserved
-/// before it is read.
-const MAX_UNSIZED_BYTES: u64 = 8 * 1024;
-
 /// Serves callers until `stop`, then lets every connection end its exchanges.
 pub async fn serve(node: Arc<Node>, listener: TcpListener, stop: CancellationToken) {
     let graceful = GracefulShutdown::new();
@@ -127,8 +119,11 @@
     .increment(1);
 }
 
+/// Why a request gets no answer of an upstream.
 enum Fault {
+    /// It is refused.
     Problem(Problem),
+    /// Its connection is to end.
     Broken,
 }
 
@@ -145,7 +140,7 @@
 ) -> Result<Response<Body>, Fault> {
     let path = req.uri().path();
     if path == "/placement" && req.method() == Method::GET {
-        return place(&node, &req).await;
+        return placement::answer(&node, &req).await;
     }
     let Some(rest) = path.strip_prefix("/s/") else {
         let title = "expected /placement or /s/SERVICE/…";
@@ -168,13 +163,13 @@
 ) -> Result<Response<Body>, Fault> {
     let began = Instant::now();
     let (parts, body) = req.into_parts();
-    let key = Key::take(&parts.headers).map_err(|e| bad_credential(&e))?;
-    let length = body.size_hint().upper().unwrap_or(MAX_UNSIZED_BYTES);
-    let head = read_head(&node, &parts, &service, &path, key.as_ref(), length)?;
+    let key = Key::take(&parts.headers).map_err(|e| head::bad_credential(&e))?;
+    let length = body.size_hint().upper().unwrap_or(head::MAX_UNSIZED_BYTES);
+    let head = head::read(&node, &parts, &service, &path, key.as_ref(), length)?;
     let query = parts.uri.query().map(|q| format!("?{q}"));
     let has_key_parameter = parts.uri.query().is_some_and(credential::has_key_parameter);
     if has_key_parameter {
-        let problem = bad_credential(&credential::Error::Misplaced);
+        let problem = head::bad_credential(&credential::Error::Misplaced);
         return Err(problem.doubted(head.ticket.is_some()).into());
     }
     let call = Call {
@@ -185,7 +180,7 @@
         body: Bytes::new(),
     };
     let method = call.method.clone();
-    let read = read_call(&node, call, key, body, length);
+    let read = head::read_call(&node, call, key, body, length);
     let reply = exchange::run(node, head, read).await;
     let outcome = match &reply {
         Some(Reply::Answer { status, .. }) => status.as_u16(),
@@ -219,172 +214,3 @@
         None => Err(Fault::Broken),
     }
 }
-
-fn bad_credential(error: &credential::Error) -> Problem {
-    Problem::bad_input(StatusCode::BAD_REQUEST, "bad-credential", error.to_string())
-}
-
-fn read_head(
-    node: &Node,
-    parts: &hyper::http::request::Parts,
-    service: &SmolStr,
-    path: &str,
-    key: Option<&Key>,
-    length: u64,
-) -> Result<Head, Problem> {
-    let headers = &parts.headers;
-    let ticket = single(headers, "idempotency-key")?.map(SmolStr::new);
-    let deadline = number(headers, "x-deadline-ms")?;
-    let deadline = deadline.map_or(node.settings.request.deadline, Duration::from_millis);
-    let max_tokens = number(headers, "x-max-tokens")?;
-    let limit = node.settings.request.max_body_bytes as u64;
-    if length > limit {
-        return Err(too_large(limit).doubted(ticket.is_some()));
-    }
-    let prompt = length.div_ceil(BYTES_PER_TOKEN);
-    let answer = max_tokens.unwrap_or(node.settings.request.max_tokens);
-    Ok(Head {
-        origin: Origin::Caller {
-            key: key.map(Key::digest),
-        },
-        service: service.clone(),
-        method: SmolStr::new(parts.method.as_str()),
-        path: SmolStr::new(path),
-        ticket,
-        deadline,
-        estimate: prompt.saturating_add(answer),
-    })
-}
-
-fn too_large(limit: u64) -> Problem {
-    let title = format!("expected a body of {limit} bytes at most");
-    Problem::bad_input(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", title)
-}
-
-fn single<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Problem> {
-    let mut values = headers.get_all(name).iter();
-    let first = values.next();
-    if values.next().is_some() {
-        let title = format!("expected one {name}");
-        return Err(Problem::bad_input(
-            StatusCode::BAD_REQUEST,
-            "bad-field",
-            title,
-        ));
-    }
-    let Some(value) = first else {
-        return Ok(None);
-    };
-    value.to_str().map(Some).map_err(|_| {
-        let title = format!("expected visible ASCII in {name}");
-        Problem::bad_input(StatusCode::BAD_REQUEST, "bad-field", title)
-    })
-}
-
-fn number(headers: &HeaderMap, name: &str) -> Result<Option<u64>, Problem> {
-    let Some(text) = single(headers, name)? else {
-        return Ok(None);
-    };
-    text.trim().parse().map(Some).map_err(|_| {
-        let title = format!("expected a whole number in {name}");
-        Problem::bad_input(StatusCode::BAD_REQUEST, "bad-field", title)
-    })
-}
-
-/// Returns what reads the body, once the head has passed.
-fn read_call(node: &Node, call: Call, key: Option<Key>, body: Incoming, length: u64) -> ReadCall {
-    let limit = usize::try_from(length).unwrap_or(usize::MAX);
-    let timeout = node.settings.request.read_timeout;
-    Box::pin(async move {
-        let collect = Limited::new(body, limit).collect();
-        let collected = tokio::time::timeout(timeout, collect).await.map_err(|_| {
-            let title = "the body did not come in time";
-            Problem::bad_input(StatusCode::REQUEST_TIMEOUT, "body-too-slow", title)
-        })?;
-        let body = collected
-            .map_err(|error| {
-                if error.is::<LengthLimitError>() {
-                    too_large(limit as u64)
-                } else {
-                    let title = "the body broke off";
-                    Problem::bad_input(StatusCode::BAD_REQUEST, "body-broken", title)
-                }
-            })?
-            .to_bytes();
-        if let Some(key) = &key {
-            credential::check_placement(key, &call.path, &call.fields, &body)
-                .map_err(|e| bad_credential(&e))?;
-        }
-        Ok(Call { body, ..call })
-    })
-}
-
-#[derive(Serialize)]
-struct Placement {
-    instances: Vec<PlacedInstance>,
-    ttl_ms: u64,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    ticket: Option<SmolStr>,
-}
-
-#[derive(Serialize)]
-struct PlacedInstance {
-    name: SmolStr,
-    region: SmolStr,
-    url: SmolStr,
-}
-
-async fn place(node: &Node, req: &Request<Incoming>) -> Result<Response<Body>, Fault> {
-    let key = Key::take(req.headers()).map_err(|e| bad_credential(&e))?;
-    let query = req.uri().query().unwrap_or_default();
-    let service = query.split('&').find_map(|p| p.strip_prefix("service="));
-    let Some(service) = service.map(SmolStr::new) else {
-        let title = "expected ?service=NAME";
-        return Err(Problem::bad_input(StatusCode::BAD_REQUEST, "bad-query", title).into());
-    };
-    let key = key.as_ref().map(Key::digest);
-    let mut ticket = node
-        .driver
-        .begin(|id| Event::PlacementAsked { id, key, service });
-    match ticket.rx.recv().await {
-        Some(Action::Placed {
-            candidates,
-            ttl,
-            ticket,
-            ..
-        }) => Ok(placement_response(&candidates, ttl, ticket)),
-        Some(Action::Refuse { refusal, .. }) => Err(Problem::from_refusal(&refusal).into()),
-        _ => Err(Fault::Broken),
-    }
-}
-
-fn placement_response(
-    candidates: &[Candidate],
-    ttl: Duration,
-    ticket: Option<SmolStr>,
-) -> Response<Body> {
-    let placement = Placement {
-        instances: candidates
-            .iter()
-            .map(|c| PlacedInstance {
-                name: c.name.clone(),
-                region: c.region.clone(),
-                url: format_smolstr!("http://{}", c.http),
-            })
-            .collect(),
-        ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX),
-        ticket,
-    };
-    json(&placement)
-}
-
-/// Returns a JSON answer.
-pub fn json(value: &impl Serialize) -> Response<Body> {
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    let mut response = Response::new(relay::full(body));
-    let kind = HeaderValue::from_static("application/json");
-    response
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, kind);
-    response
-}
--- /dev/null
+++ b/crates/sesamebarrow_node/src/accept/placement.rs
@@ -0,0 +1,76 @@
+//! Answers placement questions.
+
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use serde::Serialize;
+use sesamebarrow_policy::event::Candidate;
+use sesamebarrow_policy::{Action, Event};
+use smol_str::{SmolStr, format_smolstr};
+
+use super::{Fault, head};
+use crate::credential::Key;
+use crate::node::Node;
+use crate::problem::Problem;
+use crate::relay::{self, Body};
+
+#[derive(Serialize)]
+struct Placement {
+    instances: Vec<PlacedInstance>,
+    ttl_ms: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ticket: Option<SmolStr>,
+}
+
+#[derive(Serialize)]
+struct PlacedInstance {
+    name: SmolStr,
+    region: SmolStr,
+    url: SmolStr,
+}
+
+/// Answers `GET /placement?service=NAME`.
+pub(super) async fn answer(node: &Node, req: &Request<Incoming>) -> Result<Response<Body>, Fault> {
+    let key = Key::take(req.headers()).map_err(|e| head::bad_credential(&e))?;
+    let query = req.uri().query().unwrap_or_default();
+    let service = query.split('&').find_map(|p| p.strip_prefix("service="));
+    let Some(service) = service.map(SmolStr::new) else {
+        let title = "expected ?service=NAME";
+        return Err(Problem::bad_input(StatusCode::BAD_REQUEST, "bad-query", title).into());
+    };
+    let key = key.as_ref().map(Key::digest);
+    let mut ticket = node
+        .driver
+        .begin(|id| Event::PlacementAsked { id, key, service });
+    match ticket.rx.recv().await {
+        Some(Action::Placed {
+            candidates,
+            ttl,
+            ticket,
+            ..
+        }) => Ok(placement_response(&candidates, ttl, ticket)),
+        Some(Action::Refuse { refusal, .. }) => Err(Problem::from_refusal(&refusal).into()),
+        _ => Err(Fault::Broken),
+    }
+}
+
+fn placement_response(
+    candidates: &[Candidate],
+    ttl: Duration,
+    ticket: Option<SmolStr>,
+) -> Response<Body> {
+    let placement = Placement {
+        instances: candidates
+            .iter()
+            .map(|c| PlacedInstance {
+                name: c.name.clone(),
+                region: c.region.clone(),
+                url: format_smolstr!("http://{}", c.http),
+            })
+            .collect(),
+        ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX),
+        ticket,
+    };
+    relay::json(&placement)
+}
--- a/crates/sesamebarrow_node/src/admin.rs
+++ b/crates/sesamebarrow_node/src/admin.rs
@@ -16,7 +16,6 @@
 use subtle::ConstantTimeEq;
 use tokio::net::TcpListener;
 
-use crate::accept;
 use crate::driver::Command;
 use crate::node::Node;
 use crate::problem::Problem;
@@ -66,7 +65,7 @@
         (&Method::GET, "/state") => {
             check_token(cx, req)?;
             let state = cx.node.driver.ask(Command::Snapshot).await;
-            Ok(accept::json(&state.map_err(stopping)?))
+            Ok(relay::json(&state.map_err(stopping)?))
         }
         (&Method::GET, "/metrics") => {
             check_token(cx, req)?;
--- a/crates/sesamebarrow_node/src/relay.rs
+++ b/crates/sesamebarrow_node/src/relay.rs
@@ -5,9 +5,11 @@
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::HeaderMap;
 use hyper::body::Frame;
+use hyper::header::HeaderValue;
+use hyper::{HeaderMap, Response};
 use memchr::memmem;
+use serde::Serialize;
 use tokio::sync::mpsc;
 
 /// Chunks of an answer that may wait for the caller.
@@ -41,6 +43,17 @@
         .boxed()
 }
 
+/// Returns a JSON answer.
+pub fn json(value: &impl Serialize) -> Response<Body> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(full(body));
+    let kind = HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
+    response
+}
+
 /// Returns a body that is fed by the sender.
 pub fn channel() -> (Sender, mpsc::Receiver<Result<Bytes, Broken>>) {
     mpsc::channel(CHUNKS)
--- a/crates/sesamebarrow_policy/src/limit/share.rs
+++ b/crates/sesamebarrow_policy/src/limit/share.rs
@@ -113,6 +113,8 @@
     ///
     /// `tokens + held + lent` never exceeds the burst in force.
     pub tokens: u64,
+    /// What requests have cost beyond their reservations; new tokens pay it first.
+    debt: u64,
     /// What may still come back from each reservation, by its number.
     holds: BTreeMap<u64, u64>,
     /// Sum of `holds`.
@@ -151,6 +153,7 @@
             burst: 0,
             former: None,
             tokens: 0,
+            debt: 0,
             holds: BTreeMap::new(),
             held: 0,
             lent: BTreeMap::new(),
@@ -245,7 +248,9 @@
         let minted = u128::from(rate) * elapsed.as_micros() / 1_000_000;
         let minted = u64::try_from(minted).unwrap_or(u64::MAX);
         self.accrued_at = self.accrued_at.max(now);
-        self.tokens = self.tokens.saturating_add(minted);
+        let paid = minted.min(self.debt);
+        self.debt -= paid;
+        self.tokens = self.tokens.saturating_add(minted - paid);
         self.clamp();
     }
 
@@ -323,7 +328,9 @@
         let unspent = reserved.saturating_sub(spent);
         let excess = spent.saturating_sub(reserved);
         self.tokens += unspent.min(hold);
-        self.tokens = self.tokens.saturating_sub(excess);
+        let paid = excess.min(self.tokens);
+        self.tokens -= paid;
+        self.debt += excess - paid;
     }
 
     /// Counts `cost` into the demand.
--- a/crates/sesamebarrow_policy/tests/board.rs
+++ b/crates/sesamebarrow_policy/tests/board.rs
@@ -5,8 +5,8 @@
 use sesamebarrow_policy::event::Target;
 use sesamebarrow_policy::once::{Bearer, Ticket};
 use sesamebarrow_policy::{
-    Action, Board, Event, Head, Identity, Message, Origin, Reason, RequestId, Settings, Verdict,
-    handle,
+    Action, Board, Event, Head, Identity, Message, Origin, Outcome, Reason, RequestId, Settings,
+    Verdict, handle,
 };
 use sesamebarrow_rules::{Digest, Document};
 use sesamebarrow_wire::control::{DocumentKind, Heartbeat, LoanAsk};
@@ -231,3 +231,43 @@
     assert_eq!(lent(&first), 10);
     assert_eq!(lent(&handle(&mut board, now, ask)), 0);
 }
+
+#[test]
+fn what_a_request_cost_beyond_its_reservation_is_paid_back() {
+    let mut board = board();
+    let second = Duration::from_secs;
+    handle(&mut board, second(1), Event::Tick);
+    let outcome = Outcome::Whole {
+        tokens: Some(500),
+        answer: None,
+    };
+    assert!(is_dispatched(&mut board, second(1), 1));
+    let id = RequestId(1);
+    handle(&mut board, second(1), Event::Departing { id });
+    handle(&mut board, second(1), Event::Finished { id, outcome });
+    // The share accrues 50 tokens a second, so that the debt lasts for some ten.
+    for now in 2..=20 {
+        handle(&mut board, second(now), Event::Tick);
+        let dispatched = is_dispatched(&mut board, second(now), now);
+        assert!(!dispatched || now > 8, "in debt at {now} s");
+        assert!(dispatched || now < 20, "still in debt at {now} s");
+    }
+}
+
+/// Sends a status check, which costs one token; tells whether it goes on at once.
+fn is_dispatched(board: &mut Board, now: Duration, id: u64) -> bool {
+    let head = Head {
+        origin: Origin::Caller {
+            key: Some(Digest::of(KEY)),
+        },
+        service: "payouts".into(),
+        method: "GET".into(),
+        path: "/status".into(),
+        ticket: None,
+        deadline: Duration::from_secs(5),
+        estimate: 1,
+    };
+    let id = RequestId(id);
+    let actions = handle(board, now, Event::Arrived { id, head });
+    actions.iter().any(|a| matches!(a, Action::Dispatch { .. }))
+}
