--- a/crates/sesamebarrow_policy/src/limit/share.rs
+++ b/crates/sesamebarrow_policy/src/limit/share.rs
@@ -274,6 +274,14 @@
         }
     }
 
+    /// Returns the tokens that the share will have accrued by `now`. A share at rest is
+    /// brought up to date only when it is used.
+    pub fn tokens_at(&self, now: Duration) -> u64 {
+        let mut share = self.clone();
+        share.accrue(now);
+        share.tokens
+    }
+
     /// Goes on from `now` as if no time had passed.
     pub(super) fn skip_to(&mut self, now: Duration) {
         self.accrued_at = now;
--- a/crates/sesamebarrow_policy/src/snapshot.rs
+++ b/crates/sesamebarrow_policy/src/snapshot.rs
@@ -227,7 +227,7 @@
             name: s.name.clone(),
             rate: s.rate / MICRO,
             burst: s.burst_now() / MICRO,
-            tokens: s.tokens / MICRO,
+            tokens: s.tokens_at(board.now()) / MICRO,
             lent: s.lent_total() / MICRO,
             borrowed: s.loans.iter().map(|l| l.amount - l.spent).sum::<u64>() / MICRO,
             waiting: s.waiting.len(),
