Do not try test addresses out by binding

A process that another test is just starting holds a copy of every open socket between fork and exec, also of the one bound for a moment to see whether a port is free; the real bind then fails. Ruled out: other processes (the host number is this process's alone), outgoing connections. Change: addresses are counted up and not tried.

--- a/crates/sesamebarrow_standin/src/deploy.rs
+++ b/crates/sesamebarrow_standin/src/deploy.rs
@@ -1,9 +1,9 @@
 //! A small deployment on loopback: settings, list and addresses.
 
 use std::fmt::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 /// The secret of deployments on loopback.
 pub const SECRET: &str = "loopback-only-secret-of-a-trial-deployment";
@@ -53,29 +53,22 @@
     pub backends: Vec<Backend>,
 }
 
-/// First port that is given out on a host of its own.
+/// First port that is given out.
 const FIRST_PORT: u16 = 10_000;
 
-/// Ports that are given out on one host.
-const PORTS: u32 = 1_000;
-
-/// Returns an address on loopback that was free and that nothing else here was given.
+/// Returns an address on loopback that nothing else was given.
 ///
-/// Each process takes a host number of its own in 127.0.0.0/8. Outgoing connections leave
-/// from 127.0.0.1, so that none of them can take a port that was just given out.
+/// Each process takes a host number of its own in 127.0.0.0/8, from which no connection
+/// leaves, so that nobody else comes near its ports. They are not tried out by binding:
+/// a process that is just being started elsewhere in the program holds a copy of every
+/// open socket for a moment, and the address would seem to be in use afterwards.
 pub fn free_address() -> anyhow::Result<SocketAddr> {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
     let [_, high, middle, low] = std::process::id().to_be_bytes();
-    for _ in 0..PORTS {
-        let step = NEXT.fetch_add(1, Ordering::Relaxed) % PORTS;
-        let host = Ipv4Addr::new(127, high.wrapping_add(1), middle, low);
-        let port = FIRST_PORT + u16::try_from(step)?;
-        let address = SocketAddr::from((host, port));
-        if TcpListener::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    anyhow::bail!("no free port on loopback")
+    let host = Ipv4Addr::new(127, high.wrapping_add(1), middle, low);
+    let port = NEXT.fetch_add(1, Ordering::Relaxed);
+    anyhow::ensure!(port >= FIRST_PORT, "all ports were given out");
+    Ok(SocketAddr::from((host, port)))
 }
 
 impl Deployment {
