--- a/crates/sesamebarrow_rules/tests/rules.rs
+++ b/crates/sesamebarrow_rules/tests/rules.rs
@@ -114,6 +114,35 @@
     assert!(!format!("{digest:?}").contains(&digest.to_string()));
 }
 
+#[rstest]
+#[case::te_wa(
+    include_str!("../../../examples/te-wa.rules"),
+    include_str!("../../../examples/te-wa.list"),
+    15
+)]
+#[case::cuota_marina(
+    include_str!("../../../examples/cuota-marina.rules"),
+    include_str!("../../../examples/cuota-marina.list"),
+    21
+)]
+fn the_example_deployments_fit_together(
+    #[case] rules: &str,
+    #[case] list: &str,
+    #[case] upstreams: usize,
+) {
+    let rules = parse(rules).expect("sound");
+    let list = list::parse(list).expect("sound");
+    assert_eq!((list.instances.len(), list.upstreams.len()), (8, upstreams));
+    assert_eq!(rules.customers.len(), 5);
+    for instance in list.instances.values() {
+        assert!(instance.slot < rules.domains[&instance.domain].slots);
+    }
+    for upstream in list.upstreams.values() {
+        assert!(rules.domains.contains_key(&upstream.domain));
+        assert!(rules.services.contains_key(&upstream.service));
+    }
+}
+
 proptest! {
     #[test]
     fn any_text_is_taken_or_refused(text in "\\PC{0,200}(\n\\PC{0,60}){0,5}") {
