--- a/crates/sesamebarrow_standin/tests/processes.rs
+++ b/crates/sesamebarrow_standin/tests/processes.rs
@@ -7,10 +7,12 @@
 
 use nix::sys::signal::Signal;
 use sesamebarrow_rules::Digest;
+use sesamebarrow_standin::deploy::SECRET;
 use sesamebarrow_standin::http::{self, Answer};
 use sesamebarrow_standin::process::until;
 use sesamebarrow_standin::upstream::Fault;
 use sesamebarrow_standin::{Deployment, Fleet};
+use sesamebarrow_wire::auth::Secret;
 use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -97,6 +99,14 @@
         .to_owned()
 }
 
+/// Returns an instance's dump.
+async fn state(admin: SocketAddr) -> anyhow::Result<Answer> {
+    let token = Secret::new(SECRET.as_bytes()).admin_token();
+    let token = bearer(&token);
+    let fields = [("authorization", token.as_str())];
+    http::call(admin, "GET", "/state", &fields, "").await
+}
+
 /// Names a case by its promise and its failure.
 macro_rules! case {
     ($name:ident, $($trial:ident)+, $body:block) => {
@@ -351,6 +361,9 @@
         assert_eq!(answer.fields["content-type"], "application/problem+json");
         assert_eq!(outcome(&answer), "not-run", "{path}");
     }
+    let huge = "x".repeat(256 * 1024);
+    let oversize = http::call(http, "GET", "/placement", &[key, ("x-huge", &huge)], "").await;
+    assert!(oversize.is_err() || oversize.is_ok_and(|a| a.status == 431));
     // Bytes that are no HTTP and no frames, on every port.
     for address in [http, instance.peer, instance.admin] {
         let mut stream = tokio::net::TcpStream::connect(address).await?;
@@ -378,23 +391,15 @@
     let admin = trial.fleet.instance(0).admin;
     let bad = rules(&[OTHER_KEY]) + "customer x regions=atlantis rate=1 burst=1 # eve\n";
     trial.fleet.platform.publish("rules", 5, bad);
-    let token =
-        sesamebarrow_wire::auth::Secret::new(sesamebarrow_standin::deploy::SECRET.as_bytes())
-            .admin_token();
-    let token = bearer(&token);
-    let state = || async {
-        let fields = [("authorization", token.as_str())];
-        http::call(admin, "GET", "/state", &fields, "").await
-    };
     until("the fault", || async {
-        state().await.is_ok_and(|s| {
+        state(admin).await.is_ok_and(|s| {
             let fault = s.json()["rules"]["fault"].to_string();
             fault.contains("atlantis") && fault.contains("eve")
         })
     })
     .await?;
     assert_eq!(ask(http, KEY, 1).await?.status, 200);
-    let shown = state().await?.text();
+    let shown = state(admin).await?.text();
     assert!(!shown.contains(KEY), "no key in the dump");
 });
 
@@ -493,3 +498,28 @@
     assert_eq!((runs["pay-1"], runs["pay-3"]), (1, 1));
     assert!(runs.get("pay-2").copied().unwrap_or(0) <= 1);
 });
+
+case!(a_platform_that_answers_rubbish_changes_nothing, trial, {
+    let instance = trial.fleet.instance(0).clone();
+    trial.fleet.stop_platform();
+    let platform = trial.fleet.deployment.platform;
+    let mut rubbish = None;
+    while rubbish.is_none() {
+        rubbish = tokio::net::TcpListener::bind(platform).await.ok();
+        tokio::task::yield_now().await;
+    }
+    let rubbish = rubbish.ok_or_else(|| anyhow::anyhow!("no listener"))?;
+    let task = tokio::spawn(async move {
+        while let Ok((mut stream, _)) = rubbish.accept().await {
+            let _ = stream.write_all(&[0xfe; 512]).await;
+        }
+    });
+    until("the fault", || async {
+        state(instance.admin)
+            .await
+            .is_ok_and(|s| s.json()["rules"]["read_fault"].is_string())
+    })
+    .await?;
+    assert_eq!(ask(instance.http, KEY, 1).await?.status, 200);
+    task.abort();
+});
