Let go of a ticketed request whose caller leaves before it is sent

Cause, found on reading the change: the policy marked such a request as going on without its caller also while it was still to be sent, but the node ends the exchange there, so nobody ever sent it. It stayed on the board for good: its upstream's place was taken, a drain could not end, its ticket said still-running. A caller too slow with its body was enough. Ruled out: requests that have left, which go on and are kept as before; a Go that crosses the caller's going, after which the node no longer listens to it. Change: only a request of which bytes may have left goes on; any other is forgotten and its ticket used up. Test at one board, seen to fail before (the request still there).

--- a/crates/sesamebarrow_policy/src/path.rs
+++ b/crates/sesamebarrow_policy/src/path.rs
@@ -210,12 +210,14 @@
 
 /// Takes a caller's going away.
 ///
-/// A request that runs at most once goes on, so that its answer can be kept.
+/// A request that runs at most once goes on if bytes of it may have left, so that its
+/// answer can be kept. Before that nobody would send it.
 pub(crate) fn take_caller_gone(board: &mut Board, id: RequestId) {
     let Some(request) = board.requests.get_mut(&id) else {
         return;
     };
-    if request.is_once() && request.stage != Stage::Waiting {
+    let left = matches!(request.stage, Stage::Running | Stage::Answering);
+    if request.is_once() && left {
         request.detached = true;
         return;
     }
--- a/crates/sesamebarrow_policy/tests/board.rs
+++ b/crates/sesamebarrow_policy/tests/board.rs
@@ -14,6 +14,10 @@
 const TICKET_KEY: [u8; 32] = [3; 32];
 const KEY: &[u8] = b"key-of-rosa-0001";
 const OWNER: u64 = 99;
+const BEARER: Bearer<'_> = Bearer {
+    customer: "rosa",
+    service: "payouts",
+};
 
 fn rules() -> String {
     let digest = Digest::of(KEY);
@@ -86,10 +90,6 @@
         issued: Duration::ZERO,
         number: 5,
     };
-    let bearer = Bearer {
-        customer: "rosa",
-        service: "payouts",
-    };
     Event::Arrived {
         id: RequestId(id),
         head: Head {
@@ -99,7 +99,7 @@
             service: "payouts".into(),
             method: "POST".into(),
             path: "/pay".into(),
-            ticket: Some(ticket.sign(&TICKET_KEY, &bearer)),
+            ticket: Some(ticket.sign(&TICKET_KEY, &BEARER)),
             deadline: Duration::from_secs(5),
             estimate: 1,
         },
@@ -271,3 +271,37 @@
     let actions = handle(board, now, Event::Arrived { id, head });
     actions.iter().any(|a| matches!(a, Action::Dispatch { .. }))
 }
+
+#[test]
+fn a_ticketed_request_whose_caller_goes_before_it_leaves_holds_nothing() {
+    let mut board = board();
+    let now = Duration::from_secs(1);
+    let ticket = Ticket {
+        owner: "lim-a".into(),
+        incarnation: 1,
+        issued: Duration::ZERO,
+        number: 6,
+    };
+    let Event::Arrived { id, mut head } = order(1) else {
+        panic!("an arrival");
+    };
+    head.ticket = Some(ticket.sign(&TICKET_KEY, &BEARER));
+    handle(&mut board, now, Event::Tick);
+    let arrived = Event::Arrived {
+        id,
+        head: head.clone(),
+    };
+    let actions = handle(&mut board, now, arrived);
+    assert!(actions.iter().any(|a| matches!(a, Action::Dispatch { .. })));
+    handle(&mut board, now, Event::CallerGone { id });
+    assert!(board.requests.is_empty());
+    assert!(board.upstreams.values().all(|u| u.own == 0));
+    // Nothing left, and nothing ever will with this ticket.
+    let id = RequestId(2);
+    let actions = handle(&mut board, now, Event::Arrived { id, head });
+    let [Action::Refuse { refusal, .. }] = actions.as_slice() else {
+        panic!("expected a refusal alone, got {actions:?}");
+    };
+    assert_eq!(refusal.reason, Reason::TicketVoid);
+    assert_eq!(refusal.result, Verdict::NotRun);
+}
