--- a/crates/sesamebarrow_node/src/accept.rs
+++ b/crates/sesamebarrow_node/src/accept.rs
@@ -113,10 +113,7 @@
         request = id.as_str(), outcome = outcome.as_str(), reason, status = problem.status,
         millis; "request"
     );
-    metrics::counter!(
-        "sesamebarrow_answers_total", "result" => outcome, "reason" => reason.to_owned()
-    )
-    .increment(1);
+    telemetry::count_answer(outcome, reason.to_owned());
 }
 
 /// Why a request gets no answer of an upstream.
--- a/crates/sesamebarrow_node/src/driver.rs
+++ b/crates/sesamebarrow_node/src/driver.rs
@@ -52,8 +52,7 @@
 impl Handle {
     /// Tells the board of an event.
     pub fn tell(&self, event: Event) {
-        // The actor ends only with the process.
-        let _ = self.actor.cast(Command::Event(event));
+        tell(&self.actor, event);
     }
 
     /// Brings a request before the board.
@@ -83,6 +82,12 @@
     }
 }
 
+/// Tells the actor of an event.
+fn tell(actor: &ActorRef<Command>, event: Event) {
+    // The actor ends only with the process.
+    let _ = actor.cast(Command::Event(event));
+}
+
 /// A request before the board and the actions that concern it.
 pub struct Ticket {
     /// The request.
@@ -107,7 +112,7 @@
 
 struct State {
     setup: Setup,
-    handle: Handle,
+    myself: ActorRef<Command>,
     began: Instant,
     /// Where the actions of requests under way go.
     requests: HashMap<RequestId, mpsc::UnboundedSender<Action>>,
@@ -147,13 +152,9 @@
         myself: ActorRef<Command>,
         setup: Setup,
     ) -> Result<State, ActorProcessingErr> {
-        let handle = Handle {
-            actor: myself,
-            next: Arc::new(AtomicU64::new(0)),
-        };
         Ok(State {
             setup,
-            handle,
+            myself,
             began: Instant::now(),
             requests: HashMap::new(),
         })
@@ -246,14 +247,14 @@
                 wait,
             } => {
                 let read = platform::read(self.setup.platform, kind, read, have, wait);
-                let handle = self.handle.clone();
-                tokio::spawn(async move { handle.tell(read.await) });
+                let myself = self.myself.clone();
+                tokio::spawn(async move { tell(&myself, read.await) });
             }
             Action::PollLoad { upstream, address } => {
-                let handle = self.handle.clone();
+                let myself = self.myself.clone();
                 tokio::spawn(async move {
                     if let Some(event) = platform::poll_load(upstream, address).await {
-                        handle.tell(event);
+                        tell(&myself, event);
                     }
                 });
             }
--- a/crates/sesamebarrow_node/src/exchange.rs
+++ b/crates/sesamebarrow_node/src/exchange.rs
@@ -138,21 +138,16 @@
         match self.ticket.rx.recv().await {
             Some(Action::Go { .. }) => {}
             Some(Action::Refuse { refusal, .. }) => return Err(Interrupt::Refused(refusal)),
-            Some(action @ Action::Dispatch { .. }) => return self.redirect(action, call).await,
+            Some(Action::Dispatch { target, .. }) => {
+                // The target no longer stood; another was chosen.
+                return Box::pin(self.attempt(target, call)).await;
+            }
             _ => return Err(Interrupt::Cancelled),
         }
         self.sent = true;
         self.send(way, call).await
     }
 
-    /// Follows a new choice that was made when the request was about to leave.
-    async fn redirect(&mut self, action: Action, call: &Call) -> Result<(), Interrupt> {
-        match action {
-            Action::Dispatch { target, .. } => Box::pin(self.attempt(target, call)).await,
-            _ => Ok(()),
-        }
-    }
-
     async fn send(&mut self, way: Way, call: &Call) -> Result<(), Interrupt> {
         let mut envelope = self.envelope.clone();
         envelope.deadline = envelope.deadline.saturating_sub(self.began.elapsed());
--- a/crates/sesamebarrow_node/src/peer.rs
+++ b/crates/sesamebarrow_node/src/peer.rs
@@ -197,14 +197,11 @@
 
 /// Returns the head of a request that is handed to another instance.
 pub fn envelope(stream: u64, target: &Target, call: &Call, envelope: &Envelope) -> Open {
-    let (customer, rules_revision, reserved) = match target {
+    let (customer, reserved) = match target {
         Target::Instance {
-            customer,
-            rules_revision,
-            reserved,
-            ..
-        } => (customer.as_deref(), *rules_revision, *reserved),
-        Target::Upstream { .. } => (None, 0, 0),
+            customer, reserved, ..
+        } => (customer.as_deref(), *reserved),
+        Target::Upstream { .. } => (None, 0),
     };
     let deadline = envelope.deadline.as_millis();
     Open {
@@ -217,7 +214,6 @@
         fields: write_fields(&call.fields),
         ticket: envelope.ticket.as_deref().unwrap_or_default().to_owned(),
         deadline_ms: u32::try_from(deadline).unwrap_or(u32::MAX),
-        rules_revision,
         reserved,
         hops: 1,
     }
--- a/crates/sesamebarrow_node/src/peer/serve.rs
+++ b/crates/sesamebarrow_node/src/peer/serve.rs
@@ -54,7 +54,6 @@
         origin: Origin::Instance {
             name: SmolStr::new(sender),
             customer,
-            rules_revision: open.rules_revision,
             hops: open.hops,
         },
         service: SmolStr::new(&open.service),
--- a/crates/sesamebarrow_node/src/telemetry.rs
+++ b/crates/sesamebarrow_node/src/telemetry.rs
@@ -1,5 +1,6 @@
 //! Metrics, in the text format of Prometheus.
 
+use metrics::SharedString;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use sesamebarrow_policy::Board;
 
@@ -26,9 +27,9 @@
 }
 
 /// Counts an answer to a caller.
-pub fn count_answer(result: &'static str, reason: &'static str) {
-    metrics::counter!("sesamebarrow_answers_total", "result" => result, "reason" => reason)
-        .increment(1);
+pub fn count_answer(result: impl Into<SharedString>, reason: impl Into<SharedString>) {
+    let labels = [("result", result.into()), ("reason", reason.into())];
+    metrics::counter!("sesamebarrow_answers_total", &labels).increment(1);
 }
 
 /// Notes the time to an answer's head.
--- a/crates/sesamebarrow_policy/src/event.rs
+++ b/crates/sesamebarrow_policy/src/event.rs
@@ -30,8 +30,6 @@
         name: SmolStr,
         /// The customer; `None` on a route open to all.
         customer: Option<SmolStr>,
-        /// Revision of the rules by which the sender let it pass.
-        rules_revision: u64,
         /// Instances that the request has passed.
         hops: u32,
     },
@@ -244,8 +242,6 @@
         name: SmolStr,
         /// The customer, for the envelope.
         customer: Option<SmolStr>,
-        /// Revision of the rules that let the request pass.
-        rules_revision: u64,
         /// Tokens reserved.
         reserved: u64,
     },
--- a/crates/sesamebarrow_policy/src/limit.rs
+++ b/crates/sesamebarrow_policy/src/limit.rs
@@ -128,17 +128,14 @@
         if same_domains && before == Some(customer) {
             continue;
         }
-        let held = holders(&rules, name, board.settings.holders_per_region);
-        let mine = held
-            .iter()
-            .any(|h| h.domain == board.me.domain && h.slot == board.me.slot);
         let key = find_or_add(&mut board.limits, name, now);
         let named = board.limits.named;
         let share = &mut board.limits.shares[key];
         share.whole_rate = customer.rate * MICRO;
         share.whole_burst = customer.burst * MICRO;
-        share.parts = if mine { held.len() as u64 } else { 0 };
-        share.holders = held;
+        share.holders = holders(&rules, name, board.settings.holders_per_region);
+        let mine = share.is_held_by(&board.me.domain, Some(board.me.slot));
+        share.parts = if mine { share.holders.len() as u64 } else { 0 };
         let (rate, burst) = share.part(named);
         if before.is_some() {
             share.rebase(now, rate, burst, propagation);
--- a/crates/sesamebarrow_policy/src/limit/loan.rs
+++ b/crates/sesamebarrow_policy/src/limit/loan.rs
@@ -71,12 +71,7 @@
         .instances
         .values()
         .filter(|i| member::takes_work(board, i) && i.link.is_some())
-        .filter(|i| {
-            share
-                .holders
-                .iter()
-                .any(|h| h.domain == i.domain && Some(h.slot) == i.slot)
-        })
+        .filter(|i| share.is_held_by(&i.domain, i.slot))
         .filter(|i| !asked.contains(&&i.name))
         .map(|i| (i.region != region, i.name.clone()))
         .collect();
--- a/crates/sesamebarrow_policy/src/limit/share.rs
+++ b/crates/sesamebarrow_policy/src/limit/share.rs
@@ -169,6 +169,13 @@
         }
     }
 
+    /// Tells whether a slot holds a share of the customer's rate.
+    pub fn is_held_by(&self, domain: &str, slot: Option<u16>) -> bool {
+        self.holders
+            .iter()
+            .any(|h| h.domain == domain && Some(h.slot) == slot)
+    }
+
     /// Returns this share's rate and burst; nothing where the slot is not this process's.
     pub(super) fn part(&self, named: bool) -> (u64, u64) {
         if !named {
--- a/crates/sesamebarrow_policy/src/path.rs
+++ b/crates/sesamebarrow_policy/src/path.rs
@@ -248,6 +248,11 @@
         None if request.is_once() || request.may_have_run => refusal.doubted(),
         None => refusal,
     };
+    pass_on(board, id, refusal);
+}
+
+/// Forgets a request and gives its caller, if it still waits, the refusal as it is.
+fn pass_on(board: &mut Board, id: RequestId, refusal: Refusal) {
     let told = board.requests.get(&id).is_some_and(|r| r.detached);
     settle::forget(board, id);
     if !told {
--- a/crates/sesamebarrow_policy/src/path/dispatch.rs
+++ b/crates/sesamebarrow_policy/src/path/dispatch.rs
@@ -48,7 +48,6 @@
         TargetKey::Instance(key) => Some(Target::Instance {
             name: board.instances.get(key)?.name.clone(),
             customer: request.customer.clone(),
-            rules_revision: board.rules_revision(),
             reserved: request.reservation.map_or(0, |_| request.cost),
         }),
     }
--- a/crates/sesamebarrow_policy/src/path/settle.rs
+++ b/crates/sesamebarrow_policy/src/path/settle.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{Stage, TargetKey, choose, refuse};
+use super::{Stage, TargetKey, choose, pass_on, refuse};
 use crate::board::{Board, UpstreamKey};
 use crate::event::{Answer, Outcome, RequestId};
 use crate::refusal::{Reason, Refusal, Result as Verdict};
@@ -86,15 +86,6 @@
     }
 }
 
-/// Passes a refusal on as it is.
-fn pass_on(board: &mut Board, id: RequestId, refusal: Refusal) {
-    let told = board.requests[&id].detached;
-    forget(board, id);
-    if !told {
-        super::say_refusal(board, id, refusal);
-    }
-}
-
 fn break_off(board: &mut Board, id: RequestId, relayed: bool) {
     board.counters.broken += 1;
     if let Some(key) = upstream_of(board, id) {
--- a/crates/sesamebarrow_policy/src/place.rs
+++ b/crates/sesamebarrow_policy/src/place.rs
@@ -72,11 +72,7 @@
     let Some(key) = board.limits.names.get(customer) else {
         return Vec::new();
     };
-    let held = &board.limits.shares[*key].holders;
-    let holds = |domain: &str, slot: Option<u16>| {
-        held.iter()
-            .any(|h| h.domain == domain && Some(h.slot) == slot)
-    };
+    let share = &board.limits.shares[*key];
     let mut ranked = Vec::new();
     for instance in board.instances.values() {
         let Some(http) = instance.http else {
@@ -92,11 +88,11 @@
             region: instance.region.clone(),
             http,
         };
-        let holder = holds(&instance.domain, instance.slot);
+        let holder = share.is_held_by(&instance.domain, instance.slot);
         ranked.push(((distance, !holder, running), candidate));
     }
     if let Some(candidate) = myself(board, customer, &region) {
-        let holder = holds(&board.me.domain, Some(board.me.slot));
+        let holder = share.is_held_by(&board.me.domain, Some(board.me.slot));
         let running = u32::try_from(board.requests.len()).unwrap_or(u32::MAX);
         ranked.push(((0, !holder, running), candidate));
     }
--- a/crates/sesamebarrow_standin/examples/bench.rs
+++ b/crates/sesamebarrow_standin/examples/bench.rs
@@ -231,7 +231,6 @@
         method: "GET".to_owned(),
         path: "/status".to_owned(),
         deadline_ms: 10_000,
-        rules_revision: 1,
         reserved: 1,
         hops: 1,
         ..Open::default()
--- /dev/null
+++ b/crates/sesamebarrow_standin/tests/processes/input_and_answers.rs
@@ -0,0 +1,110 @@
+//! Bad input, and answers that break off.
+
+use super::*;
+
+case!(an_answer_cut_by_its_upstream_is_seen_as_broken, trial, {
+    let http = trial.fleet.instance(0).http;
+    let whole = ask(http, KEY, 4).await?;
+    assert!(whole.whole && whole.text().ends_with("data: [DONE]\n\n"));
+    trial.fleet.upstreams[0].set_fault(Fault::Cut);
+    let cut = ask(http, KEY, 8).await?;
+    assert_eq!(cut.status, 200);
+    assert!(!cut.whole, "a truncated stream must not end cleanly");
+});
+
+case!(bad_input_gets_a_clear_error_and_harms_nobody, trial, {
+    let instance = trial.fleet.instance(0).clone();
+    let http = instance.http;
+    let bearer = bearer(KEY);
+    let key = ("authorization", bearer.as_str());
+    let large = "x".repeat(2 * 1024 * 1024);
+    let too_large = http::call(http, "POST", "/s/statements/g", &[key], large).await;
+    if let Ok(answer) = too_large {
+        assert_eq!(answer.status, 413);
+    }
+    for (path, fields, status) in [
+        ("/s/nothing/x", vec![key], 404),
+        ("/nowhere", vec![key], 404),
+        ("/s/statements/g", vec![], 401),
+        (
+            "/s/statements/g",
+            vec![("authorization", "Basic abcdefgh")],
+            400,
+        ),
+        ("/s/statements/g", vec![key, ("x-max-tokens", "many")], 400),
+        (
+            "/s/statements/g",
+            vec![key, ("x-max-tokens", "99999999999")],
+            429,
+        ),
+        ("/s/payouts/payouts", vec![key], 428),
+        (
+            "/s/payouts/payouts",
+            vec![key, ("idempotency-key", "mine")],
+            400,
+        ),
+    ] {
+        let answer = http::call(http, "POST", path, &fields, "{}").await?;
+        assert_eq!(answer.status, status, "{path}: {}", answer.text());
+        assert_eq!(answer.fields["content-type"], "application/problem+json");
+        assert_eq!(outcome(&answer), "not-run", "{path}");
+    }
+    let huge = "x".repeat(256 * 1024);
+    let oversize = http::call(http, "GET", "/placement", &[key, ("x-huge", &huge)], "").await;
+    assert!(oversize.is_err() || oversize.is_ok_and(|a| a.status == 431));
+    // Bytes that are no HTTP and no frames, on every port.
+    for address in [http, instance.peer, instance.admin] {
+        let mut stream = tokio::net::TcpStream::connect(address).await?;
+        stream.write_all(&[0xff; 64]).await?;
+        drop(stream);
+    }
+    let admin = http::call(
+        instance.admin,
+        "GET",
+        "/state",
+        &[("authorization", "Bearer no")],
+        "",
+    );
+    assert_eq!(admin.await?.status, 401);
+    assert_eq!(ask(http, KEY, 1).await?.status, 200);
+    let open = http::call(http, "GET", "/s/payouts/hours", &[], "").await?;
+    assert_eq!(open.status, 200, "a route open to all needs no key");
+    let open_with_bad_key = [("x-api-key", "not-a-known-key")];
+    let open = http::call(http, "GET", "/s/payouts/hours", &open_with_bad_key, "").await?;
+    assert_eq!(open.status, 401, "a key that is shown must be in force");
+});
+
+case!(a_slow_caller_is_told_so_and_holds_nothing, trial, {
+    let http = trial.fleet.instance(0).http;
+    let mut stream = tokio::net::TcpStream::connect(http).await?;
+    let head = format!(
+        "POST /s/statements/g HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: 100\r\n\r\nonly this"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    let mut answer = vec![0; 4096];
+    let length = stream.read(&mut answer).await?;
+    let answer = String::from_utf8_lossy(&answer[..length]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(
+        answer.contains("body-too-slow") && answer.contains("not-run"),
+        "{answer}"
+    );
+    assert!(trial.fleet.upstreams[0].seen().paths.is_empty());
+});
+
+case!(
+    a_silent_upstream_costs_an_idempotent_caller_no_more_than_its_deadline,
+    trial,
+    {
+        let http = trial.fleet.instance(0).http;
+        trial.fleet.upstreams[0].set_fault(Fault::Silent);
+        let bearer = bearer(KEY);
+        let fields = [("authorization", bearer.as_str()), ("x-deadline-ms", "500")];
+        let answer = http::call(http, "POST", "/s/statements/g", &fields, "{}").await?;
+        assert_eq!(answer.status, 504, "{}", answer.text());
+        assert_eq!(outcome(&answer), "unknown");
+        trial.fleet.upstreams[0].set_fault(Fault::None);
+        assert_eq!(ask(http, KEY, 1).await?.status, 200);
+    }
+);
--- a/crates/sesamebarrow_trial/src/world/request.rs
+++ b/crates/sesamebarrow_trial/src/world/request.rs
@@ -264,13 +264,11 @@
             Some(Target::Instance {
                 name,
                 customer,
-                rules_revision,
                 reserved,
             }) => {
                 let origin = Origin::Instance {
                     name: self.nodes[node].name.as_str().into(),
                     customer,
-                    rules_revision,
                     hops: 1,
                 };
                 self.forward(node, id, running, &name, origin, reserved);
--- a/crates/sesamebarrow_wire/src/stream.rs
+++ b/crates/sesamebarrow_wire/src/stream.rs
@@ -50,9 +50,6 @@
     /// Milliseconds left until the caller's deadline.
     #[prost(uint32, tag = "9")]
     pub deadline_ms: u32,
-    /// Revision of the rules by which the sender let the request pass.
-    #[prost(uint64, tag = "10")]
-    pub rules_revision: u64,
     /// Tokens that the sender has reserved for the request.
     #[prost(uint64, tag = "11")]
     pub reserved: u64,
