Refuse streams that a stopping instance may not outlive

Callers may keep a directory answer for three times its time to live.

Change: time to live 1 s instead of 2; streams are refused as not run from 2.4 s after SIGTERM on, idle connections are closed after 3.2 s.

--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -31,6 +31,9 @@
 /// When a caller without a configuration in force should come back.
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
 
+/// When a caller that came to a stopping instance should go to another.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
+
 /// What the operator's rules say of a request; also told to the instance that runs it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
@@ -147,6 +150,9 @@
     let request = head::read_request(&parts.headers);
     let route = find_route(&config, &parts)?;
     let customer = identify(&config, &route, request.key.as_deref())?;
+    if route.kind == Kind::Streaming && shared.refuses_streams.load(Ordering::Relaxed) {
+        return Err(Refusal::NotRun("stopping", STOPPING_RETRY));
+    }
     let body = read_body(body, config.limits.max_body_bytes).await?;
     // The configuration may have changed while the body was read.
     let config = shared.board().config.clone().unwrap_or(config);
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -131,7 +131,7 @@
         ends: Box::pin(tokio::time::sleep_until(job.ends.into())),
         events: Events::new(job.plan.resumable, job.last_event.clone()),
         job: Arc::new(job),
-        source: Source::Open(answer.body, Some(answer.held)),
+        source: Source::Open(answer.body, Some(Box::new(answer.held))),
         tries: Some(tries),
         status: parts.status.as_u16(),
     };
@@ -188,7 +188,7 @@
 
 enum Source {
     /// The stream comes from an upstream.
-    Open(Incoming, Option<Held>),
+    Open(Incoming, Option<Box<Held>>),
     /// It is to go on at another one.
     Resuming(BoxFuture<'static, (Tries, Result<Answer, Refusal>)>),
     /// It has ended.
@@ -254,7 +254,7 @@
                     Poll::Pending => Poll::Pending,
                     Poll::Ready((tries, Ok(answer))) if answer.head.status().is_success() => {
                         this.tries = Some(tries);
-                        this.source = Source::Open(answer.body, Some(answer.held));
+                        this.source = Source::Open(answer.body, Some(Box::new(answer.held)));
                         continue;
                     }
                     Poll::Ready(_) => return this.fail("not-resumed"),
--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -17,6 +17,10 @@
 /// Pause between two looks at whether all work has ended.
 const DRAIN_PAUSE: Duration = Duration::from_millis(100);
 
+/// Part of the notice in which streams are taken; those that come later might outlast
+/// the process.
+const STREAMS_TAKEN: f64 = 0.75;
+
 /// Runs the process until it is told to stop.
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
     let metrics = admin::install()?;
@@ -94,7 +98,9 @@
     shared.board().draining = true;
     shared.closing.store(true, Ordering::Relaxed);
     log::info!(requests = shared.requests.load(Ordering::Relaxed); "draining");
-    tokio::time::sleep(shutdown.notice).await;
+    tokio::time::sleep(shutdown.notice.mul_f64(STREAMS_TAKEN)).await;
+    shared.refuses_streams.store(true, Ordering::Relaxed);
+    tokio::time::sleep(shutdown.notice.mul_f64(1.0 - STREAMS_TAKEN)).await;
     shared.stop.cancel();
     loop {
         let left = shared.requests.load(Ordering::Relaxed);
--- a/crates/sesamebarrow_gateway/src/settings.rs
+++ b/crates/sesamebarrow_gateway/src/settings.rs
@@ -147,7 +147,7 @@
 impl Default for Shutdown {
     fn default() -> Self {
         Self {
-            notice: Duration::from_millis(4_500),
+            notice: Duration::from_millis(3_200),
             limit: Duration::from_millis(7_700),
         }
     }
--- a/crates/sesamebarrow_gateway/src/shared.rs
+++ b/crates/sesamebarrow_gateway/src/shared.rs
@@ -32,6 +32,8 @@
     pub requests: AtomicU64,
     /// Whether answers tell callers to close their connections.
     pub closing: AtomicBool,
+    /// Whether streams are refused, since the process may end before they do.
+    pub refuses_streams: AtomicBool,
     /// Cancelled when idle connections are to be closed.
     pub stop: CancellationToken,
     /// Woken when another instance has newer items than this one.
@@ -53,6 +55,7 @@
             connections: TaskTracker::new(),
             requests: AtomicU64::new(0),
             closing: AtomicBool::new(false),
+            refuses_streams: AtomicBool::new(false),
             stop: CancellationToken::new(),
             behind: Notify::new(),
             began: Instant::now(),
--- a/crates/sesamebarrow_routing/src/place.rs
+++ b/crates/sesamebarrow_routing/src/place.rs
@@ -8,8 +8,9 @@
 use crate::board::Board;
 use crate::config;
 
-/// How long an answer holds: short enough that a dead instance is left within seconds.
-pub const TTL: Duration = Duration::from_secs(2);
+/// How long an answer holds. Some callers keep it three times as long, which has to fit
+/// the time for which a stopping instance still takes requests.
+pub const TTL: Duration = Duration::from_secs(1);
 
 /// Most instances in one answer.
 const MOST: usize = 64;
