Send prompts where their shared parts are kept; let a full share admit a large request

Cause: requests larger than a share's burst were refused for ever (27 kB prompts of small customers); shared parts were read again on many upstreams. Change: choosing weighs a part read again four times its time; the rendezvous home counts as keeping it. A share that is full admits a request above its burst.

--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -77,9 +77,9 @@
 /// Requests that may wait at a plain upstream for each of its slots.
 const PLAIN_QUEUE: u32 = 3;
 
-/// Prefill saved by going where the rendezvous of the prompt points, as a part of what
-/// it would be if the upstream kept it for certain.
-const AFFINITY: f64 = 0.5;
+/// Weight of reading a shared part again against waiting as long: a part that moves
+/// displaces others, so that more than its own time is lost.
+const REREAD_WEIGHT: f64 = 4.0;
 
 /// Milliseconds added to an upstream's wait for each whole part of its answers that fail.
 const FAULT_COST: f64 = 4_000.0;
@@ -92,7 +92,10 @@
 
 struct Scored {
     key: Key,
+    /// Milliseconds until the first event.
     wait: f64,
+    /// Milliseconds by which upstreams are compared: the wait, and what is lost beside it.
+    cost: f64,
     size: Size,
     full: bool,
 }
@@ -101,7 +104,7 @@
 pub fn choose(board: &mut Board, now: Duration, ask: &Ask) -> Result<Chosen, Refused> {
     let scored = score_all(board, now, ask)?;
     let open = scored.iter().filter(|s| !s.full);
-    let best = open.min_by(|a, b| a.wait.total_cmp(&b.wait));
+    let best = open.min_by(|a, b| a.cost.total_cmp(&b.cost));
     let Some(best) = best else {
         return Err(Refused::Overload);
     };
@@ -206,10 +209,12 @@
         .skip(1)
         .map(|p| u64::from(p.tokens))
         .sum();
-    let hoped = if home && kept < shared {
-        tokens(shared - kept) * AFFINITY
+    // The region's other instances send the same prompts to the same upstream.
+    let reread = if home { 0 } else { shared.saturating_sub(kept) };
+    let unread = if home {
+        unread.min(ask.tokens_in - shared.min(ask.tokens_in))
     } else {
-        0.0
+        unread
     };
     let backlog = tokens(upstream.unread) + f64::from(upstream.others.unread);
     let memory = upstream.memory + u64::from(upstream.others.memory);
@@ -221,7 +226,7 @@
         .filter(|s| now.saturating_sub(s.0) < Duration::from_millis(300));
     let queued = waiting.map_or(0, |s| s.1.waiting);
     let wait = ENGINE_FIRST
-        + (backlog + tokens(unread) - hoped) / speed
+        + (backlog + tokens(unread)) / speed
         + f64::from(running) * STEP_COST
         + f64::from(queued) * QUEUED_COST
         + upstream.fault_ratio * FAULT_COST;
@@ -230,6 +235,7 @@
     Scored {
         key,
         wait,
+        cost: wait + tokens(reread) / speed * REREAD_WEIGHT,
         size: Size {
             unread,
             memory: need,
@@ -253,6 +259,7 @@
     Scored {
         key,
         wait,
+        cost: wait,
         size: Size::default(),
         full: outstanding >= slots * PLAIN_QUEUE,
     }
--- a/crates/sesamebarrow_routing/src/quota.rs
+++ b/crates/sesamebarrow_routing/src/quota.rs
@@ -22,7 +22,10 @@
 const SETTLED: Duration = Duration::from_millis(800);
 
 /// Part of the rate that is divided evenly, whatever the demand.
-const EVEN: f64 = 0.15;
+const EVEN: f64 = 0.4;
+
+/// Part of a share's burst at which it counts as full.
+const FULL: f64 = 0.9;
 
 /// Customers whose demand is told in a datagram.
 const TOLD: usize = 12;
@@ -108,13 +111,15 @@
         (bucket.rate, bucket.burst) = (rate, burst);
         refill(bucket, now, slack);
         bucket.asked += cost;
-        if bucket.level >= cost {
+        // A request larger than the share's burst needs the whole of it, and leaves a debt.
+        let needed = cost.min(burst_share(bucket, slack) * FULL);
+        if bucket.level >= needed {
             bucket.level -= cost;
             return Ok(());
         }
         let speed = (bucket.part * rate * OVER).max(1.0);
         Err(Exceeded {
-            retry_after: Duration::from_secs_f64(((cost - bucket.level) / speed).min(60.0)),
+            retry_after: Duration::from_secs_f64(((needed - bucket.level) / speed).min(60.0)),
         })
     }
 
