Name draining instances where no other may take the callers; keep new processes off cold upstreams

Ruled out: late news of cold_left (all knew it 1.3 s before). Change: records tell since when an instance drains, the directory names it for 1.8 s if no ready one may take the callers; cold sends begin 1.6 s after a start. Shares: what the demand leaves is divided evenly, the fixed slack too, shares open with the configuration. A hop passes on how many attempts are left.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -341,7 +341,7 @@
     };
     let req = match target {
         Target::Upstream(chosen) => upstream_request(job, chosen, last_event),
-        Target::Hop(hop) => hop::request(job, hop, last_event),
+        Target::Hop(hop) => hop::request(job, hop, last_event, tries.ran),
     };
     if tries.sent == 0 {
         let now = shared.now();
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -163,7 +163,7 @@
         let customer = identify(&config, &route, request.key.as_deref())?;
         (route, customer)
     };
-    let reservation = reserve(shared, customer.as_ref(), request.tokens)?;
+    let reservation = reserve(shared, &request.id, customer.as_ref(), request.tokens)?;
     let draw = rand::random();
     let service = route.pick_service(draw).clone();
     let deadline = request.deadline.unwrap_or(DEFAULT_DEADLINE);
@@ -264,6 +264,7 @@
 
 fn reserve(
     shared: &Arc<Shared>,
+    id: &SmolStr,
     customer: Option<&Arc<Customer>>,
     tokens: Option<(u64, u64)>,
 ) -> Result<Reservation, Refusal> {
@@ -282,6 +283,13 @@
             customer: Some((customer.name.clone(), cost)),
             spent: AtomicBool::new(false),
         }),
-        Err(exceeded) => Err(Refusal::Rate(exceeded.retry_after)),
+        Err(exceeded) => {
+            log::info!(
+                request = id.as_str(), customer = customer.name.as_str(), cost,
+                rate = customer.rate, part = exceeded.part, level = exceeded.level;
+                "rate exceeded"
+            );
+            Err(Refusal::Rate(exceeded.retry_after))
+        }
     }
 }
--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -19,7 +19,7 @@
 
 /// Part of the notice in which streams are taken; those that come later might outlast
 /// the process.
-const STREAMS_TAKEN: f64 = 0.75;
+const STREAMS_TAKEN: f64 = 0.9;
 
 /// Runs the process until it is told to stop.
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
@@ -95,7 +95,7 @@
 async fn drain(shared: &Shared) {
     let shutdown = shared.settings.shutdown;
     let began = shared.now();
-    shared.board().draining = true;
+    shared.board().draining = Some(began);
     shared.closing.store(true, Ordering::Relaxed);
     log::info!(requests = shared.requests.load(Ordering::Relaxed); "draining");
     tokio::time::sleep(shutdown.notice.mul_f64(STREAMS_TAKEN)).await;
--- a/crates/sesamebarrow_gateway/src/store.rs
+++ b/crates/sesamebarrow_gateway/src/store.rs
@@ -222,7 +222,7 @@
         (Subject::Config, Some(value)) => match item::decode_config(value) {
             Ok(config) => {
                 let version = config.version;
-                if shared.board().put_config(config) {
+                if shared.board().put_config(now, config) {
                     log::info!(version, revision; "configuration in force");
                 }
             }
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -14,6 +14,7 @@
 use crate::cache::Part;
 use crate::cold;
 use crate::config::Engine;
+use crate::quota;
 use crate::rendezvous;
 use crate::upstream::{Key, Size, Upstream};
 
@@ -169,6 +170,10 @@
     if rate <= 0.0 {
         return true;
     }
+    if now < quota::ALONE_AFTER {
+        // Instances that started together do not know yet which of them owns it.
+        return false;
+    }
     let near = |m: &&crate::member::Member| m.region == board.me.region;
     let heard: Vec<_> = board.members.heard(now).filter(near).collect();
     let known = board.region_instances();
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -76,8 +76,8 @@
     pub rng: StdRng,
     /// Heartbeats so far.
     pub beat: u64,
-    /// Whether the process is stopping.
-    pub draining: bool,
+    /// When the process began to stop.
+    pub draining: Option<Duration>,
     /// When the store last failed to answer.
     pub store_failed: Option<Duration>,
     /// Revision of the newest item.
@@ -104,7 +104,7 @@
             budget: Budget::new(bounds.budget),
             rng: StdRng::seed_from_u64(seed),
             beat: 0,
-            draining: false,
+            draining: None,
             store_failed: None,
             changed: 0,
         }
@@ -112,11 +112,16 @@
 
     /// Tells whether the instance takes new requests.
     pub fn is_ready(&self) -> bool {
-        self.config.is_some() && !self.draining
+        self.config.is_some() && self.draining.is_none()
+    }
+
+    /// Returns for how long the process has been stopping.
+    pub fn draining_for(&self, now: Duration) -> Option<Duration> {
+        self.draining.map(|at| now.saturating_sub(at))
     }
 
     /// Puts a configuration in force unless a newer one is; tells whether it did.
-    pub fn put_config(&mut self, config: Config) -> bool {
+    pub fn put_config(&mut self, now: Duration, config: Config) -> bool {
         if self
             .config
             .as_ref()
@@ -124,6 +129,10 @@
         {
             return false;
         }
+        for customer in &config.customers {
+            let limit = (customer.rate, customer.burst);
+            self.quota.open(now, &customer.name, limit);
+        }
         self.config = Some(Arc::new(config));
         true
     }
@@ -195,6 +204,7 @@
         self.sum_others(now);
         let demand = self.quota.tell(now);
         self.quota.settle(now, &mut self.members);
+        // CAST: a stop takes seconds.
         Datagram {
             me: Record {
                 name: self.me.name.to_string(),
@@ -204,6 +214,9 @@
                 beat: self.beat,
                 ready: self.is_ready(),
                 demand,
+                draining_ms: self
+                    .draining_for(now)
+                    .map_or(0, |d| d.as_millis().max(1) as u32),
             },
             others: self.members.records(now, &mut self.rng),
             changed: self.changed,
--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -71,6 +71,9 @@
     /// Demand by customer, the largest first.
     #[prost(message, repeated, tag = "7")]
     pub demand: Vec<Demand>,
+    /// Milliseconds since it began to drain; 0 unless it drains.
+    #[prost(uint32, tag = "8")]
+    pub draining_ms: u32,
 }
 
 /// A datagram.
--- a/crates/sesamebarrow_routing/src/place.rs
+++ b/crates/sesamebarrow_routing/src/place.rs
@@ -15,32 +15,71 @@
 /// Most instances in one answer.
 const MOST: usize = 64;
 
+/// Time for which an instance that drains may still be named, if no other may take the
+/// callers; with an answer's time to live it stays within what the instance still takes.
+const DRAINING_NAMED: Duration = Duration::from_millis(1_800);
+
+struct Candidate {
+    region: SmolStr,
+    ip: Ipv4Addr,
+    ready: bool,
+}
+
 /// Returns the instances for callers of `host` in `region`, this one among them if it
 /// takes requests.
 ///
 /// Callers stay in their region while an instance there takes requests; else they go to
-/// regions that every route of the host allows, or to any.
+/// regions that every bound route of the host allows, where need be to an instance that
+/// has just begun to drain; and to any region only if there is none of these.
 pub fn place(board: &Board, now: Duration, host: &str, region: &str) -> Vec<Ipv4Addr> {
     let homes = board.config.as_ref().and_then(|c| c.regions_of_host(host));
-    let mut ready: Vec<(SmolStr, Ipv4Addr)> = board
+    let homes = homes.unwrap_or_default();
+    let candidates = candidates(board, now);
+    let within = |ready: bool, test: &dyn Fn(&str) -> bool| -> Vec<Ipv4Addr> {
+        let matching = candidates
+            .iter()
+            .filter(|c| c.ready == ready && test(&c.region));
+        matching.map(|c| c.ip).take(MOST).collect()
+    };
+    let near = |r: &str| r == region;
+    let home = |r: &str| config::allows(&homes, r);
+    let tiers: [(bool, &dyn Fn(&str) -> bool); 5] = [
+        (true, &near),
+        (true, &home),
+        (false, &near),
+        (false, &home),
+        (true, &|_| true),
+    ];
+    let answers = tiers.into_iter().map(|(ready, test)| within(ready, test));
+    answers
+        .into_iter()
+        .find(|a| !a.is_empty())
+        .unwrap_or_default()
+}
+
+/// Returns who takes requests, and who has just begun to drain.
+fn candidates(board: &Board, now: Duration) -> Vec<Candidate> {
+    let drains = |for_: Duration| for_ < DRAINING_NAMED;
+    let mut candidates: Vec<_> = board
         .members
-        .ready(now)
-        .map(|m| (m.region.clone(), m.ip()))
+        .heard(now)
+        .filter(|m| {
+            let draining = Duration::from_millis(m.record.draining_ms.into());
+            let silent = now.saturating_sub(m.heard);
+            m.record.ready || (!draining.is_zero() && drains(draining + silent))
+        })
+        .map(|m| Candidate {
+            region: m.region.clone(),
+            ip: m.ip(),
+            ready: m.record.ready,
+        })
         .collect();
-    if board.is_ready() {
-        ready.push((board.me.region.clone(), board.me.ip));
-    }
-    let within = |test: &dyn Fn(&str) -> bool| -> Vec<Ipv4Addr> {
-        let matching = ready.iter().filter(|(region, _)| test(region));
-        matching.map(|(_, ip)| *ip).take(MOST).collect()
-    };
-    let near = within(&|r| r == region);
-    if !near.is_empty() {
-        return near;
-    }
-    let home = within(&|r| config::allows(homes.as_deref().unwrap_or_default(), r));
-    if !home.is_empty() {
-        return home;
+    if board.is_ready() || board.draining_for(now).is_some_and(drains) {
+        candidates.push(Candidate {
+            region: board.me.region.clone(),
+            ip: board.me.ip,
+            ready: board.is_ready(),
+        });
     }
-    within(&|_| true)
+    candidates
 }
--- a/crates/sesamebarrow_routing/src/quota.rs
+++ b/crates/sesamebarrow_routing/src/quota.rs
@@ -21,8 +21,12 @@
 /// others learn of it, two rounds.
 const SETTLED: Duration = Duration::from_millis(800);
 
-/// Part of the rate that is divided evenly, whatever the demand.
-const EVEN: f64 = 0.4;
+/// Least part of the rate that is divided evenly, whatever the demand; more is while
+/// the demand of all together leaves more.
+const LEAST_EVEN: f64 = 0.1;
+
+/// Part of the fixed slack that is given out; the rest covers requests above a share.
+const SLACK: f64 = 0.7;
 
 /// Part of a share's burst at which it counts as full.
 const FULL: f64 = 0.9;
@@ -46,10 +50,14 @@
 }
 
 /// Why a request is not within its customer's rate.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Exceeded {
     /// When the share will hold enough.
     pub retry_after: Duration,
+    /// This instance's part of the rate, 0 to 1.
+    pub part: f64,
+    /// Tokens that the share holds.
+    pub level: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -59,6 +67,8 @@
     refilled: Duration,
     /// This instance's part of the rate, 0 to 1.
     part: f64,
+    /// This instance's part of the fixed slack, 0 to 1.
+    even: f64,
     rate: f64,
     burst: f64,
     /// Tokens asked for, decaying over [`DEMAND_WINDOW`].
@@ -85,24 +95,22 @@
         }
     }
 
-    /// Takes `cost` from the share of `customer`.
-    pub fn take(
-        &mut self,
-        now: Duration,
-        customer: &SmolStr,
-        limit: (f64, f64),
-        cost: f64,
-    ) -> Result<(), Exceeded> {
-        let (rate, burst) = limit;
-        if rate <= 0.0 {
-            return Ok(());
+    /// Begins the share of `customer`, so that it fills before the first request.
+    pub fn open(&mut self, now: Duration, customer: &SmolStr, (rate, burst): (f64, f64)) {
+        if rate > 0.0 {
+            self.bucket(now, customer, (rate, burst));
         }
+    }
+
+    fn bucket(&mut self, now: Duration, customer: &SmolStr, limit: (f64, f64)) -> &mut Bucket {
+        let (rate, burst) = limit;
         let slack = self.bound.slack;
         let part = 1.0 / self.bound.strangers;
         let bucket = self.buckets.entry(customer.clone()).or_insert(Bucket {
-            level: slack * part * 0.5,
+            level: slack * part * SLACK * 0.5,
             refilled: now,
             part,
+            even: part,
             rate,
             burst,
             asked: 0.0,
@@ -110,6 +118,23 @@
         });
         (bucket.rate, bucket.burst) = (rate, burst);
         refill(bucket, now, slack);
+        bucket
+    }
+
+    /// Takes `cost` from the share of `customer`.
+    pub fn take(
+        &mut self,
+        now: Duration,
+        customer: &SmolStr,
+        limit: (f64, f64),
+        cost: f64,
+    ) -> Result<(), Exceeded> {
+        let rate = limit.0;
+        if rate <= 0.0 {
+            return Ok(());
+        }
+        let slack = self.bound.slack;
+        let bucket = self.bucket(now, customer, limit);
         bucket.asked += cost;
         // A request larger than the share's burst needs the whole of it, and leaves a debt.
         let needed = cost.min(burst_share(bucket, slack) * FULL);
@@ -120,6 +145,8 @@
         let speed = (bucket.part * rate * OVER).max(1.0);
         Err(Exceeded {
             retry_after: Duration::from_secs_f64(((needed - bucket.level) / speed).min(60.0)),
+            part: bucket.part,
+            level: bucket.level,
         })
     }
 
@@ -168,6 +195,8 @@
             let id = short_hash(customer);
             let strangers = self.bound.strangers;
             bucket.part = part(now, id, bucket, members, strangers);
+            // CAST: the number of instances is small.
+            bucket.even = 1.0 / (members.all.len() + 1) as f64;
             bucket.level = bucket.level.min(burst_share(bucket, slack));
         }
     }
@@ -207,9 +236,10 @@
         .map(demand_of)
         .sum();
     let total = mine + others;
+    let spare = (1.0 - total / bucket.rate.max(1.0)).max(LEAST_EVEN);
     let weigh = |demand: f64| {
         let wanted = if total > 0.0 { demand / total } else { even };
-        free * (EVEN * even + (1.0 - EVEN) * wanted)
+        free * (spare * even + (1.0 - spare) * wanted)
     };
     for member in members.all.values_mut() {
         if is_linked(member, now, patience) {
@@ -222,7 +252,7 @@
 
 /// Returns the most tokens that the share may hold.
 fn burst_share(bucket: &Bucket, slack: f64) -> f64 {
-    bucket.part * (bucket.burst * OVER + slack * 0.7)
+    bucket.part * bucket.burst * OVER + bucket.even * slack * SLACK
 }
 
 fn refill(bucket: &mut Bucket, now: Duration, slack: f64) {
