--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -343,10 +343,12 @@
         Target::Upstream(chosen) => upstream_request(job, chosen, last_event),
         Target::Hop(hop) => hop::request(job, hop, last_event, tries.ran),
     };
-    if tries.sent == 0 {
+    // A request from another instance has earned its part there.
+    if tries.sent == 0 && !job.plan.hopped {
         let now = shared.now();
         let mut board = shared.board();
-        board.budget.earn(now, &job.plan.service, 1);
+        let instances = board.instances();
+        board.budget.earn(now, &job.plan.service, instances);
     }
     tries.sent += 1;
     tries.ran += 1;
