--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -163,6 +163,7 @@
         let customer = identify(&config, &route, request.key.as_deref())?;
         (route, customer)
     };
+    shared.board().note_use(&route);
     let reservation = reserve(shared, &request.id, customer.as_ref(), request.tokens)?;
     let draw = rand::random();
     let service = route.pick_service(draw).clone();
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -11,7 +11,7 @@
 
 use crate::budget::{self, Budget};
 use crate::cold;
-use crate::config::Config;
+use crate::config::{Config, Route};
 use crate::gossip::{Datagram, Load, Own, Record, short_hash};
 use crate::member::{Member, Members};
 use crate::quota::{self, Quota};
@@ -77,6 +77,8 @@
     pub quota: Quota,
     /// Resends that may be made.
     pub budget: Budget,
+    /// Requests seen by the name of their route, of routes that are bound to regions.
+    pub uses: HashMap<SmolStr, u64>,
     /// Random numbers, from one seed.
     pub rng: StdRng,
     /// Heartbeats so far.
@@ -109,6 +111,7 @@
             members: Members::default(),
             quota: Quota::new(bounds.quota),
             budget: Budget::new(bounds.budget),
+            uses: HashMap::new(),
             rng: StdRng::seed_from_u64(seed),
             beat: 0,
             draining: None,
@@ -137,6 +140,8 @@
         {
             return false;
         }
+        self.uses
+            .retain(|name, _| config.routes.iter().any(|r| r.name == name));
         for customer in &config.customers {
             let limit = (customer.rate, customer.burst);
             self.quota.open(now, &customer.name, limit);
@@ -165,6 +170,13 @@
         }
     }
 
+    /// Notes a request on a route, so that the directory knows where its callers may go.
+    pub fn note_use(&mut self, route: &Route) {
+        if !route.regions.is_empty() {
+            *self.uses.entry(route.name.clone()).or_default() += 1;
+        }
+    }
+
     /// Begins or ends the evacuation of a failure domain.
     pub fn set_evacuated(&mut self, now: Duration, domain: &str, begins: bool) {
         if begins {
--- a/crates/sesamebarrow_routing/src/config.rs
+++ b/crates/sesamebarrow_routing/src/config.rs
@@ -222,19 +222,11 @@
         self.customers.iter().find(|c| c.name == name)
     }
 
-    /// Returns the regions that every bound route of `host` shares; `None` if all do.
-    pub fn regions_of_host(&self, host: &str) -> Option<Vec<SmolStr>> {
-        let mut bound = self
-            .hosts
-            .get(host)?
-            .iter()
-            .map(|&at| &self.routes[at].regions);
-        let first = bound.by_ref().find(|r| !r.is_empty())?.clone();
-        let rest: Vec<_> = bound.filter(|r| !r.is_empty()).collect();
-        let shared = first
-            .into_iter()
-            .filter(|r| rest.iter().all(|o| o.contains(r)));
-        Some(shared.collect())
+    /// Returns the routes of `host` that are bound to regions.
+    pub fn bound_routes(&self, host: &str) -> impl Iterator<Item = &Arc<Route>> {
+        let list = self.hosts.get(host).map_or(&[][..], Vec::as_slice);
+        let routes = list.iter().map(|&at| &self.routes[at]);
+        routes.filter(|r| !r.regions.is_empty())
     }
 }
 
--- a/crates/sesamebarrow_routing/src/place.rs
+++ b/crates/sesamebarrow_routing/src/place.rs
@@ -1,12 +1,12 @@
 //! Which instances a caller should connect to.
 
+use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use smol_str::SmolStr;
 
 use crate::board::Board;
-use crate::config;
 
 /// How long an answer holds. Some callers keep it three times as long, which has to fit
 /// the time for which a stopping instance still takes requests.
@@ -29,11 +29,10 @@
 /// takes requests.
 ///
 /// Callers stay in their region while an instance there takes requests; else they go to
-/// regions that every bound route of the host allows, where need be to an instance that
+/// the regions that most requests on the host's bound routes allow, where need be to an instance that
 /// has just begun to drain; and to any region only if there is none of these.
 pub fn place(board: &Board, now: Duration, host: &str, region: &str) -> Vec<Ipv4Addr> {
-    let homes = board.config.as_ref().and_then(|c| c.regions_of_host(host));
-    let homes = homes.unwrap_or_default();
+    let homes = homes(board, host);
     let candidates = candidates(board, now);
     let within = |ready: bool, test: &dyn Fn(&str) -> bool| -> Vec<Ipv4Addr> {
         let matching = candidates
@@ -42,7 +41,11 @@
         matching.map(|c| c.ip).take(MOST).collect()
     };
     let near = |r: &str| r == region;
-    let home = |r: &str| config::allows(&homes, r);
+    let home = |r: &str| {
+        homes
+            .as_ref()
+            .is_none_or(|homes| homes.iter().any(|h| h == r))
+    };
     let mut found = within(true, &near);
     for (ready, test) in [
         (true, &home as &dyn Fn(&str) -> bool),
@@ -59,6 +62,22 @@
     found
 }
 
+/// Returns the regions that most requests on the bound routes of `host` allow; `None`
+/// where no route is bound.
+fn homes(board: &Board, host: &str) -> Option<Vec<SmolStr>> {
+    let config = board.config.as_ref()?;
+    let mut weights: BTreeMap<&SmolStr, u64> = BTreeMap::new();
+    for route in config.bound_routes(host) {
+        let uses = board.uses.get(&route.name).copied().unwrap_or_default();
+        for region in &route.regions {
+            *weights.entry(region).or_default() += uses + 1;
+        }
+    }
+    let most = weights.values().max().copied()?;
+    let homes = weights.into_iter().filter(|(_, weight)| *weight == most);
+    Some(homes.map(|(region, _)| region.clone()).collect())
+}
+
 /// Returns who takes requests, and who has just begun to drain.
 fn candidates(board: &Board, now: Duration) -> Vec<Candidate> {
     let drains = |for_: Duration| for_ < DRAINING_NAMED;
--- a/crates/sesamebarrow_routing/tests/decisions/placement.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/placement.rs
@@ -44,6 +44,22 @@
     assert_eq!(named(&fleet, 3, "b"), [0, 1]);
 }
 
+/// hunt-02dd-7 of the first site: an unused route is bound to the third region, so that
+/// no region is allowed by all routes.
+#[test]
+fn callers_go_where_most_requests_may_run() {
+    let routes = vec![route("bound", &["a", "b"]), route("unused", &["c"])];
+    let mut fleet = Fleet::new(&[("a", 2), ("b", 1), ("c", 2)], config(&[], routes));
+    let used = fleet.config.routes[0].clone();
+    for instance in &mut fleet.instances {
+        (0..9).for_each(|_| instance.board.note_use(&used));
+    }
+    fleet.pass(ms(3_000));
+    drain(&mut fleet, 2);
+    fleet.pass(ms(2_500));
+    assert_eq!(named(&fleet, 3, "b"), [0, 1]);
+}
+
 /// trouble-2 of the first site, seed 519045783843: all instances of the homes drained at
 /// once, and the directory named the third region.
 #[test]
