--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -141,7 +141,7 @@
             return false;
         }
         self.uses
-            .retain(|name, _| config.routes.iter().any(|r| r.name == name));
+            .retain(|name, _| config.routes.iter().any(|r| r.name == *name));
         for customer in &config.customers {
             let limit = (customer.rate, customer.burst);
             self.quota.open(now, &customer.name, limit);
