--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -119,6 +119,11 @@
         }
     }
 
+    /// Returns the name of the upstream or instance.
+    pub fn target(&self) -> &SmolStr {
+        self.target.name()
+    }
+
     /// Notes that the first bytes of the answer came.
     pub fn note_read(&mut self) {
         if let Target::Upstream(chosen) = &self.target
--- a/crates/sesamebarrow_gateway/src/front.rs
+++ b/crates/sesamebarrow_gateway/src/front.rs
@@ -113,7 +113,7 @@
     };
     let mut response = match result {
         Ok(response) => response,
-        Err(refusal) => refused(&id, refusal, began),
+        Err(refusal) => refused(&shared, &id, refusal, began),
     };
     if shared.closing.load(Ordering::Relaxed) {
         let close = HeaderValue::from_static("close");
@@ -132,7 +132,7 @@
         Err(refusal) => Err(refusal),
     };
     result.unwrap_or_else(|refusal| {
-        let mut response = refused(&id, refusal, began);
+        let mut response = refused(&shared, &id, refusal, began);
         hop::mark(&mut response, refusal);
         response
     })
@@ -144,13 +144,16 @@
     relay::pass_on(shared, job, tries, answer).await
 }
 
-fn refused(id: &SmolStr, refusal: Refusal, began: Instant) -> Response<Body> {
+fn refused(shared: &Shared, id: &SmolStr, refusal: Refusal, began: Instant) -> Response<Body> {
     let status = refusal.status().as_u16();
     let millis = began.elapsed().as_millis();
     let retry_ms = refusal.retry_after().map_or(0, |r| r.as_millis());
-    log::info!(
-        request = id.as_str(), status, outcome:% = refusal, millis, retry_ms; "request refused"
-    );
+    if shared.lines.allow(true) {
+        log::info!(
+            request = id.as_str(), status, outcome:% = refusal, millis, retry_ms;
+            "request refused"
+        );
+    }
     let reason = refusal.to_string();
     metrics::counter!("sesamebarrow_refusals_total", "reason" => reason).increment(1);
     refusal.into_response()
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod gossip;
 pub mod hop;
 pub mod intake;
+pub mod lines;
 pub mod pool;
 pub mod relay;
 pub mod reply;
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -54,7 +54,7 @@
     loop {
         let whole = tokio::time::timeout(job.left(), take_whole(&mut answer)).await;
         let (refusal, end) = match whole {
-            Ok(Ok(body)) => return Ok(finish(&job, answer, body)),
+            Ok(Ok(body)) => return Ok(finish(shared, &job, answer, body)),
             Ok(Err(Broken)) => (Refusal::Unknown("answer-broken"), End::Broken),
             Err(_) => (Refusal::TimedOut, End::Silent),
         };
@@ -84,15 +84,16 @@
     Ok(buf.freeze())
 }
 
-fn finish(job: &Job, answer: Answer, body: Bytes) -> Response<Body> {
+fn finish(shared: &Shared, job: &Job, answer: Answer, body: Bytes) -> Response<Body> {
     let status = answer.head.status();
     let end = if exchange::is_failure(status) {
         End::Failed
     } else {
         End::Whole
     };
+    let target = answer.held.target().clone();
     answer.held.end(end);
-    log_end(job, status.as_u16(), "whole");
+    log_end(shared, job, &target, status.as_u16(), "whole");
     let (mut parts, ()) = answer.head.into_parts();
     strip(&mut parts.headers);
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
@@ -111,13 +112,16 @@
 }
 
 /// Writes the line of a request that an upstream answered.
-fn log_end(job: &Job, status: u16, outcome: &'static str) {
+fn log_end(shared: &Shared, job: &Job, target: &str, status: u16, outcome: &'static str) {
     let millis = job.began.elapsed().as_millis();
-    log::info!(
-        request = job.id.as_str(), route = job.plan.route.as_str(), status, outcome, millis,
-        hopped = job.plan.hopped;
-        "request ended"
-    );
+    if shared.lines.allow(outcome != "whole") {
+        log::info!(
+            request = job.id.as_str(), route = job.plan.route.as_str(),
+            customer = job.plan.customer.as_deref().unwrap_or("none"), target, status, outcome,
+            millis, hopped = job.plan.hopped;
+            "request ended"
+        );
+    }
     metrics::counter!("sesamebarrow_answers_total", "outcome" => outcome).increment(1);
     metrics::histogram!("sesamebarrow_answer_seconds").record(job.began.elapsed().as_secs_f64());
 }
@@ -131,6 +135,7 @@
         ends: Box::pin(tokio::time::sleep_until(job.ends.into())),
         events: Events::new(job.plan.resumable, job.last_event.clone()),
         job: Arc::new(job),
+        target: answer.held.target().clone(),
         source: Source::Open(answer.body, Some(Box::new(answer.held))),
         tries: Some(tries),
         status: parts.status.as_u16(),
@@ -205,6 +210,8 @@
     tries: Option<Tries>,
     ends: Pin<Box<Sleep>>,
     status: u16,
+    /// Name of the upstream or instance that the stream comes from.
+    target: SmolStr,
 }
 
 impl Relay {
@@ -216,7 +223,7 @@
     }
 
     fn fail(&mut self, outcome: &'static str) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        log_end(&self.job, self.status, outcome);
+        log_end(&self.shared, &self.job, &self.target, self.status, outcome);
         self.source = Source::Done;
         Poll::Ready(Some(Err(Broken)))
     }
@@ -254,6 +261,11 @@
                     Poll::Pending => Poll::Pending,
                     Poll::Ready((tries, Ok(answer))) if answer.head.status().is_success() => {
                         this.tries = Some(tries);
+                        this.target = answer.held.target().clone();
+                        log::info!(
+                            request = this.job.id.as_str(), target = this.target.as_str();
+                            "stream resumed"
+                        );
                         this.source = Source::Open(answer.body, Some(Box::new(answer.held)));
                         continue;
                     }
@@ -281,7 +293,7 @@
                 }
                 None if this.events.partial.is_empty() => {
                     this.end(End::Whole);
-                    log_end(&this.job, this.status, "whole");
+                    log_end(&this.shared, &this.job, &this.target, this.status, "whole");
                     return Poll::Ready(None);
                 }
                 Some(Err(_)) | None => {
@@ -307,7 +319,13 @@
     fn drop(&mut self) {
         self.shared.requests.fetch_sub(1, Ordering::Relaxed);
         if !matches!(self.source, Source::Done) {
-            log_end(&self.job, self.status, "cancelled");
+            log_end(
+                &self.shared,
+                &self.job,
+                &self.target,
+                self.status,
+                "cancelled",
+            );
         }
     }
 }
--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -50,11 +50,19 @@
     tokio::spawn(front::serve(shared.clone(), questions, directory::resolve));
     let operator = move |shared, req| admin::answer(shared, metrics.clone(), req);
     tokio::spawn(front::serve(shared.clone(), operators, operator));
+    tokio::spawn(renew_lines(shared.clone()));
     wait_for_stop(&shared).await?;
     drain(&shared).await;
     Ok(())
 }
 
+async fn renew_lines(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        shared.lines.renew();
+    }
+}
+
 fn identity(settings: &Settings) -> Identity {
     // Only compared with the same instance's earlier runs; see `member::take`.
     let started = SystemTime::now()
--- a/crates/sesamebarrow_gateway/src/shared.rs
+++ b/crates/sesamebarrow_gateway/src/shared.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::lines::Lines;
 use crate::pool::Pool;
 use crate::settings::Settings;
 
@@ -26,6 +27,8 @@
     catalog: Mutex<Catalog>,
     /// Connections to upstreams and instances.
     pub pool: Pool,
+    /// Budgets of the log.
+    pub lines: Lines,
     /// Connections of callers and instances that are open.
     pub connections: TaskTracker,
     /// Requests under way.
@@ -54,6 +57,7 @@
             board: Mutex::new(board),
             catalog: Mutex::default(),
             pool: Pool::default(),
+            lines: Lines::default(),
             connections: TaskTracker::new(),
             requests: AtomicU64::new(0),
             closing: AtomicBool::new(false),
