--- a/crates/sesamebarrow_ctl/src/cli.rs
+++ b/crates/sesamebarrow_ctl/src/cli.rs
@@ -47,6 +47,7 @@
         .subcommand(admin("metrics", "Print an instance's metrics"))
         .subcommand(admin("drain", "Let an instance stop gracefully"))
         .subcommand(load())
+        .subcommand(explain())
 }
 
 fn rules() -> Command {
@@ -103,6 +104,17 @@
         .arg(file("key", "File with the caller's key").long("key"))
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Print what logs say of one request, in order")
+        .arg(
+            Arg::new("id")
+                .required(true)
+                .help("The caller's attempt id"),
+        )
+        .arg(file("logs", "Logs of instances").num_args(1..))
+}
+
 fn load() -> Command {
     Command::new("load")
         .about("Send load as described in a TOML file and report")
--- a/crates/sesamebarrow_ctl/src/main.rs
+++ b/crates/sesamebarrow_ctl/src/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod cli;
 mod client;
+mod explain;
 mod keys;
 mod load;
 mod placement;
@@ -31,6 +32,7 @@
     match name {
         "rules" => rules::run(args),
         "key" => keys::run(args),
+        "explain" => explain::run(args),
         _ => tokio::runtime::Builder::new_multi_thread()
             .enable_all()
             .build()?
--- a/crates/sesamebarrow_ctl/tests/rules.rs
+++ b/crates/sesamebarrow_ctl/tests/rules.rs
@@ -47,3 +47,26 @@
     let errors = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(errors.contains("speed"), "{errors}");
 }
+
+#[test]
+fn explain_prints_the_lines_of_one_request_in_order() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = |name: &str, text: &str| {
+        let path = folder.path().join(name);
+        std::fs::write(&path, text).expect("a log");
+        path
+    };
+    let one = log(
+        "one",
+        "timestamp=2 message=ended request=ab1\ntimestamp=3 request=ab12\n",
+    );
+    let two = log("two", "timestamp=1 message=sent request=ab1\n");
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_sesamebarrowctl"))
+        .args(["explain", "ab1"])
+        .args([one, two])
+        .output()
+        .expect("it runs");
+    let text = String::from_utf8_lossy(&output.stdout);
+    let messages: Vec<_> = text.lines().map(|l| l.contains("message=sent")).collect();
+    assert_eq!(messages, [true, false], "{text}");
+}
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -29,8 +29,8 @@
 /// By how much another region must be faster before a request leaves this one.
 const SPILL_MARGIN: Duration = Duration::from_millis(120);
 
-/// Most sends of one request, those included that did not run.
-const MAX_SENDS: u32 = 4;
+/// Most connections that are tried for one request.
+const MAX_ATTEMPTS: u32 = 4;
 
 /// Spread of the times at which refused callers come back.
 const RETRY_SPREAD: Duration = Duration::from_millis(400);
@@ -61,7 +61,11 @@
 pub struct Tries {
     upstreams: Vec<Key>,
     regions: Vec<SmolStr>,
+    /// Connections that were tried.
+    made: u32,
+    /// Sends, those included that did not run.
     sent: u32,
+    /// Sends that may have run.
     ran: u32,
 }
 
@@ -207,7 +211,7 @@
     let mut failed: Option<Box<Answer>> = None;
     let mut last = None;
     loop {
-        if tries.sent > 0 && !may_follow(shared, job, tries) {
+        if tries.made > 0 && !may_follow(shared, job, tries) {
             return conclude(failed, last);
         }
         let target = match choose(shared, job, tries) {
@@ -225,10 +229,13 @@
             Attempted::Broken(why) => (why, Refusal::Unknown(why)),
             Attempted::TimedOut => ("timeout", Refusal::TimedOut),
         };
-        log::info!(
-            request = job.id.as_str(), target = target.name().as_str(), outcome,
-            sent = tries.sent; "attempt ended"
-        );
+        metrics::counter!("sesamebarrow_attempts_failed_total", "outcome" => outcome).increment(1);
+        if shared.lines.allow(true) {
+            log::info!(
+                request = job.id.as_str(), target = target.name().as_str(), outcome,
+                sent = tries.sent; "attempt ended"
+            );
+        }
         // Once a run is in doubt, no later refusal may say that it has not run.
         if !matches!(last, Some(Refusal::Unknown(_) | Refusal::TimedOut)) || tries.ran == 0 {
             last = Some(refusal);
@@ -247,12 +254,16 @@
 
 /// Tells whether one more attempt may be made.
 fn may_follow(shared: &Shared, job: &Job, tries: &Tries) -> bool {
-    if job.left() < MIN_LEFT || tries.sent >= MAX_SENDS {
+    if job.left() < MIN_LEFT || tries.made >= MAX_ATTEMPTS {
         return false;
     }
     if tries.ran > 0 && (!job.plan.may_repeat || tries.ran >= job.plan.max_attempts) {
         return false;
     }
+    if tries.sent == 0 {
+        // Nothing arrived anywhere yet, so that nothing is sent again.
+        return true;
+    }
     let mut board = shared.board();
     let instances = board.instances();
     board
@@ -321,6 +332,7 @@
     tries: &mut Tries,
     last_event: Option<&SmolStr>,
 ) -> Attempted {
+    tries.made += 1;
     let mut held = Held::begin(shared, target, job);
     let (address, timeout) = match target {
         Target::Upstream(chosen) => {
@@ -336,7 +348,7 @@
     let mut connection = match connected {
         Ok(connection) => connection,
         Err(error) => {
-            log::info!(
+            log::debug!(
                 request = job.id.as_str(), target = target.name().as_str(), error:% = error;
                 "not connected"
             );
--- a/crates/sesamebarrow_gateway/src/store.rs
+++ b/crates/sesamebarrow_gateway/src/store.rs
@@ -48,8 +48,9 @@
     Answer(#[from] calls::Error),
 }
 
-/// Time given to other instances at the start: one that they answer need not read.
-const FIRST_LOOK: Duration = Duration::from_millis(700);
+/// Time given to other instances at the start, a round trip between regions and some: an
+/// instance that they answer need not read.
+const FIRST_LOOK: Duration = Duration::from_millis(250);
 
 /// Pause between two looks at whether this instance is to read.
 const DUTY_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -25,7 +25,7 @@
 const FANOUT: usize = 7;
 
 /// Records of others in one datagram, so that it fits one packet.
-const RECORDS: usize = 10;
+pub const RECORDS: usize = 10;
 
 /// Heartbeats by which a member's news of this instance may lag.
 const SEEN_LATELY: u64 = 6;
--- a/crates/sesamebarrow_routing/src/quota.rs
+++ b/crates/sesamebarrow_routing/src/quota.rs
@@ -12,11 +12,15 @@
 use smol_str::SmolStr;
 
 use crate::gossip::{Demand, short_hash};
-use crate::member::{Member, Members, ROUND};
+use crate::member::{Member, Members, RECORDS, ROUND};
 
 /// Time over which demand is averaged.
 const DEMAND_WINDOW: Duration = Duration::from_millis(1_500);
 
+/// Part of a share's burst at its start, where the first answer of another instance names
+/// all there are. It fits into the users' bound a few times in a window.
+const BEGIN: f64 = 0.3;
+
 /// Time in which a share that is less than half full asks to be filled up to there.
 const REFILL_TIME: Duration = Duration::from_secs(2);
 
@@ -112,15 +116,18 @@
     bound: Bound,
     buckets: HashMap<SmolStr, Bucket>,
     settled: Duration,
+    /// Whether shares were filled for the start.
+    begun: bool,
 }
 
 impl Quota {
-    /// Builds the shares of a new process: empty, so that a restart mints no burst.
+    /// Builds the shares of a new process, nearly empty: a restart mints no whole burst.
     pub fn new(bound: Bound) -> Self {
         Self {
             bound,
             buckets: HashMap::new(),
             settled: Duration::ZERO,
+            begun: false,
         }
     }
 
@@ -230,6 +237,7 @@
         }
         let bound = self.bound;
         let fresh = members.is_fresh(now);
+        let begins = !std::mem::replace(&mut self.begun, true) && members.all.len() < RECORDS;
         for (customer, bucket) in &mut self.buckets {
             refill(bucket, now, bound);
             let id = short_hash(customer);
@@ -240,7 +248,11 @@
             bucket.part = if fresh { part } else { part.min(bucket.part) };
             // CAST: the number of instances is small.
             bucket.even = 1.0 / (members.all.len() + 1) as f64;
-            bucket.level = bucket.level.min(burst_share(bucket, bound));
+            let most = burst_share(bucket, bound);
+            if begins {
+                bucket.level = bucket.level.max(most * BEGIN);
+            }
+            bucket.level = bucket.level.min(most);
         }
     }
 }
