--- a/crates/sesamebarrow_ctl/tests/rules.rs
+++ b/crates/sesamebarrow_ctl/tests/rules.rs
@@ -61,7 +61,7 @@
         "timestamp=2 message=ended request=ab1\ntimestamp=3 request=ab12\n",
     );
     let two = log("two", "timestamp=1 message=sent request=ab1\n");
-    let output = std::process::Command::new(env!("CARGO_BIN_EXE_sesamebarrowctl"))
+    let output = Command::new(env!("CARGO_BIN_EXE_sesamebarrowctl"))
         .args(["explain", "ab1"])
         .args([one, two])
         .output()
