--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -50,7 +50,9 @@
         let mut board = shared.board();
         let mut datagram = board.begin_round(now);
         let board = &mut *board;
-        let receivers = board.members.receivers(&seeds, &mut board.rng);
+        let receivers = board
+            .members
+            .receivers(&board.me.region, &seeds, &mut board.rng);
         let address = |ip| {
             board.address_datagram(&mut datagram, ip);
             (ip, gossip::encode(&datagram))
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -91,6 +91,13 @@
 /// Refusals name this time at least.
 pub const MIN_RETRY: Duration = Duration::from_millis(200);
 
+/// Upstreams of a region that a subject's prompts go to before all others.
+const HOMES: usize = 3;
+
+/// Milliseconds that count against an upstream that is none of them: instances that do not
+/// know each other's load then still agree on where a busy subject spreads.
+const STRAY_COST: f64 = 150.0;
+
 struct Scored {
     key: Key,
     /// Milliseconds until the first event.
@@ -141,12 +148,12 @@
     if usable.iter().any(rested) {
         usable.retain(rested);
     }
-    let home = rendezvous_home(board, &usable, &ask.prompt);
+    let homes = rendezvous_homes(board, &usable, &ask.prompt);
     let engine = engine_of(board, &ask.service);
     let scored = usable.iter().map(|&key| {
         let upstream = &board.upstreams.all[key];
         match engine {
-            Some(engine) => score_engine(board, now, key, upstream, engine, ask, home == Some(key)),
+            Some(engine) => score_engine(board, now, key, upstream, engine, ask, &homes),
             None => score_plain(now, key, upstream),
         }
     });
@@ -186,12 +193,16 @@
     owner && upstream.sends.allows(now, most)
 }
 
-/// Returns the upstream that the prompt's session points to.
-fn rendezvous_home(board: &Board, keys: &[Key], prompt: &[Part]) -> Option<Key> {
+/// Returns the upstreams that the prompt's subject points to, the first choice first.
+fn rendezvous_homes(board: &Board, keys: &[Key], prompt: &[Part]) -> Vec<Key> {
     // The last part belongs to the request; the one before it to what it is about.
-    let part = prompt.iter().rev().nth(1).or(prompt.first())?;
-    let weight = |k: &&Key| rendezvous::mix(part.id, board.upstreams.all[**k].hash.into());
-    keys.iter().max_by_key(weight).copied()
+    let Some(part) = prompt.iter().rev().nth(1).or(prompt.first()) else {
+        return Vec::new();
+    };
+    let weight = |k: &Key| rendezvous::mix(part.id, board.upstreams.all[*k].hash.into());
+    let mut ranked: Vec<(u64, Key)> = keys.iter().map(|k| (weight(k), *k)).collect();
+    ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+    ranked.into_iter().take(HOMES).map(|(_, key)| key).collect()
 }
 
 fn score_engine(
@@ -201,10 +212,11 @@
     upstream: &Upstream,
     engine: Engine,
     ask: &Ask,
-    home: bool,
+    homes: &[Key],
 ) -> Scored {
     // CAST: token counts are far below 2^53.
     let tokens = |t: u64| t as f64;
+    let home = homes.first() == Some(&key);
     let kept = upstream.cache.kept(&ask.prompt).min(ask.tokens_in);
     let unread = ask.tokens_in - kept;
     let shared: u64 = ask
@@ -239,7 +251,14 @@
     Scored {
         key,
         wait,
-        cost: wait + tokens(reread) / speed * REREAD_WEIGHT + upstream.fault_ratio * FAULT_COST,
+        cost: wait
+            + tokens(reread) / speed * REREAD_WEIGHT
+            + if homes.contains(&key) {
+                0.0
+            } else {
+                STRAY_COST
+            }
+            + upstream.fault_ratio * FAULT_COST,
         size: Size {
             unread,
             memory: need,
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -375,7 +375,10 @@
             .collect();
         for upstream in self.upstreams.all.values_mut() {
             let mut sum = Own::default();
-            for own in told.iter().filter_map(|m| m.own.1.get(&upstream.hash)) {
+            for member in &told {
+                let Some(own) = member.own.1.get(&upstream.hash) else {
+                    continue;
+                };
                 sum.running += own.running;
                 sum.unread += own.unread;
                 sum.memory += own.memory;
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -24,6 +24,9 @@
 /// Members spoken to in one round.
 const FANOUT: usize = 7;
 
+/// Members of other regions among them at least.
+const FAR: usize = 2;
+
 /// Records of others in one datagram, so that it fits one packet.
 pub const RECORDS: usize = 10;
 
@@ -215,9 +218,13 @@
 
     /// Picks the addresses that this round's datagrams go to: members, the unheard among
     /// them too, and one of the `seeds`.
-    pub fn receivers(&self, seeds: &[Ipv4Addr], rng: &mut impl Rng) -> Vec<Ipv4Addr> {
-        let members = self.all.values().map(Member::ip);
-        let mut receivers = members.sample(rng, FANOUT);
+    pub fn receivers(&self, region: &str, seeds: &[Ipv4Addr], rng: &mut impl Rng) -> Vec<Ipv4Addr> {
+        // Those of the region share its upstreams and need each other's load most.
+        let (near, far): (Vec<_>, Vec<_>) = self.all.values().partition(|m| m.region == region);
+        let near = near.into_iter().map(Member::ip).sample(rng, FANOUT - FAR);
+        let rest = FANOUT - near.len();
+        let mut receivers = far.into_iter().map(Member::ip).sample(rng, rest);
+        receivers.extend(near);
         let unknown = seeds.iter().copied().filter(|s| !receivers.contains(s));
         let few = if self.all.is_empty() { seeds.len() } else { 1 };
         let extra = unknown.sample(rng, few);
--- a/crates/sesamebarrow_routing/tests/decisions/fleet.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/fleet.rs
@@ -239,7 +239,10 @@
         let seeds: Vec<_> = seeds.into_iter().filter(|seed| *seed != me).collect();
         let board = &mut self.instances[from].board;
         let mut datagram = board.begin_round(local);
-        for ip in board.members.receivers(&seeds, &mut board.rng) {
+        for ip in board
+            .members
+            .receivers(&board.me.region, &seeds, &mut board.rng)
+        {
             board.address_datagram(&mut datagram, ip);
             let to = addresses.iter().position(|a| *a == ip);
             self.flights.push(Flight {
