--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -86,6 +86,7 @@
     size: Size,
     connection: Option<Connection>,
     idle: Option<Duration>,
+    began: Instant,
     ended: bool,
 }
 
@@ -119,6 +120,7 @@
             size,
             connection: None,
             idle: None,
+            began: Instant::now(),
             ended: false,
         }
     }
@@ -133,10 +135,13 @@
         if let Target::Upstream(chosen) = &self.target
             && self.size.unread > 0
         {
-            self.shared
-                .board()
-                .upstreams
-                .note_read(chosen.key, self.size);
+            let mut board = self.shared.board();
+            board.upstreams.note_read(chosen.key, self.size);
+            let upstream = board.upstreams.all.get(chosen.key);
+            if let Some(service) = upstream.map(|u| u.entry.service.clone()) {
+                board.note_first_event(&service, chosen.wait, self.began.elapsed());
+            }
+            drop(board);
             self.size.unread = 0;
         }
     }
@@ -288,12 +293,14 @@
         target
     };
     ask.tried.clone_from(&tries.upstreams);
-    let mut local = if job.residency.allows(&board.me.region) {
+    let here = job.residency.allows(&board.me.region);
+    let mut local = if here {
         admit::choose(&mut board, now, &ask)
     } else {
         Err(Refused::NoUpstream)
     };
-    if local == Err(Refused::NoUpstream) && !ask.tried.is_empty() && job.plan.may_repeat {
+    let exhausted = here && local == Err(Refused::NoUpstream) && !ask.tried.is_empty();
+    if exhausted && tries.ran > 0 && job.plan.may_repeat {
         // The only upstream may run it once more.
         ask.tried.clear();
         local = admit::choose(&mut board, now, &ask);
@@ -306,8 +313,16 @@
     {
         return Ok(Target::Upstream(chosen.clone()));
     }
+    let subject = ask.prompt.iter().rev().nth(1).map(|part| part.id);
     let allowed = |region: &str| job.residency.allows(region);
-    let hop = spill::choose(&mut board, now, &job.plan.service, allowed, &tries.regions);
+    let hop = spill::choose(
+        &mut board,
+        now,
+        &job.plan.service,
+        allowed,
+        &tries.regions,
+        subject,
+    );
     match (local, hop) {
         (Ok(chosen), Some(hop)) if hop.wait + SPILL_MARGIN < chosen.wait => Ok(Target::Hop(hop)),
         (Ok(chosen), _) => Ok(Target::Upstream(chosen)),
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -242,7 +242,13 @@
         .stated
         .filter(|s| now.saturating_sub(s.0) < Duration::from_millis(300));
     let queued = waiting.map_or(0, |s| s.1.waiting);
+    let lateness = board
+        .lateness
+        .get(&ask.service)
+        .copied()
+        .unwrap_or_default();
     let wait = ENGINE_FIRST
+        + lateness
         + (backlog + tokens(unread)) / speed
         + f64::from(running) * STEP_COST
         + f64::from(queued) * QUEUED_COST;
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -52,6 +52,12 @@
 /// the store's page states about two seconds.
 pub const RETURN_TIME: Duration = Duration::from_millis(2_500);
 
+/// Weight of the newest first event in the lateness.
+const LATENESS_GAIN: f64 = 0.03;
+
+/// Most milliseconds that are added to estimates.
+const MAX_LATENESS: f64 = 500.0;
+
 /// Instances of a region that read the store; two, so that news does not wait for the
 /// loss of one to be noticed.
 const READERS: usize = 2;
@@ -77,6 +83,8 @@
     pub quota: Quota,
     /// Resends that may be made.
     pub budget: Budget,
+    /// Milliseconds by which first events came later than estimated, by service, averaged.
+    pub lateness: HashMap<SmolStr, f64>,
     /// Requests seen by the name of their route, of routes that are bound to regions.
     pub uses: HashMap<SmolStr, u64>,
     /// Random numbers, from one seed.
@@ -111,6 +119,7 @@
             members: Members::default(),
             quota: Quota::new(bounds.quota),
             budget: Budget::new(bounds.budget),
+            lateness: HashMap::new(),
             uses: HashMap::new(),
             rng: StdRng::seed_from_u64(seed),
             beat: 0,
@@ -170,6 +179,14 @@
         }
     }
 
+    /// Notes how long a first event took against its estimate, for the estimates to come.
+    pub fn note_first_event(&mut self, service: &SmolStr, estimated: Duration, took: Duration) {
+        let late = (took.as_secs_f64() - estimated.as_secs_f64()) * 1_000.0;
+        let average = self.lateness.entry(service.clone()).or_default();
+        // What is added to estimates is in `estimated` already.
+        *average = (*average + LATENESS_GAIN * late).clamp(0.0, MAX_LATENESS);
+    }
+
     /// Notes a request on a route, so that the directory knows where its callers may go.
     pub fn note_use(&mut self, route: &Route) {
         if !route.regions.is_empty() {
--- a/crates/sesamebarrow_routing/src/spill.rs
+++ b/crates/sesamebarrow_routing/src/spill.rs
@@ -8,6 +8,7 @@
 
 use crate::board::Board;
 use crate::gossip::short_hash;
+use crate::rendezvous;
 
 /// An instance of another region.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,6 +26,9 @@
 /// Wait that is assumed of a region whose load is not known.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(300);
 
+/// By how much longer a request may wait in the region where its subject's prompts go.
+const AFFINITY: Duration = Duration::from_millis(40);
+
 /// Wait that each request adds to a region, until it reports anew.
 const ADDED_WAIT: Duration = Duration::from_millis(8);
 
@@ -36,10 +40,11 @@
     service: &str,
     allowed: impl Fn(&str) -> bool,
     tried: &[SmolStr],
+    subject: Option<u64>,
 ) -> Option<Hop> {
     let hash = short_hash(service);
     let way = board.bounds.region_delay * 2;
-    let mut best: Option<(Duration, SmolStr)> = None;
+    let mut best: Option<(Duration, Duration, SmolStr)> = None;
     for member in board.members.ready(now) {
         let region = &member.region;
         if *region == board.me.region || tried.contains(region) || !allowed(region) {
@@ -50,11 +55,17 @@
             Some(load) => load.wait,
             None => UNKNOWN_WAIT,
         };
-        if best.as_ref().is_none_or(|b| wait < b.0) {
-            best = Some((wait, region.clone()));
+        let rank = rendezvous::mix(subject.unwrap_or_default(), short_hash(region).into());
+        let cost = if subject.is_some() && rank.is_multiple_of(2) {
+            wait.saturating_sub(AFFINITY)
+        } else {
+            wait
+        };
+        if best.as_ref().is_none_or(|b| cost < b.0) {
+            best = Some((cost, wait, region.clone()));
         }
     }
-    let (wait, region) = best?;
+    let (_, wait, region) = best?;
     let there = board.members.ready(now).filter(|m| m.region == region);
     let two = there.sample(&mut board.rng, 2);
     let member = two.into_iter().min_by_key(|m| m.hops)?;
