--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -1,6 +1,7 @@
 //! The process: starts its parts and stops them gracefully.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -22,7 +23,9 @@
 const STREAMS_TAKEN: f64 = 0.9;
 
 /// Runs the process until it is told to stop.
-pub async fn run(settings: Settings) -> anyhow::Result<()> {
+///
+/// `path` is the settings file, which is read again at SIGHUP and when it changes.
+pub async fn run(settings: Settings, path: &Path) -> anyhow::Result<()> {
     let metrics = admin::install()?;
     let listen = settings.listen;
     let me = identity(&settings);
@@ -51,7 +54,7 @@
     let operator = move |shared, req| admin::answer(shared, metrics.clone(), req);
     tokio::spawn(front::serve(shared.clone(), operators, operator));
     tokio::spawn(renew_lines(shared.clone()));
-    wait_for_stop(&shared).await?;
+    wait_for_stop(&shared, path).await?;
     drain(&shared).await;
     Ok(())
 }
@@ -84,21 +87,51 @@
         .with_context(|| format!("{field}: cannot listen on {address}"))
 }
 
-async fn wait_for_stop(shared: &Shared) -> anyhow::Result<()> {
+async fn wait_for_stop(shared: &Shared, path: &Path) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let mut look = tokio::time::interval(SETTINGS_LOOK);
+    let mut changed = modified(path);
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
-            _ = reload.recv() => {
-                log::info!(name = shared.me.name.as_str(); "settings reloaded at the next start");
+            _ = hangup.recv() => reload(shared, path),
+            _ = look.tick() => {
+                let now = modified(path);
+                if now != changed {
+                    changed = now;
+                    reload(shared, path);
+                }
             }
         }
     }
 }
 
+/// Time between two looks at whether the settings file has changed without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(5);
+
+fn modified(path: &Path) -> Option<SystemTime> {
+    // A file that cannot be read counts as unchanged until it can.
+    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+}
+
+/// Puts the limits of the settings file in force; what an instance listens on and who it
+/// is need a new start.
+fn reload(shared: &Shared, path: &Path) {
+    match Settings::load(path) {
+        Ok(settings) => {
+            shared.board().set_bounds(settings.bounds());
+            let restart = settings.listen != shared.settings.listen
+                || settings.name != shared.settings.name
+                || settings.domains != shared.settings.domains;
+            log::info!(restart; "settings reloaded");
+        }
+        Err(error) => log::error!(error:% = error; "settings not usable, the earlier ones hold"),
+    }
+}
+
 /// Takes no new callers and lets all work end.
 async fn drain(shared: &Shared) {
     let shutdown = shared.settings.shutdown;
--- a/crates/sesamebarrow_node/src/main.rs
+++ b/crates/sesamebarrow_node/src/main.rs
@@ -45,5 +45,5 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(sesamebarrow_gateway::run(settings))
+    runtime.block_on(sesamebarrow_gateway::run(settings, &path))
 }
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -130,6 +130,13 @@
         }
     }
 
+    /// Puts other bounds in force; what was taken under the earlier ones counts on.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+        self.quota.set_bound(bounds.quota);
+        self.budget.set_bound(bounds.budget);
+    }
+
     /// Tells whether the instance takes new requests.
     pub fn is_ready(&self) -> bool {
         self.config.is_some() && self.draining.is_none()
--- a/crates/sesamebarrow_routing/src/budget.rs
+++ b/crates/sesamebarrow_routing/src/budget.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Puts another bound in force.
+    pub fn set_bound(&mut self, bound: Bound) {
+        self.bound = bound;
+    }
+
     /// Counts a first send to `service`.
     pub fn earn(&mut self, now: Duration, service: &SmolStr, instances: usize) {
         let most = self.most(instances);
--- a/crates/sesamebarrow_routing/src/quota.rs
+++ b/crates/sesamebarrow_routing/src/quota.rs
@@ -202,6 +202,11 @@
         }
     }
 
+    /// Puts another bound in force.
+    pub fn set_bound(&mut self, bound: Bound) {
+        self.bound = bound;
+    }
+
     /// Returns the demand to tell, and notes that it was told.
     pub fn tell(&mut self, now: Duration) -> Vec<Demand> {
         let bound = self.bound;
@@ -221,6 +226,7 @@
                 rate: rate as u32,
             });
         }
+        demand.retain(|d| d.rate > 0);
         demand.sort_by_key(|d| std::cmp::Reverse(d.rate));
         demand.truncate(TOLD);
         demand
--- a/crates/sesamebarrow_routing/tests/decisions/fleet.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/fleet.rs
@@ -6,7 +6,7 @@
 
 use sesamebarrow_routing::board::Bounds;
 use sesamebarrow_routing::config::{Backend, Customer, Engine, Route, Service};
-use sesamebarrow_routing::gossip::Datagram;
+use sesamebarrow_routing::gossip::{self, Datagram};
 use sesamebarrow_routing::member::ROUND;
 use sesamebarrow_routing::upstream::Entry;
 use sesamebarrow_routing::{Board, Config, Identity, Kind, budget, cold, quota};
@@ -131,6 +131,8 @@
     pub now: Duration,
     pub instances: Vec<Instance>,
     pub config: Config,
+    /// Bytes of datagrams that were sent.
+    pub sent_bytes: u64,
     flights: Vec<Flight>,
     runs: u64,
 }
@@ -141,6 +143,7 @@
             now: Duration::ZERO,
             instances: Vec::new(),
             config,
+            sent_bytes: 0,
             flights: Vec::new(),
             runs: 0,
         };
@@ -244,6 +247,7 @@
             .receivers(&board.me.region, &seeds, &mut board.rng)
         {
             board.address_datagram(&mut datagram, ip);
+            self.sent_bytes += gossip::encode(&datagram).len() as u64;
             let to = addresses.iter().position(|a| *a == ip);
             self.flights.push(Flight {
                 at: self.now + DELAY,
