--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -69,8 +69,9 @@
 async fn send_news(shared: &Shared, socket: &UdpSocket) {
     let port = shared.settings.listen.gossip.port();
     let (near, bytes) = {
+        let now = shared.now();
         let board = shared.board();
-        (board.near(shared.now()), gossip::encode(&board.news()))
+        (board.near(now), gossip::encode(&board.news(now)))
     };
     for ip in near {
         send(socket, SocketAddr::new(ip.into(), port), &bytes).await;
--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Request, Response};
 use serde::{Deserialize, Serialize};
 use sesamebarrow_platform::head;
@@ -19,7 +18,7 @@
 use smol_str::SmolStr;
 
 use crate::exchange;
-use crate::intake::{Job, Plan, Reservation, Residency};
+use crate::intake::{Job, Plan, Reservation, Residency, target_of};
 use crate::relay::Body;
 use crate::reply::Refusal;
 use crate::shared::Shared;
@@ -132,11 +131,7 @@
     Ok(Job {
         id: request.id,
         method: parts.method,
-        target: parts
-            .uri
-            .into_parts()
-            .path_and_query
-            .unwrap_or(PathAndQuery::from_static("/")),
+        target: target_of(parts.uri),
         fields: parts.headers,
         body: body.to_bytes(),
         plan: Plan {
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
-use hyper::{HeaderMap, Method, Request};
+use hyper::{HeaderMap, Method, Request, Uri};
 use sesamebarrow_platform::head;
 use sesamebarrow_routing::admit::Ask;
 use sesamebarrow_routing::config::{Customer, Route, allows};
@@ -182,11 +182,7 @@
     Ok(Job {
         id: request.id,
         method: parts.method,
-        target: parts
-            .uri
-            .into_parts()
-            .path_and_query
-            .unwrap_or(PathAndQuery::from_static("/")),
+        target: target_of(parts.uri),
         fields,
         body,
         plan: Plan {
@@ -219,6 +215,12 @@
     })
 }
 
+/// Returns the path and query of a request.
+pub fn target_of(uri: Uri) -> PathAndQuery {
+    let target = uri.into_parts().path_and_query;
+    target.unwrap_or(PathAndQuery::from_static("/"))
+}
+
 /// A customer's rank takes precedence over its route's.
 fn priority(route: &Route, customer: Option<&Customer>) -> u8 {
     customer.and_then(|c| c.priority).unwrap_or(route.priority)
--- a/crates/sesamebarrow_gateway/src/settings.rs
+++ b/crates/sesamebarrow_gateway/src/settings.rs
@@ -35,7 +35,7 @@
         /// The field's path.
         field: &'static str,
         /// What was expected.
-        expected: &'static str,
+        expected: String,
     },
 }
 
@@ -231,7 +231,10 @@
         ];
         for (field, holds, expected) in holds {
             if !holds {
-                return Err(Error::Value { field, expected });
+                return Err(Error::Value {
+                    field,
+                    expected: expected.to_owned(),
+                });
             }
         }
         Ok(())
--- a/crates/sesamebarrow_node/src/pool.rs
+++ b/crates/sesamebarrow_node/src/pool.rs
@@ -15,22 +15,12 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+pub use sesamebarrow_gateway::pool::Error;
 use tokio::net::TcpStream;
 
 /// Idle connections kept for each upstream.
 const IDLE: usize = 32;
 
-/// Why a request got no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Error {
-    /// No byte of it left.
-    #[error("not sent")]
-    NotSent,
-    /// Bytes of it may have left.
-    #[error("broken off")]
-    Broken,
-}
-
 /// A connection that carries one exchange at a time.
 pub struct Connection {
     address: SocketAddr,
--- a/crates/sesamebarrow_node/src/settings.rs
+++ b/crates/sesamebarrow_node/src/settings.rs
@@ -5,42 +5,13 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-pub use sesamebarrow_gateway::settings::{Level, Log};
+pub use sesamebarrow_gateway::settings::{Error, Level, Log};
 use sesamebarrow_policy::settings::{Balancing, Sharing};
 use smol_str::SmolStr;
 
 /// Fewest bytes of a fleet secret.
 const MIN_SECRET_BYTES: usize = 16;
 
-/// The settings cannot be used.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    /// The file cannot be read.
-    #[error("{path}: {source}")]
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// Why.
-        source: std::io::Error,
-    },
-    /// The file is no TOML, or a field is unknown, missing or of the wrong kind.
-    #[error("{path}: {source}")]
-    Parse {
-        /// The file.
-        path: PathBuf,
-        /// Where and why.
-        source: Box<toml::de::Error>,
-    },
-    /// A field has a value that cannot be used.
-    #[error("{field}: {expected}")]
-    Value {
-        /// The field's path.
-        field: &'static str,
-        /// What was expected.
-        expected: String,
-    },
-}
-
 /// All settings.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -248,20 +248,11 @@
         self.sum_others(now);
         let demand = self.quota.tell(now);
         self.quota.settle(now, &mut self.members);
-        // CAST: a stop takes seconds.
         Datagram {
             me: Record {
-                name: self.me.name.to_string(),
-                domain: self.me.domain.to_string(),
-                ip: self.me.ip.to_bits(),
-                incarnation: self.me.incarnation,
                 beat: self.beat,
-                ready: self.is_ready(),
                 demand,
-                store_answers: self.store_answers,
-                draining_ms: self
-                    .draining_for(now)
-                    .map_or(0, |d| d.as_millis().max(1) as u32),
+                ..self.record(now)
             },
             others: self.members.records(now, &mut self.rng),
             changed: self.changed,
@@ -278,24 +269,30 @@
     }
 
     /// Returns a datagram that tells a newer revision and no more.
-    pub fn news(&self) -> Datagram {
+    pub fn news(&self, now: Duration) -> Datagram {
         Datagram {
-            me: Record {
-                name: self.me.name.to_string(),
-                domain: self.me.domain.to_string(),
-                ip: self.me.ip.to_bits(),
-                incarnation: self.me.incarnation,
-                beat: 0,
-                ready: self.is_ready(),
-                demand: Vec::new(),
-                draining_ms: 0,
-                store_answers: self.store_answers,
-            },
+            me: self.record(now),
             changed: self.changed,
             ..Datagram::default()
         }
     }
 
+    /// Returns this instance's record without its heartbeat and demand.
+    fn record(&self, now: Duration) -> Record {
+        let draining = self.draining_for(now);
+        Record {
+            name: self.me.name.to_string(),
+            domain: self.me.domain.to_string(),
+            ip: self.me.ip.to_bits(),
+            incarnation: self.me.incarnation,
+            ready: self.is_ready(),
+            // CAST: a stop takes seconds.
+            draining_ms: draining.map_or(0, |d| d.as_millis().max(1) as u32),
+            store_answers: self.store_answers,
+            ..Record::default()
+        }
+    }
+
     /// Tells whether this instance reads the store for its region: the instances with
     /// the highest weights do, among those that are heard and that the store answers.
     pub fn is_reader(&self, now: Duration) -> bool {
