--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -43,8 +43,6 @@
 pub struct Connection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
-    /// Whether it carried an exchange before.
-    pub used: bool,
 }
 
 impl Connection {
@@ -89,11 +87,7 @@
             }
         });
         metrics::counter!("sesamebarrow_connections_opened_total").increment(1);
-        Ok(Connection {
-            address,
-            sender,
-            used: false,
-        })
+        Ok(Connection { address, sender })
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
@@ -108,15 +102,14 @@
         None
     }
 
-    /// Keeps a connection whose exchange has ended whole; `fields` are its last answer's.
-    pub fn give_back(&self, mut connection: Connection, idle_time: Option<Duration>) {
+    /// Keeps a connection whose exchange has ended whole for `idle_time`, if any.
+    pub fn give_back(&self, connection: Connection, idle_time: Option<Duration>) {
         let Some(idle_time) = idle_time else {
             return;
         };
         if connection.sender.is_closed() {
             return;
         }
-        connection.used = true;
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(connection.address).or_default();
         if connections.len() < MAX_IDLE {
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -131,8 +131,7 @@
 
 fn score_all(board: &Board, now: Duration, ask: &Ask) -> Result<Vec<Scored>, Refused> {
     let keys = board.upstreams.of_service(&ask.service);
-    let usable =
-        |k: &&Key| !ask.tried.contains(*k) && is_usable(board, now, &board.upstreams.all[**k]);
+    let usable = |k: &&Key| !ask.tried.contains(*k) && is_usable(board, &board.upstreams.all[**k]);
     let mut usable: Vec<Key> = keys.iter().filter(usable).copied().collect();
     if usable.is_empty() {
         return Err(Refused::NoUpstream);
@@ -165,7 +164,7 @@
 }
 
 /// Tells whether an upstream may get requests at all.
-fn is_usable(board: &Board, _now: Duration, upstream: &Upstream) -> bool {
+fn is_usable(board: &Board, upstream: &Upstream) -> bool {
     upstream.entry.ready && !board.evacuated.contains(&upstream.entry.domain)
 }
 
--- a/crates/sesamebarrow_routing/src/spill.rs
+++ b/crates/sesamebarrow_routing/src/spill.rs
@@ -33,7 +33,8 @@
 const ADDED_WAIT: Duration = Duration::from_millis(8);
 
 /// Chooses the instance that runs a request soonest in a region that `allowed` permits
-/// and that was not `tried`.
+/// and that was not `tried`. Requests about one `subject` tend to the same regions, where
+/// its prompts are kept.
 pub fn choose(
     board: &mut Board,
     now: Duration,
@@ -55,6 +56,7 @@
             Some(load) => load.wait,
             None => UNKNOWN_WAIT,
         };
+        // Each subject prefers half of the regions, drawn by its hash alike everywhere.
         let rank = rendezvous::mix(subject.unwrap_or_default(), short_hash(region).into());
         let cost = if subject.is_some() && rank.is_multiple_of(2) {
             wait.saturating_sub(AFFINITY)
