--- a/crates/sesamebarrow_gateway/src/admin.rs
+++ b/crates/sesamebarrow_gateway/src/admin.rs
@@ -1,6 +1,7 @@
 //! Metrics and the state dump, for operators.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -83,6 +84,7 @@
         .collect();
     json!({
         "name": board.me.name, "region": board.me.region, "ready": board.is_ready(),
+        "refuses_streams": shared.refuses_streams.load(Ordering::Relaxed),
         "config": board.config.as_ref().map(|c| c.version),
         "changed": board.changed, "evacuated": board.evacuated.iter().collect::<Vec<_>>(),
         "members": members, "upstreams": upstreams,
