--- a/crates/sesamebarrow_standin/src/process.rs
+++ b/crates/sesamebarrow_standin/src/process.rs
@@ -24,21 +24,24 @@
 }
 
 impl Process {
-    /// Starts `program` with `args`; its log goes to `log`, or nowhere.
+    /// Starts `program` with `args`; what it prints goes to `log`, or nowhere.
     pub fn start(
         name: &str,
         program: &Path,
         args: &[&str],
         log: Option<&Path>,
     ) -> anyhow::Result<Self> {
-        let errors = match log {
-            Some(path) => Stdio::from(std::fs::File::create(path)?),
-            None => Stdio::null(),
+        let (output, errors) = match log {
+            Some(path) => {
+                let file = std::fs::File::create(path)?;
+                (Stdio::from(file.try_clone()?), Stdio::from(file))
+            }
+            None => (Stdio::null(), Stdio::null()),
         };
         let child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(output)
             .stderr(errors)
             .spawn()
             .with_context(|| format!("cannot start {}", program.display()))?;
