Make the stand-in's program a part of the tour example

Cause: the workspace shipped a third program, which only the tour used.

Change: the tour starts its stand-ins as further processes of itself; its arguments are parsed by clap instead of by hand.

--- a/crates/sesamebarrow_standin/examples/tour.rs
+++ b/crates/sesamebarrow_standin/examples/tour/main.rs
@@ -5,12 +5,17 @@
 //! Shows a placement, a streamed answer, a payout that runs at most once, a status
 //! check and a refusal, then stops every instance gracefully. With `--stay SECONDS` the
 //! deployment stays up for so long before it stops, for trying out `docs/callers.md`.
+//!
+//! The stand-ins are further processes of this program, started as `tour standin …`.
+
+mod standin;
 
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 use anyhow::Context;
+use clap::{Arg, Command};
 use sesamebarrow_rules::Digest;
 use sesamebarrow_standin::Deployment;
 use sesamebarrow_standin::http;
@@ -54,18 +59,31 @@
 
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
+    let stay = Arg::new("stay")
+        .long("stay")
+        .value_name("SECONDS")
+        .default_value("0")
+        .value_parser(clap::value_parser!(u64));
+    let command = Command::new("tour")
+        .arg(stay)
+        .subcommand(standin::command());
+    let matches = command.get_matches();
+    if let Some((_, matches)) = matches.subcommand() {
+        return standin::run(matches).await;
+    }
+    let stay = matches.get_one("stay").copied().unwrap_or_default();
     let folder = std::env::temp_dir().join(format!("sesamebarrow-tour-{}", std::process::id()));
-    let result = tour(&folder).await;
+    let result = tour(&folder, Duration::from_secs(stay)).await;
     // The folder holds settings and logs of this run only.
     let _ = std::fs::remove_dir_all(&folder);
     result
 }
 
-async fn tour(folder: &Path) -> anyhow::Result<()> {
+async fn tour(folder: &Path, time: Duration) -> anyhow::Result<()> {
     let deployment = plan()?;
     let settings = deployment.write(folder)?;
     let programs = process::program_folder()?;
-    let standins = start_standins(&deployment, &programs.join("standin")).await?;
+    let standins = start_standins(&deployment, &std::env::current_exe()?).await?;
     publish(deployment.platform, "rules", &rules()).await?;
     publish(deployment.platform, "list", &deployment.list(&[])).await?;
     let mut instances = Vec::new();
@@ -80,7 +98,7 @@
     }
     println!("{} instances are ready", instances.len());
     send_work(&deployment).await?;
-    stay(&deployment, folder).await?;
+    stay(&deployment, folder, time).await;
     for process in &mut instances {
         let status = process.stop()?;
         anyhow::ensure!(status.success(), "an instance stopped with {status}");
@@ -90,16 +108,11 @@
     Ok(())
 }
 
-/// Leaves the deployment up for as long as the command line says.
-async fn stay(deployment: &Deployment, folder: &Path) -> anyhow::Result<()> {
-    let args: Vec<String> = std::env::args().collect();
-    let Some(at) = args.iter().position(|a| a == "--stay") else {
-        return Ok(());
-    };
-    let seconds = args
-        .get(at + 1)
-        .context("expected --stay SECONDS")?
-        .parse()?;
+/// Leaves the deployment up for `time`.
+async fn stay(deployment: &Deployment, folder: &Path, time: Duration) {
+    if time.is_zero() {
+        return;
+    }
     let first = &deployment.instances[0];
     println!("export GATEWAY=http://{} KEY={KEY}", first.http);
     println!(
@@ -107,8 +120,7 @@
         first.admin,
         folder.join("secret").display()
     );
-    tokio::time::sleep(Duration::from_secs(seconds)).await;
-    Ok(())
+    tokio::time::sleep(time).await;
 }
 
 async fn start_standins(deployment: &Deployment, program: &Path) -> anyhow::Result<Vec<Process>> {
@@ -116,7 +128,7 @@
     let mut processes = vec![Process::start(
         "platform",
         program,
-        &["platform", &platform],
+        &["standin", "platform", &platform],
         None,
     )?];
     process::until_listening(deployment.platform).await?;
@@ -127,7 +139,7 @@
         } else {
             "plain"
         };
-        let args = [role, address.as_str(), backend.name.as_str()];
+        let args = ["standin", role, address.as_str(), backend.name.as_str()];
         processes.push(Process::start(&backend.name, program, &args, None)?);
         process::until_listening(backend.http).await?;
     }
--- a/crates/sesamebarrow_standin/src/bin/standin.rs
+++ b/crates/sesamebarrow_standin/examples/tour/standin.rs
@@ -1,22 +1,21 @@
 //! Runs one stand-in in a process of its own.
-//!
-//! `standin platform ADDRESS`, `standin model ADDRESS NAME PACE_MS` or
-//! `standin plain ADDRESS NAME`.
 
 use std::time::Duration;
 
-use clap::{Arg, Command};
+use clap::{Arg, ArgMatches, Command};
 use sesamebarrow_standin::upstream::Kind;
 use sesamebarrow_standin::{Platform, Upstream};
 use tokio::net::TcpListener;
 
-fn command() -> Command {
+/// Returns the arguments: the role, the address to listen at, and more by role.
+pub fn command() -> Command {
     let address = Arg::new("address").required(true);
     let name = Arg::new("name").required(true);
     let pace = Arg::new("pace")
         .default_value("20")
         .value_parser(clap::value_parser!(u64));
     Command::new("standin")
+        .about("Runs one stand-in")
         .subcommand_required(true)
         .subcommand(Command::new("platform").arg(address.clone()))
         .subcommand(
@@ -28,9 +27,8 @@
         .subcommand(Command::new("plain").arg(address).arg(name))
 }
 
-#[tokio::main]
-async fn main() -> anyhow::Result<()> {
-    let matches = command().get_matches();
+/// Serves until the process is ended.
+pub async fn run(matches: &ArgMatches) -> anyhow::Result<()> {
     let Some((role, args)) = matches.subcommand() else {
         return Ok(());
     };
--- a/crates/sesamebarrow_standin/src/lib.rs
+++ b/crates/sesamebarrow_standin/src/lib.rs
@@ -1,7 +1,7 @@
 //! Small stand-ins for what the gateway meets: the platform, a model engine and a plain
 //! service. For development and tests only.
 //!
-//! Each runs in a task of the calling process or, by the `standin` program, in a
+//! Each runs in a task of the calling process or, by the `tour` example, in a
 //! process of its own.
 
 pub mod deploy;
