Serve both interfaces by one pool of connections and one reader of settings

Cause: the node's own pool was a copy of the gateway's without its keep-alive times and socket options, and both settings had the same reader.

Change: the node uses the gateway's pool; a request that runs at most once asks it for a new connection by name. Connections to upstreams get keep-alive and a user time-out there too, and a failed connection has a log line.

--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -77,6 +77,12 @@
         if let Some(connection) = self.take_idle(address) {
             return Ok(connection);
         }
+        self.open(address, timeout).await
+    }
+
+    /// Opens a connection to `address` that was never used before, so that the other end
+    /// cannot be closing it already.
+    pub async fn open(&self, address: SocketAddr, timeout: Duration) -> io::Result<Connection> {
         let stream = socket::connect(address, timeout).await?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
--- a/crates/sesamebarrow_gateway/src/settings.rs
+++ b/crates/sesamebarrow_gateway/src/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use sesamebarrow_routing::board::Bounds;
 use sesamebarrow_routing::{budget, cold, quota};
 use smol_str::SmolStr;
@@ -181,17 +182,22 @@
     Debug,
 }
 
+/// Reads a settings file without checking what its types do not.
+pub fn read<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
+    let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    toml::from_str(&text).map_err(|source| Error::Parse {
+        path: path.to_owned(),
+        source: Box::new(source),
+    })
+}
+
 impl Settings {
     /// Reads and checks the settings in `path`.
     pub fn load(path: &Path) -> Result<Self, Error> {
-        let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
-            path: path.to_owned(),
-            source,
-        })?;
-        let settings: Self = toml::from_str(&text).map_err(|source| Error::Parse {
-            path: path.to_owned(),
-            source: Box::new(source),
-        })?;
+        let settings: Self = read(path)?;
         settings.check()?;
         Ok(settings)
     }
--- a/crates/sesamebarrow_node/src/attempt.rs
+++ b/crates/sesamebarrow_node/src/attempt.rs
@@ -8,13 +8,13 @@
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode};
+use sesamebarrow_gateway::pool::{self, Connection};
 use sesamebarrow_policy::Refusal;
 use sesamebarrow_policy::event::Target;
 use smol_str::SmolStr;
 
 use crate::node::Node;
 use crate::peer::{self, Inbound, Stream};
-use crate::pool::{self, Connection};
 
 /// A request as it goes on: nothing in it is a credential.
 #[derive(Clone, Debug)]
@@ -72,7 +72,8 @@
 }
 
 enum Source {
-    Upstream(Incoming, Option<Connection>),
+    /// With the connection and how long it may stay idle afterwards.
+    Upstream(Incoming, Option<(Connection, Option<Duration>)>),
     Instance(Box<Stream>),
 }
 
@@ -91,8 +92,15 @@
     let timeout = node.settings.request.connect_timeout;
     match target {
         Target::Upstream { address, .. } => {
-            let connection = node.pool.connect(*address, once, timeout).await.ok()?;
-            Some(Way::Upstream(connection, *address))
+            let connected = if once {
+                node.pool.open(*address, timeout).await
+            } else {
+                node.pool.connect(*address, timeout).await
+            };
+            if let Err(error) = &connected {
+                log::debug!(address:% = address, error:% = error; "not connected");
+            }
+            Some(Way::Upstream(connected.ok()?, *address))
         }
         Target::Instance { name, .. } => {
             let stream = node.links.open_stream(name, timeout).await?;
@@ -119,7 +127,7 @@
             Begun::Answer(Box::new(Answer {
                 status: head.status,
                 fields: crate::credential::answer_fields(&head.headers),
-                body: Source::Upstream(body, Some(connection)),
+                body: Source::Upstream(body, Some((connection, pool::idle_time(&head.headers)))),
             }))
         }
         Err(pool::Error::NotSent) => Begun::NotSent,
@@ -193,8 +201,8 @@
 
     /// Gives the connection of a whole answer back to the pool.
     pub fn finish(self, pool: &pool::Pool) {
-        if let Source::Upstream(_, Some(connection)) = self.body {
-            pool.give_back(connection);
+        if let Source::Upstream(_, Some((connection, idle_time))) = self.body {
+            pool.give_back(connection, idle_time);
         }
     }
 }
--- a/crates/sesamebarrow_node/src/lib.rs
+++ b/crates/sesamebarrow_node/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod node;
 pub mod peer;
 pub mod platform;
-pub mod pool;
 pub mod problem;
 pub mod relay;
 pub mod settings;
--- a/crates/sesamebarrow_node/src/node.rs
+++ b/crates/sesamebarrow_node/src/node.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use sesamebarrow_gateway::pool::Pool;
 use sesamebarrow_policy::{self as policy, Board, Event, Identity};
 use sesamebarrow_wire::auth::Secret;
 use smol_str::{SmolStr, format_smolstr};
@@ -17,7 +18,6 @@
 use crate::driver::{self, Command, Handle, Setup};
 use crate::peer::Links;
 use crate::platform::Platform;
-use crate::pool::Pool;
 use crate::settings::Settings;
 use crate::{accept, admin, peer, telemetry};
 
--- a/crates/sesamebarrow_node/src/settings.rs
+++ b/crates/sesamebarrow_node/src/settings.rs
@@ -171,14 +171,7 @@
 impl Settings {
     /// Reads and checks the settings in `path`.
     pub fn load(path: &Path) -> Result<Self, Error> {
-        let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
-            path: path.to_owned(),
-            source,
-        })?;
-        let settings: Self = toml::from_str(&text).map_err(|source| Error::Parse {
-            path: path.to_owned(),
-            source: Box::new(source),
-        })?;
+        let settings: Self = sesamebarrow_gateway::settings::read(path)?;
         settings.check()?;
         settings.secret()?;
         Ok(settings)
