Hold idle connections of a region to what an upstream accepts

The path of the health check was read by nobody either.

Change: an instance keeps its part of half of the bound; the unread field is gone.

Before: 1,600 idle connections allowed to one upstream.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -29,6 +29,9 @@
 /// By how much another region must be faster before a request leaves this one.
 const SPILL_MARGIN: Duration = Duration::from_millis(120);
 
+/// Idle connections that are kept to one instance of another region.
+const MAX_IDLE_HOPS: usize = 64;
+
 /// Most connections that are tried for one request.
 const MAX_ATTEMPTS: u32 = 4;
 
@@ -156,22 +159,17 @@
             return;
         }
         let kept = matches!(end, End::Whole | End::Refused | End::Failed);
-        if let Some(connection) = self.connection.take()
-            && kept
-        {
-            self.shared.pool.give_back(connection, self.idle);
-        }
         let now = self.shared.now();
         let mut board = self.shared.board();
+        let mut most_idle = MAX_IDLE_HOPS;
         match &self.target {
             Target::Upstream(chosen) => {
-                let service = board
-                    .upstreams
-                    .all
-                    .get(chosen.key)
-                    .map(|u| u.entry.service.clone());
-                let warmup = service.map_or(Duration::ZERO, |s| board.warmup(&s));
-                board.upstreams.end(now, chosen.key, self.size, end, warmup);
+                let upstream = board.upstreams.all.get(chosen.key);
+                if let Some(service) = upstream.map(|u| u.entry.service.clone()) {
+                    most_idle = board.idle_connections(&service);
+                    let warmup = board.warmup(&service);
+                    board.upstreams.end(now, chosen.key, self.size, end, warmup);
+                }
             }
             Target::Hop(hop) => {
                 if let Some(member) = board.members.all.get_mut(&hop.name) {
@@ -179,6 +177,12 @@
                 }
             }
         }
+        drop(board);
+        if let Some(connection) = self.connection.take()
+            && kept
+        {
+            self.shared.pool.give_back(connection, self.idle, most_idle);
+        }
     }
 }
 
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -24,9 +24,6 @@
 /// Time before the stated end at which an idle connection is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Idle connections that are kept for one address.
-const MAX_IDLE: usize = 64;
-
 /// Why a request got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -108,8 +105,9 @@
         None
     }
 
-    /// Keeps a connection whose exchange has ended whole for `idle_time`, if any.
-    pub fn give_back(&self, connection: Connection, idle_time: Option<Duration>) {
+    /// Keeps a connection whose exchange has ended whole for `idle_time`, if any, unless
+    /// `most` are kept for its address.
+    pub fn give_back(&self, connection: Connection, idle_time: Option<Duration>, most: usize) {
         let Some(idle_time) = idle_time else {
             return;
         };
@@ -118,7 +116,7 @@
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(connection.address).or_default();
-        if connections.len() < MAX_IDLE {
+        if connections.len() < most {
             connections.push(Idle {
                 connection,
                 until: Instant::now() + idle_time,
--- a/crates/sesamebarrow_node/src/attempt.rs
+++ b/crates/sesamebarrow_node/src/attempt.rs
@@ -16,6 +16,9 @@
 use crate::node::Node;
 use crate::peer::{self, Inbound, Stream};
 
+/// Idle connections that are kept for one upstream.
+const MAX_IDLE: usize = 32;
+
 /// A request as it goes on: nothing in it is a credential.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -202,7 +205,7 @@
     /// Gives the connection of a whole answer back to the pool.
     pub fn finish(self, pool: &pool::Pool) {
         if let Source::Upstream(_, Some((connection, idle_time))) = self.body {
-            pool.give_back(connection, idle_time);
+            pool.give_back(connection, idle_time, MAX_IDLE);
         }
     }
 }
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -62,6 +62,13 @@
 /// loss of one to be noticed.
 const READERS: usize = 2;
 
+/// Part of the connections that an upstream accepts which may be idle ones; those in use
+/// are bounded by its slots.
+const IDLE_PART: f64 = 0.5;
+
+/// Idle connections to an upstream that accepts any number.
+const MAX_IDLE: usize = 64;
+
 /// The blackboard that all controllers read and write.
 #[derive(Debug)]
 pub struct Board {
@@ -235,6 +242,20 @@
         service.map_or(Duration::ZERO, |s| s.warmup)
     }
 
+    /// Returns how many idle connections this instance may keep to an upstream of
+    /// `service`, so that those of the whole region fit.
+    pub fn idle_connections(&self, service: &str) -> usize {
+        let service = self.config.as_ref().and_then(|c| c.services.get(service));
+        match service.map_or(0, |s| s.max_connections) {
+            0 => MAX_IDLE,
+            most => {
+                let idle = f64::from(most) * IDLE_PART / self.region_instances() as f64;
+                // CAST: the number of connections is small.
+                (idle as usize).clamp(1, MAX_IDLE)
+            }
+        }
+    }
+
     /// Number of instances that are known, this one among them.
     pub fn instances(&self) -> usize {
         self.members.all.len() + 1
--- a/crates/sesamebarrow_routing/src/config.rs
+++ b/crates/sesamebarrow_routing/src/config.rs
@@ -102,9 +102,7 @@
 pub struct Service {
     /// Its name.
     pub name: SmolStr,
-    /// Path of its health check.
-    pub health_path: SmolStr,
-    /// Connections that one upstream accepts from all instances together.
+    /// Connections that one upstream accepts from all instances together; 0 if not said.
     pub max_connections: u32,
     /// How long an upstream stays cold after its start.
     pub warmup: Duration,
--- a/crates/sesamebarrow_routing/tests/decisions/fleet.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/fleet.rs
@@ -86,7 +86,6 @@
     config.version = 1;
     let service = Service {
         name: MODEL.into(),
-        health_path: "/".into(),
         max_connections: 600,
         warmup: Duration::from_secs(3),
         cold_rate: 3.7,
--- a/crates/sesamebarrow_routing/tests/decisions/members.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/members.rs
@@ -5,7 +5,7 @@
 use sesamebarrow_routing::upstream::Size;
 use smol_str::SmolStr;
 
-use crate::fleet::{Fleet, config, customer, entry, ms, route};
+use crate::fleet::{Fleet, MODEL, config, customer, entry, ms, route};
 
 fn fleet(count: usize) -> Fleet {
     let config = config(&[], vec![route("r", &[])]);
@@ -66,6 +66,18 @@
     assert_eq!(back.map(|m| m.record.incarnation), Some(0));
 }
 
+#[test]
+fn idle_connections_of_a_region_fit_what_an_upstream_accepts() {
+    let mut fleet = fleet(25);
+    fleet.pass(ms(6_000));
+    let kept = |at: usize| fleet.instances[at].board.idle_connections(MODEL);
+    let all: usize = (0..25).map(kept).sum();
+    assert!(
+        (25..=300).contains(&all),
+        "{all} of 600, half for idle ones"
+    );
+}
+
 /// 342 instances in 19 regions with 158 upstreams each.
 fn large_fleet() -> Fleet {
     let name = |n: usize| format!("customer-{n}");
