Publish what is asked of prompts, rates, resends and streams as metrics

Cause: the metrics of the users' platform told neither first events, pauses, kept prompts, tokens of rates, resends nor cold sends, and no page listed any.

Ruled out: labels by customer (1,200 of them would make as many series; the log names the customer).

--- a/crates/sesamebarrow_gateway/src/admin.rs
+++ b/crates/sesamebarrow_gateway/src/admin.rs
@@ -1,4 +1,4 @@
-//! Metrics and the state dump, for operators.
+//! Serves the metrics and the state dump to operators.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -6,22 +6,12 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::json;
 
 use crate::relay::{self, Body};
 use crate::shared::Shared;
-
-/// Upper bounds of the buckets of latencies, in seconds.
-const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.8, 1.5, 5.0, 12.0];
-
-/// Installs the recorder of this process.
-pub fn install() -> anyhow::Result<PrometheusHandle> {
-    let handle = PrometheusBuilder::new()
-        .set_buckets(&LATENCY_BUCKETS)?
-        .install_recorder()?;
-    Ok(handle)
-}
+use crate::telemetry;
 
 /// Answers an operator.
 pub async fn answer(
@@ -31,7 +21,7 @@
 ) -> Response<Body> {
     match req.uri().path() {
         "/metrics" => {
-            publish(&shared);
+            telemetry::publish(&shared);
             Response::new(relay::full(Bytes::from(metrics.render())))
         }
         "/state" => Response::new(relay::full(Bytes::from(dump(&shared).to_string()))),
@@ -43,17 +33,6 @@
     }
 }
 
-fn publish(shared: &Shared) {
-    let now = shared.now();
-    let board = shared.board();
-    let heard = board.members.heard(now).count();
-    let version = board.config.as_ref().map_or(0, |c| c.version);
-    // CAST: counts of this size are exact in a float.
-    metrics::gauge!("sesamebarrow_members_heard").set(heard as f64);
-    metrics::gauge!("sesamebarrow_config_version").set(version as f64);
-    metrics::gauge!("sesamebarrow_upstreams").set(board.upstreams.all.len() as f64);
-}
-
 /// Returns what the process knows; no keys and no data of requests.
 fn dump(shared: &Shared) -> serde_json::Value {
     let now = shared.now();
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -19,6 +19,7 @@
 use crate::pool::{self, Connection};
 use crate::reply::Refusal;
 use crate::shared::Shared;
+use crate::telemetry;
 
 /// Longest time to connect to an upstream of this region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -106,6 +107,11 @@
                     .and_then(|c| c.services.get(&job.plan.service));
                 let memory = service.and_then(|s| s.engine).map_or(0, |e| e.kv_tokens);
                 let now = shared.now();
+                let upstream = board.upstreams.all.get(chosen.key);
+                if upstream.is_some_and(|u| u.is_cold(now)) {
+                    metrics::counter!("sesamebarrow_cold_sends_total").increment(1);
+                }
+                telemetry::count_prompt(job.ask.tokens_in, size.unread);
                 board
                     .upstreams
                     .begin(now, chosen.key, size, &job.ask.prompt, memory);
@@ -275,9 +281,11 @@
     }
     let mut board = shared.board();
     let instances = board.instances();
-    board
+    let granted = board
         .budget
-        .spend(shared.now(), &job.plan.service, instances)
+        .spend(shared.now(), &job.plan.service, instances);
+    telemetry::count_resend(granted);
+    granted
 }
 
 /// Returns a time to come back, spread so that refused callers do not return at once.
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -18,6 +18,7 @@
 
 use crate::reply::Refusal;
 use crate::shared::Shared;
+use crate::telemetry;
 
 /// Deadline of a request whose caller names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -280,6 +281,7 @@
         .board()
         .quota
         .take(shared.now(), &customer.name, limit, cost);
+    telemetry::count_quota(cost, taken.is_ok());
     match taken {
         Ok(()) => Ok(Reservation {
             shared: shared.clone(),
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //! its tokens, [`exchange`] makes the attempts that `sesamebarrow_routing` chooses, over
 //! connections of [`pool`], and [`relay`] passes the answer on. [`hop`] carries requests
 //! between regions. [`store`], [`sync`] and [`gossip`] keep the board up to date;
-//! [`directory`] and [`admin`] answer callers' and operators' questions.
+//! [`directory`] and [`admin`] answer callers' and operators' questions, [`telemetry`] has the
+//! metrics.
 
 pub mod admin;
 pub mod directory;
@@ -23,6 +24,7 @@
 pub mod socket;
 pub mod store;
 pub mod sync;
+pub mod telemetry;
 
 pub use run::run;
 pub use settings::Settings;
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::future::BoxFuture;
@@ -21,6 +22,7 @@
 use crate::intake::Job;
 use crate::reply::Refusal;
 use crate::shared::Shared;
+use crate::telemetry;
 
 /// Largest answer of a plain request that is taken in whole before it is passed on.
 const MAX_WHOLE: usize = 1024 * 1024;
@@ -139,6 +141,7 @@
         source: Source::Open(answer.body, Some(Box::new(answer.held))),
         tries: Some(tries),
         status: parts.status.as_u16(),
+        pace: Pace::default(),
     };
     Response::from_parts(parts, relay.boxed_unsync())
 }
@@ -212,6 +215,26 @@
     status: u16,
     /// Name of the upstream or instance that the stream comes from.
     target: SmolStr,
+    pace: Pace,
+}
+
+/// When a stream's events came.
+#[derive(Default)]
+struct Pace {
+    /// Time from the request's head to the first event.
+    first: Option<Duration>,
+    newest: Option<Instant>,
+    longest_pause: Duration,
+}
+
+impl Pace {
+    fn note(&mut self, began: Instant) {
+        let now = Instant::now();
+        self.first.get_or_insert(now - began);
+        if let Some(before) = self.newest.replace(now) {
+            self.longest_pause = self.longest_pause.max(now - before);
+        }
+    }
 }
 
 impl Relay {
@@ -288,6 +311,7 @@
                     }
                     let data = this.events.take(data);
                     if !data.is_empty() {
+                        this.pace.note(this.job.began);
                         return Poll::Ready(Some(Ok(Frame::data(data))));
                     }
                 }
@@ -318,6 +342,9 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         self.shared.requests.fetch_sub(1, Ordering::Relaxed);
+        if let Some(first) = self.pace.first {
+            telemetry::note_stream(&self.job.plan.route, first, self.pace.longest_pause);
+        }
         if !matches!(self.source, Source::Done) {
             log_end(
                 &self.shared,
--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -13,6 +13,7 @@
 
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::telemetry;
 use crate::{admin, directory, front, gossip, store, sync};
 
 /// Pause between two looks at whether all work has ended.
@@ -26,7 +27,7 @@
 ///
 /// `path` is the settings file, which is read again at SIGHUP and when it changes.
 pub async fn run(settings: Settings, path: &Path) -> anyhow::Result<()> {
-    let metrics = admin::install()?;
+    let metrics = telemetry::install()?;
     let listen = settings.listen;
     let me = identity(&settings);
     let callers = bind("listen.callers", listen.callers).await?;
--- /dev/null
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -0,0 +1,157 @@
+//! Metrics, in the text format of Prometheus; docs/METRICS.md lists them for operators.
+
+use std::time::Duration;
+
+use metrics::Unit;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+use crate::shared::Shared;
+
+/// Upper bounds of the buckets of latencies, in seconds; the users' targets of 0.4, 0.5 and
+/// 0.8 s and their deadlines are among them.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.25, 0.4, 0.5, 0.8, 1.5, 2.5, 5.0, 12.0,
+];
+
+/// Counters, each with what it counts.
+const COUNTERS: [(&str, &str); 10] = [
+    (
+        "sesamebarrow_answers_total",
+        "Answers that came from an upstream, by how they ended.",
+    ),
+    (
+        "sesamebarrow_refusals_total",
+        "Requests that this instance answered itself, by reason.",
+    ),
+    (
+        "sesamebarrow_attempts_failed_total",
+        "Attempts that gave no answer, by outcome.",
+    ),
+    (
+        "sesamebarrow_resends_total",
+        "Requests to send one again, by whether the shared budget granted it.",
+    ),
+    (
+        "sesamebarrow_cold_sends_total",
+        "Requests sent to cold upstreams.",
+    ),
+    (
+        "sesamebarrow_prompt_tokens_total",
+        "Prompt tokens sent, by whether the upstream is expected to keep them.",
+    ),
+    (
+        "sesamebarrow_quota_tokens_total",
+        "Tokens asked for under a customer's rate, by outcome.",
+    ),
+    (
+        "sesamebarrow_connections_opened_total",
+        "Connections opened to upstreams and instances.",
+    ),
+    ("sesamebarrow_store_calls_total", "Calls to the store."),
+    (
+        "sesamebarrow_log_lines_dropped_total",
+        "Log lines beyond their budget.",
+    ),
+];
+
+/// Histograms in seconds, each with what it measures.
+const HISTOGRAMS: [(&str, &str); 3] = [
+    (
+        "sesamebarrow_answer_seconds",
+        "Time from a request's head to the end of its answer.",
+    ),
+    (
+        "sesamebarrow_first_event_seconds",
+        "Time from a request's head to the first event of its stream, by route.",
+    ),
+    (
+        "sesamebarrow_longest_pause_seconds",
+        "Longest pause within a stream, by route.",
+    ),
+];
+
+/// Gauges, each with what it shows.
+const GAUGES: [(&str, &str); 5] = [
+    (
+        "sesamebarrow_members_heard",
+        "Other instances that are heard from.",
+    ),
+    (
+        "sesamebarrow_config_version",
+        "Version of the configuration in force.",
+    ),
+    (
+        "sesamebarrow_upstreams",
+        "Upstreams of the region that are known.",
+    ),
+    (
+        "sesamebarrow_unread_tokens",
+        "Prompt tokens that were sent and not read yet.",
+    ),
+    (
+        "sesamebarrow_store_answers",
+        "1 if the store answers this instance, as far as it knows.",
+    ),
+];
+
+/// Installs the recorder of this process.
+pub fn install() -> anyhow::Result<PrometheusHandle> {
+    let handle = PrometheusBuilder::new()
+        .set_buckets(&LATENCY_BUCKETS)?
+        .install_recorder()?;
+    for (name, text) in COUNTERS {
+        metrics::describe_counter!(name, text);
+    }
+    for (name, text) in HISTOGRAMS {
+        metrics::describe_histogram!(name, Unit::Seconds, text);
+    }
+    for (name, text) in GAUGES {
+        metrics::describe_gauge!(name, text);
+    }
+    Ok(handle)
+}
+
+/// Notes how long a stream took to begin and its longest pause.
+pub fn note_stream(route: &str, first: Duration, pause: Duration) {
+    let route = route.to_owned();
+    metrics::histogram!("sesamebarrow_first_event_seconds", "route" => route.clone())
+        .record(first.as_secs_f64());
+    metrics::histogram!("sesamebarrow_longest_pause_seconds", "route" => route)
+        .record(pause.as_secs_f64());
+}
+
+/// Counts the tokens of a prompt that was sent, `unread` of which have to be read.
+pub fn count_prompt(tokens: u64, unread: u64) {
+    let kept = tokens.saturating_sub(unread);
+    metrics::counter!("sesamebarrow_prompt_tokens_total", "expected" => "read").increment(unread);
+    metrics::counter!("sesamebarrow_prompt_tokens_total", "expected" => "kept").increment(kept);
+}
+
+/// Counts tokens that were asked for under a customer's rate.
+pub fn count_quota(cost: f64, admitted: bool) {
+    let outcome = if admitted { "admitted" } else { "refused" };
+    // CAST: costs are whole and far below 2^53.
+    metrics::counter!("sesamebarrow_quota_tokens_total", "outcome" => outcome)
+        .increment(cost as u64);
+}
+
+/// Counts a wish to send a request again.
+pub fn count_resend(granted: bool) {
+    let outcome = if granted { "granted" } else { "denied" };
+    metrics::counter!("sesamebarrow_resends_total", "outcome" => outcome).increment(1);
+}
+
+/// Publishes what the board shows.
+pub fn publish(shared: &Shared) {
+    let now = shared.now();
+    let board = shared.board();
+    let heard = board.members.heard(now).count();
+    let version = board.config.as_ref().map_or(0, |c| c.version);
+    let unread: u64 = board.upstreams.all.values().map(|u| u.unread).sum();
+    // CAST: counts of this size are exact in a float.
+    metrics::gauge!("sesamebarrow_members_heard").set(heard as f64);
+    metrics::gauge!("sesamebarrow_config_version").set(version as f64);
+    metrics::gauge!("sesamebarrow_upstreams").set(board.upstreams.all.len() as f64);
+    metrics::gauge!("sesamebarrow_unread_tokens").set(unread as f64);
+    metrics::gauge!("sesamebarrow_store_answers").set(f64::from(u8::from(board.store_answers)));
+}
