Place a prompt among eight upstreams and count the wait for a slot

Change: a prompt goes to one of the eight upstreams that its subject ranks first; slots that are waited for cost the time in which one gets free, from the run times seen, and an upstream is full at one and a half times its slots.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -175,6 +175,9 @@
                     most_idle = board.idle_connections(&service);
                     let warmup = board.warmup(&service);
                     board.upstreams.end(now, chosen.key, self.size, end, warmup);
+                    if end == End::Whole {
+                        board.note_run(&service, self.began.elapsed());
+                    }
                 }
             }
             Target::Hop(hop) => {
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -66,9 +66,13 @@
 /// begins to preempt them.
 const MEMORY_USED: f64 = 0.92;
 
-/// Part of an engine's slots that requests may take.
+/// Part of an engine's slots that requests may take before they wait for one.
 const SLOTS_USED: f64 = 0.95;
 
+/// Part of an engine's slots that may be wanted, those that are waited for included. What
+/// is known of others' requests is late, so that a slot may be free though it looks taken.
+const SLOTS_WANTED: f64 = 1.5;
+
 /// Time until a request runs that begins at an idle engine.
 const ENGINE_FIRST: f64 = 60.0;
 
@@ -91,7 +95,11 @@
 /// Refusals name this time at least.
 pub const MIN_RETRY: Duration = Duration::from_millis(200);
 
-/// Upstreams of a region that a subject's prompts go to before all others.
+/// Upstreams of a region that a subject's prompts may go to. News of load is late: out of
+/// all upstreams, every instance would choose the one that looks free to all of them.
+const CANDIDATES: usize = 8;
+
+/// Those of them that its prompts go to before the others.
 const HOMES: usize = 3;
 
 /// Milliseconds that count against an upstream that is none of them: instances that do not
@@ -147,14 +155,16 @@
     if usable.iter().any(rested) {
         usable.retain(rested);
     }
-    let homes = rendezvous_homes(board, &usable, &ask.prompt);
-    let engine = engine_of(board, &ask.service);
-    let scored = usable.iter().map(|&key| {
-        let upstream = &board.upstreams.all[key];
-        match engine {
-            Some(engine) => score_engine(board, now, key, upstream, engine, ask, &homes),
-            None => score_plain(now, key, upstream),
-        }
+    let Some(engine) = engine_of(board, &ask.service) else {
+        let plain = usable.iter();
+        let scored = plain.map(|&key| score_plain(now, key, &board.upstreams.all[key]));
+        return Ok(scored.collect());
+    };
+    let ranked = rank_by_subject(board, usable, &ask.prompt);
+    let scored = ranked.iter().enumerate().map(|(rank, &key)| {
+        // Without a prompt there is nothing to rank by.
+        let rank = (!ask.prompt.is_empty()).then_some(rank);
+        score_engine(board, now, key, engine, ask, rank)
     });
     Ok(scored.collect())
 }
@@ -192,30 +202,31 @@
     owner && upstream.sends.allows(now, most)
 }
 
-/// Returns the upstreams that the prompt's subject points to, the first choice first.
-fn rendezvous_homes(board: &Board, keys: &[Key], prompt: &[Part]) -> Vec<Key> {
+/// Returns the upstreams that the prompt's subject points to, the first choice first; all
+/// of them, as they are, without a prompt.
+fn rank_by_subject(board: &Board, mut keys: Vec<Key>, prompt: &[Part]) -> Vec<Key> {
     // The last part belongs to the request; the one before it to what it is about.
     let Some(part) = prompt.iter().rev().nth(1).or(prompt.first()) else {
-        return Vec::new();
+        return keys;
     };
     let weight = |k: &Key| rendezvous::mix(part.id, board.upstreams.all[*k].hash.into());
-    let mut ranked: Vec<(u64, Key)> = keys.iter().map(|k| (weight(k), *k)).collect();
-    ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
-    ranked.into_iter().take(HOMES).map(|(_, key)| key).collect()
+    keys.sort_by_cached_key(|k| std::cmp::Reverse(weight(k)));
+    keys.truncate(CANDIDATES);
+    keys
 }
 
 fn score_engine(
     board: &Board,
     now: Duration,
     key: Key,
-    upstream: &Upstream,
     engine: Engine,
     ask: &Ask,
-    homes: &[Key],
+    rank: Option<usize>,
 ) -> Scored {
+    let upstream = &board.upstreams.all[key];
     // CAST: token counts are far below 2^53.
     let tokens = |t: u64| t as f64;
-    let home = homes.first() == Some(&key);
+    let home = rank == Some(0);
     let kept = upstream.cache.kept(&ask.prompt).min(ask.tokens_in);
     let unread = ask.tokens_in - kept;
     let shared: u64 = ask
@@ -246,19 +257,21 @@
         .get(&ask.service)
         .copied()
         .unwrap_or_default();
+    let slots = f64::from(engine.slots);
+    let wanted = f64::from(running + 1);
     let wait = ENGINE_FIRST
         + lateness
         + (backlog + tokens(unread)) / speed
         + f64::from(running) * STEP_COST
+        + (wanted - slots * SLOTS_USED).max(0.0) * board.slot_time(&ask.service, engine.slots)
         + f64::from(queued) * QUEUED_COST;
     let most_memory = tokens(engine.kv_tokens) * MEMORY_USED;
-    let most_running = f64::from(engine.slots) * SLOTS_USED;
     Scored {
         key,
         wait,
         cost: wait
             + tokens(reread) / speed * REREAD_WEIGHT
-            + if homes.contains(&key) {
+            + if rank.is_some_and(|r| r < HOMES) {
                 0.0
             } else {
                 STRAY_COST
@@ -268,8 +281,7 @@
             unread,
             memory: need,
         },
-        full: (memory > 0 && tokens(memory + need) > most_memory)
-            || f64::from(running + 1) > most_running,
+        full: (memory > 0 && tokens(memory + need) > most_memory) || wanted > slots * SLOTS_WANTED,
     }
 }
 
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -55,6 +55,12 @@
 /// Weight of the newest first event in the lateness.
 const LATENESS_GAIN: f64 = 0.03;
 
+/// Weight of the newest run in the time that runs take.
+const RUN_TIME_GAIN: f64 = 0.02;
+
+/// Milliseconds that a run takes, where nothing is known.
+const RUN_TIME: f64 = 1_000.0;
+
 /// Most milliseconds that are added to estimates.
 const MAX_LATENESS: f64 = 500.0;
 
@@ -94,6 +100,8 @@
     pub budget: Budget,
     /// Milliseconds by which first events came later than estimated, by service, averaged.
     pub lateness: HashMap<SmolStr, f64>,
+    /// Milliseconds that runs take, by service, averaged.
+    pub run_times: HashMap<SmolStr, f64>,
     /// Requests seen by the name of their route, of routes that are bound to regions.
     pub uses: HashMap<SmolStr, u64>,
     /// Random numbers, from one seed.
@@ -134,6 +142,7 @@
             quota: Quota::new(bounds.quota),
             budget: Budget::new(bounds.budget),
             lateness: HashMap::new(),
+            run_times: HashMap::new(),
             uses: HashMap::new(),
             rng: StdRng::seed_from_u64(seed),
             beat: 0,
@@ -208,6 +217,20 @@
         *average = (*average + LATENESS_GAIN * late).clamp(0.0, MAX_LATENESS);
     }
 
+    /// Notes how long a run took from its send to its end.
+    pub fn note_run(&mut self, service: &SmolStr, took: Duration) {
+        let millis = took.as_secs_f64() * 1_000.0;
+        let average = self.run_times.entry(service.clone()).or_insert(RUN_TIME);
+        *average += RUN_TIME_GAIN * (millis - *average);
+    }
+
+    /// Returns the milliseconds in which an upstream with so many slots, all of them taken,
+    /// frees one.
+    pub fn slot_time(&self, service: &str, slots: u32) -> f64 {
+        let run_time = self.run_times.get(service).copied().unwrap_or(RUN_TIME);
+        run_time / f64::from(slots.max(1))
+    }
+
     /// Notes a request on a route, so that the directory knows where its callers may go.
     pub fn note_use(&mut self, route: &Route) {
         if !route.regions.is_empty() {
--- /dev/null
+++ b/crates/sesamebarrow_trial/src/engine.rs
@@ -0,0 +1,260 @@
+//! A model engine: continuous batching, prompts read in chunks, and a cache of prompt parts
+//! that were used last.
+//!
+//! Left out: preemption, lagged load, cold starts and the cost of attention over long
+//! prompts. Times are milliseconds of virtual time.
+
+use std::collections::{HashMap, VecDeque};
+
+use serde::Deserialize;
+use sesamebarrow_routing::cache::Part;
+
+/// What an engine can do; the defaults are the users' sheet of the first grown site.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// Requests in one batch.
+    pub slots: usize,
+    /// Requests that wait for a slot before more are rejected.
+    pub queue: usize,
+    /// Tokens that its memory holds.
+    pub kv_tokens: u64,
+    /// Prompt tokens that it reads in a millisecond.
+    pub prefill_per_ms: f64,
+    /// Prompt tokens that one step reads at most.
+    pub chunk: u64,
+    /// Milliseconds of a step.
+    pub step_ms: f64,
+    /// Milliseconds that each request of the batch adds to it.
+    pub step_ms_per_slot: f64,
+    /// Milliseconds from a request's arrival until it can run.
+    pub first_ms: f64,
+    /// Tokens of one event.
+    pub stride: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            slots: 16,
+            queue: 33,
+            kv_tokens: 318_254,
+            prefill_per_ms: 91.8,
+            chunk: 4_096,
+            step_ms: 3.9,
+            step_ms_per_slot: 0.0473,
+            first_ms: 53.0,
+            stride: 8,
+        }
+    }
+}
+
+/// What happened to a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Event {
+    /// Its first event left.
+    First {
+        /// The request.
+        id: u64,
+    },
+    /// Its last event left.
+    Done {
+        /// The request.
+        id: u64,
+        /// When its first event left.
+        first_ms: f64,
+        /// Longest time between two events.
+        pause_ms: f64,
+    },
+}
+
+#[derive(Debug)]
+struct Run {
+    id: u64,
+    ready_ms: f64,
+    parts: Vec<Part>,
+    tokens_in: u64,
+    tokens_out: u64,
+    /// Prompt tokens still to be read; set when a slot is taken.
+    unread: u64,
+    made: u64,
+    first_ms: Option<f64>,
+    newest_ms: f64,
+    pause_ms: f64,
+}
+
+/// An engine.
+#[derive(Debug)]
+pub struct Engine {
+    cfg: Settings,
+    now_ms: f64,
+    waiting: VecDeque<Run>,
+    running: Vec<Run>,
+    /// Parts by id, with their tokens and last use.
+    cache: HashMap<u64, (u32, f64)>,
+    /// Parts that were ever read, so that reading one again can be told.
+    known: HashMap<u64, u32>,
+    /// Prompt tokens that were read.
+    pub read: u64,
+    /// Of them, tokens of parts that had been read before.
+    pub reread: u64,
+}
+
+impl Engine {
+    /// Builds an idle engine.
+    pub fn new(cfg: Settings) -> Self {
+        Self {
+            cfg,
+            now_ms: 0.0,
+            waiting: VecDeque::new(),
+            running: Vec::new(),
+            cache: HashMap::new(),
+            known: HashMap::new(),
+            read: 0,
+            reread: 0,
+        }
+    }
+
+    /// Returns the requests that run and those that wait.
+    pub fn load(&self) -> (u32, u32) {
+        // CAST: both are bounded by the settings.
+        (self.running.len() as u32, self.waiting.len() as u32)
+    }
+
+    /// Takes a request; tells whether there was room for it to wait.
+    pub fn push(
+        &mut self,
+        now_ms: f64,
+        id: u64,
+        parts: &[Part],
+        (tokens_in, tokens_out): (u64, u64),
+    ) -> bool {
+        if self.waiting.len() >= self.cfg.queue {
+            return false;
+        }
+        self.waiting.push_back(Run {
+            id,
+            ready_ms: now_ms + self.cfg.first_ms,
+            parts: parts.to_vec(),
+            tokens_in,
+            tokens_out: tokens_out.max(1),
+            unread: 0,
+            made: 0,
+            first_ms: None,
+            newest_ms: now_ms,
+            pause_ms: 0.0,
+        });
+        true
+    }
+
+    /// Runs until `until_ms`, step by step.
+    pub fn run_until(&mut self, until_ms: f64, events: &mut Vec<Event>) {
+        while self.now_ms < until_ms {
+            self.fill_slots();
+            if self.running.is_empty() {
+                let next = self.waiting.front().map_or(until_ms, |r| r.ready_ms);
+                self.now_ms = next.clamp(self.now_ms + 0.1, until_ms.max(self.now_ms + 0.1));
+                continue;
+            }
+            self.step(events);
+        }
+    }
+
+    fn fill_slots(&mut self) {
+        while self.running.len() < self.cfg.slots
+            && let Some(next) = self.waiting.front()
+            && next.ready_ms <= self.now_ms
+            && self.make_room(next.tokens_in + next.tokens_out)
+            && let Some(mut run) = self.waiting.pop_front()
+        {
+            run.unread = self.unread_of(&run);
+            self.read += run.unread;
+            for part in &run.parts {
+                self.cache.insert(part.id, (part.tokens, self.now_ms));
+                self.known.insert(part.id, part.tokens);
+            }
+            self.running.push(run);
+        }
+    }
+
+    fn unread_of(&mut self, run: &Run) -> u64 {
+        let kept = run
+            .parts
+            .iter()
+            .take_while(|p| self.cache.contains_key(&p.id));
+        let kept: u64 = kept.map(|p| u64::from(p.tokens)).sum();
+        let known = run
+            .parts
+            .iter()
+            .take_while(|p| self.known.contains_key(&p.id));
+        let known: u64 = known.map(|p| u64::from(p.tokens)).sum();
+        self.reread += known.saturating_sub(kept);
+        run.tokens_in.saturating_sub(kept)
+    }
+
+    /// Drops parts of the cache, the one used longest ago first, until `need` fits beside
+    /// what runs; tells whether it does.
+    fn make_room(&mut self, need: u64) -> bool {
+        let running: u64 = self
+            .running
+            .iter()
+            .map(|r| r.tokens_in + r.tokens_out)
+            .sum();
+        let free = self.cfg.kv_tokens.saturating_sub(running + need);
+        let mut cached: u64 = self.cache.values().map(|(t, _)| u64::from(*t)).sum();
+        if cached > free {
+            let mut ages: Vec<(u64, u32, f64)> = self
+                .cache
+                .iter()
+                .map(|(id, (t, at))| (*id, *t, *at))
+                .collect();
+            ages.sort_by(|a, b| a.2.total_cmp(&b.2).then(a.0.cmp(&b.0)));
+            for (id, tokens, _) in ages {
+                if cached <= free {
+                    break;
+                }
+                self.cache.remove(&id);
+                cached -= u64::from(tokens);
+            }
+        }
+        self.running.is_empty() || running + need <= self.cfg.kv_tokens
+    }
+
+    fn step(&mut self, events: &mut Vec<Event>) {
+        let mut budget = self.cfg.chunk;
+        for run in &mut self.running {
+            let now = run.unread.min(budget);
+            run.unread -= now;
+            budget -= now;
+        }
+        // CAST: token counts are far below 2^53.
+        let read = (self.cfg.chunk - budget) as f64;
+        let batch = self.running.len() as f64;
+        self.now_ms +=
+            self.cfg.step_ms + self.cfg.step_ms_per_slot * batch + read / self.cfg.prefill_per_ms;
+        let now = self.now_ms;
+        for run in self.running.iter_mut().filter(|r| r.unread == 0) {
+            run.made += 1;
+            if run.made.is_multiple_of(self.cfg.stride) || run.made == run.tokens_out {
+                if run.first_ms.is_none() {
+                    run.first_ms = Some(now);
+                    events.push(Event::First { id: run.id });
+                } else {
+                    run.pause_ms = run.pause_ms.max(now - run.newest_ms);
+                }
+                run.newest_ms = now;
+            }
+        }
+        self.running.retain(|run| {
+            let done = run.made >= run.tokens_out;
+            if done {
+                events.push(Event::Done {
+                    id: run.id,
+                    first_ms: run.first_ms.unwrap_or(now),
+                    pause_ms: run.pause_ms,
+                });
+            }
+            !done
+        });
+    }
+}
--- a/crates/sesamebarrow_trial/src/lib.rs
+++ b/crates/sesamebarrow_trial/src/lib.rs
@@ -5,8 +5,10 @@
 //! and pauses processes, and watches promises that no single board can see: how often
 //! an order ran, whether a refusal told the truth, what was admitted in any window.
 
+pub mod engine;
 pub mod fault;
 pub mod fleet;
+pub mod placement;
 pub mod platform;
 pub mod promise;
 pub mod script;
--- /dev/null
+++ b/crates/sesamebarrow_trial/src/placement.rs
@@ -0,0 +1,450 @@
+//! Places a region's prompts by the real decisions, at model engines, over virtual time.
+//!
+//! The instances exchange real datagrams, so that each knows the others' load as late as
+//! it would on a network.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::Deserialize;
+use sesamebarrow_routing::admit::{self, Ask};
+use sesamebarrow_routing::board::{Board, Bounds, Identity};
+use sesamebarrow_routing::cache::Part;
+use sesamebarrow_routing::config::{Config, Service};
+use sesamebarrow_routing::gossip::Datagram;
+use sesamebarrow_routing::member::ROUND;
+use sesamebarrow_routing::upstream::{End, Entry, Key, Size, Stated};
+use sesamebarrow_routing::{budget, cold, config, quota};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::engine::{self, Engine, Event};
+
+/// Step of the virtual time.
+const STEP: Duration = Duration::from_millis(2);
+
+/// One-way delay of datagrams within a region.
+const DELAY: Duration = Duration::from_millis(2);
+
+/// Time before the measurement, in which instances meet and caches fill.
+const WARM: Duration = Duration::from_secs(6);
+
+const SERVICE: &str = "model";
+
+/// How an upstream is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, strum::Display)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Policy {
+    /// As the gateway does.
+    Gateway,
+    /// The one with the fewest requests that are known of.
+    LeastOutstanding,
+    /// Each in turn.
+    RoundRobin,
+}
+
+/// A kind of request.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Kind {
+    /// Its name.
+    pub name: String,
+    /// Requests a second for each upstream.
+    pub rate: f64,
+    /// Tokens of the parts that requests share, in order, and how many of each there are.
+    pub shared: Vec<(u32, u64)>,
+    /// Mean tokens of a request's own part; exponentially distributed.
+    pub own: f64,
+    /// Mean tokens of an answer; exponentially distributed.
+    pub answer: f64,
+}
+
+/// An experiment.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    /// Instances.
+    pub instances: usize,
+    /// Upstreams.
+    pub upstreams: usize,
+    /// Factor on all rates.
+    pub load: f64,
+    /// Measured seconds.
+    pub seconds: u64,
+    /// Milliseconds within which an answer should begin.
+    pub target_ms: f64,
+    /// Longest time between two events.
+    pub pause_ms: f64,
+    /// The engines.
+    #[serde(default)]
+    pub engine: engine::Settings,
+    /// The requests.
+    pub kinds: Vec<Kind>,
+}
+
+/// What callers got.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Requests.
+    pub asked: u64,
+    /// Answers that began in time and paused no longer than they may.
+    pub on_time: u64,
+    /// Other answers: those that began late.
+    pub began_late: u64,
+    /// Other answers: those that paused too long.
+    pub paused: u64,
+    /// Requests that no upstream took.
+    pub refused: u64,
+    /// Prompt tokens that were read, millions.
+    pub read: f64,
+    /// Of them, tokens of parts that the upstream had read before, millions.
+    pub reread: f64,
+    /// Median time to the first event.
+    pub first_p50: f64,
+    /// Its 99th percentile.
+    pub first_p99: f64,
+}
+
+struct Flight {
+    instance: usize,
+    key: Key,
+    size: Size,
+    wait: Duration,
+    began: Duration,
+    measured: bool,
+}
+
+struct Trial<'a> {
+    cfg: &'a Experiment,
+    policy: Policy,
+    now: Duration,
+    rng: StdRng,
+    boards: Vec<Board>,
+    engines: Vec<Engine>,
+    /// Each board's keys by the number of the engine.
+    keys: Vec<Vec<Key>>,
+    flights: HashMap<u64, Flight>,
+    datagrams: Vec<(Duration, usize, Datagram)>,
+    firsts: Vec<f64>,
+    next: u64,
+    report: Report,
+}
+
+/// Plays an experiment.
+pub fn play(cfg: &Experiment, policy: Policy, seed: u64) -> Report {
+    let mut trial = Trial::new(cfg, policy, seed);
+    let until = WARM + Duration::from_secs(cfg.seconds);
+    while trial.now < until {
+        trial.step();
+    }
+    trial.report()
+}
+
+impl<'a> Trial<'a> {
+    fn new(cfg: &'a Experiment, policy: Policy, seed: u64) -> Self {
+        let boards: Vec<Board> = (0..cfg.instances).map(|at| board(cfg, at)).collect();
+        let keys = boards
+            .iter()
+            .map(|board| {
+                let mut keys = vec![Key::default(); cfg.upstreams];
+                for (key, upstream) in &board.upstreams.all {
+                    let number = upstream.entry.slots as usize - 1_000;
+                    keys[number] = key;
+                }
+                keys
+            })
+            .collect();
+        Self {
+            cfg,
+            policy,
+            now: Duration::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            boards,
+            engines: (0..cfg.upstreams)
+                .map(|_| Engine::new(cfg.engine))
+                .collect(),
+            keys,
+            flights: HashMap::new(),
+            datagrams: Vec::new(),
+            firsts: Vec::new(),
+            next: 0,
+            report: Report::default(),
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.exchange();
+        let kinds = &self.cfg.kinds;
+        for kind in kinds {
+            let mean = kind.rate * self.cfg.load * self.cfg.upstreams as f64 * STEP.as_secs_f64();
+            let mut left = mean;
+            while left > 0.0 {
+                if self.rng.random::<f64>() < left.min(1.0) {
+                    self.arrive(kind);
+                }
+                left -= 1.0;
+            }
+        }
+        let now_ms = self.now.as_secs_f64() * 1_000.0;
+        let mut events = Vec::new();
+        for number in 0..self.engines.len() {
+            self.engines[number].run_until(now_ms, &mut events);
+            for event in events.drain(..) {
+                self.take_event(number, event);
+            }
+        }
+    }
+
+    /// Sends and delivers the instances' datagrams; their rounds begin at different times.
+    fn exchange(&mut self) {
+        let count = self.boards.len();
+        let round = ROUND.as_millis() as u64;
+        for at in 0..count {
+            let phase = round * at as u64 / count as u64;
+            if !(self.now.as_millis() as u64 + phase).is_multiple_of(round) {
+                continue;
+            }
+            let board = &mut self.boards[at];
+            let mut datagram = board.begin_round(self.now);
+            let seeds = [Ipv4Addr::new(10, 0, 0, 0), Ipv4Addr::new(10, 0, 0, 1)];
+            let receivers = board
+                .members
+                .receivers(&board.me.region, &seeds, &mut board.rng);
+            for ip in receivers {
+                board.address_datagram(self.now, &mut datagram, ip);
+                let to = usize::from(ip.octets()[3]);
+                self.datagrams
+                    .push((self.now + DELAY, to, datagram.clone()));
+            }
+        }
+        let (due, later) = std::mem::take(&mut self.datagrams)
+            .into_iter()
+            .partition(|(at, _, _)| *at <= self.now);
+        self.datagrams = later;
+        let due: Vec<(Duration, usize, Datagram)> = due;
+        for (_, to, datagram) in due {
+            self.boards[to].take_datagram(self.now, &datagram);
+        }
+    }
+
+    fn arrive(&mut self, kind: &Kind) {
+        let measured = self.now >= WARM;
+        let instance = self.rng.random_range(0..self.boards.len());
+        let mut exponential = |mean: f64| -mean * (1.0 - self.rng.random::<f64>()).ln();
+        let (own, answer) = (exponential(kind.own), exponential(kind.answer));
+        // CAST: token counts are far below 2^32.
+        let (own, answer) = (own.max(16.0) as u32, answer.max(1.0) as u64);
+        let mut prompt = Vec::new();
+        let mut id = kind.rate.to_bits();
+        for (tokens, things) in &kind.shared {
+            id = id.rotate_left(17) ^ self.rng.random_range(0..*things).wrapping_mul(0x9e37_79b9);
+            prompt.push(Part {
+                id,
+                tokens: *tokens,
+            });
+        }
+        self.next += 1;
+        prompt.push(Part {
+            id: self.next << 20,
+            tokens: own,
+        });
+        let tokens_in = prompt.iter().map(|p| u64::from(p.tokens)).sum();
+        let ask = Ask {
+            service: SERVICE.into(),
+            prompt,
+            tokens_in,
+            tokens_out: answer,
+            target: Duration::from_secs_f64(self.cfg.target_ms / 1_000.0),
+            tried: Vec::new(),
+        };
+        self.report.asked += u64::from(measured);
+        if !self.send(instance, &ask, measured) {
+            self.report.refused += u64::from(measured);
+        }
+    }
+
+    fn send(&mut self, instance: usize, ask: &Ask, measured: bool) -> bool {
+        let Some((key, size, wait)) = self.choose(instance, ask) else {
+            return false;
+        };
+        let number = self.keys[instance].iter().position(|k| *k == key);
+        let Some(number) = number else { return false };
+        let now_ms = self.now.as_secs_f64() * 1_000.0;
+        let tokens = (ask.tokens_in, ask.tokens_out);
+        if !self.engines[number].push(now_ms, self.next, &ask.prompt, tokens) {
+            return false;
+        }
+        let memory = self.cfg.engine.kv_tokens;
+        let board = &mut self.boards[instance];
+        board
+            .upstreams
+            .begin(self.now, key, size, &ask.prompt, memory);
+        let flight = Flight {
+            instance,
+            key,
+            size,
+            wait,
+            began: self.now,
+            measured,
+        };
+        self.flights.insert(self.next, flight);
+        true
+    }
+
+    fn choose(&mut self, instance: usize, ask: &Ask) -> Option<(Key, Size, Duration)> {
+        let now = self.now;
+        let board = &mut self.boards[instance];
+        let size = Size {
+            unread: ask.tokens_in,
+            memory: ask.tokens_in + ask.tokens_out,
+        };
+        match self.policy {
+            Policy::Gateway => {
+                let chosen = admit::choose(board, now, ask).ok()?;
+                Some((chosen.key, chosen.size, chosen.wait))
+            }
+            Policy::LeastOutstanding => {
+                let all = board.upstreams.all.iter();
+                let (key, _) = all.min_by_key(|(_, u)| u.outstanding(now))?;
+                Some((key, size, Duration::ZERO))
+            }
+            Policy::RoundRobin => {
+                let number = self.next as usize % self.cfg.upstreams;
+                Some((self.keys[instance][number], size, Duration::ZERO))
+            }
+        }
+    }
+
+    fn take_event(&mut self, number: usize, event: Event) {
+        match event {
+            Event::First { id } => {
+                let Some(flight) = self.flights.get_mut(&id) else {
+                    return;
+                };
+                let board = &mut self.boards[flight.instance];
+                board.upstreams.note_read(flight.key, flight.size);
+                flight.size.unread = 0;
+                let (running, waiting) = self.engines[number].load();
+                let stated = Stated { running, waiting };
+                board.upstreams.note_stated(self.now, flight.key, stated);
+                let took = self.now - flight.began;
+                board.note_first_event(&SERVICE.into(), flight.wait, took);
+            }
+            Event::Done {
+                id,
+                first_ms,
+                pause_ms,
+            } => {
+                let Some(flight) = self.flights.remove(&id) else {
+                    return;
+                };
+                let board = &mut self.boards[flight.instance];
+                let warm = Duration::ZERO;
+                board
+                    .upstreams
+                    .end(self.now, flight.key, flight.size, End::Whole, warm);
+                board.note_run(&SERVICE.into(), self.now - flight.began);
+                if flight.measured {
+                    let took = first_ms - flight.began.as_secs_f64() * 1_000.0;
+                    self.count(took, pause_ms);
+                }
+            }
+        }
+    }
+
+    fn count(&mut self, first_ms: f64, pause_ms: f64) {
+        self.firsts.push(first_ms);
+        if first_ms > self.cfg.target_ms {
+            self.report.began_late += 1;
+        } else if pause_ms > self.cfg.pause_ms {
+            self.report.paused += 1;
+        } else {
+            self.report.on_time += 1;
+        }
+    }
+
+    fn report(mut self) -> Report {
+        self.firsts.sort_by(f64::total_cmp);
+        let quantile = |part: f64| {
+            let at = (self.firsts.len() as f64 * part) as usize;
+            self.firsts.get(at).copied().unwrap_or_default()
+        };
+        let millions = |n: u64| n as f64 / 1e6;
+        Report {
+            read: millions(self.engines.iter().map(|e| e.read).sum()),
+            reread: millions(self.engines.iter().map(|e| e.reread).sum()),
+            first_p50: quantile(0.5),
+            first_p99: quantile(0.99),
+            ..self.report
+        }
+    }
+}
+
+fn board(cfg: &Experiment, at: usize) -> Board {
+    let me = Identity {
+        name: format_smolstr!("i-{at}"),
+        domain: "a".into(),
+        region: "a".into(),
+        // CAST: an experiment has at most 256 instances.
+        ip: Ipv4Addr::new(10, 0, 0, at as u8),
+        incarnation: 1,
+    };
+    let regions: HashMap<SmolStr, SmolStr> = [("a".into(), "a".into())].into();
+    let mut board = Board::new(me, bounds(cfg), regions, at as u64);
+    let mut config = Config::default();
+    config.version = 1;
+    let service = Service {
+        name: SERVICE.into(),
+        max_connections: 0,
+        warmup: Duration::ZERO,
+        cold_rate: 0.0,
+        engine: Some(config::Engine {
+            kv_tokens: cfg.engine.kv_tokens,
+            slots: cfg.engine.slots as u32,
+        }),
+    };
+    config.services.insert(SERVICE.into(), service);
+    board.put_config(Duration::ZERO, config.index());
+    for number in 0..cfg.upstreams {
+        let entry = Entry {
+            id: format_smolstr!("u-{number}"),
+            service: SERVICE.into(),
+            address: ([10, 9, 0, 1], 80).into(),
+            domain: "a".into(),
+            // Engines are bounded by their own slots; this one tells the number back.
+            slots: 1_000 + number as u32,
+            ready: true,
+            cold_left: Duration::ZERO,
+            born: Some(1),
+        };
+        board.put_upstream(Duration::ZERO, entry);
+    }
+    board
+}
+
+fn bounds(cfg: &Experiment) -> Bounds {
+    let window = Duration::from_secs(10);
+    Bounds {
+        budget: budget::Bound {
+            ratio: 0.2,
+            slack: 52.0,
+            window,
+        },
+        quota: quota::Bound {
+            window,
+            over: 0.25,
+            slack: 72_000.0,
+            strangers: 6.0,
+        },
+        cold: cold::Bound {
+            over: 1.5,
+            slack: 3.0,
+        },
+        prefill_per_ms: cfg.engine.prefill_per_ms,
+        region_delay: Duration::from_millis(80),
+    }
+}
