--- a/crates/sesamebarrow_routing/tests/decisions/admission.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/admission.rs
@@ -94,6 +94,54 @@
     assert_eq!(send(&mut board, &ask(9, 999)), Err(Refused::Overload));
 }
 
+/// A board whose upstreams run 128 requests of others each, as many as they have slots,
+/// but for the first, which seems idle.
+fn busy_board(count: usize, slots: u32) -> Board {
+    let mut board = board(count);
+    for upstream in board.upstreams.all.values_mut() {
+        upstream.others.running = if upstream.entry.id == "up-0" {
+            0
+        } else {
+            slots
+        };
+    }
+    board
+}
+
+// Grown scale-1 of the first site: whatever left its homes went from all instances to the
+// upstream that seemed free, until the next news.
+#[test]
+fn few_subjects_go_to_the_one_upstream_that_seems_idle() {
+    let mut chosen = 0;
+    for subject in 0..100 {
+        let mut board = busy_board(64, 128);
+        // Each stands for an instance with the same news.
+        if send(&mut board, &ask(1_000 + subject, 1)).is_ok_and(|c| c.id == "up-0") {
+            chosen += 1;
+        }
+    }
+    assert!(
+        chosen <= 25,
+        "{chosen} of 100 subjects at one of 64 upstreams"
+    );
+}
+
+// The same day: upstreams whose slots were taken got nothing, although one was free within
+// 80 ms.
+#[test]
+fn a_slot_that_is_soon_free_is_waited_for() {
+    let mut board = busy_board(1, 128);
+    for upstream in board.upstreams.all.values_mut() {
+        upstream.others.running = 128;
+    }
+    let chosen = send(&mut board, &ask(5, 1)).expect("one is free in time");
+    assert!(chosen.wait > ms(180), "it waits for a slot");
+    for upstream in board.upstreams.all.values_mut() {
+        upstream.others.running = 200;
+    }
+    assert_eq!(send(&mut board, &ask(5, 2)), Err(Refused::Overload));
+}
+
 #[test]
 fn memory_of_an_engine_is_not_overcommitted() {
     let mut board = board(1);
--- /dev/null
+++ b/crates/sesamebarrow_trial/tests/placement.rs
@@ -0,0 +1,59 @@
+//! What callers get of a region at its peak, by the way its upstreams are chosen.
+
+use sesamebarrow_trial::engine::{Engine, Event, Settings};
+use sesamebarrow_trial::placement::{self, Experiment, Policy, Report};
+
+fn peak() -> Experiment {
+    let text = include_str!("../experiments/peak.toml");
+    let cfg: Experiment = toml::from_str(text).expect("the experiment reads");
+    Experiment {
+        instances: 5,
+        upstreams: 12,
+        seconds: 4,
+        ..cfg
+    }
+}
+
+fn on_time(report: &Report) -> f64 {
+    report.on_time as f64 / report.asked as f64
+}
+
+#[test]
+fn peak_is_served_better_than_by_either_baseline() {
+    let cfg = peak();
+    let gateway = placement::play(&cfg, Policy::Gateway, 1);
+    for baseline in [Policy::LeastOutstanding, Policy::RoundRobin] {
+        let report = placement::play(&cfg, baseline, 1);
+        assert!(
+            on_time(&gateway) > on_time(&report),
+            "{gateway:?} against {baseline}: {report:?}"
+        );
+    }
+    // At most 60 of 100 may be refused or fail by the users' gate.
+    assert!(on_time(&gateway) > 0.4, "{gateway:?}");
+}
+
+#[test]
+fn the_same_seed_plays_the_same() {
+    let cfg = peak();
+    let play = || placement::play(&cfg, Policy::Gateway, 2);
+    assert_eq!(play(), play());
+}
+
+#[test]
+fn an_idle_engine_answers_at_the_speed_of_its_sheet() {
+    let cfg = Settings::default();
+    let mut engine = Engine::new(cfg);
+    assert!(engine.push(0.0, 1, &[], (9_180, 80)));
+    let mut events = Vec::new();
+    engine.run_until(2_000.0, &mut events);
+    let Some(Event::Done {
+        first_ms, pause_ms, ..
+    }) = events.last()
+    else {
+        panic!("{events:?}");
+    };
+    // 53 ms until it runs, 100 ms to read, and eight steps of 4 ms for the first event.
+    assert!((180.0..=205.0).contains(first_ms), "{first_ms} ms");
+    assert!((30.0..=40.0).contains(pause_ms), "{pause_ms} ms");
+}
