Log what decided a refusal, and the pace of a stream

Change: a line tells what was weighed when nothing takes a request; refusals tell the version; ended streams tell first event, longest pause and what is left of the deadline.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -9,7 +9,8 @@
 use hyper::{Request, Response, StatusCode, Uri};
 use rand::RngExt;
 use sesamebarrow_platform::head::{self, Verdict};
-use sesamebarrow_routing::admit::{self, Chosen, MIN_RETRY, Refused};
+use sesamebarrow_routing::Board;
+use sesamebarrow_routing::admit::{self, Ask, Chosen, MIN_RETRY, Refused};
 use sesamebarrow_routing::spill::{self, Hop};
 use sesamebarrow_routing::upstream::{End, Key, Size};
 use smol_str::SmolStr;
@@ -321,7 +322,10 @@
         local = admit::choose(&mut board, now, &ask);
     }
     if job.plan.hopped {
-        return local.map(Target::Upstream).map_err(refuse);
+        return local.map(Target::Upstream).map_err(|refused| {
+            log_untaken(shared, &board, job, &ask, (refused, None));
+            refuse(refused)
+        });
     }
     if let Ok(chosen) = &local
         && chosen.wait < SPILL_MARGIN + board.bounds.region_delay * 2
@@ -342,8 +346,32 @@
         (Ok(chosen), Some(hop)) if hop.wait + SPILL_MARGIN < chosen.wait => Ok(Target::Hop(hop)),
         (Ok(chosen), _) => Ok(Target::Upstream(chosen)),
         (Err(_), Some(hop)) if hop.wait < ask.target => Ok(Target::Hop(hop)),
-        (Err(refused), _) => Err(refuse(refused)),
+        (Err(refused), hop) => {
+            log_untaken(shared, &board, job, &ask, (refused, hop.as_ref()));
+            Err(refuse(refused))
+        }
+    }
+}
+
+/// Writes the line of a request that nothing takes, with what decided it.
+fn log_untaken(
+    shared: &Shared,
+    board: &Board,
+    job: &Job,
+    ask: &Ask,
+    (refused, hop): (Refused, Option<&Hop>),
+) {
+    if !shared.lines.allow(true) {
+        return;
     }
+    let (wait, usable) = admit::region_load(board, shared.now(), &ask.service);
+    log::info!(
+        request = job.id.as_str(), refused:% = refused, service = ask.service.as_str(), usable,
+        wait_ms = wait.as_millis(), target_ms = ask.target.as_millis(), tokens = ask.tokens_in,
+        hop = hop.map_or("none", |h| h.name.as_str()),
+        hop_wait_ms = hop.map_or(0, |h| h.wait.as_millis());
+        "nothing takes it"
+    );
 }
 
 fn refuse(refused: Refused) -> Refusal {
--- a/crates/sesamebarrow_gateway/src/front.rs
+++ b/crates/sesamebarrow_gateway/src/front.rs
@@ -149,8 +149,9 @@
     let millis = began.elapsed().as_millis();
     let retry_ms = refusal.retry_after().map_or(0, |r| r.as_millis());
     if shared.lines.allow(true) {
+        let config = shared.board().config.as_ref().map_or(0, |c| c.version);
         log::info!(
-            request = id.as_str(), status, outcome:% = refusal, millis, retry_ms;
+            request = id.as_str(), status, outcome:% = refusal, millis, retry_ms, config;
             "request refused"
         );
     }
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -95,7 +95,7 @@
     };
     let target = answer.held.target().clone();
     answer.held.end(end);
-    log_end(shared, job, &target, status.as_u16(), "whole");
+    log_end(shared, job, &target, status.as_u16(), "whole", None);
     let (mut parts, ()) = answer.head.into_parts();
     strip(&mut parts.headers);
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
@@ -113,14 +113,24 @@
     }
 }
 
-/// Writes the line of a request that an upstream answered.
-fn log_end(shared: &Shared, job: &Job, target: &str, status: u16, outcome: &'static str) {
+/// Writes the line of a request that an upstream answered; `pace` of a stream.
+fn log_end(
+    shared: &Shared,
+    job: &Job,
+    target: &str,
+    status: u16,
+    outcome: &'static str,
+    pace: Option<&Pace>,
+) {
+    let first_ms = pace.and_then(|p| p.first).map_or(0, |f| f.as_millis());
+    let pause_ms = pace.map_or(0, |p| p.longest_pause.as_millis());
+    let left_ms = job.left().as_millis();
     let millis = job.began.elapsed().as_millis();
     if shared.lines.allow(outcome != "whole") {
         log::info!(
             request = job.id.as_str(), route = job.plan.route.as_str(),
             customer = job.plan.customer.as_deref().unwrap_or("none"), target, status, outcome,
-            millis, hopped = job.plan.hopped;
+            millis, first_ms, pause_ms, left_ms, hopped = job.plan.hopped;
             "request ended"
         );
     }
@@ -238,6 +248,18 @@
 }
 
 impl Relay {
+    fn log_end(&self, outcome: &'static str) {
+        let pace = Some(&self.pace);
+        log_end(
+            &self.shared,
+            &self.job,
+            &self.target,
+            self.status,
+            outcome,
+            pace,
+        );
+    }
+
     /// Ends the attempt in hand.
     fn end(&mut self, end: End) {
         if let Source::Open(_, Some(held)) = std::mem::replace(&mut self.source, Source::Done) {
@@ -246,7 +268,7 @@
     }
 
     fn fail(&mut self, outcome: &'static str) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        log_end(&self.shared, &self.job, &self.target, self.status, outcome);
+        self.log_end(outcome);
         self.source = Source::Done;
         Poll::Ready(Some(Err(Broken)))
     }
@@ -317,7 +339,7 @@
                 }
                 None if this.events.partial.is_empty() => {
                     this.end(End::Whole);
-                    log_end(&this.shared, &this.job, &this.target, this.status, "whole");
+                    this.log_end("whole");
                     return Poll::Ready(None);
                 }
                 Some(Err(_)) | None => {
@@ -346,13 +368,7 @@
             telemetry::note_stream(&self.job.plan.route, first, self.pace.longest_pause);
         }
         if !matches!(self.source, Source::Done) {
-            log_end(
-                &self.shared,
-                &self.job,
-                &self.target,
-                self.status,
-                "cancelled",
-            );
+            self.log_end("cancelled");
         }
     }
 }
