Lead callers to no other region without a configuration

Change: without a configuration only instances of the caller's region are named. Also: what datagrams hold is one table by the size of the fleet, the estimate of a prompt is cut into functions, the pace of a stream has a module.

Before: the new test fails.

--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod hop;
 pub mod intake;
 pub mod lines;
+pub mod pace;
 pub mod pool;
 pub mod relay;
 pub mod reply;
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::task::{Context, Poll, ready};
-use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::future::BoxFuture;
@@ -20,6 +19,7 @@
 
 use crate::exchange::{self, Answer, Held, Tries};
 use crate::intake::Job;
+use crate::pace::Pace;
 use crate::reply::Refusal;
 use crate::shared::Shared;
 use crate::telemetry;
@@ -228,25 +228,6 @@
     pace: Pace,
 }
 
-/// When a stream's events came.
-#[derive(Default)]
-struct Pace {
-    /// Time from the request's head to the first event.
-    first: Option<Duration>,
-    newest: Option<Instant>,
-    longest_pause: Duration,
-}
-
-impl Pace {
-    fn note(&mut self, began: Instant) {
-        let now = Instant::now();
-        self.first.get_or_insert(now - began);
-        if let Some(before) = self.newest.replace(now) {
-            self.longest_pause = self.longest_pause.max(now - before);
-        }
-    }
-}
-
 impl Relay {
     fn log_end(&self, outcome: &'static str) {
         let pace = Some(&self.pace);
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -106,6 +106,15 @@
 /// know each other's load then still agree on where a busy subject spreads.
 const STRAY_COST: f64 = 150.0;
 
+/// Milliseconds by which each running request delays the next one's first event.
+const STEP_COST: f64 = 1.2;
+
+/// Milliseconds by which each waiting request does.
+const QUEUED_COST: f64 = 20.0;
+
+/// Age at which what an upstream said of its queue counts for nothing.
+const QUEUED_LIFE: Duration = Duration::from_millis(300);
+
 struct Scored {
     key: Key,
     /// Milliseconds until the first event.
@@ -227,70 +236,77 @@
     // CAST: token counts are far below 2^53.
     let tokens = |t: u64| t as f64;
     let home = rank == Some(0);
-    let kept = upstream.cache.kept(&ask.prompt).min(ask.tokens_in);
-    let unread = ask.tokens_in - kept;
-    let shared: u64 = ask
-        .prompt
-        .iter()
-        .rev()
-        .skip(1)
-        .map(|p| u64::from(p.tokens))
-        .sum();
-    // The region's other instances send the same prompts to the same upstream.
-    let reread = if home { 0 } else { shared.saturating_sub(kept) };
-    let unread = if home {
-        unread.min(ask.tokens_in - shared.min(ask.tokens_in))
-    } else {
-        unread
-    };
-    let backlog = tokens(upstream.unread) + f64::from(upstream.others.unread);
+    let (unread, reread) = reading(upstream, ask, home);
     let memory = upstream.memory + u64::from(upstream.others.memory);
     let need = ask.tokens_in + ask.tokens_out;
     let speed = board.bounds.prefill_per_ms;
-    let running = upstream.outstanding(now);
-    let waiting = upstream
-        .stated
-        .filter(|s| now.saturating_sub(s.0) < Duration::from_millis(300));
-    let queued = waiting.map_or(0, |s| s.1.waiting);
-    // What is late at busy upstreams is no reason to refuse an idle one: with nothing
-    // admitted, no answer would ever correct it.
-    let lateness = match running {
-        0 => 0.0,
-        _ => board.lateness.get(&ask.service).copied().unwrap_or(0.0),
-    };
-    let slots = f64::from(engine.slots);
-    let wanted = f64::from(running + 1);
     let wait = ENGINE_FIRST
-        + lateness
-        + (backlog + tokens(unread)) / speed
-        + f64::from(running) * STEP_COST
-        + (wanted - slots * SLOTS_USED).max(0.0) * board.slot_time(&ask.service, engine.slots)
-        + f64::from(queued) * QUEUED_COST;
+        + queue_wait(board, now, upstream, engine, &ask.service)
+        + tokens(unread) / speed;
+    let stray = if rank.is_some_and(|r| r < HOMES) {
+        0.0
+    } else {
+        STRAY_COST
+    };
     let most_memory = tokens(engine.kv_tokens) * MEMORY_USED;
+    let wanted = f64::from(upstream.outstanding(now) + 1);
     Scored {
         key,
         wait,
         cost: wait
             + tokens(reread) / speed * REREAD_WEIGHT
-            + if rank.is_some_and(|r| r < HOMES) {
-                0.0
-            } else {
-                STRAY_COST
-            }
+            + stray
             + upstream.fault_ratio * FAULT_COST,
         size: Size {
             unread,
             memory: need,
         },
-        full: (memory > 0 && tokens(memory + need) > most_memory) || wanted > slots * SLOTS_WANTED,
+        full: (memory > 0 && tokens(memory + need) > most_memory)
+            || wanted > f64::from(engine.slots) * SLOTS_WANTED,
     }
 }
 
-/// Milliseconds by which each running request delays the next one's first event.
-const STEP_COST: f64 = 1.2;
+/// Returns the tokens that the upstream would have to read, and those of them that another
+/// one keeps.
+fn reading(upstream: &Upstream, ask: &Ask, home: bool) -> (u64, u64) {
+    let kept = upstream.cache.kept(&ask.prompt).min(ask.tokens_in);
+    let unread = ask.tokens_in - kept;
+    let parts = ask.prompt.iter().rev().skip(1);
+    let shared: u64 = parts.map(|p| u64::from(p.tokens)).sum();
+    if home {
+        // The region's other instances send the same prompts to the same upstream.
+        return (unread.min(ask.tokens_in.saturating_sub(shared)), 0);
+    }
+    (unread, shared.saturating_sub(kept))
+}
 
-/// Milliseconds by which each waiting request does.
-const QUEUED_COST: f64 = 20.0;
+/// Returns the milliseconds that a request would wait there for others.
+fn queue_wait(
+    board: &Board,
+    now: Duration,
+    upstream: &Upstream,
+    engine: Engine,
+    service: &SmolStr,
+) -> f64 {
+    // CAST: token counts are far below 2^53.
+    let backlog = upstream.unread as f64 + f64::from(upstream.others.unread);
+    let running = upstream.outstanding(now);
+    let stated = upstream.stated;
+    let waiting = stated.filter(|s| now.saturating_sub(s.0) < QUEUED_LIFE);
+    let queued = waiting.map_or(0, |s| s.1.waiting);
+    // What is late at busy upstreams is no reason to refuse an idle one: with nothing
+    // admitted, no answer would ever correct it.
+    let lateness = match running {
+        0 => 0.0,
+        _ => board.lateness.get(service).copied().unwrap_or(0.0),
+    };
+    let beyond = f64::from(running + 1) - f64::from(engine.slots) * SLOTS_USED;
+    lateness
+        + backlog / board.bounds.prefill_per_ms
+        + f64::from(running) * STEP_COST
+        + beyond.max(0.0) * board.slot_time(service, engine.slots)
+        + f64::from(queued) * QUEUED_COST
+}
 
 fn score_plain(now: Duration, key: Key, upstream: &Upstream) -> Scored {
     let slots = upstream.entry.slots.max(1);
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -24,51 +24,65 @@
 /// Members spoken to in one round.
 const FANOUT: usize = 7;
 
-/// Members of other regions among them at least.
-const FAR: usize = 2;
-
-/// The same in a large fleet, where most members are of other regions.
-const LARGE_FAR: usize = 3;
-
 /// Records of others in one datagram, so that it fits one packet.
 pub const RECORDS: usize = 10;
 
-/// Customers whose demand is told in a datagram.
-const TOLD: usize = 12;
-
-/// The same in a large fleet.
-const LARGE_TOLD: usize = 4;
-
-/// Upstreams in a datagram of a large fleet at which the sender's load is told.
-const LARGE_OWN: usize = 4;
-
 /// Members above which a fleet is large: datagrams then tell mostly who was heard lately,
 /// so that an instance stays below the users' 6 KB a second.
 const LARGE: usize = 100;
 
-/// Records of others in one datagram of a large fleet.
-const FEW_RECORDS: usize = 1;
+/// What datagrams hold and how long news takes, by the size of the fleet.
+#[derive(Clone, Copy, Debug)]
+struct Scale {
+    /// Members of other regions that a round speaks to at least.
+    far: usize,
+    /// Records of others in one datagram.
+    records: usize,
+    /// Members of whom only the age of their news is told.
+    ages: usize,
+    /// Customers whose demand is told, those first that press most on their rates.
+    customers: usize,
+    /// Upstreams at which the sender's load is told, the busiest first.
+    upstreams: usize,
+    /// One in so many rounds speaks to a seed.
+    seed_rounds: u32,
+    /// Silence after which a member is no longer taken as alive.
+    unheard: Duration,
+    /// Time after which all others count on the demand that one told.
+    news_time: Duration,
+}
 
-/// Members in one datagram of a large fleet of whom only the age of their news is told:
-/// what the bytes of a round leave.
-const AGES: usize = 36;
+/// All is told to all, nearly.
+const SMALL_FLEET: Scale = Scale {
+    far: 2,
+    records: RECORDS,
+    ages: 0,
+    customers: 12,
+    upstreams: usize::MAX,
+    seed_rounds: 1,
+    unheard: UNHEARD,
+    news_time: Duration::from_millis(800),
+};
+
+/// What fits 6 KB a second at 350 instances. Most members are of other regions, and their
+/// news takes about twice as many rounds; demand is told by direct datagrams, mostly.
+const LARGE_FLEET: Scale = Scale {
+    far: 3,
+    records: 1,
+    ages: 36,
+    customers: 4,
+    upstreams: 4,
+    seed_rounds: 8,
+    unheard: Duration::from_millis(4_800),
+    news_time: Duration::from_secs(15),
+};
 
 /// Records in one answer to a sender that lacks them; they fit one packet.
 const WANTED: usize = 30;
 
-/// Factor on [`UNHEARD`] in a large fleet, where news takes about twice as many rounds.
-const LARGE_UNHEARD: u32 = 2;
-
-/// Time in which demand is told to all members of a large fleet, by direct datagrams and
-/// relayed records together.
-const LARGE_NEWS_TIME: Duration = Duration::from_secs(15);
-
 /// Time added to an age with each relay, so that it never shrinks on a way around.
 const RELAY_TIME: Duration = Duration::from_millis(100);
 
-/// Rounds of a large fleet in one of which a seed is spoken to.
-const SEED_ROUNDS: u32 = 8;
-
 /// Heartbeats by which a member's news of this instance may lag.
 const SEEN_LATELY: u64 = 6;
 
@@ -128,27 +142,32 @@
 }
 
 impl Members {
-    fn is_large(&self) -> bool {
-        self.all.len() > LARGE
+    fn scale(&self) -> Scale {
+        if self.all.len() > LARGE {
+            LARGE_FLEET
+        } else {
+            SMALL_FLEET
+        }
     }
 
     /// Returns the silence after which a member is no longer taken as alive.
     pub fn unheard_after(&self) -> Duration {
-        UNHEARD * if self.is_large() { LARGE_UNHEARD } else { 1 }
+        self.scale().unheard
     }
 
     /// Returns the number of customers whose demand is told.
     pub fn told_customers(&self) -> usize {
-        if self.is_large() { LARGE_TOLD } else { TOLD }
+        self.scale().customers
     }
 
     /// Returns the number of upstreams at which the sender's load is told.
     pub fn told_upstreams(&self) -> usize {
-        if self.is_large() {
-            LARGE_OWN
-        } else {
-            usize::MAX
-        }
+        self.scale().upstreams
+    }
+
+    /// Returns the time after which all others count on the demand that one told.
+    pub fn news_time(&self) -> Duration {
+        self.scale().news_time
     }
 
     /// Tells whether `member` is heard from.
@@ -156,15 +175,6 @@
         now.saturating_sub(member.heard) < self.unheard_after()
     }
 
-    /// Returns the time after which all others count on the demand that one told.
-    pub fn news_time(&self) -> Duration {
-        if self.is_large() {
-            LARGE_NEWS_TIME
-        } else {
-            ROUND * 2
-        }
-    }
-
     /// Returns the members that are heard from.
     pub fn heard(&self, now: Duration) -> impl Iterator<Item = &Member> {
         self.all.values().filter(move |m| self.is_heard(m, now))
@@ -317,19 +327,18 @@
     pub fn receivers(&self, region: &str, seeds: &[Ipv4Addr], rng: &mut impl Rng) -> Vec<Ipv4Addr> {
         // Those of the region share its upstreams and need each other's load most.
         let (near, far): (Vec<_>, Vec<_>) = self.all.values().partition(|m| m.region == region);
-        let least_far = if self.is_large() { LARGE_FAR } else { FAR };
+        let scale = self.scale();
         let near = near
             .into_iter()
             .map(Member::ip)
-            .sample(rng, FANOUT - least_far);
+            .sample(rng, FANOUT - scale.far);
         let rest = FANOUT - near.len();
         let mut receivers = far.into_iter().map(Member::ip).sample(rng, rest);
         receivers.extend(near);
         let unknown = seeds.iter().copied().filter(|s| !receivers.contains(s));
         let few = match self.all.len() {
             0 => seeds.len(),
-            n if n > LARGE => usize::from(rng.random_ratio(1, SEED_ROUNDS)),
-            _ => 1,
+            _ => usize::from(rng.random_ratio(1, scale.seed_rounds)),
         };
         let extra = unknown.sample(rng, few);
         receivers.extend(extra);
@@ -338,13 +347,8 @@
 
     /// Returns the newest records for a datagram.
     pub fn records(&self, now: Duration, rng: &mut impl Rng) -> Vec<Record> {
-        let most = if self.is_large() {
-            FEW_RECORDS
-        } else {
-            RECORDS
-        };
         let heard = self.heard(now).map(|m| m.record.clone());
-        heard.sample(rng, most)
+        heard.sample(rng, self.scale().records)
     }
 
     /// Returns the records that a sender wants, without demand.
@@ -367,13 +371,14 @@
     /// receiver lacks those whom it is not spoken to by: an instance of the same region
     /// lacks the far ones, any other the near ones.
     pub fn ages(&self, now: Duration, region: &str, to_near: bool) -> Option<Ages> {
-        if !self.is_large() {
+        let most = self.scale().ages;
+        if most == 0 {
             return None;
         }
         let mut heard: Vec<&Member> = self.heard(now).collect();
         let lacked = |m: &Member| (m.region == region) != to_near;
         heard.sort_by_key(|m| (!lacked(m), std::cmp::Reverse(m.heard)));
-        heard.truncate(AGES);
+        heard.truncate(most);
         let tenths = |m: &&Member| {
             let age = now.saturating_sub(m.heard) + RELAY_TIME;
             // CAST: whoever is heard was so some seconds ago.
--- a/crates/sesamebarrow_routing/src/place.rs
+++ b/crates/sesamebarrow_routing/src/place.rs
@@ -56,11 +56,9 @@
         }
     };
     let near = |r: &str| r == region;
-    let home = |r: &str| {
-        homes
-            .as_ref()
-            .is_none_or(|homes| homes.iter().any(|h| h == r))
-    };
+    // Without a configuration nothing tells where callers may be led.
+    let unbound = homes.is_none() && board.config.is_some();
+    let home = |r: &str| unbound || homes.iter().flatten().any(|h| h == r);
     let mut found = within(true, &near);
     for (ready, test) in [
         (true, &home as &dyn Fn(&str) -> bool),
@@ -71,7 +69,7 @@
             found = within(ready, test);
         }
     }
-    if found.instances.is_empty() {
+    if found.instances.is_empty() && board.config.is_some() {
         found = within(true, &|_| true);
     }
     found
--- a/crates/sesamebarrow_routing/tests/decisions/placement.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/placement.rs
@@ -103,6 +103,18 @@
     assert_eq!(named(&fleet, 0, "a"), [0]);
 }
 
+/// trouble-2 of the first site, seed 577617419446: all homes were stopped in turn, and the
+/// first to be back led callers to the third region before it knew the configuration.
+#[test]
+fn instance_without_a_configuration_names_no_other_region() {
+    let mut fleet = fleet();
+    drain(&mut fleet, 1);
+    drain(&mut fleet, 2);
+    fleet.pass(ms(3_000));
+    fleet.instances[0].board.config = None;
+    assert!(named(&fleet, 0, "a").is_empty());
+}
+
 #[test]
 fn instance_without_a_configuration_is_not_named() {
     let mut fleet = fleet();
