Let a few requests on a narrow route hide no home

Ruled out: late news (the trace shows every member heard within 350 ms).

Change: a region that may take 95 of 100 of the requests is a home. The model's instances send their datagrams in their turn: six of 13 never did.

Before: the new test fails. After: 49 decision tests pass.

--- a/crates/sesamebarrow_routing/src/place.rs
+++ b/crates/sesamebarrow_routing/src/place.rs
@@ -22,6 +22,11 @@
 /// How long an answer holds that names instances which drain.
 const DRAINING_TTL: Duration = Duration::from_millis(300);
 
+/// Part of the requests that the most allowed region may take which another one has to take
+/// too, so that callers are led there: a few requests on a narrower route must not lead all
+/// the others out of their regions. The users' bound is one in twenty.
+const HOME_PART: f64 = 0.95;
+
 /// Where callers should connect.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Placement {
@@ -75,7 +80,7 @@
     found
 }
 
-/// Returns the regions that most requests on the bound routes of `host` allow; `None`
+/// Returns the regions that nearly all requests on the bound routes of `host` allow; `None`
 /// where no route is bound.
 fn homes(board: &Board, host: &str) -> Option<Vec<SmolStr>> {
     let config = board.config.as_ref()?;
@@ -86,8 +91,11 @@
             *weights.entry(region).or_default() += uses + 1;
         }
     }
-    let most = weights.values().max().copied()?;
-    let homes = weights.into_iter().filter(|(_, weight)| *weight == most);
+    // CAST: counts of this size are exact in a float.
+    let least = weights.values().max().copied()? as f64 * HOME_PART;
+    let homes = weights
+        .into_iter()
+        .filter(|(_, weight)| *weight as f64 >= least);
     Some(homes.map(|(region, _)| region.clone()).collect())
 }
 
--- a/crates/sesamebarrow_routing/tests/decisions/placement.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/placement.rs
@@ -103,6 +103,24 @@
     assert_eq!(named(&fleet, 0, "a"), [0]);
 }
 
+/// fresh-66a0 of the first site: two requests on a narrower route made one region the only
+/// home, and callers of 237 others were led to the third one.
+#[test]
+fn few_requests_on_a_narrow_route_hide_no_home() {
+    let routes = vec![route("bound", &["a", "b"]), route("narrow", &["a"])];
+    let mut fleet = Fleet::new(&[("a", 2), ("b", 1), ("c", 2)], config(&[], routes.clone()));
+    fleet.pass(ms(3_000));
+    let board = &mut fleet.instances[0].board;
+    (0..237).for_each(|_| board.note_use(&routes[0]));
+    (0..2).for_each(|_| board.note_use(&routes[1]));
+    drain(&mut fleet, 0);
+    drain(&mut fleet, 1);
+    fleet.pass(ms(3_000));
+    drain(&mut fleet, 2);
+    fleet.pass(ms(800));
+    assert_eq!(named(&fleet, 0, "a"), [2]);
+}
+
 /// trouble-2 of the first site, seed 577617419446: all homes were stopped in turn, and the
 /// first to be back led callers to the third region before it knew the configuration.
 #[test]
--- a/crates/sesamebarrow_trial/src/placement.rs
+++ b/crates/sesamebarrow_trial/src/placement.rs
@@ -201,10 +201,11 @@
     /// Sends and delivers the instances' datagrams; their rounds begin at different times.
     fn exchange(&mut self) {
         let count = self.boards.len();
-        let round = ROUND.as_millis() as u64;
+        let steps = |time: Duration| (time.as_millis() / STEP.as_millis()) as usize;
+        let (now, round) = (steps(self.now), steps(ROUND));
         for at in 0..count {
-            let phase = round * at as u64 / count as u64;
-            if !(self.now.as_millis() as u64 + phase).is_multiple_of(round) {
+            let phase = round * at / count;
+            if !(now + phase).is_multiple_of(round) {
                 continue;
             }
             let board = &mut self.boards[at];
