--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -12,12 +12,13 @@
 use sesamebarrow_routing::Board;
 use sesamebarrow_routing::admit::{self, Ask, Chosen, MIN_RETRY, Refused};
 use sesamebarrow_routing::spill::{self, Hop};
-use sesamebarrow_routing::upstream::{End, Key, Size};
+use sesamebarrow_routing::upstream::{End, Key};
 use smol_str::SmolStr;
 
+use crate::held::{Held, Target};
 use crate::hop;
 use crate::intake::Job;
-use crate::pool::{self, Connection};
+use crate::pool;
 use crate::reply::Refusal;
 use crate::shared::Shared;
 use crate::telemetry;
@@ -31,9 +32,6 @@
 /// By how much another region must be faster before a request leaves this one.
 const SPILL_MARGIN: Duration = Duration::from_millis(120);
 
-/// Idle connections that are kept to one instance of another region.
-const MAX_IDLE_HOPS: usize = 64;
-
 /// Most connections that are tried for one request.
 const MAX_ATTEMPTS: u32 = 4;
 
@@ -43,24 +41,6 @@
 /// Time left below which nothing is sent any more.
 const MIN_LEFT: Duration = Duration::from_millis(30);
 
-/// Where an attempt goes.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Target {
-    /// An upstream of this region.
-    Upstream(Chosen),
-    /// An instance of another region.
-    Hop(Hop),
-}
-
-impl Target {
-    fn name(&self) -> &SmolStr {
-        match self {
-            Self::Upstream(chosen) => &chosen.id,
-            Self::Hop(hop) => &hop.name,
-        }
-    }
-}
-
 /// What was tried for a job.
 #[derive(Debug, Default)]
 pub struct Tries {
@@ -84,124 +64,6 @@
     pub held: Held,
 }
 
-/// What an attempt occupies; given back when it ends.
-pub struct Held {
-    shared: Arc<Shared>,
-    target: Target,
-    size: Size,
-    connection: Option<Connection>,
-    idle: Option<Duration>,
-    began: Instant,
-    ended: bool,
-}
-
-impl Held {
-    fn begin(shared: &Arc<Shared>, target: &Target, job: &Job) -> Self {
-        let mut board = shared.board();
-        let mut size = Size::default();
-        match target {
-            Target::Upstream(chosen) => {
-                size = chosen.size;
-                let config = board.config.clone();
-                let service = config
-                    .as_ref()
-                    .and_then(|c| c.services.get(&job.plan.service));
-                let memory = service.and_then(|s| s.engine).map_or(0, |e| e.kv_tokens);
-                let now = shared.now();
-                let upstream = board.upstreams.all.get(chosen.key);
-                if upstream.is_some_and(|u| u.is_cold(now)) {
-                    metrics::counter!("sesamebarrow_cold_sends_total").increment(1);
-                }
-                telemetry::count_prompt(job.ask.tokens_in, size.unread);
-                board
-                    .upstreams
-                    .begin(now, chosen.key, size, &job.ask.prompt, memory);
-            }
-            Target::Hop(hop) => {
-                if let Some(member) = board.members.all.get_mut(&hop.name) {
-                    member.hops += 1;
-                }
-            }
-        }
-        drop(board);
-        Self {
-            shared: shared.clone(),
-            target: target.clone(),
-            size,
-            connection: None,
-            idle: None,
-            began: Instant::now(),
-            ended: false,
-        }
-    }
-
-    /// Returns the name of the upstream or instance.
-    pub fn target(&self) -> &SmolStr {
-        self.target.name()
-    }
-
-    /// Notes that the first bytes of the answer came.
-    pub fn note_read(&mut self) {
-        if let Target::Upstream(chosen) = &self.target
-            && self.size.unread > 0
-        {
-            let mut board = self.shared.board();
-            board.upstreams.note_read(chosen.key, self.size);
-            let upstream = board.upstreams.all.get(chosen.key);
-            if let Some(service) = upstream.map(|u| u.entry.service.clone()) {
-                board.note_first_event(&service, chosen.wait, self.began.elapsed());
-            }
-            drop(board);
-            self.size.unread = 0;
-        }
-    }
-
-    /// Ends the attempt; after a whole answer its connection is kept.
-    pub fn end(mut self, end: End) {
-        self.finish(end);
-    }
-
-    fn finish(&mut self, end: End) {
-        if std::mem::replace(&mut self.ended, true) {
-            return;
-        }
-        let kept = matches!(end, End::Whole | End::Refused | End::Failed);
-        let now = self.shared.now();
-        let mut board = self.shared.board();
-        let mut most_idle = MAX_IDLE_HOPS;
-        match &self.target {
-            Target::Upstream(chosen) => {
-                let upstream = board.upstreams.all.get(chosen.key);
-                if let Some(service) = upstream.map(|u| u.entry.service.clone()) {
-                    most_idle = board.idle_connections(&service);
-                    let warmup = board.warmup(&service);
-                    board.upstreams.end(now, chosen.key, self.size, end, warmup);
-                    if end == End::Whole {
-                        board.note_run(&service, self.began.elapsed());
-                    }
-                }
-            }
-            Target::Hop(hop) => {
-                if let Some(member) = board.members.all.get_mut(&hop.name) {
-                    member.hops = member.hops.saturating_sub(1);
-                }
-            }
-        }
-        drop(board);
-        if let Some(connection) = self.connection.take()
-            && kept
-        {
-            self.shared.pool.give_back(connection, self.idle, most_idle);
-        }
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.finish(End::Cancelled);
-    }
-}
-
 /// How an attempt went.
 enum Attempted {
     Answer(Box<Answer>),
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod exchange;
 pub mod front;
 pub mod gossip;
+pub mod held;
 pub mod hop;
 pub mod intake;
 pub mod lines;
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -17,7 +17,8 @@
 use smol_str::SmolStr;
 use tokio::time::Sleep;
 
-use crate::exchange::{self, Answer, Held, Tries};
+use crate::exchange::{self, Answer, Tries};
+use crate::held::Held;
 use crate::intake::Job;
 use crate::pace::Pace;
 use crate::reply::Refusal;
