Hash each customer's name once instead of three times a round

Quota::tell and settle hashed every customer's name anew in each round of datagrams; the bucket keeps the hash. Shares are computed as before.

--- a/crates/sesamebarrow_routing/src/quota.rs
+++ b/crates/sesamebarrow_routing/src/quota.rs
@@ -86,6 +86,8 @@
 
 #[derive(Clone, Debug)]
 struct Bucket {
+    /// Hash of the customer's name, by which its demand is told.
+    hash: u32,
     /// Tokens at hand; never above the share's burst.
     level: f64,
     refilled: Duration,
@@ -135,17 +137,21 @@
         let (rate, burst) = limit;
         let bound = self.bound;
         let part = 1.0 / bound.strangers;
-        let bucket = self.buckets.entry(customer.clone()).or_insert(Bucket {
-            level: bound.slack * part * SLACK * 0.5,
-            refilled: now,
-            part,
-            even: part,
-            rate,
-            burst,
-            pressed: false,
-            asked: 0.0,
-            told: VecDeque::new(),
-        });
+        let bucket = self
+            .buckets
+            .entry(customer.clone())
+            .or_insert_with(|| Bucket {
+                hash: short_hash(customer),
+                level: bound.slack * part * SLACK * 0.5,
+                refilled: now,
+                part,
+                even: part,
+                rate,
+                burst,
+                pressed: false,
+                asked: 0.0,
+                told: VecDeque::new(),
+            });
         (bucket.rate, bucket.burst) = (rate, burst);
         refill(bucket, now, bound);
         bucket
@@ -205,24 +211,22 @@
     /// that is not told does not count for this instance's part either.
     pub fn tell(&mut self, now: Duration, news_time: Duration, most: usize) -> Demand {
         let bound = self.bound;
-        let mut demands: Vec<(f64, &SmolStr, f64)> = Vec::with_capacity(self.buckets.len());
-        for (customer, bucket) in &mut self.buckets {
+        let mut demands: Vec<(f64, u32, f64)> = Vec::with_capacity(self.buckets.len());
+        for bucket in self.buckets.values_mut() {
             refill(bucket, now, bound);
             let rate = demand(bucket, bound);
             if rate >= 1.0 {
-                demands.push((rate / bucket.rate.max(1.0), customer, rate));
+                demands.push((rate / bucket.rate.max(1.0), bucket.hash, rate));
             }
         }
         demands.sort_by(|a, b| b.0.total_cmp(&a.0));
         demands.truncate(most);
         // CAST: saturates far above any rate.
-        let told = demands
-            .iter()
-            .map(|(_, c, rate)| (short_hash(c), *rate as u32));
+        let told = demands.iter().map(|(_, hash, rate)| (*hash, *rate as u32));
         let (customers, rates) = told.unzip();
         let told = Demand { customers, rates };
-        for (customer, bucket) in &mut self.buckets {
-            let rate = told.of(short_hash(customer));
+        for bucket in self.buckets.values_mut() {
+            let rate = told.of(bucket.hash);
             bucket.told.push_back((now, f64::from(rate)));
             while bucket.told.len() > 1 && now.saturating_sub(bucket.told[1].0) >= news_time {
                 bucket.told.pop_front();
@@ -243,10 +247,9 @@
         let bound = self.bound;
         let fresh = members.is_fresh(now);
         let begins = !std::mem::replace(&mut self.begun, true) && members.all.len() < RECORDS;
-        for (customer, bucket) in &mut self.buckets {
+        for bucket in self.buckets.values_mut() {
             refill(bucket, now, bound);
-            let id = short_hash(customer);
-            let (part, total) = part(now, id, bucket, members, bound.strangers);
+            let (part, total) = part(now, bucket, members, bound.strangers);
             bucket.pressed = total > bucket.rate * PRESSED;
             // While some are silent, those that hear each other must not count on demand
             // that may have changed.
@@ -269,13 +272,8 @@
 }
 
 /// Returns this instance's part and the demand of all that are linked.
-fn part(
-    now: Duration,
-    id: u32,
-    bucket: &Bucket,
-    members: &mut Members,
-    strangers: f64,
-) -> (f64, f64) {
+fn part(now: Duration, bucket: &Bucket, members: &mut Members, strangers: f64) -> (f64, f64) {
+    let id = bucket.hash;
     let times = (members.unheard_after(), members.patience());
     let linked = members
         .all
