--- a/crates/sesamebarrow_standin/src/http.rs
+++ b/crates/sesamebarrow_standin/src/http.rs
@@ -81,6 +81,27 @@
 }
 
 impl Answer {
+    /// Reads an answer to its end, or to where it breaks off.
+    pub async fn read(response: Response<Incoming>) -> Self {
+        let (head, mut incoming) = response.into_parts();
+        let (mut body, mut whole) = (Vec::new(), true);
+        while let Some(frame) = incoming.frame().await {
+            match frame {
+                Ok(frame) => body.extend(frame.into_data().unwrap_or_default()),
+                Err(_) => {
+                    whole = false;
+                    break;
+                }
+            }
+        }
+        Self {
+            status: head.status,
+            fields: head.headers,
+            body: body.into(),
+            whole,
+        }
+    }
+
     /// Returns the body as JSON; null if it is none.
     pub fn json(&self) -> serde_json::Value {
         serde_json::from_slice(&self.body).unwrap_or_default()
@@ -114,22 +135,5 @@
     let response = sender
         .send_request(req.body(Full::new(body.into()))?)
         .await?;
-    let (head, mut incoming) = response.into_parts();
-    let mut body = Vec::new();
-    let mut whole = true;
-    while let Some(frame) = incoming.frame().await {
-        match frame {
-            Ok(frame) => body.extend(frame.into_data().unwrap_or_default()),
-            Err(_) => {
-                whole = false;
-                break;
-            }
-        }
-    }
-    Ok(Answer {
-        status: head.status,
-        fields: head.headers,
-        body: body.into(),
-        whole,
-    })
+    Ok(Answer::read(response).await)
 }
