Relay the ages of randomly selected members in large fleets

Cause: a datagram told ages of members by preference: to another region those of the sender's own region, to the own region those of the others. With 65 instances in each of three regions the preferred ones filled all 36 places, so that nobody relayed the ages of the receiver's own region, most of whose instances it hears directly only every 6 s; silence counts after 4.8 s. Instances whose record got lost were not asked for either, since their hash was never told. At 342 instances in 19 regions, the only size tested, the preferred ones did not fill the places.

Change: ages of a random selection, the more recent half of 72.

--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -423,7 +423,7 @@
     }
 
     /// Fills in the fields of a datagram that depend on its receiver, the instance at `ip`.
-    pub fn complete_datagram(&self, now: Duration, datagram: &mut Datagram, ip: Ipv4Addr) {
+    pub fn complete_datagram(&mut self, now: Duration, datagram: &mut Datagram, ip: Ipv4Addr) {
         let receiver = self.members.all.values().find(|m| m.ip() == ip);
         datagram.seen_heartbeat = receiver.map_or(0, |m| m.record.heartbeat);
         let same_region = receiver.is_some_and(|m| m.region == self.identity.region);
@@ -432,9 +432,7 @@
         } else {
             Vec::new()
         };
-        datagram.heard_ages = self
-            .members
-            .recent_ages(now, &self.identity.region, same_region);
+        datagram.heard_ages = self.members.recent_ages(now, &mut self.rng);
     }
 
     /// Returns the load that this instance has put on upstreams; only the busiest ones if there
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -87,6 +87,9 @@
     propagation_time: Duration::from_secs(15),
 };
 
+/// Number of randomly selected members for each age that is sent.
+const AGE_CANDIDATES: usize = 2;
+
 /// Maximum number of records in a reply to a sender that asks for them, so that they fit
 /// into one packet.
 const MAX_REQUESTED_RECORDS: usize = 30;
@@ -403,23 +406,16 @@
         std::mem::take(&mut self.unknown_instances)
     }
 
-    /// Returns when members were last heard from, for a datagram to be sent from `region`;
-    /// `None` unless there are many members. Members that send few datagrams to the
-    /// receiver come first: those of other regions if the receiver is in `region`, and
-    /// those of `region` otherwise.
-    pub fn recent_ages(
-        &self,
-        now: Duration,
-        region: &str,
-        to_same_region: bool,
-    ) -> Option<HeardAges> {
+    /// Returns when members were last heard from, for one datagram; `None` unless there are
+    /// many members. They are the more recent ones of a random selection: every member is
+    /// selected often, and news spread faster than old ages.
+    pub fn recent_ages(&self, now: Duration, rng: &mut impl Rng) -> Option<HeardAges> {
         let max_ages = self.limits().max_ages;
         if max_ages == 0 {
             return None;
         }
-        let mut recent: Vec<&Member> = self.alive(now).collect();
-        let preferred = |m: &Member| (m.region == region) != to_same_region;
-        recent.sort_by_key(|m| (!preferred(m), std::cmp::Reverse(m.last_heard)));
+        let mut recent = self.alive(now).sample(rng, max_ages * AGE_CANDIDATES);
+        recent.sort_by_key(|m| std::cmp::Reverse(m.last_heard));
         recent.truncate(max_ages);
         let tenths = |m: &&Member| {
             let age = now.saturating_sub(m.last_heard) + RELAY_AGE_INCREMENT;
--- a/crates/sesamebarrow_routing/tests/decisions/members.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/members.rs
@@ -182,3 +182,20 @@
         assert!(mean <= 0.01, "fraction {mean:.4} not considered alive");
     }
 }
+
+/// As above, with regions in which most instances hear of each other only through others.
+#[test]
+fn large_regions_hear_from_nearly_all_instances() {
+    let mut fleet = fleet(65);
+    fleet.advance(ms(8_000));
+    for _ in 0..4 {
+        fleet.advance(ms(700));
+        let indices = 0..fleet.instances.len();
+        let dead = indices.map(|index| dead_fraction(&fleet, index));
+        let mean = dead.sum::<f64>() / fleet.instances.len() as f64;
+        println!("{mean:.4} not considered alive");
+        assert!(mean <= 0.01, "fraction {mean:.4} not considered alive");
+        let known = fleet.instances.iter().map(|i| i.board.instance_count());
+        assert_eq!(known.min(), Some(fleet.instances.len()));
+    }
+}
