--- a/crates/sesamebarrow_gateway/src/admin.rs
+++ b/crates/sesamebarrow_gateway/src/admin.rs
@@ -8,6 +8,7 @@
 use hyper::{Request, Response, StatusCode};
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::json;
+use sesamebarrow_routing::token;
 
 use crate::relay::{self, Body};
 use crate::shared::Shared;
@@ -63,11 +64,21 @@
             })
         })
         .collect();
+    let customers = board.config.iter().flat_map(|c| &c.customers);
+    let buckets: Vec<_> = customers
+        .filter_map(|c| {
+            let bucket = board.quota.bucket_state(token::customer_hash(&c.name))?;
+            Some(json!({
+                "customer": c.name, "part": bucket.refill_fraction,
+                "level": bucket.available_tokens, "wanted": bucket.lead_tokens,
+            }))
+        })
+        .collect();
     json!({
         "name": board.identity.name, "region": board.identity.region, "ready": board.is_ready(),
         "refuses_streams": shared.refuses_streams.load(Ordering::Relaxed),
         "config": board.config.as_ref().map(|c| c.version),
         "changed": board.revision, "evacuated": board.evacuated.iter().collect::<Vec<_>>(),
-        "members": members, "upstreams": upstreams,
+        "members": members, "upstreams": upstreams, "buckets": buckets,
     })
 }
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -175,7 +175,7 @@
 
 /// Returns the delay after which a refused client may retry, at least `min`. It is random so
 /// that refused clients do not all retry at the same time.
-fn jittered_retry_after(min: Duration) -> Duration {
+pub fn jittered_retry_after(min: Duration) -> Duration {
     min + RETRY_AFTER_JITTER.mul_f64(rand::rng().random::<f64>())
 }
 
--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -4,9 +4,8 @@
 use std::sync::Arc;
 
 use sesamebarrow_routing::gossip;
-use sesamebarrow_routing::member::GOSSIP_INTERVAL;
 use tokio::net::UdpSocket;
-use tokio::time::MissedTickBehavior;
+use tokio::time::Instant;
 
 use crate::shared::Shared;
 
@@ -16,11 +15,13 @@
 /// Sends and receives datagrams until the process ends.
 pub async fn run(shared: Arc<Shared>, socket: UdpSocket) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
-    let mut interval = tokio::time::interval(GOSSIP_INTERVAL);
-    interval.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut next_round = Instant::now();
     loop {
         tokio::select! {
-            _ = interval.tick() => send_round(&shared, &socket).await,
+            () = tokio::time::sleep_until(next_round) => {
+                send_round(&shared, &socket).await;
+                next_round = Instant::now() + shared.board().gossip_interval();
+            }
             () = shared.catalog_updated.notified() => send_revision(&shared, &socket).await,
             received = socket.recv_from(&mut buf) => match received {
                 Ok((length, from)) => {
--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -18,10 +18,11 @@
 use smol_str::SmolStr;
 
 use crate::exchange;
-use crate::intake::{Job, RequestPolicy, Reservation, Residency, path_and_query};
+use crate::intake::{Job, RequestPolicy, Residency, path_and_query};
 use crate::relay::Body;
 use crate::reply::Refusal;
 use crate::shared::Shared;
+use crate::token::Reservation;
 
 /// Header that contains the envelope.
 const ENVELOPE_HEADER: &str = "sesamebarrow-envelope";
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -2,7 +2,7 @@
 //! tokens.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -19,7 +19,7 @@
 
 use crate::reply::Refusal;
 use crate::shared::Shared;
-use crate::telemetry;
+use crate::token::{self, Reservation};
 
 /// Time for which a client is assumed to wait if its request states no time.
 const DEFAULT_CLIENT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -110,41 +110,6 @@
     }
 }
 
-/// Tokens taken from a customer's share; one for each request if the customer's rate counts
-/// requests. They are refunded when the reservation is dropped, unless the request may have run.
-pub struct Reservation {
-    shared: Arc<Shared>,
-    /// Name of the customer and the tokens taken; `None` if there is nothing to refund.
-    customer: Option<(SmolStr, f64)>,
-    consumed: AtomicBool,
-}
-
-impl Reservation {
-    /// Returns a reservation without tokens.
-    pub fn none(shared: &Arc<Shared>) -> Self {
-        Self {
-            shared: shared.clone(),
-            customer: None,
-            consumed: AtomicBool::new(false),
-        }
-    }
-
-    /// Sets whether the request may have run, so that the tokens are not refunded.
-    pub fn set_consumed(&self, consumed: bool) {
-        self.consumed.store(consumed, Ordering::Relaxed);
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        if let Some((customer, cost)) = &self.customer
-            && !self.consumed.load(Ordering::Relaxed)
-        {
-            self.shared.board().quota.refund(customer, *cost);
-        }
-    }
-}
-
 /// Receives a client's request and turns it into a job.
 pub async fn receive(shared: &Arc<Shared>, req: Request<Incoming>) -> Result<Job, Refusal> {
     let started_at = Instant::now();
@@ -170,12 +135,13 @@
         (route, customer)
     };
     shared.board().record_route_request(&route);
-    let reservation = reserve(
-        shared,
-        &request_head.id,
-        customer.as_ref(),
-        request_head.tokens,
-    )?;
+    let reservation = match &customer {
+        Some(customer) => {
+            let tokens = request_head.tokens.map(|(input, output)| input + output);
+            token::reserve(shared, &request_head.id, customer, tokens).await?
+        }
+        None => Reservation::none(shared),
+    };
     let random = rand::random();
     let service = route.pick_service(random).clone();
     let client_timeout = request_head
@@ -280,36 +246,3 @@
     }
     Ok(buf.freeze())
 }
-
-fn reserve(
-    shared: &Arc<Shared>,
-    id: &SmolStr,
-    customer: Option<&Arc<Customer>>,
-    tokens: Option<(u64, u64)>,
-) -> Result<Reservation, Refusal> {
-    let Some(customer) = customer else {
-        return Ok(Reservation::none(shared));
-    };
-    let cost = customer.cost(tokens.map(|(input, output)| input + output));
-    let limit = (customer.rate, customer.burst);
-    let result = shared
-        .board()
-        .quota
-        .take(shared.now(), &customer.name, limit, cost);
-    telemetry::count_quota(cost, result.is_ok());
-    match result {
-        Ok(()) => Ok(Reservation {
-            shared: shared.clone(),
-            customer: Some((customer.name.clone(), cost)),
-            consumed: AtomicBool::new(false),
-        }),
-        Err(exceeded) => {
-            log::info!(
-                request = id.as_str(), customer = customer.name.as_str(), cost,
-                rate = customer.rate, part = exceeded.fraction, level = exceeded.available_tokens;
-                "rate exceeded"
-            );
-            Err(Refusal::Rate(exceeded.retry_after))
-        }
-    }
-}
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! `sesamebarrow_routing` selects, over connections of [`pool`], and [`relay`] sends the
 //! response to the client. [`hop`] forwards requests to an instance of another region.
 //!
+//! [`token`] takes the tokens of requests from the buckets that instances keep.
 //! [`store`], [`sync`] and [`gossip`] keep the board up to date, the tables of
 //! `sesamebarrow_routing` that hold all that this instance knows. [`directory`] and [`admin`]
 //! answer requests of clients and operators, and [`telemetry`] contains the metrics.
@@ -29,6 +30,7 @@
 pub mod stream_timing;
 pub mod sync;
 pub mod telemetry;
+pub mod token;
 
 pub use run::run;
 pub use settings::Settings;
--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -14,6 +14,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::telemetry;
+use crate::token::{self, Tokens};
 use crate::{admin, directory, gossip, server, store, sync};
 
 /// Interval at which a draining process checks whether all requests have ended.
@@ -39,7 +40,10 @@
     let gossip_socket = UdpSocket::bind(listen.gossip)
         .await
         .with_context(|| format!("listen.gossip: cannot bind {}", listen.gossip))?;
-    let shared = Arc::new(Shared::new(settings, identity));
+    let token_socket = UdpSocket::bind(listen.tokens)
+        .await
+        .with_context(|| format!("listen.tokens: cannot bind {}", listen.tokens))?;
+    let shared = Arc::new(Shared::new(settings, identity, Tokens::new(token_socket)));
     log::info!(
         name = shared.identity.name.as_str(), domain = shared.identity.domain.as_str(),
         incarnation = shared.identity.incarnation, callers:% = listen.callers; "started"
@@ -48,6 +52,7 @@
     tokio::spawn(sync::follow(shared.clone()));
     tokio::spawn(sync::serve(shared.clone(), sync_listener));
     tokio::spawn(gossip::run(shared.clone(), gossip_socket));
+    tokio::spawn(token::run(shared.clone()));
     tokio::spawn(server::serve(
         shared.clone(),
         client_listener,
--- a/crates/sesamebarrow_gateway/src/settings.rs
+++ b/crates/sesamebarrow_gateway/src/settings.rs
@@ -86,6 +86,8 @@
     pub hop: SocketAddr,
     /// Gossip datagrams of other instances, over UDP.
     pub gossip: SocketAddr,
+    /// Datagrams of other instances about tokens of customers' rates, over UDP.
+    pub tokens: SocketAddr,
     /// Metrics and the state dump.
     pub admin: SocketAddr,
 }
--- a/crates/sesamebarrow_gateway/src/shared.rs
+++ b/crates/sesamebarrow_gateway/src/shared.rs
@@ -14,6 +14,7 @@
 use crate::log_limit::Limiter;
 use crate::pool::Pool;
 use crate::settings::Settings;
+use crate::token::Tokens;
 
 /// State that all tasks of the process share.
 pub struct Shared {
@@ -27,6 +28,8 @@
     catalog: Mutex<Catalog>,
     /// Connections to upstreams and other instances.
     pub pool: Pool,
+    /// The exchange of tokens with other instances.
+    pub tokens: Tokens,
     /// Limits the number of log lines.
     pub log_limiter: Limiter,
     /// Open inbound connections.
@@ -48,7 +51,7 @@
 
 impl Shared {
     /// Builds the shared state of a new process.
-    pub fn new(settings: Settings, identity: Identity) -> Self {
+    pub fn new(settings: Settings, identity: Identity, tokens: Tokens) -> Self {
         let regions: HashMap<SmolStr, SmolStr> = settings.domains.clone();
         let board = Board::new(
             identity.clone(),
@@ -62,6 +65,7 @@
             board: Mutex::new(board),
             catalog: Mutex::default(),
             pool: Pool::default(),
+            tokens,
             log_limiter: Limiter::default(),
             inbound_connections: TaskTracker::new(),
             active_requests: AtomicU64::new(0),
--- a/crates/sesamebarrow_gateway/src/telemetry.rs
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -14,7 +14,7 @@
 ];
 
 /// Names and descriptions of the counters.
-const COUNTERS: [(&str, &str); 10] = [
+const COUNTERS: [(&str, &str); 12] = [
     (
         "sesamebarrow_answers_total",
         "Answers that came from an upstream, by how they ended.",
@@ -43,6 +43,14 @@
         "sesamebarrow_quota_tokens_total",
         "Tokens asked for under a customer's rate, by outcome.",
     ),
+    (
+        "sesamebarrow_token_requests_total",
+        "Requests for tokens to other instances, by whether they were answered in time.",
+    ),
+    (
+        "sesamebarrow_borrowed_tokens_total",
+        "Tokens borrowed from the buckets of other instances.",
+    ),
     (
         "sesamebarrow_connections_opened_total",
         "Connections opened to upstreams and instances.",
@@ -138,6 +146,12 @@
         .increment(cost as u64);
 }
 
+/// Counts a request for tokens to another instance.
+pub fn count_token_request(answered: bool) {
+    let answered = if answered { "yes" } else { "no" };
+    metrics::counter!("sesamebarrow_token_requests_total", "answered" => answered).increment(1);
+}
+
 /// Counts a retry that the retry budget granted or denied.
 pub fn count_retry(granted: bool) {
     let outcome = if granted { "granted" } else { "denied" };
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -14,7 +14,7 @@
 use crate::cache::PromptPart;
 use crate::cold;
 use crate::config::Engine;
-use crate::quota;
+use crate::member::DISCOVERY_TIME;
 use crate::rendezvous;
 use crate::upstream::{Key, RequestLoad, Upstream};
 
@@ -222,7 +222,7 @@
     if rate <= 0.0 {
         return true;
     }
-    if now < quota::DISCOVERY_TIME {
+    if now < DISCOVERY_TIME {
         // Instances that started together do not yet know which of them owns the upstream.
         return false;
     }
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -13,9 +13,11 @@
 use crate::cold;
 use crate::config::{Config, Route};
 use crate::gossip::{Datagram, Record, ServiceLoad, UpstreamLoad, short_hash};
-use crate::member::{Member, Members};
+use crate::holder;
+use crate::member::{DISCOVERY_GOSSIP_INTERVAL, GOSSIP_INTERVAL, Member, Members};
 use crate::quota::{self, Quota};
 use crate::rendezvous;
+use crate::token;
 use crate::upstream::{Entry, Upstream, Upstreams};
 
 /// Identifies this instance.
@@ -81,6 +83,8 @@
 pub struct Board {
     /// Identifies this instance.
     pub identity: Identity,
+    /// Hash of this instance's name.
+    name_hash: u32,
     /// Parameters of the routing decisions.
     pub parameters: Parameters,
     /// Region of each failure domain.
@@ -95,8 +99,10 @@
     pub upstreams: Upstreams,
     /// The other instances.
     pub members: Members,
-    /// This instance's share of each customer's rate.
+    /// The token buckets of customers that this instance keeps.
     pub quota: Quota,
+    /// Whether this instance has discovered the others since its start.
+    pub discovery_done: bool,
     /// The retries that this instance may make.
     pub budget: RetryBudget,
     /// Milliseconds added to estimated waits, by service. Adjusted by a fraction of each
@@ -135,7 +141,9 @@
             .iter()
             .map(|(domain, region)| (short_hash(domain), region.clone()))
             .collect();
+        let quota = Quota::new(parameters.quota, region_count(&regions));
         Self {
+            name_hash: short_hash(&identity.name),
             identity,
             parameters,
             regions,
@@ -144,7 +152,8 @@
             evacuated: HashSet::new(),
             upstreams: Upstreams::default(),
             members: Members::default(),
-            quota: Quota::new(parameters.quota),
+            quota,
+            discovery_done: false,
             budget: RetryBudget::new(parameters.budget),
             wait_corrections_ms: HashMap::new(),
             request_durations_ms: HashMap::new(),
@@ -166,10 +175,10 @@
         self.budget.set_limit(parameters.budget);
     }
 
-    /// Returns whether clients should be sent to this instance: it has a configuration and
-    /// is not draining. A draining instance still accepts requests for a while.
+    /// Returns whether clients should be sent to this instance: it has a configuration, knows
+    /// the other instances and is not draining. A draining instance still accepts requests for a while.
     pub fn is_ready(&self) -> bool {
-        self.config.is_some() && self.draining_since.is_none()
+        self.config.is_some() && self.discovery_done && self.draining_since.is_none()
     }
 
     /// Returns for how long this instance has been draining; `None` if it is not.
@@ -189,10 +198,12 @@
         }
         self.route_requests
             .retain(|name, _| config.routes.iter().any(|r| r.name == *name));
-        for customer in &config.customers {
-            let limit = (customer.rate, customer.burst);
-            self.quota.open_share(now, &customer.name, limit);
-        }
+        let limits = config
+            .customers
+            .iter()
+            .map(|c| (token::customer_hash(&c.name), c.rate, c.burst));
+        self.quota.set_limits(now, &limits.collect::<Vec<_>>());
+        holder::update_buckets(self, now);
         self.config = Some(Arc::new(config));
         true
     }
@@ -303,6 +314,16 @@
         }
     }
 
+    /// Returns the hash of this instance's name.
+    pub fn name_hash(&self) -> u32 {
+        self.name_hash
+    }
+
+    /// Returns the number of regions.
+    pub fn region_count(&self) -> usize {
+        region_count(&self.regions)
+    }
+
     /// Returns the number of known instances, including this one.
     pub fn instance_count(&self) -> usize {
         self.members.all.len() + 1
@@ -314,6 +335,15 @@
         self.members.all.values().filter(same_region).count() + 1
     }
 
+    /// Returns the time until the next gossip round.
+    pub fn gossip_interval(&self) -> Duration {
+        if self.discovery_done {
+            GOSSIP_INTERVAL
+        } else {
+            DISCOVERY_GOSSIP_INTERVAL
+        }
+    }
+
     /// Starts a gossip round and returns this instance's datagram, without the fields that
     /// depend on the receiver.
     pub fn begin_gossip_round(&mut self, now: Duration) -> Datagram {
@@ -321,17 +351,10 @@
         self.members.remove_silent(now);
         self.upstreams.remove_due(now);
         self.sum_other_loads(now);
-        let members = &self.members;
-        let demand = self.quota.report_demand(
-            now,
-            members.propagation_time(),
-            members.max_demand_customers(),
-        );
-        self.quota.update_fractions(now, &mut self.members);
+        holder::update_buckets(self, now);
         Datagram {
             sender: Record {
                 heartbeat: self.heartbeat,
-                demand: Some(demand),
                 ..self.own_record(now)
             },
             other_records: self.members.sample_records(now, &mut self.rng),
@@ -370,7 +393,7 @@
         }
     }
 
-    /// Returns this instance's record without its heartbeat and demand.
+    /// Returns this instance's record without its heartbeat.
     fn own_record(&self, now: Duration) -> Record {
         let draining = self.draining_for(now);
         Record {
@@ -382,6 +405,7 @@
             // CAST: stopping takes seconds.
             draining_time_ms: draining.map_or(0, |d| d.as_millis().max(1) as u32),
             store_answers: self.store_answers,
+            keeps_buckets: true,
             ..Record::default()
         }
     }
@@ -480,8 +504,8 @@
     pub fn handle_datagram(&mut self, now: Duration, datagram: &Datagram) -> bool {
         let regions = &self.regions_by_hash;
         let region_of = |domain_hash: u32| regions.get(&domain_hash).cloned();
-        let own_name_and_heartbeat = (self.identity.name.as_str(), self.heartbeat);
-        if datagram.sender.name == own_name_and_heartbeat.0 {
+        let own_name = self.identity.name.as_str();
+        if datagram.sender.name == own_name {
             return false;
         }
         // Only `revision_datagram` leaves the heartbeat at 0.
@@ -491,7 +515,7 @@
             return false;
         }
         self.members
-            .apply_datagram(now, own_name_and_heartbeat, datagram, region_of);
+            .apply_datagram(now, own_name, datagram, region_of);
         if datagram.store_outage_age_ms > 0 {
             let at = now.saturating_sub(Duration::from_millis(datagram.store_outage_age_ms.into()));
             self.last_store_outage_at =
@@ -522,3 +546,8 @@
         }
     }
 }
+
+/// Returns the number of different regions.
+fn region_count(regions: &HashMap<SmolStr, SmolStr>) -> usize {
+    regions.values().collect::<HashSet<_>>().len().max(1)
+}
--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -1,4 +1,4 @@
-//! The datagrams that instances exchange: liveness, demand and load.
+//! The datagrams that instances exchange: liveness and load.
 //!
 //! Each datagram contains the sender's full record and the records of some other instances.
 //! Information thus reaches all instances while the traffic of each instance stays
@@ -6,30 +6,6 @@
 
 use prost::Message as _;
 
-/// Demand of customers at an instance, in columns, which take less space than one message
-/// per customer. The customers with the highest demand relative to their rate come first.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Demand {
-    /// Hashes of the customers' names.
-    #[prost(fixed32, repeated, tag = "1")]
-    pub customer_hashes: Vec<u32>,
-    /// Tokens per second that the customers' requests ask for, in the order of
-    /// `customer_hashes`.
-    #[prost(uint32, repeated, tag = "2")]
-    pub tokens_per_s: Vec<u32>,
-}
-
-impl Demand {
-    /// Returns the tokens per second of the customer whose name has the hash
-    /// `customer_hash`, or 0 if it is not listed.
-    pub fn tokens_per_s_of(&self, customer_hash: u32) -> u32 {
-        let mut pairs = self.customer_hashes.iter().zip(&self.tokens_per_s);
-        pairs
-            .find(|(hash, _)| **hash == customer_hash)
-            .map_or(0, |(_, rate)| *rate)
-    }
-}
-
 /// Load of one service in the sender's region.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ServiceLoad {
@@ -61,7 +37,7 @@
     pub kv_tokens: u32,
 }
 
-/// State of one instance.
+/// State of one instance. Tag 7 held the demand of customers in an earlier version.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Record {
     /// Its name.
@@ -83,15 +59,16 @@
     /// Whether clients should be sent to it: it has a configuration and is not draining.
     #[prost(bool, tag = "6")]
     pub ready: bool,
-    /// Demand at the instance, by customer.
-    #[prost(message, optional, tag = "7")]
-    pub demand: Option<Demand>,
     /// Milliseconds since it began to drain; 0 if it is not draining.
     #[prost(uint32, tag = "8")]
     pub draining_time_ms: u32,
     /// Whether the store answers it, as far as it knows.
     #[prost(bool, tag = "9")]
     pub store_answers: bool,
+    /// Whether it keeps token buckets ([`crate::holder`]); instances of earlier versions
+    /// do not.
+    #[prost(bool, tag = "10")]
+    pub keeps_buckets: bool,
 }
 
 /// How long ago instances were last heard from, directly or through other instances; in
--- a/crates/sesamebarrow_routing/src/lib.rs
+++ b/crates/sesamebarrow_routing/src/lib.rs
@@ -1,8 +1,8 @@
 //! Routing decisions of one instance, without I/O.
 //!
 //! A [`Board`] holds what the instance knows: the configuration ([`config`]), the other
-//! instances ([`member`]), the shares of each customer's rate ([`quota`]) and the upstreams
-//! with their load ([`upstream`]). [`admit`], [`spill`] and [`place`] decide where requests
+//! instances ([`member`]), the token buckets of customers ([`quota`], [`holder`]) and the
+//! upstreams with their load ([`upstream`]). [`admit`], [`spill`] and [`place`] decide where requests
 //! and clients go; most other modules own one part of the board. `Board` follows the
 //! blackboard pattern: all modules read and write its tables.
 //!
@@ -21,11 +21,13 @@
 pub mod cold;
 pub mod config;
 pub mod gossip;
+pub mod holder;
 pub mod member;
 pub mod place;
 pub mod quota;
 pub mod rendezvous;
 pub mod spill;
+pub mod token;
 pub mod upstream;
 
 pub use board::{Board, Identity};
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -13,16 +13,24 @@
 /// Time between two gossip rounds.
 pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time between two gossip rounds of an instance that is still discovering the others.
+pub const DISCOVERY_GOSSIP_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Silence after which a member is no longer considered alive in a fleet of up to
 /// `LARGE_FLEET_THRESHOLD` members: six rounds. Updates about members of other regions take
 /// up to three rounds to arrive, and three rounds in a row must be lost before a live member
 /// is considered dead.
 pub const ALIVE_TIMEOUT: Duration = Duration::from_millis(2_400);
 
-/// Silence after which a member is removed and its share of each rate is redistributed.
+/// Silence after which a member is removed and other instances refill its token buckets.
 /// Longer than the network partitions that must be tolerated.
 pub const REMOVAL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time after its start in which an instance discovers the others. If it has heard from none
+/// by then, it assumes that it is the only one. Until then it sends no requests to cold
+/// upstreams that have a rate limit.
+pub const DISCOVERY_TIME: Duration = Duration::from_millis(1_600);
+
 /// Number of members that receive a datagram in each round.
 const FANOUT: usize = 7;
 
@@ -45,9 +53,6 @@
     /// Maximum number of members for which only the time since they were last heard from is
     /// sent.
     max_ages: usize,
-    /// Maximum number of customers whose demand is sent; those with the highest demand
-    /// relative to their rate come first.
-    max_customers: usize,
     /// Maximum number of upstreams for which the sender's load is sent; the busiest come
     /// first.
     max_upstreams: usize,
@@ -56,8 +61,6 @@
     rounds_per_seed_datagram: u32,
     /// Silence after which a member is no longer considered alive.
     alive_timeout: Duration,
-    /// Time after which all other instances use the demand that an instance has sent.
-    propagation_time: Duration,
 }
 
 /// Settings for up to [`LARGE_FLEET_THRESHOLD`] members: nearly everything is sent to every
@@ -66,25 +69,20 @@
     min_other_region_receivers: 2,
     max_records: MAX_RECORDS,
     max_ages: 0,
-    max_customers: 12,
     max_upstreams: usize::MAX,
     rounds_per_seed_datagram: 1,
     alive_timeout: ALIVE_TIMEOUT,
-    propagation_time: Duration::from_millis(800),
 };
 
 /// Settings that stay below 6 KB/s at 350 instances. Most members are in other regions, and
-/// updates about them take about twice as many rounds. Demand mostly arrives in datagrams
-/// that come directly from the instance concerned.
+/// updates about them take about twice as many rounds.
 const LARGE_FLEET: GossipLimits = GossipLimits {
     min_other_region_receivers: 3,
     max_records: 1,
     max_ages: 36,
-    max_customers: 4,
     max_upstreams: 4,
     rounds_per_seed_datagram: 8,
     alive_timeout: Duration::from_millis(4_800),
-    propagation_time: Duration::from_secs(15),
 };
 
 /// Number of randomly selected members for each age that is sent.
@@ -99,10 +97,6 @@
 /// pass it around would keep a silent member alive.
 const RELAY_AGE_INCREMENT: Duration = Duration::from_millis(100);
 
-/// Number of heartbeats by which the heartbeat that a member acknowledges may lag behind
-/// the newest one.
-const MAX_ACK_LAG_HEARTBEATS: u64 = 6;
-
 /// Time for which the reported load of a service remains valid.
 const SERVICE_LOAD_LIFETIME: Duration = Duration::from_secs(3);
 
@@ -117,11 +111,10 @@
     pub region: SmolStr,
     /// When its newest heartbeat was received, directly or through another instance.
     pub last_heard: Duration,
-    /// When it last acknowledged a recent heartbeat of this instance.
-    pub last_acked: Duration,
-    /// Fraction of each customer's rate that the member had when it and this instance last
-    /// heard from each other, by the hash of the customer's name.
-    pub rate_fractions: HashMap<u32, f64>,
+    /// Time until which it is not asked for tokens, because it did not answer.
+    pub unanswered_until: Duration,
+    /// When it was asked for a loan, if it has not answered since.
+    pub loan_requested_at: Option<Duration>,
     /// Load that it has put on upstreams of its region, by the hash of the upstream's id,
     /// and when it was reported.
     pub upstream_loads: (Duration, HashMap<u32, UpstreamLoad>),
@@ -156,6 +149,8 @@
     pub all: BTreeMap<SmolStr, Member>,
     /// Loads of services by region and hash of the service's name.
     service_loads: HashMap<(SmolStr, u32), ReceivedServiceLoad>,
+    /// When a member was last added.
+    pub last_joined: Duration,
     /// Hashes of the names of instances that other members know and this one does not;
     /// without duplicates.
     unknown_instances: Vec<u32>,
@@ -175,22 +170,11 @@
         self.limits().alive_timeout
     }
 
-    /// Returns the maximum number of customers whose demand is sent.
-    pub fn max_demand_customers(&self) -> usize {
-        self.limits().max_customers
-    }
-
     /// Returns the maximum number of upstreams for which the sender's load is sent.
     pub fn max_upstream_loads(&self) -> usize {
         self.limits().max_upstreams
     }
 
-    /// Returns the time after which all other instances use the demand that an instance has
-    /// sent.
-    pub fn propagation_time(&self) -> Duration {
-        self.limits().propagation_time
-    }
-
     /// Returns whether `member` was heard from recently.
     pub fn is_alive(&self, member: &Member, now: Duration) -> bool {
         now.saturating_sub(member.last_heard) < self.alive_timeout()
@@ -225,14 +209,6 @@
         }
     }
 
-    /// Returns whether all live members were heard from recently enough to rely on their
-    /// demand. Always true when one round does not reach all members, since updates then
-    /// take too long for this test.
-    pub fn is_fresh(&self, now: Duration) -> bool {
-        let recently_heard = |m: &Member| now.saturating_sub(m.last_heard) < GOSSIP_INTERVAL * 3;
-        self.all.len() > FANOUT || self.alive(now).all(recently_heard)
-    }
-
     /// Records the revision of the newest change in the store that a member knows.
     pub fn record_revision(&mut self, name: &str, revision: u64) {
         if let Some(member) = self.all.get_mut(name) {
@@ -240,20 +216,11 @@
         }
     }
 
-    /// Returns how long a member may go without acknowledging a heartbeat: three times the
-    /// time in which each instance sends to every other one.
-    pub fn ack_timeout(&self) -> Duration {
-        let rounds = self.all.len().div_ceil(FANOUT).max(1);
-        // CAST: the number of instances is far below 2^32.
-        ALIVE_TIMEOUT.max(GOSSIP_INTERVAL * 3 * rounds as u32)
-    }
-
-    /// Applies a datagram. `own_name` and `own_heartbeat` are this instance's name and
-    /// newest heartbeat.
+    /// Applies a datagram. `own_name` is this instance's name.
     pub fn apply_datagram(
         &mut self,
         now: Duration,
-        (own_name, own_heartbeat): (&str, u64),
+        own_name: &str,
         datagram: &Datagram,
         region_of: impl Fn(u32) -> Option<SmolStr>,
     ) {
@@ -267,9 +234,6 @@
         let Some(member) = self.all.get_mut(datagram.sender.name.as_str()) else {
             return;
         };
-        if datagram.seen_heartbeat + MAX_ACK_LAG_HEARTBEATS >= own_heartbeat {
-            member.last_acked = now;
-        }
         member.revision = datagram.revision;
         let upstream_loads = datagram
             .upstream_loads
@@ -307,13 +271,14 @@
                 name_hash: short_hash(&record.name),
                 region,
                 last_heard: now,
-                last_acked: now,
-                rate_fractions: HashMap::new(),
+                unanswered_until: Duration::ZERO,
+                loan_requested_at: None,
                 upstream_loads: (Duration::ZERO, HashMap::new()),
                 forwarded_in_progress: 0,
                 revision: 0,
             };
             self.all.insert(SmolStr::new(&record.name), member);
+            self.last_joined = now;
             return;
         };
         let newer = if record.incarnation == member.record.incarnation {
@@ -390,14 +355,14 @@
         alive_records.sample(rng, self.limits().max_records)
     }
 
-    /// Returns the records that a sender asks for, without demand.
+    /// Returns the records that a sender asks for.
     pub fn records_for(&self, hashes: &[u32]) -> Vec<Record> {
         let requested = |m: &&Member| hashes.contains(&m.name_hash);
         self.all
             .values()
             .filter(requested)
             .take(MAX_REQUESTED_RECORDS)
-            .map(without_demand)
+            .map(|m| m.record.clone())
             .collect()
     }
 
@@ -428,11 +393,3 @@
         })
     }
 }
-
-/// Returns the record of a member without its demand.
-fn without_demand(member: &Member) -> Record {
-    Record {
-        demand: None,
-        ..member.record.clone()
-    }
-}
--- a/crates/sesamebarrow_routing/src/quota.rs
+++ b/crates/sesamebarrow_routing/src/quota.rs
@@ -1,77 +1,63 @@
-//! Shares of each customer's rate.
+//! Token buckets for the rates of customers.
 //!
-//! A token is one unit of the customer's rate: a model token, or a request if the rate
-//! counts requests.
+//! A token is one unit of a customer's rate: a model token, or a request if the rate counts
+//! requests.
 //!
-//! Each instance admits a fraction of the rate, in proportion to the demand that all
-//! instances report. All instances compute the fractions from the same reports. An instance
-//! uses its own report only after the propagation time, when the others have it too;
-//! otherwise two instances whose demand rises at the same time would each rely on the
-//! other's previous demand.
-//!
-//! The fraction of an instance that is no longer heard from stays reserved for it. In a
-//! network partition the fractions on both sides therefore add up to at most the full rate.
+//! Each region has the same part of a customer's rate. A few of its instances keep buckets
+//! that refill at equal fractions of that part ([`crate::holder`]), so that all buckets
+//! together never exceed the rate, also in a network partition. Requests take their tokens
+//! from one of them, which borrows from the others, and from those of other regions, ahead
+//! of need. Tokens are moved and never copied: a lender removes them before it sends them, and tokens
+//! in a lost message are lost.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use smol_str::SmolStr;
+/// Time over which demand is averaged.
+const DEMAND_WINDOW: Duration = Duration::from_millis(800);
 
-use crate::gossip::{Demand, short_hash};
-use crate::member::{GOSSIP_INTERVAL, MAX_RECORDS, Member, Members};
+/// Time over which the size of the largest request is remembered.
+const LARGEST_REQUEST_WINDOW: Duration = Duration::from_secs(5);
 
-/// Time over which demand is averaged.
-const DEMAND_WINDOW: Duration = Duration::from_millis(1_500);
+/// Demand for which a bucket should hold tokens: the time until borrowed tokens arrive from
+/// another region, with a margin for a lost message.
+const LOAN_LEAD: Duration = Duration::from_millis(500);
 
-/// Fraction of its capacity to which each share is filled once after the start. Skipped if
-/// one reply cannot contain the records of all instances, since this instance may then not
-/// know all of them. A few such fills within one window stay within the tolerance.
-const INITIAL_FILL_FRACTION: f64 = 0.3;
+/// Time after which a requested loan is no longer expected: the round trip between regions,
+/// with a margin for a busy lender.
+const LOAN_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time in which a share that is less than half full should be refilled to half; the tokens
-/// needed for this count as demand.
-const HALF_REFILL_TIME: Duration = Duration::from_secs(2);
+/// Maximum time over which refused clients are asked to return one after the other. Those
+/// that would have to wait longer give up.
+const MAX_RETURN_TIME: Duration = Duration::from_secs(2);
 
-/// Minimum fraction of the rate that is divided equally. More is divided equally while the
-/// total demand leaves more of the rate unused.
-const MIN_EQUAL_WEIGHT: f64 = 0.1;
+/// Maximum delay that a refusal asks the client to wait.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 
-/// Fraction of [`Tolerance::slack`] that is divided among the shares.
-const SHARE_SLACK_FRACTION: f64 = 0.6;
+/// Fraction of [`Tolerance::slack`] by which the capacities of all buckets together are
+/// enlarged.
+const CAPACITY_SLACK_FRACTION: f64 = 0.6;
 
-/// Fraction of [`Tolerance::slack`] that all shares together may use as debt.
+/// Fraction of [`Tolerance::slack`] that all buckets together may use as debt.
 const DEBT_SLACK_FRACTION: f64 = 0.3;
 
-/// Fraction of a share's capacity up to which a request counts as small.
+/// Fraction of a bucket's capacity up to which a request counts as small.
 const SMALL_REQUEST_FRACTION: f64 = 0.1;
 
 /// Fraction of the maximum debt that larger requests may use, so that small requests of a
 /// customer above its rate still succeed.
 const LARGE_REQUEST_DEBT_FACTOR: f64 = 0.6;
 
-/// Fraction of the rate above which the total demand of a customer counts as high.
-const HIGH_DEMAND_FRACTION: f64 = 0.85;
-
-/// Factor on the maximum debt while a customer stays below its rate. Its share then runs
-/// out only because of single requests, and the debt is soon paid off.
-const LOW_DEMAND_DEBT_FACTOR: f64 = 2.0;
-
-/// Fraction of a share's capacity at which the share counts as full.
+/// Fraction of a bucket's capacity at which the bucket counts as full.
 const FULL_FRACTION: f64 = 0.9;
 
-/// Fraction of the allowed overshoot by which shares are enlarged.
-const SHARE_OVERSHOOT_FRACTION: f64 = 0.5;
+/// Fraction of the allowed overshoot by which rates and capacities are enlarged.
+const RATE_OVERSHOOT_FRACTION: f64 = 0.5;
 
-/// Fraction of the allowed overshoot that all shares together may use as debt. The rest
-/// covers reports that arrive late.
+/// Fraction of the allowed overshoot that all buckets together may use as debt. The rest
+/// covers the time until all instances know a new bucket holder.
 const DEBT_OVERSHOOT_FRACTION: f64 = 0.15;
 
-/// Time after its start in which an instance discovers the others. If it has heard from none
-/// by then, it assumes that it is the only one. Until then it sends no requests to cold
-/// upstreams that have a rate limit, and computes no fractions unless it has heard from
-/// another instance.
-pub const DISCOVERY_TIME: Duration = Duration::from_millis(1_600);
-
 /// How far the tokens of all instances together may exceed a customer's rate; the same for
 /// all customers.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -89,331 +75,312 @@
 /// Describes a request that exceeds its customer's rate.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Exceeded {
-    /// Time after which the share will hold enough tokens.
+    /// Time after which the bucket will hold enough tokens.
     pub retry_after: Duration,
-    /// Fraction of the rate that this instance may admit, 0 to 1.
-    pub fraction: f64,
-    /// Tokens in the share; negative while it is in debt.
+    /// Tokens in the bucket; negative while it is in debt.
     pub available_tokens: f64,
 }
 
-/// Token bucket for this instance's fraction of a customer's rate.
+/// The bucket of one customer, as this instance keeps it.
 #[derive(Clone, Debug)]
-struct Share {
-    /// Hash of the customer's name, under which its demand is reported.
-    name_hash: u32,
-    /// Tokens in the share; negative while it is in debt. Refills stop at the share's
-    /// capacity.
-    available_tokens: f64,
-    refilled_at: Duration,
-    /// Fraction of the rate that this instance may admit, 0 to 1.
-    fraction: f64,
-    /// Fraction of the slack and of the maximum debt that this instance may use, the same for
-    /// all instances, 0 to 1.
-    tolerance_fraction: f64,
+struct Bucket {
     rate: f64,
     burst: f64,
-    /// Whether the demand at all instances together is close to the rate or above it.
-    high_demand: bool,
+    /// Fraction of the rate that refills this bucket, 0 to 1; 0 if other instances refill
+    /// the region's buckets.
+    refill_fraction: f64,
+    /// Tokens in the bucket; negative while it is in debt. Refills stop at its capacity.
+    available_tokens: f64,
+    updated_at: Duration,
     /// Tokens requested, decaying over [`DEMAND_WINDOW`].
     requested_tokens: f64,
-    /// Demand that was reported to other instances, with the time of each report.
-    reports: VecDeque<(Duration, f64)>,
+    /// Cost of the largest recent request, decaying over [`LARGEST_REQUEST_WINDOW`].
+    largest_request: f64,
+    /// Cost of refused requests that are expected to return, less the tokens that were
+    /// refilled since.
+    returning_tokens: f64,
+    /// Requests for loans that were not answered yet: when, and how many tokens. Oldest first.
+    pending_loans: VecDeque<(Duration, f64)>,
 }
 
-/// The shares that one instance holds, by customer.
+/// The buckets that one instance keeps, by the hash of the customer's name.
 #[derive(Debug)]
 pub struct Quota {
     tolerance: Tolerance,
-    shares: HashMap<SmolStr, Share>,
-    updated_at: Duration,
-    /// Whether the fill at the start was done or skipped.
-    initial_fill_done: bool,
+    /// Number of regions, which have equal parts of each rate.
+    regions: f64,
+    buckets: HashMap<u64, Bucket>,
+    /// Whether the tokens since the start of the process were added.
+    start_credited: bool,
+}
+
+/// State of a bucket.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BucketState {
+    /// Fraction of the rate that refills it, 0 to 1.
+    pub refill_fraction: f64,
+    /// Tokens in it; negative while it is in debt.
+    pub available_tokens: f64,
+    /// Tokens that its own demand is expected to need until loans arrive.
+    pub lead_tokens: f64,
+}
+
+/// Tokens that a bucket needs from others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoanNeed {
+    /// Hash of the customer's name.
+    pub customer: u64,
+    /// Number of tokens.
+    pub tokens: f64,
 }
 
 impl Quota {
-    /// Creates the shares of a new process. They start nearly empty, so that a restart does
-    /// not grant another full burst.
-    pub fn new(tolerance: Tolerance) -> Self {
+    /// Creates the buckets of a new process. They start empty, so that a restart does not
+    /// grant another full burst.
+    pub fn new(tolerance: Tolerance, regions: usize) -> Self {
         Self {
             tolerance,
-            shares: HashMap::new(),
-            updated_at: Duration::ZERO,
-            initial_fill_done: false,
+            // CAST: the number of regions is small.
+            regions: regions.max(1) as f64,
+            buckets: HashMap::new(),
+            start_credited: false,
         }
     }
 
-    /// Creates the share of `customer`, so that it starts to fill before the first request.
-    pub fn open_share(&mut self, now: Duration, customer: &SmolStr, (rate, burst): (f64, f64)) {
-        if rate > 0.0 {
-            self.share(now, customer, (rate, burst));
-        }
+    /// Replaces the tolerance.
+    pub fn set_tolerance(&mut self, tolerance: Tolerance) {
+        self.tolerance = tolerance;
     }
 
-    fn share(&mut self, now: Duration, customer: &SmolStr, limit: (f64, f64)) -> &mut Share {
-        let (rate, burst) = limit;
-        let tolerance = self.tolerance;
-        let fraction = 1.0 / tolerance.assumed_instances;
-        let share = self
-            .shares
-            .entry(customer.clone())
-            .or_insert_with(|| Share {
-                name_hash: short_hash(customer),
-                available_tokens: tolerance.slack * fraction * SHARE_SLACK_FRACTION * 0.5,
-                refilled_at: now,
-                fraction,
-                tolerance_fraction: fraction,
-                rate,
-                burst,
-                high_demand: false,
-                requested_tokens: 0.0,
-                reports: VecDeque::new(),
-            });
-        (share.rate, share.burst) = (rate, burst);
-        refill(share, now, tolerance);
-        share
+    /// Sets the limits of all customers, given as hash, rate and burst; a rate of 0 means no
+    /// limit. Buckets of other customers are removed.
+    pub fn set_limits(&mut self, now: Duration, limits: &[(u64, f64, f64)]) {
+        let listed = |customer: &u64| limits.iter().any(|(hash, ..)| hash == customer);
+        self.buckets.retain(|customer, _| listed(customer));
+        for &(customer, rate, burst) in limits {
+            let bucket = self
+                .buckets
+                .entry(customer)
+                .or_insert_with(|| Bucket::new(now));
+            (bucket.rate, bucket.burst) = (rate, burst);
+        }
     }
 
-    /// Takes `cost` from the share of `customer`.
-    pub fn take(
+    /// Sets the fraction of each rate that refills this instance's bucket. `fraction_of`
+    /// returns it for the hash of a customer's name, or `None` if this instance should not
+    /// keep a bucket for the customer.
+    pub fn set_refill_fractions(
         &mut self,
         now: Duration,
-        customer: &SmolStr,
-        limit: (f64, f64),
-        cost: f64,
-    ) -> Result<(), Exceeded> {
-        let rate = limit.0;
-        if rate <= 0.0 {
+        fraction_of: impl Fn(u64) -> Option<f64>,
+    ) {
+        for (&customer, bucket) in &mut self.buckets {
+            bucket.refill(now, self.tolerance, self.regions);
+            let fraction = fraction_of(customer);
+            bucket.refill_fraction = fraction.unwrap_or(0.0);
+            let unused = bucket.requested_tokens < 1.0;
+            if fraction.is_none() && unused {
+                // Others keep the buckets again, so what was borrowed is of no more use.
+                bucket.available_tokens = bucket.available_tokens.min(0.0);
+            }
+        }
+    }
+
+    /// Adds the tokens that accrued since the start of the process, once and as soon as there
+    /// are buckets. Nothing else refilled them: the tokens of an instance that ended, or is
+    /// replaced by this one, are not given to others.
+    pub fn credit_start(&mut self, now: Duration) {
+        if self.start_credited || self.buckets.is_empty() {
+            return;
+        }
+        self.start_credited = true;
+        for bucket in self.buckets.values_mut() {
+            bucket.updated_at = Duration::ZERO;
+            bucket.refill(now, self.tolerance, self.regions);
+        }
+    }
+
+    /// Takes `cost` from the bucket of `customer`. Customers without a limit, and only
+    /// those, always succeed; for an unknown customer the bucket is empty.
+    pub fn take(&mut self, now: Duration, customer: u64, cost: f64) -> Result<(), Exceeded> {
+        let (tolerance, regions) = (self.tolerance, self.regions);
+        let Some(bucket) = self.buckets.get_mut(&customer) else {
+            return Err(Exceeded {
+                retry_after: LOAN_LEAD,
+                available_tokens: 0.0,
+            });
+        };
+        if bucket.rate <= 0.0 {
             return Ok(());
         }
-        let tolerance = self.tolerance;
-        let share = self.share(now, customer, limit);
-        share.requested_tokens += cost;
-        let capacity = share_capacity(share, tolerance);
-        let mut max_debt = max_debt_of(share, tolerance);
-        if !share.high_demand {
-            max_debt *= LOW_DEMAND_DEBT_FACTOR;
-        } else if cost > capacity * SMALL_REQUEST_FRACTION {
+        bucket.refill(now, tolerance, regions);
+        bucket.requested_tokens += cost;
+        bucket.largest_request = bucket.largest_request.max(cost);
+        let capacity = bucket.capacity(tolerance);
+        let mut max_debt = bucket.max_debt(tolerance);
+        if cost > capacity * SMALL_REQUEST_FRACTION {
             max_debt *= LARGE_REQUEST_DEBT_FACTOR;
         }
-        // A request larger than the share's capacity needs a full share and leaves it in
-        // debt.
-        let needed = cost.min(capacity * FULL_FRACTION) - cost.min(max_debt);
-        if share.available_tokens >= needed {
-            share.available_tokens -= cost;
+        // A request larger than the capacity needs a full bucket and leaves it in debt.
+        let full = if capacity > 0.0 {
+            capacity * FULL_FRACTION
+        } else {
+            f64::INFINITY
+        };
+        let needed = cost.min(full) - cost.min(max_debt);
+        if bucket.available_tokens >= needed {
+            bucket.available_tokens -= cost;
             return Ok(());
         }
-        let tokens_per_s = (share.fraction * rate).max(1.0);
-        Err(Exceeded {
-            retry_after: Duration::from_secs_f64(
-                ((needed - share.available_tokens) / tokens_per_s).min(60.0),
-            ),
-            fraction: share.fraction,
-            available_tokens: share.available_tokens,
+        let missing = needed - bucket.available_tokens;
+        Err(bucket.refuse(missing, cost, bucket.rate / regions))
+    }
+
+    /// Returns the state of this instance's bucket of `customer`; `None` if the customer has
+    /// no limit, or this instance neither refills the bucket nor was asked for its tokens.
+    pub fn bucket_state(&self, customer: u64) -> Option<BucketState> {
+        let bucket = self.buckets.get(&customer)?;
+        let is_used = bucket.refill_fraction > 0.0 || bucket.requested_tokens >= 1.0;
+        (bucket.rate > 0.0 && is_used).then(|| BucketState {
+            refill_fraction: bucket.refill_fraction,
+            available_tokens: bucket.available_tokens,
+            lead_tokens: bucket.lead_tokens(),
         })
     }
 
-    /// Refunds the cost of a request that did not run.
-    pub fn refund(&mut self, customer: &SmolStr, cost: f64) {
-        if let Some(share) = self.shares.get_mut(customer) {
-            let capacity = share_capacity(share, self.tolerance);
-            share.available_tokens = (share.available_tokens + cost).min(capacity);
+    /// Returns tokens that were taken for a request that did not run.
+    pub fn refund(&mut self, customer: u64, tokens: f64) {
+        let tolerance = self.tolerance;
+        if let Some(bucket) = self.buckets.get_mut(&customer) {
+            let max_tokens = bucket.capacity(tolerance).max(bucket.largest_request);
+            let refunded = bucket.available_tokens + tokens;
+            bucket.available_tokens = refunded.min(max_tokens.max(bucket.available_tokens));
         }
     }
 
-    /// Replaces the tolerance.
-    pub fn set_tolerance(&mut self, tolerance: Tolerance) {
-        self.tolerance = tolerance;
+    /// Takes up to `tokens` from the bucket of `customer` for another region, and returns
+    /// how many. The bucket keeps what its own demand needs soon.
+    pub fn lend(&mut self, now: Duration, customer: u64, tokens: f64) -> f64 {
+        let (tolerance, regions) = (self.tolerance, self.regions);
+        let Some(bucket) = self.buckets.get_mut(&customer) else {
+            return 0.0;
+        };
+        bucket.refill(now, tolerance, regions);
+        let lendable = (bucket.available_tokens - bucket.lead_tokens()).max(0.0);
+        let lent = tokens.min(lendable).max(0.0).floor();
+        bucket.available_tokens -= lent;
+        lent
     }
 
-    /// Returns the demand to report, for at most `max_customers` customers, and records the
-    /// report. Other instances use it after `propagation_time`, and so does this instance.
-    /// Demand that is not reported does not count towards this instance's fraction either.
-    pub fn report_demand(
-        &mut self,
-        now: Duration,
-        propagation_time: Duration,
-        max_customers: usize,
-    ) -> Demand {
-        let tolerance = self.tolerance;
-        let mut demands: Vec<(f64, u32, f64)> = Vec::with_capacity(self.shares.len());
-        for share in self.shares.values_mut() {
-            refill(share, now, tolerance);
-            let demand_per_s = demand(share, tolerance);
-            if demand_per_s >= 1.0 {
-                demands.push((
-                    demand_per_s / share.rate.max(1.0),
-                    share.name_hash,
-                    demand_per_s,
-                ));
+    /// Adds `lent` tokens to the bucket of `customer`, the answer to a request for
+    /// `requested` tokens.
+    pub fn receive_loan(&mut self, customer: u64, requested: f64, lent: f64) {
+        if let Some(bucket) = self.buckets.get_mut(&customer) {
+            bucket.available_tokens += lent;
+            let loans = &mut bucket.pending_loans;
+            if let Some(position) = loans.iter().position(|(_, tokens)| *tokens == requested) {
+                loans.remove(position);
             }
         }
-        demands.sort_by(|a, b| b.0.total_cmp(&a.0));
-        demands.truncate(max_customers);
-        // CAST: saturates far above any rate.
-        let report = demands
-            .iter()
-            .map(|(_, name_hash, demand_per_s)| (*name_hash, *demand_per_s as u32));
-        let (customer_hashes, tokens_per_s) = report.unzip();
-        let report = Demand {
-            customer_hashes,
-            tokens_per_s,
-        };
-        for share in self.shares.values_mut() {
-            let demand_per_s = report.tokens_per_s_of(share.name_hash);
-            share.reports.push_back((now, f64::from(demand_per_s)));
-            while share.reports.len() > 1
-                && now.saturating_sub(share.reports[1].0) >= propagation_time
-            {
-                share.reports.pop_front();
+    }
+
+    /// Returns the tokens that buckets need from others now.
+    pub fn loans_needed(&mut self, now: Duration) -> Vec<LoanNeed> {
+        let (tolerance, regions) = (self.tolerance, self.regions);
+        let mut needs = Vec::new();
+        for (&customer, bucket) in &mut self.buckets {
+            bucket.refill(now, tolerance, regions);
+            let expected = |(at, _): &(Duration, f64)| now.saturating_sub(*at) < LOAN_TIMEOUT;
+            bucket.pending_loans.retain(expected);
+            let pending: f64 = bucket.pending_loans.iter().map(|(_, tokens)| tokens).sum();
+            // Together with its region's other buckets it holds at most twice the region's
+            // part of the burst.
+            let target = bucket.lead_tokens().min(bucket.burst / regions);
+            let tokens = (target - bucket.available_tokens - pending).floor();
+            if bucket.requested_tokens >= 1.0 && tokens >= 1.0 {
+                needs.push(LoanNeed { customer, tokens });
             }
         }
-        report
+        needs
     }
 
-    /// Recomputes the fractions from the reports of all instances, unless this was done less
-    /// than half a gossip interval ago: replies also count as rounds.
-    pub fn update_fractions(&mut self, now: Duration, members: &mut Members) {
-        if now.saturating_sub(self.updated_at) < GOSSIP_INTERVAL / 2 {
-            return;
-        }
-        self.updated_at = now;
-        if members.all.is_empty() && now < DISCOVERY_TIME {
-            return;
-        }
-        let tolerance = self.tolerance;
-        let fresh = members.is_fresh(now);
-        let initial_fill = !std::mem::replace(&mut self.initial_fill_done, true)
-            && members.all.len() < MAX_RECORDS;
-        for share in self.shares.values_mut() {
-            refill(share, now, tolerance);
-            let (fraction, total_demand) =
-                compute_fraction(now, share, members, tolerance.assumed_instances);
-            share.high_demand = total_demand > share.rate * HIGH_DEMAND_FRACTION;
-            // While a member is silent, its demand may have changed, so fractions must not
-            // grow.
-            share.fraction = if fresh {
-                fraction
-            } else {
-                fraction.min(share.fraction)
-            };
-            // CAST: the number of instances is small.
-            share.tolerance_fraction = 1.0 / (members.all.len() + 1) as f64;
-            let capacity = share_capacity(share, tolerance);
-            if initial_fill {
-                share.available_tokens =
-                    share.available_tokens.max(capacity * INITIAL_FILL_FRACTION);
-            }
-            share.available_tokens = share.available_tokens.min(capacity);
+    /// Records that a loan was requested.
+    pub fn record_loan_request(&mut self, now: Duration, requested: LoanNeed) {
+        if let Some(bucket) = self.buckets.get_mut(&requested.customer) {
+            bucket.pending_loans.push_back((now, requested.tokens));
         }
     }
 }
 
-/// Returns whether the fraction of `member` may be recomputed: this instance hears from it
-/// and it acknowledges this instance, so that both use the same reports.
-fn is_connected(
-    member: &Member,
-    now: Duration,
-    (alive_timeout, ack_timeout): (Duration, Duration),
-) -> bool {
-    now.saturating_sub(member.last_heard) < alive_timeout
-        && now.saturating_sub(member.last_acked) < ack_timeout
-}
+impl Bucket {
+    fn new(now: Duration) -> Self {
+        Self {
+            rate: 0.0,
+            burst: 0.0,
+            refill_fraction: 0.0,
+            available_tokens: 0.0,
+            updated_at: now,
+            requested_tokens: 0.0,
+            largest_request: 0.0,
+            returning_tokens: 0.0,
+            pending_loans: VecDeque::new(),
+        }
+    }
 
-/// Returns this instance's fraction of the rate, and the total demand at all connected
-/// instances.
-fn compute_fraction(
-    now: Duration,
-    share: &Share,
-    members: &mut Members,
-    assumed_instances: f64,
-) -> (f64, f64) {
-    let name_hash = share.name_hash;
-    let timeouts = (members.alive_timeout(), members.ack_timeout());
-    let connected = members
-        .all
-        .values()
-        .filter(|m| is_connected(m, now, timeouts))
-        .count();
-    let reserved: f64 = members
-        .all
-        .values()
-        .filter(|m| !is_connected(m, now, timeouts))
-        .map(|m| {
-            m.rate_fractions
-                .get(&name_hash)
-                .copied()
-                .unwrap_or(1.0 / assumed_instances)
-        })
-        .sum();
-    let unreserved = (1.0 - reserved).max(0.0);
-    // CAST: the number of instances is small.
-    let equal_fraction = 1.0 / (connected + 1) as f64;
-    let own_demand = share.reports.front().map_or(0.0, |t| t.1);
-    let demand_of = |m: &Member| {
-        let demand = m.record.demand.as_ref();
-        demand.map_or(0.0, |d| f64::from(d.tokens_per_s_of(name_hash)))
-    };
-    let other_demand: f64 = members
-        .all
-        .values()
-        .filter(|m| is_connected(m, now, timeouts))
-        .map(demand_of)
-        .sum();
-    let total_demand = own_demand + other_demand;
-    let equal_weight = (1.0 - total_demand / share.rate.max(1.0)).max(MIN_EQUAL_WEIGHT);
-    let fraction_for = |demand: f64| {
-        let demand_fraction = if total_demand > 0.0 {
-            demand / total_demand
+    /// Refuses a request of `cost` for which `missing` tokens are missing. `tokens_per_s` is
+    /// the region's part of the rate. Clients are asked to return one after the other, as
+    /// fast as their region's buckets refill; borrowed tokens come on top.
+    fn refuse(&mut self, missing: f64, cost: f64, tokens_per_s: f64) -> Exceeded {
+        let tokens_per_s = tokens_per_s.max(1.0);
+        let wait_s = (missing + self.returning_tokens) / tokens_per_s;
+        let max_returning = tokens_per_s * MAX_RETURN_TIME.as_secs_f64();
+        self.returning_tokens = (self.returning_tokens + cost).min(max_returning);
+        let min = if self.refill_fraction > 0.0 {
+            Duration::ZERO
         } else {
-            equal_fraction
+            LOAN_LEAD
         };
-        unreserved * (equal_weight * equal_fraction + (1.0 - equal_weight) * demand_fraction)
-    };
-    for member in members.all.values_mut() {
-        if is_connected(member, now, timeouts) {
-            let fraction = fraction_for(demand_of(member));
-            member.rate_fractions.insert(name_hash, fraction);
+        Exceeded {
+            retry_after: Duration::from_secs_f64(wait_s).clamp(min, MAX_RETRY_AFTER),
+            available_tokens: self.available_tokens,
         }
     }
-    (fraction_for(own_demand), total_demand)
-}
 
-/// Returns the demand in tokens per second: the requested tokens, and those needed to
-/// refill the share to half.
-fn demand(share: &Share, tolerance: Tolerance) -> f64 {
-    let missing_tokens = (share_capacity(share, tolerance) / 2.0 - share.available_tokens).max(0.0);
-    share.requested_tokens / DEMAND_WINDOW.as_secs_f64()
-        + missing_tokens / HALF_REFILL_TIME.as_secs_f64()
-}
+    /// Returns the tokens that the bucket's own demand is expected to need until loans
+    /// arrive.
+    fn lead_tokens(&self) -> f64 {
+        let demand_per_s = self.requested_tokens / DEMAND_WINDOW.as_secs_f64();
+        demand_per_s * LOAN_LEAD.as_secs_f64() + self.largest_request
+    }
 
-/// Returns the maximum number of tokens in the share.
-fn share_capacity(share: &Share, tolerance: Tolerance) -> f64 {
-    let enlargement = 1.0 + tolerance.overshoot * SHARE_OVERSHOOT_FRACTION;
-    share.fraction * share.burst * enlargement
-        + share.tolerance_fraction * tolerance.slack * SHARE_SLACK_FRACTION
-}
+    /// Returns the number of tokens up to which the bucket refills.
+    fn capacity(&self, tolerance: Tolerance) -> f64 {
+        let enlargement = 1.0 + tolerance.overshoot * RATE_OVERSHOOT_FRACTION;
+        self.refill_fraction
+            * (self.burst * enlargement + tolerance.slack * CAPACITY_SLACK_FRACTION)
+    }
 
-/// Returns the maximum debt of the share. All instances may be in debt at the same time.
-fn max_debt_of(share: &Share, tolerance: Tolerance) -> f64 {
-    let allowed_tokens = share.rate * tolerance.window.as_secs_f64() + share.burst;
-    share.tolerance_fraction
-        * (allowed_tokens * tolerance.overshoot * DEBT_OVERSHOOT_FRACTION
-            + tolerance.slack * DEBT_SLACK_FRACTION)
-}
+    /// Returns the maximum debt. All buckets may be in debt at the same time.
+    fn max_debt(&self, tolerance: Tolerance) -> f64 {
+        let allowed_tokens = self.rate * tolerance.window.as_secs_f64() + self.burst;
+        self.refill_fraction
+            * (allowed_tokens * tolerance.overshoot * DEBT_OVERSHOOT_FRACTION
+                + tolerance.slack * DEBT_SLACK_FRACTION)
+    }
 
-fn refill(share: &mut Share, now: Duration, tolerance: Tolerance) {
-    let elapsed_s = now.saturating_sub(share.refilled_at).as_secs_f64();
-    share.refilled_at = now;
-    let capacity = share_capacity(share, tolerance);
-    let refill_tokens = elapsed_s
-        * share.fraction
-        * share.rate
-        * (1.0 + tolerance.overshoot * SHARE_OVERSHOOT_FRACTION);
-    // If the capacity was lowered, surplus tokens are kept until they are spent, but not
-    // added to.
-    if share.available_tokens < capacity {
-        share.available_tokens = (share.available_tokens + refill_tokens).min(capacity);
+    fn refill(&mut self, now: Duration, tolerance: Tolerance, regions: f64) {
+        let elapsed_s = now.saturating_sub(self.updated_at).as_secs_f64();
+        self.updated_at = now;
+        let enlargement = 1.0 + tolerance.overshoot * RATE_OVERSHOOT_FRACTION;
+        let refill_tokens = elapsed_s * self.refill_fraction * self.rate * enlargement;
+        let capacity = self.capacity(tolerance);
+        // Tokens above the capacity are kept until they are spent, but not added to.
+        if self.available_tokens < capacity {
+            self.available_tokens = (self.available_tokens + refill_tokens).min(capacity);
+        }
+        let region_tokens = elapsed_s * self.rate / regions;
+        self.returning_tokens = (self.returning_tokens - region_tokens).max(0.0);
+        self.requested_tokens *= (-elapsed_s / DEMAND_WINDOW.as_secs_f64()).exp();
+        self.largest_request *= (-elapsed_s / LARGEST_REQUEST_WINDOW.as_secs_f64()).exp();
     }
-    share.requested_tokens *= (-elapsed_s / DEMAND_WINDOW.as_secs_f64()).exp();
 }
--- /dev/null
+++ b/crates/sesamebarrow_routing/src/token.rs
@@ -0,0 +1,100 @@
+//! The datagrams with which instances take, lend and return tokens of customers' rates.
+
+use prost::Message as _;
+
+/// A datagram, one of three kinds.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Datagram {
+    /// Content; `None` for kinds that this version does not know.
+    #[prost(oneof = "Body", tags = "1, 2, 3")]
+    pub body: Option<Body>,
+}
+
+/// Content of a datagram.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// Asks for tokens.
+    #[prost(message, tag = "1")]
+    Request(Request),
+    /// Answers a request.
+    #[prost(message, tag = "2")]
+    Grant(Grant),
+    /// Returns tokens.
+    #[prost(message, tag = "3")]
+    Return(Return),
+}
+
+/// Asks the holder of a bucket for tokens.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Request {
+    /// Identifies the request among those of its sender's process.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Hash of the customer's name.
+    #[prost(fixed64, tag = "2")]
+    pub customer: u64,
+    /// Number of tokens.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+    /// Whether a part of the tokens is useful too, because they are for another bucket and
+    /// not for one request.
+    #[prost(bool, tag = "4")]
+    pub is_loan: bool,
+}
+
+/// Answers a request for tokens.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Grant {
+    /// Id of the request.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Hash of the customer's name.
+    #[prost(fixed64, tag = "2")]
+    pub customer: u64,
+    /// Tokens that were taken from the bucket; 0 if the request was refused.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+    /// If it was refused, milliseconds after which the bucket will hold enough tokens.
+    #[prost(uint32, tag = "4")]
+    pub retry_after_ms: u32,
+    /// Whether it was granted. A request for 0 tokens may be, too.
+    #[prost(bool, tag = "5")]
+    pub granted: bool,
+    /// For a loan, the number of tokens that was asked for.
+    #[prost(uint64, tag = "6")]
+    pub requested: u64,
+}
+
+/// Returns tokens of a request that did not run.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Return {
+    /// Id of the request for these tokens.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Hash of the customer's name.
+    #[prost(fixed64, tag = "2")]
+    pub customer: u64,
+    /// Number of tokens.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+}
+
+/// Encodes a datagram.
+pub fn encode(body: Body) -> Vec<u8> {
+    Datagram { body: Some(body) }.encode_to_vec()
+}
+
+/// Decodes a datagram.
+pub fn decode(bytes: &[u8]) -> Result<Datagram, prost::DecodeError> {
+    Datagram::decode(bytes)
+}
+
+/// Returns the hash that stands for a customer's name in datagrams. It is longer than
+/// [`crate::gossip::short_hash`], so that no two customers share a bucket.
+pub fn customer_hash(name: &str) -> u64 {
+    let hash = blake3::hash(name.as_bytes());
+    let (head, _) = hash.as_bytes().split_at(size_of::<u64>());
+    head.iter()
+        .rev()
+        .fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+}
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -2,6 +2,8 @@
 
 #[path = "decisions/admission.rs"]
 mod admission;
+#[path = "decisions/buckets.rs"]
+mod buckets;
 #[path = "decisions/budgets.rs"]
 mod budgets;
 #[path = "decisions/catalogs.rs"]
@@ -14,5 +16,3 @@
 mod members;
 #[path = "decisions/placement.rs"]
 mod placement;
-#[path = "decisions/shares.rs"]
-mod shares;
--- a/crates/sesamebarrow_routing/tests/decisions/fleet.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/fleet.rs
@@ -7,7 +7,9 @@
 use sesamebarrow_routing::board::Parameters;
 use sesamebarrow_routing::config::{Backend, Customer, Engine, Route, Service};
 use sesamebarrow_routing::gossip::{self, Datagram};
-use sesamebarrow_routing::member::GOSSIP_INTERVAL;
+use sesamebarrow_routing::holder::{self, Holder};
+use sesamebarrow_routing::quota::LoanNeed;
+use sesamebarrow_routing::token;
 use sesamebarrow_routing::upstream::Entry;
 use sesamebarrow_routing::{Board, Config, Identity, RequestKind, budget, cold, quota};
 use smol_str::{SmolStr, format_smolstr};
@@ -15,6 +17,9 @@
 /// One-way delay between any two instances.
 const DELAY: Duration = Duration::from_millis(80);
 
+/// Time between two checks whether loans are needed.
+const LOAN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Step of the simulated time.
 pub const STEP: Duration = Duration::from_millis(10);
 
@@ -121,11 +126,27 @@
     datagram: Datagram,
 }
 
+/// A message about a loan in transit.
+struct LoanInTransit {
+    arrives_at: Duration,
+    from: usize,
+    to: usize,
+    customer: u64,
+    requested: f64,
+    /// Tokens that were lent.
+    tokens: f64,
+    /// Whether it is the answer to a request.
+    lent: bool,
+}
+
 /// An instance: its board, and when its process started.
 pub struct Instance {
     pub board: Board,
     pub started_at: Duration,
-    rounds: u32,
+    /// Whether its datagrams are like those of the previous version.
+    pub previous_version: bool,
+    /// Time of its process at which the next gossip round starts.
+    next_round_at: Duration,
 }
 
 /// Instances named `domain`-0, `domain`-1 and so on. The region has the name of the domain.
@@ -135,7 +156,11 @@
     pub config: Config,
     /// Total size of the datagrams sent, in bytes.
     pub sent_bytes: u64,
+    /// Number of messages about tokens.
+    pub token_messages: u64,
     in_transit: Vec<InTransit>,
+    loans_in_transit: Vec<LoanInTransit>,
+    indices: HashMap<Ipv4Addr, usize>,
     restarts: u64,
 }
 
@@ -146,7 +171,10 @@
             instances: Vec::new(),
             config,
             sent_bytes: 0,
+            token_messages: 0,
             in_transit: Vec::new(),
+            loans_in_transit: Vec::new(),
+            indices: HashMap::new(),
             restarts: 0,
         };
         let regions: HashMap<SmolStr, SmolStr> = domains
@@ -167,10 +195,14 @@
                 let mut board =
                     Board::new(identity, parameters(), regions.clone(), u64::from(index));
                 board.apply_config(Duration::ZERO, fleet.config.clone());
+                fleet
+                    .indices
+                    .insert(board.identity.ip, fleet.instances.len());
                 fleet.instances.push(Instance {
                     board,
                     started_at: Duration::ZERO,
-                    rounds: 0,
+                    previous_version: false,
+                    next_round_at: Duration::ZERO,
                 });
             }
         }
@@ -193,7 +225,8 @@
         self.instances[index] = Instance {
             board,
             started_at: self.now,
-            rounds: 0,
+            previous_version: false,
+            next_round_at: Duration::ZERO,
         };
     }
 
@@ -202,11 +235,13 @@
         self.now += STEP;
         for from in 0..self.instances.len() {
             let process_time = self.process_time(from);
-            if process_time >= GOSSIP_INTERVAL * self.instances[from].rounds {
-                self.instances[from].rounds += 1;
+            if process_time >= self.instances[from].next_round_at {
                 self.send_round(from, process_time);
+                let interval = self.instances[from].board.gossip_interval();
+                self.instances[from].next_round_at = process_time + interval;
             }
         }
+        self.move_loans(&reaches);
         let (due, remaining) = std::mem::take(&mut self.in_transit)
             .into_iter()
             .partition(|f| f.arrives_at <= self.now);
@@ -231,6 +266,113 @@
         }
     }
 
+    /// Takes tokens for a request at instance `index`, as the gateway does: from the bucket
+    /// of the holder, or of the next one if it does not answer. Returns whether they were
+    /// granted. Instances of one region answer within one step.
+    pub fn take(
+        &mut self,
+        index: usize,
+        name: &str,
+        cost: f64,
+        reaches: impl Fn(usize, usize) -> bool,
+    ) -> bool {
+        let customer = token::customer_hash(name);
+        let now = self.process_time(index);
+        let mut refusals = 0;
+        for holder in holder::holders(&self.instances[index].board, now, customer) {
+            let granted = match holder {
+                Holder::Own => {
+                    let quota = &mut self.instances[index].board.quota;
+                    quota.take(now, customer, cost).is_ok()
+                }
+                Holder::Other(ip) => {
+                    self.token_messages += 2;
+                    let other = self.indices[&ip];
+                    if !reaches(index, other) || !reaches(other, index) {
+                        holder::record_unanswered(&mut self.instances[index].board, now, ip);
+                        continue;
+                    }
+                    let other_now = self.process_time(other);
+                    let quota = &mut self.instances[other].board.quota;
+                    quota.take(other_now, customer, cost).is_ok()
+                }
+            };
+            if granted {
+                return true;
+            }
+            refusals += 1;
+            if refusals == holder::REFILLED_PER_REGION {
+                break;
+            }
+        }
+        false
+    }
+
+    /// Returns the delay of a message about tokens: one step within a region.
+    fn delay(&self, from: usize, to: usize) -> Duration {
+        let region = |index: usize| &self.instances[index].board.identity.region;
+        if region(from) == region(to) {
+            STEP
+        } else {
+            DELAY
+        }
+    }
+
+    /// Requests loans and delivers those that are due.
+    fn move_loans(&mut self, reaches: impl Fn(usize, usize) -> bool) {
+        let (due, remaining) = std::mem::take(&mut self.loans_in_transit)
+            .into_iter()
+            .partition(|l| l.arrives_at <= self.now);
+        self.loans_in_transit = remaining;
+        let due: Vec<LoanInTransit> = due;
+        for loan in due.into_iter().filter(|l| reaches(l.from, l.to)) {
+            self.token_messages += 1;
+            let now = self.process_time(loan.to);
+            let lender = self.instances[loan.from].board.identity.ip;
+            let board = &mut self.instances[loan.to].board;
+            if loan.lent {
+                let requested = LoanNeed {
+                    customer: loan.customer,
+                    tokens: loan.requested,
+                };
+                holder::receive_loan(board, lender, requested, loan.tokens);
+                continue;
+            }
+            let tokens = board.quota.lend(now, loan.customer, loan.requested);
+            self.loans_in_transit.push(LoanInTransit {
+                arrives_at: self.now + self.delay(loan.to, loan.from),
+                from: loan.to,
+                to: loan.from,
+                customer: loan.customer,
+                requested: loan.requested,
+                tokens,
+                lent: true,
+            });
+        }
+        if !self
+            .now
+            .as_millis()
+            .is_multiple_of(LOAN_CHECK_INTERVAL.as_millis())
+        {
+            return;
+        }
+        for from in 0..self.instances.len() {
+            let now = self.process_time(from);
+            for request in holder::request_loans(&mut self.instances[from].board, now) {
+                let to = self.indices[&request.lender];
+                self.loans_in_transit.push(LoanInTransit {
+                    arrives_at: self.now + self.delay(from, to),
+                    from,
+                    to,
+                    customer: request.need.customer,
+                    requested: request.need.tokens,
+                    tokens: 0.0,
+                    lent: false,
+                });
+            }
+        }
+    }
+
     /// Advances the time by `time` while all instances reach each other.
     pub fn advance(&mut self, time: Duration) {
         let until = self.now + time;
@@ -247,8 +389,10 @@
             .into_iter()
             .filter(|seed| *seed != own_address)
             .collect();
+        let previous_version = self.instances[from].previous_version;
         let board = &mut self.instances[from].board;
         let mut datagram = board.begin_gossip_round(process_time);
+        datagram.sender.keeps_buckets = !previous_version;
         for ip in board
             .members
             .receivers(&board.identity.region, &seeds, &mut board.rng)
--- a/crates/sesamebarrow_routing/tests/decisions/members.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/members.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use sesamebarrow_routing::upstream::RequestLoad;
-use smol_str::SmolStr;
 
 use crate::fleet::{Fleet, MODEL, config, customer, entry, ms, route};
 
@@ -119,10 +118,9 @@
     for index in 0..fleet.instances.len() {
         let now = fleet.process_time(index);
         for n in 0..12 {
-            let name = SmolStr::from(format!("customer-{}", (index + n) % 24));
-            let quota = &mut fleet.instances[index].board.quota;
+            let name = format!("customer-{}", (index + n) % 24);
             // Whether the request is admitted does not matter here.
-            let _ = quota.take(now, &name, (1e6, 1e6), 4_000.0);
+            fleet.take(index, &name, 4_000.0, |_, _| true);
         }
         let upstreams = &mut fleet.instances[index].board.upstreams;
         let keys: Vec<_> = upstreams.all.keys().collect();
