Let corrections of estimated waits follow the time

Cause: each late answer moved the correction of a service's estimates by 3% of its error, and so did each fast one. An instance with 30 answers a second forgets a peak in a second; one of 195, with one or two answers a second in a quiet time, still added up to 500 ms half a minute later.

Change: the gain of an answer grows with the time since the one before, to 15% at most, and a correction that nothing confirms decays in three seconds.

The test fails with a constant gain of 0.03 (476 ms estimated, 200 allowed).

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -115,6 +115,7 @@
             let upstream = board.upstreams.all.get(selected.key);
             if let Some(service) = upstream.map(|u| u.entry.service.clone()) {
                 board.record_first_event(
+                    self.shared.now(),
                     &service,
                     selected.estimated_wait,
                     self.started_at.elapsed(),
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -347,10 +347,9 @@
     let correction_ms = match outstanding {
         0 => 0.0,
         _ => board
-            .wait_corrections_ms
+            .wait_corrections
             .get(service)
-            .copied()
-            .unwrap_or(0.0),
+            .map_or(0.0, |correction| correction.ms(now)),
     };
     let excess_slots = f64::from(outstanding + 1) - f64::from(engine.slots) * BUSY_SLOT_FRACTION;
     correction_ms
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -12,6 +12,7 @@
 use crate::budget::{self, RetryBudget};
 use crate::cold;
 use crate::config::{Config, Route};
+use crate::correction::WaitCorrection;
 use crate::gossip::{Datagram, Record, ServiceLoad, UpstreamLoad, short_hash};
 use crate::holder;
 use crate::member::{DISCOVERY_GOSSIP_INTERVAL, GOSSIP_INTERVAL, Member, Members};
@@ -55,18 +56,12 @@
 /// published again. The store's documentation gives about two seconds.
 pub const REPUBLISH_GRACE: Duration = Duration::from_millis(2_500);
 
-/// Fraction of each estimate error that is added to the correction of estimated waits.
-const CORRECTION_GAIN: f64 = 0.03;
-
 /// Weight of the newest request in the moving average of request durations.
 const REQUEST_DURATION_GAIN: f64 = 0.02;
 
 /// Request duration in milliseconds that is assumed before any was measured.
 const DEFAULT_REQUEST_DURATION_MS: f64 = 1_000.0;
 
-/// Maximum correction of estimated waits in milliseconds.
-const MAX_CORRECTION_MS: f64 = 500.0;
-
 /// Number of instances per region that read the store. With two, updates still arrive while
 /// the failure of one is being detected.
 const STORE_READERS_PER_REGION: usize = 2;
@@ -105,9 +100,8 @@
     pub discovery_done: bool,
     /// The retries that this instance may make.
     pub budget: RetryBudget,
-    /// Milliseconds added to estimated waits, by service. Adjusted by a fraction of each
-    /// estimate error; never negative.
-    pub wait_corrections_ms: HashMap<SmolStr, f64>,
+    /// Corrections of estimated waits, by service.
+    pub wait_corrections: HashMap<SmolStr, WaitCorrection>,
     /// Moving average of the request duration in milliseconds, by service.
     pub request_durations_ms: HashMap<SmolStr, f64>,
     /// Number of requests by the name of their route, for routes that are restricted to
@@ -155,7 +149,7 @@
             quota,
             discovery_done: false,
             budget: RetryBudget::new(parameters.budget),
-            wait_corrections_ms: HashMap::new(),
+            wait_corrections: HashMap::new(),
             request_durations_ms: HashMap::new(),
             route_requests: HashMap::new(),
             rng: StdRng::seed_from_u64(rng_seed),
@@ -232,13 +226,15 @@
 
     /// Records how long a first event took compared with its estimate, to correct later
     /// estimates.
-    pub fn record_first_event(&mut self, service: &SmolStr, estimated: Duration, took: Duration) {
-        let error_ms = (took.as_secs_f64() - estimated.as_secs_f64()) * 1_000.0;
-        let correction_ms = self.wait_corrections_ms.entry(service.clone()).or_default();
-        // `estimated` already contains the correction, so the error is what is still
-        // missing.
-        *correction_ms =
-            (*correction_ms + CORRECTION_GAIN * error_ms).clamp(0.0, MAX_CORRECTION_MS);
+    pub fn record_first_event(
+        &mut self,
+        now: Duration,
+        service: &SmolStr,
+        estimated: Duration,
+        took: Duration,
+    ) {
+        let correction = self.wait_corrections.entry(service.clone()).or_default();
+        correction.record(now, estimated, took);
     }
 
     /// Records how long a request took, from the start of the attempt to the end of the
--- a/crates/sesamebarrow_routing/src/lib.rs
+++ b/crates/sesamebarrow_routing/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod catalog;
 pub mod cold;
 pub mod config;
+pub mod correction;
 pub mod gossip;
 pub mod holder;
 pub mod member;
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -12,6 +12,8 @@
 mod cold_upstreams;
 #[path = "decisions/fleet.rs"]
 mod fleet;
+#[path = "decisions/loads.rs"]
+mod loads;
 #[path = "decisions/members.rs"]
 mod members;
 #[path = "decisions/placement.rs"]
--- a/crates/sesamebarrow_routing/tests/decisions/admission.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/admission.rs
@@ -163,8 +163,8 @@
 #[test]
 fn idle_upstream_accepts_a_large_prompt_after_late_answers() {
     let mut board = board(1);
-    for _ in 0..500 {
-        board.record_first_event(&MODEL.into(), ms(100), ms(3_000));
+    for n in 0..500 {
+        board.record_first_event(ms(20 * n), &MODEL.into(), ms(100), ms(3_000));
     }
     let mut large_request = request(5, 1);
     large_request.prompt[2].tokens = 18_000;
--- a/crates/sesamebarrow_trial/src/placement.rs
+++ b/crates/sesamebarrow_trial/src/placement.rs
@@ -368,7 +368,12 @@
                     .upstreams
                     .record_reported_load(self.now, request.key, reported);
                 let elapsed = self.now - request.sent_at;
-                board.record_first_event(&SERVICE.into(), request.estimated_wait, elapsed);
+                board.record_first_event(
+                    self.now,
+                    &SERVICE.into(),
+                    request.estimated_wait,
+                    elapsed,
+                );
             }
             Event::Done {
                 id,
