Relay within a region what upstreams report of their load

Cause: an upstream states its running and queued requests in each answer, but only the instance that gets the answer used it, for a second. Of 65 instances before 54 upstreams each gets an answer from an upstream every 4 to 9 s, and hears the load that another instance put on its four busiest ones every 6 s.

Change: datagrams to instances of the region contain the dozen newest such reports with their ages.

Both new tests fail without the relay.

--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -13,13 +13,13 @@
 use crate::cold;
 use crate::config::{Config, Route};
 use crate::correction::WaitCorrection;
-use crate::gossip::{Datagram, Record, ServiceLoad, UpstreamLoad, short_hash};
+use crate::gossip::{Datagram, Record, ReportedLoads, ServiceLoad, UpstreamLoad, short_hash};
 use crate::holder;
 use crate::member::{DISCOVERY_GOSSIP_INTERVAL, GOSSIP_INTERVAL, Member, Members};
 use crate::quota::{self, Quota};
 use crate::rendezvous;
 use crate::token;
-use crate::upstream::{Entry, Upstream, Upstreams};
+use crate::upstream::{Entry, ReportedLoad, Upstream, Upstreams};
 
 /// Identifies this instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,6 +62,10 @@
 /// Request duration in milliseconds that is assumed before any was measured.
 const DEFAULT_REQUEST_DURATION_MS: f64 = 1_000.0;
 
+/// Milliseconds that an instance adds to the age of a reported load before it sends it; at
+/// least the usual time in transit within a region.
+const RELAY_DELAY_MS: u32 = 20;
+
 /// Number of instances per region that read the store. With two, updates still arrive while
 /// the failure of one is being detected.
 const STORE_READERS_PER_REGION: usize = 2;
@@ -359,6 +363,7 @@
             revision: self.revision,
             service_loads: self.service_loads(now),
             upstream_loads: Vec::new(),
+            reported_loads: None,
             seen_heartbeat: 0,
             // CAST: bounded by `REPUBLISH_GRACE`.
             store_outage_age_ms: self
@@ -452,9 +457,50 @@
         } else {
             Vec::new()
         };
+        datagram.reported_loads = same_region.then(|| self.reported_loads(now));
         datagram.heard_ages = self.members.recent_ages(now, &mut self.rng);
     }
 
+    /// Returns the loads that upstreams reported recently to this or other instances.
+    fn reported_loads(&self, now: Duration) -> ReportedLoads {
+        let max_loads = self.members.max_reported_loads();
+        let mut loads = ReportedLoads::default();
+        let mut recent: Vec<_> = self.upstreams.recent_reports(now).collect();
+        recent.sort_by_key(|(_, age)| *age);
+        for (upstream, age) in recent.into_iter().take(max_loads) {
+            let Some((_, load, _)) = upstream.reported_load else {
+                continue;
+            };
+            // CAST: at most `REPORTED_LOAD_LIFETIME`.
+            let age_ms = age.as_millis() as u32;
+            loads.upstream_hashes.push(upstream.id_hash);
+            loads.running.push(load.running);
+            loads.queued.push(load.queued);
+            loads
+                .ages_10_ms
+                .push((age_ms + RELAY_DELAY_MS).div_ceil(10));
+        }
+        loads
+    }
+
+    fn apply_reported_loads(&mut self, now: Duration, loads: &ReportedLoads) {
+        let counts = loads.running.iter().zip(&loads.queued);
+        let reports = loads
+            .upstream_hashes
+            .iter()
+            .zip(&loads.ages_10_ms)
+            .zip(counts);
+        let reports = reports.map(|((hash, age), (running, queued))| {
+            let age = Duration::from_millis(u64::from(*age) * 10);
+            let load = ReportedLoad {
+                running: *running,
+                queued: *queued,
+            };
+            (*hash, (now.saturating_sub(age), load))
+        });
+        self.upstreams.record_relayed_loads(&reports.collect());
+    }
+
     /// Returns the load that this instance has put on upstreams; only the busiest ones if there
     /// are more than a datagram may contain.
     fn own_upstream_loads(&self) -> Vec<UpstreamLoad> {
@@ -518,6 +564,9 @@
                 Some(self.last_store_outage_at.map_or(at, |known| known.max(at)));
         }
         self.sum_other_loads(now);
+        if let Some(loads) = &datagram.reported_loads {
+            self.apply_reported_loads(now, loads);
+        }
         datagram.seen_heartbeat == 0 || !datagram.wanted_name_hashes.is_empty()
     }
 
--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -84,6 +84,23 @@
     pub age_tenths: Vec<u32>,
 }
 
+/// Loads that upstreams reported in their answers to any instance of the region; in columns.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ReportedLoads {
+    /// Hashes of the upstreams' ids.
+    #[prost(fixed32, repeated, tag = "1")]
+    pub upstream_hashes: Vec<u32>,
+    /// Running requests.
+    #[prost(uint32, repeated, tag = "2")]
+    pub running: Vec<u32>,
+    /// Queued requests.
+    #[prost(uint32, repeated, tag = "3")]
+    pub queued: Vec<u32>,
+    /// Time since each load was reported, in units of 10 ms.
+    #[prost(uint32, repeated, tag = "4")]
+    pub ages_10_ms: Vec<u32>,
+}
+
 /// A datagram.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Datagram {
@@ -116,6 +133,9 @@
     /// Hashes of the names of instances whose records the sender asks for.
     #[prost(fixed32, repeated, tag = "9")]
     pub wanted_name_hashes: Vec<u32>,
+    /// Loads that upstreams reported recently; sent only to instances of the region.
+    #[prost(message, optional, tag = "10")]
+    pub reported_loads: Option<ReportedLoads>,
 }
 
 /// Returns the hash that stands for a name in datagrams.
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -56,6 +56,8 @@
     /// Maximum number of upstreams for which the sender's load is sent; the busiest come
     /// first.
     max_upstreams: usize,
+    /// Maximum number of upstreams for which the load that they reported is sent.
+    max_reported_loads: usize,
     /// Average number of rounds after which one of the seeds, the instances that the
     /// settings name as first contacts, receives a datagram.
     rounds_per_seed_datagram: u32,
@@ -70,6 +72,7 @@
     max_records: MAX_RECORDS,
     max_ages: 0,
     max_upstreams: usize::MAX,
+    max_reported_loads: 12,
     rounds_per_seed_datagram: 1,
     alive_timeout: ALIVE_TIMEOUT,
 };
@@ -80,7 +83,8 @@
     min_other_region_receivers: 3,
     max_records: 1,
     max_ages: 36,
-    max_upstreams: 4,
+    max_upstreams: 2,
+    max_reported_loads: 12,
     rounds_per_seed_datagram: 8,
     alive_timeout: Duration::from_millis(4_800),
 };
@@ -175,6 +179,11 @@
         self.limits().max_upstreams
     }
 
+    /// Returns the maximum number of upstreams for which the reported load is sent.
+    pub fn max_reported_loads(&self) -> usize {
+        self.limits().max_reported_loads
+    }
+
     /// Returns whether `member` was heard from recently.
     pub fn is_alive(&self, member: &Member, now: Duration) -> bool {
         now.saturating_sub(member.last_heard) < self.alive_timeout()
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -289,6 +289,28 @@
         }
     }
 
+    /// Returns the upstreams with a recent report of their load, and its age.
+    pub fn recent_reports(&self, now: Duration) -> impl Iterator<Item = (&Upstream, Duration)> {
+        let with_age = self.all.values().filter_map(move |upstream| {
+            let (at, ..) = upstream.reported_load?;
+            Some((upstream, now.saturating_sub(at)))
+        });
+        with_age.filter(|(_, age)| *age < REPORTED_LOAD_LIFETIME)
+    }
+
+    /// Records loads that upstreams reported to other instances, by the hashes of their ids.
+    /// Newer reports are kept.
+    pub fn record_relayed_loads(&mut self, reports: &HashMap<u32, (Duration, ReportedLoad)>) {
+        for upstream in self.all.values_mut() {
+            let Some(&(at, load)) = reports.get(&upstream.id_hash) else {
+                continue;
+            };
+            if upstream.reported_load.is_none_or(|known| known.0 < at) {
+                upstream.reported_load = Some((at, load, upstream.in_progress));
+            }
+        }
+    }
+
     /// Records the load that the upstream reported in an answer.
     pub fn record_reported_load(&mut self, now: Duration, key: Key, reported_load: ReportedLoad) {
         if let Some(upstream) = self.all.get_mut(key) {
--- a/crates/sesamebarrow_routing/tests/decisions/loads.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/loads.rs
@@ -1,11 +1,20 @@
-//! Tests how estimates of waits follow a change of load.
+//! Tests what instances know of the load of upstreams, and how estimates of
+//! waits follow a change of load.
 
 use std::time::Duration;
 
-use sesamebarrow_routing::admit::{self, RequestSpec};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use sesamebarrow_routing::admit::{self, Rejection, RequestSpec};
+use sesamebarrow_routing::upstream::{Key, ReportedLoad};
 
 use crate::fleet::{Fleet, MODEL, config, entry, ms, route};
 
+const BUSY: ReportedLoad = ReportedLoad {
+    running: 128,
+    queued: 90,
+};
+
 /// Returns a fleet with `upstreams` upstreams in each region.
 fn fleet(domains: &[(&str, usize)], upstreams: usize) -> Fleet {
     let mut fleet = Fleet::new(domains, config(&[], vec![route("r", &[])]));
@@ -30,6 +39,68 @@
     }
 }
 
+fn keys(fleet: &Fleet, index: usize) -> Vec<Key> {
+    fleet.instances[index]
+        .board
+        .upstreams
+        .of_service(MODEL)
+        .to_vec()
+}
+
+/// Records that an upstream reported its load in an answer to instance `index`.
+fn report(fleet: &mut Fleet, index: usize, key: Key, load: ReportedLoad) {
+    let now = fleet.process_time(index);
+    let upstreams = &mut fleet.instances[index].board.upstreams;
+    upstreams.record_reported_load(now, key, load);
+}
+
+fn select(fleet: &mut Fleet, index: usize) -> Result<Key, Rejection> {
+    let now = fleet.process_time(index);
+    let selected = admit::select_upstream(&mut fleet.instances[index].board, now, &request());
+    selected.map(|s| s.key)
+}
+
+#[test]
+fn load_that_an_upstream_reports_to_one_instance_is_known_to_the_others() {
+    let mut fleet = fleet(&[("a", 3), ("b", 2)], 1);
+    let key = keys(&fleet, 0)[0];
+    assert!(select(&mut fleet, 2).is_ok());
+    report(&mut fleet, 0, key, BUSY);
+    fleet.advance(ms(700));
+    assert_eq!(select(&mut fleet, 2), Err(Rejection::Overload));
+    // Without a newer report the upstream is tried again.
+    fleet.advance(ms(1_500));
+    assert!(select(&mut fleet, 2).is_ok());
+}
+
+/// A report is used for a second. Most instances must have one of each upstream by then.
+#[test]
+fn reported_loads_spread_through_a_large_region() {
+    let mut fleet = fleet(&[("a", 65), ("b", 65), ("c", 65)], 54);
+    let mut rng = StdRng::seed_from_u64(1);
+    // Each upstream answers seven requests a second, at random instances.
+    for _ in 0..300 {
+        for _ in 0..4 {
+            let index = rng.random_range(0..65);
+            let keys = keys(&fleet, index);
+            let key = keys[rng.random_range(0..keys.len())];
+            report(&mut fleet, index, key, ReportedLoad::default());
+        }
+        fleet.step(|_, _| true);
+    }
+    let known = (0..65).map(|index| {
+        let now = fleet.process_time(index);
+        let upstreams = &fleet.instances[index].board.upstreams;
+        upstreams.recent_reports(now).count()
+    });
+    let fraction = known.sum::<usize>() as f64 / (65 * 54) as f64;
+    println!("{fraction:.2} of the upstreams with a recent report");
+    assert!(
+        fraction > 0.5,
+        "{fraction:.2} of the upstreams with a recent report"
+    );
+}
+
 /// Instances that get few answers must not take a quiet time for the peak before it.
 #[test]
 fn estimates_recover_soon_after_a_peak_at_an_instance_with_few_requests() {
