Tell other regions of services without usable upstreams

Cause: an instance left a service whose upstreams are all full or gone out of its datagrams. Three seconds later other regions took its wait as unknown, 300 ms, and forwarded requests to it; the branch for 0 usable upstreams in spill was never reached.

Change: such a service is told with 0 usable upstreams.

nothing_is_forwarded_to_a_region_without_usable_upstreams fails before.

--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -393,6 +393,5 @@
     (Duration::from_secs_f64(mean_ms / 1_000.0), not_full.len())
 }
 
-/// Wait that [`service_load`] returns when all upstreams are full. It appears only in log
-/// lines, since other instances are not told about services without usable upstreams.
+/// Wait that [`service_load`] returns when all upstreams are full.
 const ALL_FULL_WAIT: Duration = Duration::from_secs(5);
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -529,14 +529,14 @@
         let Some(config) = &self.config else {
             return Vec::new();
         };
-        let loads = config.services.values().filter_map(|service| {
+        let loads = config.services.values().map(|service| {
             let (wait, usable) = crate::admit::service_load(self, now, &service.name);
             // CAST: waits are at most minutes, and upstreams at most thousands.
-            (usable > 0).then(|| ServiceLoad {
+            ServiceLoad {
                 service_hash: short_hash(&service.name),
                 wait_ms: wait.as_millis() as u32,
                 usable_upstreams: usable as u32,
-            })
+            }
         });
         loads.collect()
     }
--- a/crates/sesamebarrow_routing/tests/decisions/loads.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/loads.rs
@@ -1,4 +1,4 @@
-//! Tests what instances know of the load of upstreams, and how estimates of
+//! Tests what instances know of the load of upstreams and regions, and how estimates of
 //! waits follow a change of load.
 
 use std::time::Duration;
@@ -6,6 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sesamebarrow_routing::admit::{self, Rejection, RequestSpec};
+use sesamebarrow_routing::spill;
 use sesamebarrow_routing::upstream::{Key, ReportedLoad};
 
 use crate::fleet::{Fleet, MODEL, config, entry, ms, route};
@@ -133,3 +134,19 @@
         "{after:?} is estimated six seconds after the peak"
     );
 }
+
+#[test]
+fn nothing_is_forwarded_to_a_region_without_usable_upstreams() {
+    let mut fleet = fleet(&[("a", 2), ("b", 2)], 1);
+    for _ in 0..10 {
+        for index in [2, 3] {
+            let key = keys(&fleet, index)[0];
+            report(&mut fleet, index, key, BUSY);
+        }
+        fleet.advance(ms(500));
+    }
+    let now = fleet.process_time(0);
+    let board = &mut fleet.instances[0].board;
+    let selected = spill::select_instance(board, now, MODEL, |_| true, &[], None);
+    assert_eq!(selected, None);
+}
