--- a/crates/sesamebarrow_gateway/src/token.rs
+++ b/crates/sesamebarrow_gateway/src/token.rs
@@ -12,7 +12,7 @@
 use sesamebarrow_routing::config::Customer;
 use sesamebarrow_routing::holder::{self, Holder};
 use sesamebarrow_routing::quota::{Exceeded, LoanNeed};
-use sesamebarrow_routing::token::{self, Body, Grant, Request, Return};
+use sesamebarrow_routing::token::{self, Body, Grant, Lent, Request, Return};
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
@@ -345,25 +345,26 @@
     let quota = &mut shared.board().quota;
     let refused = Grant {
         id: request.id,
-        customer,
         ..Grant::default()
     };
     if request.is_loan {
         let lent = to_count(quota.lend(now, customer, tokens));
         return Grant {
-            tokens: lent,
             granted: lent > 0,
-            requested: request.tokens,
+            lent: Some(Lent {
+                customer,
+                requested: request.tokens,
+                tokens: lent,
+            }),
             ..refused
         };
     }
     match quota.take(now, customer, tokens) {
         Ok(()) => Grant {
-            tokens: request.tokens,
             granted: true,
             ..refused
         },
-        Err(Exceeded { retry_after, .. }) => Grant {
+        Err(Exceeded { retry_after }) => Grant {
             // CAST: the delay is at most a minute.
             retry_after_ms: retry_after.as_millis() as u32,
             ..refused
@@ -377,20 +378,22 @@
         let _ = tx.send(grant);
         return;
     }
+    let (Some(lent), IpAddr::V4(lender)) = (grant.lent, from) else {
+        return;
+    };
     let mut loans = lock(&shared.tokens.loans);
-    if let Some(position) = loans.iter().position(|id| *id == grant.id) {
-        loans.remove(position);
-        drop(loans);
-        metrics::counter!("sesamebarrow_borrowed_tokens_total").increment(grant.tokens);
-        if let IpAddr::V4(lender) = from {
-            let requested = LoanNeed {
-                customer: grant.customer,
-                tokens: to_tokens(grant.requested),
-            };
-            let lent = to_tokens(grant.tokens);
-            holder::receive_loan(&mut shared.board(), lender, requested, lent);
-        }
-    }
+    let Some(position) = loans.iter().position(|id| *id == grant.id) else {
+        return;
+    };
+    loans.remove(position);
+    drop(loans);
+    metrics::counter!("sesamebarrow_borrowed_tokens_total").increment(lent.tokens);
+    let requested = LoanNeed {
+        customer: lent.customer,
+        tokens: to_tokens(lent.requested),
+    };
+    let tokens = to_tokens(lent.tokens);
+    holder::receive_loan(&mut shared.board(), lender, requested, tokens);
 }
 
 fn handle_return(shared: &Shared, returned: &Return, from: IpAddr) {
--- a/crates/sesamebarrow_routing/src/quota.rs
+++ b/crates/sesamebarrow_routing/src/quota.rs
@@ -77,8 +77,6 @@
 pub struct Exceeded {
     /// Time after which the bucket will hold enough tokens.
     pub retry_after: Duration,
-    /// Tokens in the bucket; negative while it is in debt.
-    pub available_tokens: f64,
 }
 
 /// The bucket of one customer, as this instance keeps it.
@@ -207,7 +205,6 @@
         let Some(bucket) = self.buckets.get_mut(&customer) else {
             return Err(Exceeded {
                 retry_after: LOAN_LEAD,
-                available_tokens: 0.0,
             });
         };
         if bucket.rate <= 0.0 {
@@ -342,7 +339,6 @@
         };
         Exceeded {
             retry_after: Duration::from_secs_f64(wait_s).clamp(min, MAX_RETRY_AFTER),
-            available_tokens: self.available_tokens,
         }
     }
 
--- a/crates/sesamebarrow_routing/src/token.rs
+++ b/crates/sesamebarrow_routing/src/token.rs
@@ -48,21 +48,29 @@
     /// Id of the request.
     #[prost(uint64, tag = "1")]
     pub id: u64,
+    /// Whether all its tokens were granted; for a loan, whether any were.
+    #[prost(bool, tag = "2")]
+    pub granted: bool,
+    /// If it was refused, milliseconds after which the bucket will hold enough tokens.
+    #[prost(uint32, tag = "3")]
+    pub retry_after_ms: u32,
+    /// The answer to a request for a loan.
+    #[prost(message, optional, tag = "4")]
+    pub lent: Option<Lent>,
+}
+
+/// Tokens that were lent.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Lent {
     /// Hash of the customer's name.
-    #[prost(fixed64, tag = "2")]
+    #[prost(fixed64, tag = "1")]
     pub customer: u64,
-    /// Tokens that were taken from the bucket; 0 if the request was refused.
+    /// Number of tokens that was asked for.
+    #[prost(uint64, tag = "2")]
+    pub requested: u64,
+    /// Number of tokens that was taken from the lender's bucket.
     #[prost(uint64, tag = "3")]
     pub tokens: u64,
-    /// If it was refused, milliseconds after which the bucket will hold enough tokens.
-    #[prost(uint32, tag = "4")]
-    pub retry_after_ms: u32,
-    /// Whether it was granted. A request for 0 tokens may be, too.
-    #[prost(bool, tag = "5")]
-    pub granted: bool,
-    /// For a loan, the number of tokens that was asked for.
-    #[prost(uint64, tag = "6")]
-    pub requested: u64,
 }
 
 /// Returns tokens of a request that did not run.
