Drop tokens above a lowered limit

Cause: a bucket kept what it held when the configuration lowered its customer's rate. Of a customer that was idle, up to an eighth more than its old burst could be spent after the lower limit binds. Found by reading.

Change: tokens above the new capacity are dropped when a limit is lowered.

tokens_stored_before_a_rate_was_lowered_are_not_spent_after_it fails before (747,396 tokens in a window, 747,000 allowed) and passes after.

--- a/crates/sesamebarrow_routing/src/quota.rs
+++ b/crates/sesamebarrow_routing/src/quota.rs
@@ -151,7 +151,8 @@
     }
 
     /// Sets the limits of all customers, given as hash, rate and burst; a rate of 0 means no
-    /// limit. Buckets of other customers are removed.
+    /// limit. Buckets of other customers are removed, and tokens above a lowered limit are
+    /// dropped.
     pub fn set_limits(&mut self, now: Duration, limits: &[(u64, f64, f64)]) {
         let listed = |customer: &u64| limits.iter().any(|(hash, ..)| hash == customer);
         self.buckets.retain(|customer, _| listed(customer));
@@ -160,7 +161,12 @@
                 .buckets
                 .entry(customer)
                 .or_insert_with(|| Bucket::new(now));
+            let lowered = rate < bucket.rate || burst < bucket.burst;
             (bucket.rate, bucket.burst) = (rate, burst);
+            if lowered {
+                let capacity = bucket.capacity(self.tolerance);
+                bucket.available_tokens = bucket.available_tokens.min(capacity);
+            }
         }
     }
 
--- a/crates/sesamebarrow_routing/tests/decisions/buckets.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/buckets.rs
@@ -563,6 +563,24 @@
     state.map_or(0.0, |s| s.refill_fraction)
 }
 
+bucket_test!(
+    tokens_stored_before_a_rate_was_lowered_are_not_spent_after_it,
+    LARGE,
+    &[(6_000_000.0, 4_500.0)],
+    1,
+    |simulation| {
+        for index in 0..simulation.fleet.instances.len() {
+            let now = simulation.fleet.process_time(index);
+            let board = &mut simulation.fleet.instances[index].board;
+            assert!(board.apply_config(now, config_with(&[60_000.0], 2)));
+        }
+        simulation.fleet.advance(WINDOW);
+        simulation.demands[0].rate = 60_000.0;
+        simulation.set_demand(|_| 10.0);
+        simulation.run(ms(9_000), all);
+    }
+);
+
 /// Returns the fraction of each of 19 customers' rates that all buckets together refill at.
 fn refill_fractions(fleet: &Fleet) -> Vec<f64> {
     let fraction = |n: u32| {
