--- /dev/null
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -0,0 +1,235 @@
+//! Fills and handles the datagrams of [`crate::gossip`].
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use crate::board::{Board, REPUBLISH_GRACE};
+use crate::gossip::{Datagram, Record, ReportedLoads, ServiceLoad, UpstreamLoad, short_hash};
+use crate::holder;
+use crate::member::{DISCOVERY_GOSSIP_INTERVAL, GOSSIP_INTERVAL};
+use crate::upstream::{ReportedLoad, Upstream};
+
+/// Milliseconds that an instance adds to the age of a reported load before it sends it; at
+/// least the usual time in transit within a region.
+const RELAY_DELAY_MS: u32 = 20;
+
+impl Board {
+    /// Returns the time until the next gossip round.
+    pub fn gossip_interval(&self) -> Duration {
+        if self.discovery_done {
+            GOSSIP_INTERVAL
+        } else {
+            DISCOVERY_GOSSIP_INTERVAL
+        }
+    }
+
+    /// Starts a gossip round and returns this instance's datagram, without the fields that
+    /// depend on the receiver.
+    pub fn begin_gossip_round(&mut self, now: Duration) -> Datagram {
+        self.heartbeat += 1;
+        self.members.remove_silent(now);
+        self.upstreams.remove_due(now);
+        self.sum_other_loads(now);
+        holder::update_buckets(self, now);
+        Datagram {
+            sender: Record {
+                heartbeat: self.heartbeat,
+                ..self.own_record(now)
+            },
+            other_records: self.members.sample_records(now, &mut self.rng),
+            heard_ages: None,
+            wanted_name_hashes: self.members.take_unknown(),
+            revision: self.revision,
+            service_loads: self.service_loads(now),
+            upstream_loads: Vec::new(),
+            reported_loads: None,
+            seen_heartbeat: 0,
+            // CAST: bounded by `REPUBLISH_GRACE`.
+            store_outage_age_ms: self
+                .last_store_outage_at
+                .map(|at| now.saturating_sub(at))
+                .filter(|age| *age < REPUBLISH_GRACE)
+                .map_or(0, |age| age.as_millis().max(1) as u32),
+        }
+    }
+
+    /// Returns the reply to a datagram whose sender does not know this instance or asks for
+    /// records, without the fields that depend on the receiver. A reply counts as a round of
+    /// its own.
+    pub fn begin_gossip_reply(&mut self, now: Duration, datagram: &Datagram) -> Datagram {
+        let mut reply = self.begin_gossip_round(now);
+        reply
+            .other_records
+            .extend(self.members.records_for(&datagram.wanted_name_hashes));
+        reply
+    }
+
+    /// Returns a datagram that only announces this instance's newest revision.
+    pub fn revision_datagram(&self, now: Duration) -> Datagram {
+        Datagram {
+            sender: self.own_record(now),
+            revision: self.revision,
+            ..Datagram::default()
+        }
+    }
+
+    /// Returns this instance's record without its heartbeat.
+    fn own_record(&self, now: Duration) -> Record {
+        let draining = self.draining_for(now);
+        Record {
+            name: self.identity.name.to_string(),
+            domain_hash: short_hash(&self.identity.domain),
+            ip: self.identity.ip.to_bits(),
+            incarnation: self.identity.incarnation,
+            ready: self.is_ready(),
+            // CAST: stopping takes seconds.
+            draining_time_ms: draining.map_or(0, |d| d.as_millis().max(1) as u32),
+            store_answers: self.store_answers,
+            keeps_buckets: true,
+            ..Record::default()
+        }
+    }
+    /// Fills in the fields of a datagram that depend on its receiver, the instance at `ip`.
+    pub fn complete_datagram(&mut self, now: Duration, datagram: &mut Datagram, ip: Ipv4Addr) {
+        let receiver = self.members.all.values().find(|m| m.ip() == ip);
+        datagram.seen_heartbeat = receiver.map_or(0, |m| m.record.heartbeat);
+        let same_region = receiver.is_some_and(|m| m.region == self.identity.region);
+        datagram.upstream_loads = if same_region {
+            self.own_upstream_loads()
+        } else {
+            Vec::new()
+        };
+        datagram.reported_loads = same_region.then(|| self.reported_loads(now));
+        datagram.heard_ages = self.members.recent_ages(now, &mut self.rng);
+    }
+
+    /// Returns the loads that upstreams reported recently to this or other instances.
+    fn reported_loads(&self, now: Duration) -> ReportedLoads {
+        let max_loads = self.members.max_reported_loads();
+        let mut loads = ReportedLoads::default();
+        let mut recent: Vec<_> = self.upstreams.recent_reports(now).collect();
+        recent.sort_by_key(|(_, age)| *age);
+        for (upstream, age) in recent.into_iter().take(max_loads) {
+            let Some((_, load, _)) = upstream.reported_load else {
+                continue;
+            };
+            // CAST: at most `REPORTED_LOAD_LIFETIME`.
+            let age_ms = age.as_millis() as u32;
+            loads.upstream_hashes.push(upstream.id_hash);
+            loads.running.push(load.running);
+            loads.queued.push(load.queued);
+            loads
+                .ages_10_ms
+                .push((age_ms + RELAY_DELAY_MS).div_ceil(10));
+        }
+        loads
+    }
+
+    fn apply_reported_loads(&mut self, now: Duration, loads: &ReportedLoads) {
+        let counts = loads.running.iter().zip(&loads.queued);
+        let reports = loads
+            .upstream_hashes
+            .iter()
+            .zip(&loads.ages_10_ms)
+            .zip(counts);
+        let reports = reports.map(|((hash, age), (running, queued))| {
+            let age = Duration::from_millis(u64::from(*age) * 10);
+            let load = ReportedLoad {
+                running: *running,
+                queued: *queued,
+            };
+            (*hash, (now.saturating_sub(age), load))
+        });
+        self.upstreams.record_relayed_loads(&reports.collect());
+    }
+
+    /// Returns the load that this instance has put on upstreams; only the busiest ones if there
+    /// are more than a datagram may contain.
+    fn own_upstream_loads(&self) -> Vec<UpstreamLoad> {
+        let mut busy: Vec<&Upstream> = self
+            .upstreams
+            .all
+            .values()
+            .filter(|u| u.in_progress > 0)
+            .collect();
+        let max_loads = self.members.max_upstream_loads();
+        if busy.len() > max_loads {
+            busy.sort_by_key(|u| std::cmp::Reverse((u.prefill_tokens, u.in_progress)));
+            busy.truncate(max_loads);
+        }
+        // CAST: token counts of one instance at one upstream are far below 2^32.
+        let loads = busy.into_iter().map(|u| UpstreamLoad {
+            upstream_hash: u.id_hash,
+            in_progress: u.in_progress,
+            prefill_tokens: u.prefill_tokens as u32,
+            kv_tokens: u.kv_tokens as u32,
+        });
+        loads.collect()
+    }
+
+    fn service_loads(&self, now: Duration) -> Vec<ServiceLoad> {
+        let Some(config) = &self.config else {
+            return Vec::new();
+        };
+        let loads = config.services.values().map(|service| {
+            let (wait, usable) = crate::admit::service_load(self, now, &service.name);
+            // CAST: waits are at most minutes, and upstreams at most thousands.
+            ServiceLoad {
+                service_hash: short_hash(&service.name),
+                wait_ms: wait.as_millis() as u32,
+                usable_upstreams: usable as u32,
+            }
+        });
+        loads.collect()
+    }
+
+    /// Handles a datagram. Returns whether it should be answered at once, because its
+    /// sender does not know this instance yet or asks for records.
+    pub fn handle_datagram(&mut self, now: Duration, datagram: &Datagram) -> bool {
+        let regions = &self.regions_by_hash;
+        let region_of = |domain_hash: u32| regions.get(&domain_hash).cloned();
+        let own_name = self.identity.name.as_str();
+        if datagram.sender.name == own_name {
+            return false;
+        }
+        // Only `revision_datagram` leaves the heartbeat at 0.
+        if datagram.sender.heartbeat == 0 {
+            self.members
+                .record_revision(&datagram.sender.name, datagram.revision);
+            return false;
+        }
+        self.members
+            .apply_datagram(now, own_name, datagram, region_of);
+        if datagram.store_outage_age_ms > 0 {
+            let at = now.saturating_sub(Duration::from_millis(datagram.store_outage_age_ms.into()));
+            self.last_store_outage_at =
+                Some(self.last_store_outage_at.map_or(at, |known| known.max(at)));
+        }
+        self.sum_other_loads(now);
+        if let Some(loads) = &datagram.reported_loads {
+            self.apply_reported_loads(now, loads);
+        }
+        datagram.seen_heartbeat == 0 || !datagram.wanted_name_hashes.is_empty()
+    }
+
+    /// Sums the load that the other instances of the region have put on each upstream.
+    fn sum_other_loads(&mut self, now: Duration) {
+        let members: Vec<_> = self
+            .members
+            .alive(now)
+            .filter(|m| m.region == self.identity.region)
+            .collect();
+        for upstream in self.upstreams.all.values_mut() {
+            let mut sum = UpstreamLoad::default();
+            for member in &members {
+                let Some(load) = member.upstream_loads.1.get(&upstream.id_hash) else {
+                    continue;
+                };
+                sum.in_progress += load.in_progress;
+                sum.prefill_tokens += load.prefill_tokens;
+                sum.kv_tokens += load.kv_tokens;
+            }
+            upstream.others_load = sum;
+        }
+    }
+}
