Log and count how each answer ended: framing, position in the event stream, error

The log could not tell the three hypotheses apart: an answer that ended by its connection, by a length or by a last chunk, inside an event or between two, had the same line. A parser of event streams (LF, CRLF, CR, byte order mark, comments, ids that reset) tracks the position; nothing depends on it yet. `request ended` and `stream broken` say framing, position, events and error, and sesamebarrow_answer_ends_total counts them. The stream part of relay.rs is a module of its own.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -18,6 +18,7 @@
 use smol_str::SmolStr;
 
 use crate::attempt::{Attempt, Target};
+use crate::framing::Framing;
 use crate::hop;
 use crate::intake::Job;
 use crate::pool;
@@ -63,6 +64,8 @@
     pub head: Response<()>,
     /// The body, which is still being received.
     pub body: Incoming,
+    /// What ends the body.
+    pub framing: Framing,
     /// The attempt that it belongs to.
     pub attempt: Attempt,
 }
@@ -429,6 +432,7 @@
         }
         ResponseKind::Executed => {
             let response = Box::new(UpstreamResponse {
+                framing: Framing::of(&parts.headers, &body),
                 head: Response::from_parts(parts, ()),
                 body,
                 attempt,
--- /dev/null
+++ b/crates/sesamebarrow_gateway/src/framing.rs
@@ -0,0 +1,44 @@
+//! Framing of response bodies, and whether a body that has ended is complete.
+//!
+//! | ends | in order | with an error |
+//! |---|---|---|
+//! | any body | complete, but for the rows below | broken off |
+//! | event stream, inside an event | broken off | broken off |
+//! | event stream without an event, framed by its connection | broken off | broken off |
+//!
+//! The connection of a process that has crashed is also closed in order, so an end in order proves
+//! something only where the content agrees.
+
+use hyper::HeaderMap;
+use hyper::body::{Body, Incoming};
+use hyper::header::TRANSFER_ENCODING;
+
+/// What ends the body of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Framing {
+    /// The length in the head.
+    Length,
+    /// The last chunk.
+    Chunked,
+    /// The end of the connection.
+    Connection,
+}
+
+impl Framing {
+    /// Returns the framing of a response with these headers and this body.
+    pub fn of(headers: &HeaderMap, body: &Incoming) -> Self {
+        let is_chunked = |v: &hyper::header::HeaderValue| {
+            let last = v.to_str().ok().and_then(|v| v.rsplit(',').next());
+            last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+        };
+        let codings = headers.get_all(TRANSFER_ENCODING);
+        if codings.iter().next_back().is_some_and(is_chunked) {
+            Self::Chunked
+        } else if body.size_hint().exact().is_some() {
+            Self::Length
+        } else {
+            Self::Connection
+        }
+    }
+}
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! [`server`] accepts a request. [`intake`] finds its route, identifies the customer and
 //! reserves the tokens that it costs. [`exchange`] makes attempts at the targets that
-//! `sesamebarrow_routing` selects, over connections of [`pool`], and [`relay`] sends the
-//! response to the client. [`hop`] forwards requests to an instance of another region.
+//! `sesamebarrow_routing` selects, over connections of [`pool`]. [`relay`] sends the response to
+//! the client, [`stream`] an event stream. [`event_stream`] and [`framing`] tell whether a body
+//! that has ended is complete. [`hop`] forwards requests to an instance of another region.
 //!
 //! [`token`] takes the tokens of requests from the buckets that instances keep.
 //! [`store`], [`sync`] and [`gossip`] keep the board up to date, the tables of
@@ -13,7 +14,9 @@
 pub mod admin;
 pub mod attempt;
 pub mod directory;
+pub mod event_stream;
 pub mod exchange;
+pub mod framing;
 pub mod gossip;
 pub mod hop;
 pub mod intake;
@@ -27,6 +30,7 @@
 pub mod shared;
 pub mod socket;
 pub mod store;
+pub mod stream;
 pub mod stream_timing;
 pub mod sync;
 pub mod telemetry;
--- /dev/null
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -0,0 +1,276 @@
+//! Relays event streams. A stream that ends early is resumed at another target where its route
+//! allows it, and otherwise cut off for the client as well.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::task::{Context, Poll, ready};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::BoxFuture;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use sesamebarrow_routing::upstream::AttemptOutcome;
+use smol_str::SmolStr;
+use tokio::time::Sleep;
+
+use crate::attempt::Attempt;
+use crate::event_stream::{Parser, ResumePoint};
+use crate::exchange::{self, AttemptHistory, UpstreamResponse};
+use crate::framing::Framing;
+use crate::intake::Job;
+use crate::relay::{self, Body, BodyError, End, StreamEnd};
+use crate::reply::Refusal;
+use crate::shared::Shared;
+use crate::stream_timing::StreamTiming;
+use crate::telemetry;
+
+/// Builds a response whose body relays the stream of `response`.
+pub fn build_response(
+    shared: &Arc<Shared>,
+    job: Job,
+    history: AttemptHistory,
+    response: UpstreamResponse,
+) -> Response<Body> {
+    let (mut parts, ()) = response.head.into_parts();
+    relay::remove_internal_headers(&mut parts.headers);
+    shared.active_requests.fetch_add(1, Ordering::Relaxed);
+    let body = StreamBody {
+        shared: shared.clone(),
+        deadline: Box::pin(tokio::time::sleep_until(job.deadline.into())),
+        events: EventBuffer::new(job.policy.resumable, job.last_event.clone()),
+        job: Arc::new(job),
+        target: response.attempt.target_name().clone(),
+        state: StreamState::Receiving(response.body, Some(Box::new(response.attempt))),
+        history: Some(history),
+        status: parts.status.as_u16(),
+        framing: response.framing,
+        parser: Parser::new(ResumePoint::Start),
+        timing: StreamTiming::default(),
+    };
+    Response::from_parts(parts, body.boxed_unsync())
+}
+
+/// Splits a stream into events, so that a stream that is resumed at another upstream continues
+/// after the last complete event.
+#[derive(Debug)]
+struct EventBuffer {
+    /// Whether only complete events are relayed; otherwise, bytes are relayed as they arrive.
+    complete_events_only: bool,
+    /// Bytes of an incomplete event.
+    partial: BytesMut,
+    /// Id of the last complete event.
+    last_id: Option<SmolStr>,
+}
+
+impl EventBuffer {
+    fn new(complete_events_only: bool, last_id: Option<SmolStr>) -> Self {
+        Self {
+            complete_events_only,
+            partial: BytesMut::new(),
+            last_id,
+        }
+    }
+
+    /// Adds a chunk and returns the bytes that can be relayed.
+    fn push(&mut self, chunk: Bytes) -> Bytes {
+        if !self.complete_events_only {
+            return chunk;
+        }
+        self.partial.extend_from_slice(&chunk);
+        let last_end = memchr::memmem::rfind(&self.partial, b"\n\n");
+        let Some(last_end) = last_end else {
+            return Bytes::new();
+        };
+        let complete = self.partial.split_to(last_end + 2).freeze();
+        if let Some(id) = last_event_id(&complete) {
+            self.last_id = Some(id);
+        }
+        complete
+    }
+}
+
+/// Returns the id of the last event that has an id.
+fn last_event_id(events: &[u8]) -> Option<SmolStr> {
+    let line = events
+        .split(|b| *b == b'\n')
+        .rev()
+        .find_map(|line| line.strip_prefix(b"id:"))?;
+    Some(SmolStr::new(std::str::from_utf8(line).ok()?.trim()))
+}
+
+enum StreamState {
+    /// Receiving events from the target.
+    Receiving(Incoming, Option<Box<Attempt>>),
+    /// Making attempts to resume the stream at another target.
+    Resuming(BoxFuture<'static, (AttemptHistory, Result<UpstreamResponse, Refusal>)>),
+    /// The stream has ended.
+    Done,
+}
+
+/// The body of a streamed response.
+struct StreamBody {
+    shared: Arc<Shared>,
+    job: Arc<Job>,
+    state: StreamState,
+    events: EventBuffer,
+    /// `None` while attempts to resume the stream use it.
+    history: Option<AttemptHistory>,
+    deadline: Pin<Box<Sleep>>,
+    status: u16,
+    /// What ends the body that is being received.
+    framing: Framing,
+    /// Tracks the position in the stream.
+    parser: Parser,
+    /// Name of the upstream or instance that sends the stream.
+    target: SmolStr,
+    timing: StreamTiming,
+}
+
+impl StreamBody {
+    fn record_end(&self, outcome: &'static str) {
+        let end = End {
+            target: &self.target,
+            status: self.status,
+            outcome,
+            framing: self.framing,
+            stream: Some(StreamEnd {
+                events: self.parser.events(),
+                position: self.parser.position(),
+                timing: &self.timing,
+            }),
+        };
+        relay::record_end(&self.shared, &self.job, &end);
+    }
+
+    /// Ends the current attempt.
+    fn end_attempt(&mut self, outcome: AttemptOutcome) {
+        if let StreamState::Receiving(_, Some(attempt)) =
+            std::mem::replace(&mut self.state, StreamState::Done)
+        {
+            attempt.end(outcome);
+        }
+    }
+
+    fn fail(&mut self, outcome: &'static str) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.record_end(outcome);
+        self.state = StreamState::Done;
+        Poll::Ready(Some(Err(BodyError)))
+    }
+
+    /// Starts to resume the stream at another target. Returns whether that is allowed.
+    fn resume(&mut self) -> bool {
+        let Some(mut history) = self
+            .history
+            .take()
+            .filter(|_| self.events.complete_events_only)
+        else {
+            return false;
+        };
+        self.events.partial.clear();
+        self.parser.restart();
+        let shared = self.shared.clone();
+        let job = self.job.clone();
+        let last_id = self.events.last_id.clone();
+        self.state = StreamState::Resuming(Box::pin(async move {
+            let result =
+                exchange::make_attempts_after(&shared, &job, &mut history, last_id.as_ref()).await;
+            (history, result)
+        }));
+        true
+    }
+}
+
+impl HttpBody for StreamBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let this = self.get_mut();
+        loop {
+            let polled = match &mut this.state {
+                StreamState::Done => return Poll::Ready(None),
+                StreamState::Resuming(future) => match future.as_mut().poll(cx) {
+                    Poll::Pending => Poll::Pending,
+                    Poll::Ready((history, Ok(response))) if response.head.status().is_success() => {
+                        this.history = Some(history);
+                        this.target = response.attempt.target_name().clone();
+                        this.framing = response.framing;
+                        log::info!(
+                            request = this.job.id.as_str(), target = this.target.as_str();
+                            "stream resumed"
+                        );
+                        this.state =
+                            StreamState::Receiving(response.body, Some(Box::new(response.attempt)));
+                        continue;
+                    }
+                    Poll::Ready(_) => return this.fail("not-resumed"),
+                },
+                StreamState::Receiving(body, _) => Pin::new(body).poll_frame(cx),
+            };
+            let Poll::Ready(polled) = polled else {
+                ready!(this.deadline.as_mut().poll(cx));
+                this.end_attempt(AttemptOutcome::Silent);
+                return this.fail("timeout");
+            };
+            match polled {
+                Some(Ok(frame)) => {
+                    let Ok(data) = frame.into_data() else {
+                        continue;
+                    };
+                    if let StreamState::Receiving(_, Some(attempt)) = &mut this.state {
+                        attempt.record_first_byte();
+                    }
+                    this.parser.push(&data);
+                    let data = this.events.push(data);
+                    if !data.is_empty() {
+                        this.timing.record_event(this.job.started_at);
+                        return Poll::Ready(Some(Ok(Frame::data(data))));
+                    }
+                }
+                None if this.events.partial.is_empty() => {
+                    this.end_attempt(AttemptOutcome::Whole);
+                    this.record_end("whole");
+                    return Poll::Ready(None);
+                }
+                ended => {
+                    let error = match ended {
+                        Some(Err(error)) => error.to_string(),
+                        _ => "end of body".to_owned(),
+                    };
+                    this.end_attempt(AttemptOutcome::Broken);
+                    let (framing, position): (&str, &str) =
+                        (this.framing.into(), this.parser.position().into());
+                    log::info!(
+                        request = this.job.id.as_str(),
+                        event = this.events.last_id.as_deref().unwrap_or("none"), framing, position,
+                        error:% = error; "stream broken"
+                    );
+                    if !this.resume() {
+                        return this.fail("broken");
+                    }
+                }
+            }
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::default()
+    }
+}
+
+impl Drop for StreamBody {
+    fn drop(&mut self) {
+        self.shared.active_requests.fetch_sub(1, Ordering::Relaxed);
+        if let Some(first) = self.timing.first_event {
+            telemetry::record_stream(&self.job.policy.route, first, self.timing.longest_pause);
+        }
+        if !matches!(self.state, StreamState::Done) {
+            self.record_end("cancelled");
+        }
+    }
+}
--- a/crates/sesamebarrow_gateway/src/telemetry.rs
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -14,11 +14,15 @@
 ];
 
 /// Names and descriptions of the counters.
-const COUNTERS: [(&str, &str); 12] = [
+const COUNTERS: [(&str, &str); 13] = [
     (
         "sesamebarrow_answers_total",
         "Answers that came from an upstream, by how they ended.",
     ),
+    (
+        "sesamebarrow_answer_ends_total",
+        "Ends of answers, by framing, position in the event stream and outcome.",
+    ),
     (
         "sesamebarrow_refusals_total",
         "Requests that this instance answered itself, by reason.",
--- /dev/null
+++ b/crates/sesamebarrow_gateway/tests/event_stream.rs
@@ -0,0 +1,167 @@
+//! Tests of the parser of event streams.
+
+use proptest::collection::vec;
+use proptest::prelude::{Strategy, any, prop_assert, prop_assert_eq, proptest};
+use proptest::test_runner::{Config, RngSeed};
+use sesamebarrow_gateway::event_stream::{Parser, Position, ResumePoint};
+
+/// What a parser knows after a stream.
+#[derive(Debug, PartialEq)]
+struct Parsed {
+    events: u64,
+    position: Position,
+    resume_point: ResumePoint,
+    /// Number of bytes up to the last boundary.
+    boundary: usize,
+}
+
+/// Feeds `stream` to a parser in chunks that end at `cuts` (modulo the length).
+fn parse(stream: &[u8], cuts: &[usize]) -> Parsed {
+    let mut cuts: Vec<usize> = cuts.iter().map(|c| c % (stream.len() + 1)).collect();
+    cuts.extend([0, stream.len()]);
+    cuts.sort_unstable();
+    let mut parser = Parser::new(ResumePoint::Start);
+    let mut boundary = 0;
+    for pair in cuts.windows(2) {
+        if let Some(offset) = parser.push(&stream[pair[0]..pair[1]]) {
+            boundary = pair[0] + offset;
+        }
+    }
+    Parsed {
+        events: parser.events(),
+        position: parser.position(),
+        resume_point: parser.resume_point().clone(),
+        boundary,
+    }
+}
+
+fn after(id: &str) -> ResumePoint {
+    ResumePoint::After(id.into())
+}
+
+/// Defines a test for each stream: complete events, position, resume point, and the bytes after the
+/// last boundary.
+macro_rules! parser_test {
+    ($($name:ident: $stream:expr => $events:expr, $position:ident, $point:expr, $rest:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let stream: &[u8] = $stream;
+            let expected = Parsed {
+                events: $events,
+                position: Position::$position,
+                resume_point: $point,
+                boundary: stream.len() - $rest,
+            };
+            assert_eq!(parse(stream, &[]), expected);
+            let single_bytes: Vec<usize> = (0..stream.len()).collect();
+            assert_eq!(parse(stream, &single_bytes), expected, "in single bytes");
+        }
+    )*};
+}
+
+parser_test! {
+    empty_stream_is_at_its_start: b"" => 0, Start, ResumePoint::Start, 0;
+    lf_ends_lines: b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n" => 2, Between, after("2"), 0;
+    crlf_ends_lines: b"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n" => 2, Between, after("2"), 0;
+    cr_ends_lines: b"id: 1\rdata: a\r\rid: 2\rdata: b\r\r" => 2, Between, after("2"), 0;
+    mixed_line_ends: b"id: 1\r\ndata: a\n\rid:2\ndata\r\n\n" => 2, Between, after("2"), 0;
+    byte_order_mark_is_no_part_of_a_name: b"\xef\xbb\xbfid: 1\ndata: a\n\n" => 1, Between, after("1"), 0;
+    byte_order_mark_alone_is_inside_a_line: b"\xef\xbb\xbf" => 0, Inside, ResumePoint::Start, 3;
+    cut_in_a_value: b"id: 1\ndata: a\n\nid: 2\ndata: b" => 1, Inside, after("1"), 13;
+    cut_before_the_blank_line: b"id: 1\ndata: a\n\nid: 2\ndata: b\n" => 1, Inside, after("1"), 14;
+    cut_in_the_first_event: b"id: 1\nda" => 0, Inside, ResumePoint::Start, 8;
+    comment_is_no_event: b": ping\n" => 0, Start, ResumePoint::Start, 0;
+    comment_between_events: b"id: 1\ndata: a\n\n: ping\n" => 1, Between, after("1"), 0;
+    cut_in_a_comment: b"id: 1\ndata: a\n\n: pi" => 1, Inside, after("1"), 4;
+    comment_in_an_event_does_not_end_it: b"data: a\n: ping\n" => 0, Inside, ResumePoint::Start, 15;
+    retry_alone_is_no_event: b"id: 1\ndata: a\n\nretry: 500\n\n" => 1, Between, after("1"), 0;
+    id_alone_moves_the_resume_point: b"id: 1\ndata: a\n\nid: 7\n\n" => 1, Between, after("7"), 0;
+    other_fields_come_first: b"weight-versions: 3\nid: 4\ndata: a\n\n" => 1, Between, after("4"), 0;
+    id_of_an_open_event_is_not_a_resume_point: b"id: 1\ndata: a\n\nid: 2\n" => 1, Inside, after("1"), 6;
+    event_without_id_cannot_be_resumed_after: b"id: 1\ndata: a\n\ndata: b\n\n" => 2, Between, ResumePoint::Nowhere, 0;
+    empty_id_cannot_be_resumed_after: b"id: 1\ndata: a\n\nid\ndata: b\n\n" => 2, Between, ResumePoint::Nowhere, 0;
+    id_with_nul_is_ignored: b"id: 1\nid: 2\0\ndata: a\n\n" => 1, Between, after("1"), 0;
+    id_that_no_header_can_carry: b"id: \xc3\xa9\ndata: a\n\n" => 1, Between, ResumePoint::Nowhere, 0;
+    id_as_part_of_another_name: b"id: 1\nidx: 2\ndata: a\n\n" => 1, Between, after("1"), 0;
+    blank_lines_are_no_events: b"\n\r\n\r" => 0, Start, ResumePoint::Start, 0;
+}
+
+#[test]
+fn long_id_cannot_be_resumed_after() {
+    let stream = format!("id: {}\ndata: a\n\n", "7".repeat(4096));
+    let parsed = parse(stream.as_bytes(), &[100, 300, 500]);
+    assert_eq!(
+        (parsed.events, parsed.resume_point),
+        (1, ResumePoint::Nowhere)
+    );
+}
+
+#[test]
+fn restart_drops_the_open_event_and_accepts_a_byte_order_mark() {
+    let mut parser = Parser::new(ResumePoint::Start);
+    parser.push(b"id: 1\ndata: a\n\nid: 9\ndata: lo");
+    parser.restart();
+    assert_eq!(parser.position(), Position::Between);
+    parser.push(b"\xef\xbb\xbfid: 2\ndata: b\n\n");
+    assert_eq!((parser.events(), parser.resume_point()), (2, &after("2")));
+}
+
+#[test]
+fn empty_chunk_between_cr_and_lf_does_not_end_another_line() {
+    let mut parser = Parser::new(ResumePoint::Start);
+    for chunk in [&b"data: a\r"[..], b"", b"\n"] {
+        parser.push(chunk);
+    }
+    assert_eq!(parser.position(), Position::Inside);
+}
+
+/// Fields, line ends and other pieces that streams are made of.
+fn piece() -> impl Strategy<Value = &'static [u8]> {
+    let pieces: [&'static [u8]; 14] = [
+        b"\n",
+        b"\r",
+        b"\r\n",
+        b"\n\n",
+        b"id: 4",
+        b"id:",
+        b"data: token",
+        b"data",
+        b":c",
+        b"retry: 9",
+        b"\xef\xbb\xbf",
+        b"\0",
+        b"event: x\ndata: y\n\n",
+        b"id: 5\r\ndata\r\n\r\n",
+    ];
+    proptest::sample::select(pieces.to_vec())
+}
+
+/// Returns a configuration under which every run tries the same cases.
+fn fixed_cases() -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(26),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_cases())]
+
+    #[test]
+    fn every_split_of_a_stream_is_parsed_alike(
+        pieces in vec(piece(), 0..40), cuts in vec(any::<usize>(), 0..12),
+    ) {
+        let stream = pieces.concat();
+        prop_assert_eq!(parse(&stream, &cuts), parse(&stream, &[]));
+    }
+
+    #[test]
+    fn arbitrary_bytes_end_at_a_boundary_or_inside(
+        stream in vec(any::<u8>(), 0..4096), cuts in vec(any::<usize>(), 0..12),
+    ) {
+        let parsed = parse(&stream, &cuts);
+        prop_assert_eq!(parsed.position == Position::Inside, parsed.boundary < stream.len());
+        prop_assert!(parsed.events <= stream.len() as u64);
+    }
+}
