--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -158,13 +158,13 @@
     let left_ms = job.time_left().as_millis();
     let millis = job.started_at.elapsed().as_millis();
     let framing: &str = end.framing.into();
-    let position: &str = end.stream.map_or("none", |s| s.position.into());
+    let ended_at: &str = end.stream.map_or("none", |s| s.position.into());
     if shared.log_limiter.allow(end.outcome != "whole") {
         log::info!(
             request = job.id.as_str(), route = job.policy.route.as_str(),
             customer = job.policy.customer.as_deref().unwrap_or("none"), target = end.target,
             status = end.status, outcome = end.outcome, millis, first_ms, pause_ms, left_ms,
-            hopped = job.policy.from_instance, framing, position,
+            hopped = job.policy.from_instance, framing, ended_at,
             events = end.stream.map_or(0, |s| s.events);
             "request ended"
         );
@@ -172,7 +172,7 @@
     metrics::counter!("sesamebarrow_answers_total", "outcome" => end.outcome).increment(1);
     metrics::counter!(
         "sesamebarrow_answer_ends_total",
-        "framing" => end.framing.to_string(), "position" => position.to_owned(),
+        "framing" => end.framing.to_string(), "position" => ended_at.to_owned(),
         "outcome" => end.outcome
     )
     .increment(1);
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -243,11 +243,11 @@
                         _ => "end of body".to_owned(),
                     };
                     this.end_attempt(AttemptOutcome::Broken);
-                    let (framing, position): (&str, &str) =
+                    let (framing, ended_at): (&str, &str) =
                         (this.framing.into(), this.parser.position().into());
                     log::info!(
                         request = this.job.id.as_str(),
-                        event = this.events.last_id.as_deref().unwrap_or("none"), framing, position,
+                        event = this.events.last_id.as_deref().unwrap_or("none"), framing, ended_at,
                         error:% = error; "stream broken"
                     );
                     if !this.resume() {
