Cut off a stream for its caller if it ended inside an event

Cause: the end of a body in order counted as the end of the answer. If an answer has neither a length nor chunks, its end is the end of the connection, and the kernel closes the connections of a process that crashes in order as well. A stream that may not be resumed is relayed byte by byte, so nothing else spoke against it, and the gateway wrote the last chunk to its caller.

Now a stream is complete only if its body ended in order and outside of events. The same rule covers a last chunk that an upstream's proxy writes inside an event.

Evidence: three tests of real processes failed before (cut with and without a hop, last chunk inside an event; the line said outcome=whole framing=connection ended_at=inside) and pass now; resets between events and whole streams framed by their connection passed before and pass now.

--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -16,7 +16,7 @@
 use tokio::time::Sleep;
 
 use crate::attempt::Attempt;
-use crate::event_stream::{Parser, ResumePoint};
+use crate::event_stream::{Parser, Position, ResumePoint};
 use crate::exchange::{self, AttemptHistory, UpstreamResponse};
 use crate::framing::Framing;
 use crate::intake::Job;
@@ -232,7 +232,9 @@
                         return Poll::Ready(Some(Ok(Frame::data(data))));
                     }
                 }
-                None if this.events.partial.is_empty() => {
+                None if this.events.partial.is_empty()
+                    && this.parser.position() != Position::Inside =>
+                {
                     this.end_attempt(AttemptOutcome::Whole);
                     this.record_end("whole");
                     return Poll::Ready(None);
