Do not relay the length of a stream that may break off or be resumed

What callers saw: a stream with Content-Length was framed by that length whatever came of it, so a resumed one was cut at the length of its first part and looked complete with part of an event at its end. The head now goes on without the length and the gateway's own chunks frame the body.

Test: resumed_stream_is_not_framed_by_the_length_of_its_first_part failed before (part of the second event) and passes now.

--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::header::CONTENT_LENGTH;
 use sesamebarrow_routing::upstream::AttemptOutcome;
 use smol_str::SmolStr;
 use tokio::time::Sleep;
@@ -35,6 +36,8 @@
 ) -> Response<Body> {
     let (mut parts, ()) = response.head.into_parts();
     relay::remove_internal_headers(&mut parts.headers);
+    // A stream that breaks off or is resumed has another length than its first target announced.
+    parts.headers.remove(CONTENT_LENGTH);
     shared.active_requests.fetch_add(1, Ordering::Relaxed);
     let body = StreamBody {
         shared: shared.clone(),
