Send the events that were relayed before a stream's break

The HTTP library drops what it has buffered when a body ends with an error. If an event and the break arrived together, the caller got neither the event nor the head, only a closed connection. The body now waits one poll before it ends with the error, and the buffer is written meanwhile.

--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -108,6 +108,8 @@
     Receiving(Incoming, Option<Box<Attempt>>),
     /// Making attempts to resume the stream at another target.
     Resuming(BoxFuture<'static, (AttemptHistory, Result<UpstreamResponse, Refusal>)>),
+    /// The stream broke. The next poll ends it with an error; what was relayed is sent before.
+    Failing,
     /// The stream has ended.
     Done,
 }
@@ -156,10 +158,17 @@
         }
     }
 
-    fn fail(&mut self, outcome: &'static str) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    /// Ends the stream with an error at the next poll. The HTTP library drops what it has not sent
+    /// yet when a body fails, so it gets a turn to send the events that were relayed.
+    fn fail(
+        &mut self,
+        cx: &Context<'_>,
+        outcome: &'static str,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         self.record_end(outcome);
-        self.state = StreamState::Done;
-        Poll::Ready(Some(Err(BodyError)))
+        self.state = StreamState::Failing;
+        cx.waker().wake_by_ref();
+        Poll::Pending
     }
 
     /// Starts to resume the stream at another target. Returns whether that is allowed.
@@ -197,6 +206,10 @@
         loop {
             let polled = match &mut this.state {
                 StreamState::Done => return Poll::Ready(None),
+                StreamState::Failing => {
+                    this.state = StreamState::Done;
+                    return Poll::Ready(Some(Err(BodyError)));
+                }
                 StreamState::Resuming(future) => match future.as_mut().poll(cx) {
                     Poll::Pending => Poll::Pending,
                     Poll::Ready((history, Ok(response))) if response.head.status().is_success() => {
@@ -211,14 +224,14 @@
                             StreamState::Receiving(response.body, Some(Box::new(response.attempt)));
                         continue;
                     }
-                    Poll::Ready(_) => return this.fail("not-resumed"),
+                    Poll::Ready(_) => return this.fail(cx, "not-resumed"),
                 },
                 StreamState::Receiving(body, _) => Pin::new(body).poll_frame(cx),
             };
             let Poll::Ready(polled) = polled else {
                 ready!(this.deadline.as_mut().poll(cx));
                 this.end_attempt(AttemptOutcome::Silent);
-                return this.fail("timeout");
+                return this.fail(cx, "timeout");
             };
             match polled {
                 Some(Ok(frame)) => {
@@ -256,7 +269,7 @@
                         error:% = error; "stream broken"
                     );
                     if !this.resume() {
-                        return this.fail("broken");
+                        return this.fail(cx, "broken");
                     }
                 }
             }
@@ -274,7 +287,7 @@
         if let Some(first) = self.timing.first_event {
             telemetry::record_stream(&self.job.policy.route, first, self.timing.longest_pause);
         }
-        if !matches!(self.state, StreamState::Done) {
+        if !matches!(self.state, StreamState::Failing | StreamState::Done) {
             self.record_end("cancelled");
         }
     }
