Take a stream without events that its connection ends as broken off

What callers saw: an upstream that crashed between the head and the first event of a stream framed by its connection gave them an empty answer that looked complete. Nothing in such an answer shows that it is one, so it counts as broken: resumed where the route allows it, cut off otherwise. A length or a last chunk still ends an empty stream.

Tests: stream_framed_by_its_connection_and_cut_before_its_first_event_does_not_look_complete and …_is_resumed failed before and pass now.

--- a/crates/sesamebarrow_gateway/src/framing.rs
+++ b/crates/sesamebarrow_gateway/src/framing.rs
@@ -13,6 +13,8 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::TRANSFER_ENCODING;
 
+use crate::event_stream::Position;
+
 /// What ends the body of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -42,3 +44,13 @@
         }
     }
 }
+
+/// Returns whether an event stream with this framing is complete if its body ends in order at
+/// `position`.
+pub fn is_stream_complete(framing: Framing, position: Position) -> bool {
+    match position {
+        Position::Between => true,
+        Position::Inside => false,
+        Position::Start => framing != Framing::Connection,
+    }
+}
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -17,9 +17,9 @@
 use tokio::time::Sleep;
 
 use crate::attempt::Attempt;
-use crate::event_stream::{Parser, Position, ResumePoint};
+use crate::event_stream::{Parser, ResumePoint};
 use crate::exchange::{self, AttemptHistory, UpstreamResponse};
-use crate::framing::Framing;
+use crate::framing::{self, Framing};
 use crate::intake::Job;
 use crate::relay::{self, Body, BodyError, End, StreamEnd};
 use crate::reply::Refusal;
@@ -249,7 +249,7 @@
                     }
                 }
                 None if this.events.partial.is_empty()
-                    && this.parser.position() != Position::Inside =>
+                    && framing::is_stream_complete(this.framing, this.parser.position()) =>
                 {
                     this.end_attempt(AttemptOutcome::Whole);
                     this.record_end("whole");
