Recognise event streams whatever the case and parameters of their media type

What callers saw: a stream of the media type Text/Event-Stream was taken for a plain answer. It was buffered to its end, and no check of its events was made, so one that broke off looked complete. Both interfaces now compare the media type without its parameters and without regard to case.

--- a/crates/sesamebarrow_gateway/src/event_stream.rs
+++ b/crates/sesamebarrow_gateway/src/event_stream.rs
@@ -5,6 +5,8 @@
 //! has ended inside an event. Lines end with LF, CRLF or CR, and a stream may start with a byte
 //! order mark. Its memory is bounded whatever it is fed.
 
+use hyper::HeaderMap;
+use hyper::header::CONTENT_TYPE;
 use smol_str::SmolStr;
 
 /// Byte order mark, which the standard ignores at the start of a stream only.
@@ -13,6 +15,13 @@
 /// Number of bytes of a line that are kept. The names and ids of fields must fit.
 const MAX_LINE_HEAD_BYTES: usize = 256;
 
+/// Returns whether a response with these headers is an event stream.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    let media_type = content_type.and_then(|v| v.split(';').next());
+    media_type.is_some_and(|v| v.trim().eq_ignore_ascii_case("text/event-stream"))
+}
+
 /// Position of a stream's end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use sesamebarrow_platform::head;
 use sesamebarrow_routing::upstream::AttemptOutcome;
 
-use crate::event_stream::Position;
+use crate::event_stream::{self, Position};
 use crate::exchange::{self, AttemptHistory, UpstreamResponse};
 use crate::framing::Framing;
 use crate::intake::Job;
@@ -46,7 +46,7 @@
     mut history: AttemptHistory,
     response: UpstreamResponse,
 ) -> Result<Response<Body>, Refusal> {
-    if head::is_event_stream(response.head.headers()) {
+    if event_stream::is_event_stream(response.head.headers()) {
         return Ok(stream::build_response(shared, job, history, response));
     }
     let mut response = response;
--- a/crates/sesamebarrow_node/src/relay.rs
+++ b/crates/sesamebarrow_node/src/relay.rs
@@ -10,6 +10,7 @@
 use hyper::{HeaderMap, Response};
 use memchr::memmem;
 use serde::Serialize;
+use sesamebarrow_gateway::event_stream;
 use tokio::sync::mpsc;
 
 /// Maximum number of chunks of a response that are buffered for the caller.
@@ -81,11 +82,8 @@
 impl ResponseTracker {
     /// Creates a tracker for a response with these header fields.
     pub fn new(fields: &HeaderMap) -> Self {
-        let content_type = fields.get(hyper::header::CONTENT_TYPE);
-        let is_event_stream =
-            content_type.is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"));
         Self {
-            is_event_stream,
+            is_event_stream: event_stream::is_event_stream(fields),
             tail: Vec::new(),
         }
     }
--- a/crates/sesamebarrow_node/tests/units.rs
+++ b/crates/sesamebarrow_node/tests/units.rs
@@ -104,3 +104,11 @@
     assert_eq!(tracker.tokens(), Some(12));
     assert!(ResponseTracker::new(&HeaderMap::new()).is_complete());
 }
+
+#[test]
+fn event_stream_with_a_media_type_in_capitals_needs_its_final_event() {
+    let events = fields(&[(CONTENT_TYPE.as_str(), "Text/Event-Stream ;charset=utf-8")]);
+    let mut tracker = ResponseTracker::new(&events);
+    tracker.update(b"data: {}\n\n");
+    assert!(!tracker.is_complete());
+}
