Require the final event of a stream as an event, not as a text

What callers of the callers' interface could see: a stream that broke off counted as complete if `data: [DONE]` stood anywhere in its last kilobyte, also as part of a message or before the end of its event. Now the last field must be it, and the stream must have ended outside of events.

Test: event_stream_that_ends_before_its_final_event_is_incomplete, five of seven cases failed before.

--- a/crates/sesamebarrow_node/src/relay.rs
+++ b/crates/sesamebarrow_node/src/relay.rs
@@ -10,14 +10,14 @@
 use hyper::{HeaderMap, Response};
 use memchr::memmem;
 use serde::Serialize;
-use sesamebarrow_gateway::event_stream;
+use sesamebarrow_gateway::event_stream::{self, Position, ResumePoint};
 use tokio::sync::mpsc;
 
 /// Maximum number of chunks of a response that are buffered for the caller.
 pub const CHANNEL_CAPACITY_CHUNKS: usize = 16;
 
-/// Last event of a complete event stream.
-const FINAL_EVENT: &[u8] = b"data: [DONE]";
+/// Lines of the last event of a complete event stream.
+const FINAL_EVENTS: [&[u8]; 2] = [b"data: [DONE]", b"data:[DONE]"];
 
 /// Text before the number of tokens in the last events of a stream.
 const USAGE_PREFIX: &[u8] = b"\"total_tokens\":";
@@ -75,24 +75,27 @@
 /// reports. Any other response is complete when its body ends.
 #[derive(Debug)]
 pub struct ResponseTracker {
-    is_event_stream: bool,
+    /// `None` if the response is not an event stream.
+    events: Option<event_stream::Parser>,
     tail: Vec<u8>,
 }
 
 impl ResponseTracker {
     /// Creates a tracker for a response with these header fields.
     pub fn new(fields: &HeaderMap) -> Self {
+        let is_event_stream = event_stream::is_event_stream(fields);
         Self {
-            is_event_stream: event_stream::is_event_stream(fields),
+            events: is_event_stream.then(|| event_stream::Parser::new(ResumePoint::Start)),
             tail: Vec::new(),
         }
     }
 
     /// Processes a chunk of the body.
     pub fn update(&mut self, chunk: &[u8]) {
-        if !self.is_event_stream {
+        let Some(events) = &mut self.events else {
             return;
-        }
+        };
+        events.push(chunk);
         let start = chunk.len().saturating_sub(TAIL_BYTES);
         self.tail.extend_from_slice(&chunk[start..]);
         let surplus = self.tail.len().saturating_sub(TAIL_BYTES);
@@ -102,7 +105,14 @@
     /// Returns whether a response that ends here is complete. An event stream must contain
     /// its final event.
     pub fn is_complete(&self) -> bool {
-        !self.is_event_stream || memmem::rfind(&self.tail, FINAL_EVENT).is_some()
+        let Some(events) = &self.events else {
+            return true;
+        };
+        let lines = self.tail.split(|b| matches!(b, b'\n' | b'\r'));
+        let mut fields = lines.filter(|line| !line.is_empty() && line[0] != b':');
+        let last_field = fields.next_back();
+        events.position() == Position::Between
+            && last_field.is_some_and(|line| FINAL_EVENTS.contains(&line))
     }
 
     /// Returns the number of tokens that an event stream reports. Returns `None` for any other
--- a/crates/sesamebarrow_node/tests/units.rs
+++ b/crates/sesamebarrow_node/tests/units.rs
@@ -112,3 +112,21 @@
     tracker.update(b"data: {}\n\n");
     assert!(!tracker.is_complete());
 }
+
+#[rstest]
+#[case::text_of_the_final_event_in_a_message(b"data: {\"text\":\"data: [DONE]\"}\n\n", false)]
+#[case::cut_in_a_message_with_that_text(b"data: {\"text\":\"data: [DONE]", false)]
+#[case::final_event_without_its_end(b"data: {}\n\ndata: [DONE]", false)]
+#[case::final_event_without_its_blank_line(b"data: {}\n\ndata: [DONE]\n", false)]
+#[case::no_space_after_the_colon(b"data: {}\n\ndata:[DONE]\n\n", true)]
+#[case::crlf(b"data: {}\r\n\r\ndata: [DONE]\r\n\r\n", true)]
+#[case::comment_after_the_final_event(b"data: [DONE]\n\n: bye\n", true)]
+fn event_stream_that_ends_before_its_final_event_is_incomplete(
+    #[case] stream: &[u8],
+    #[case] is_complete: bool,
+) {
+    let events = fields(&[(CONTENT_TYPE.as_str(), "text/event-stream")]);
+    let mut tracker = ResponseTracker::new(&events);
+    tracker.update(stream);
+    assert_eq!(tracker.is_complete(), is_complete);
+}
