Send the end of a body explicitly between the tasks of the callers' interface

Now a body without `Part::End` is interrupted. No caller was seen to be affected.

Test: body_without_its_end_is_interrupted_for_the_caller; on the code before, the same sequence (a chunk, then the sender dropped) ended the body as complete.

--- a/crates/sesamebarrow_node/src/exchange.rs
+++ b/crates/sesamebarrow_node/src/exchange.rs
@@ -10,7 +10,7 @@
 use sesamebarrow_policy::event::Target;
 use sesamebarrow_policy::{self as policy, Action, Event, Head, Outcome, Refusal, RequestId};
 use smol_str::SmolStr;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use crate::attempt::{
     self, BodyPart, OutboundRequest, RequestContext, SendOutcome, TargetResponse, Transport,
@@ -18,7 +18,7 @@
 use crate::driver::RequestHandle;
 use crate::node::Node;
 use crate::problem::Problem;
-use crate::relay::{self, Interrupted, ResponseTracker};
+use crate::relay::{self, Part, ResponseTracker};
 
 /// Reads the body of a request. It is first polled after the policy has chosen a target.
 pub type OutboundFuture = Pin<Box<dyn Future<Output = Result<OutboundRequest, Problem>> + Send>>;
@@ -31,8 +31,8 @@
         status: StatusCode,
         /// Header fields.
         fields: HeaderMap,
-        /// Chunks of the body. An `Err` means that the body is incomplete.
-        body: mpsc::Receiver<Result<Bytes, Interrupted>>,
+        /// Parts of the body.
+        body: relay::Receiver,
     },
     /// A refusal by the policy.
     Refused(Refusal),
@@ -223,7 +223,7 @@
             match part {
                 BodyPart::Chunk(bytes) => {
                     tracker.update(&bytes);
-                    if tx.send(Ok(bytes)).await.is_err() {
+                    if tx.send(Part::Chunk(bytes)).await.is_err() {
                         return Err(Abort::CallerDisconnected);
                     }
                 }
@@ -232,11 +232,11 @@
                     let tokens = tokens_used(status, &tracker);
                     let response = None;
                     self.finish_attempt(Outcome::Completed { tokens, response });
+                    // The caller may have disconnected.
+                    let _ = tx.send(Part::End).await;
                     return Ok(());
                 }
                 BodyPart::End | BodyPart::Interrupted => {
-                    // Makes the caller see that the response is incomplete.
-                    let _ = tx.send(Err(Interrupted)).await;
                     self.finish_attempt(Outcome::Interrupted { relayed: true });
                     return Ok(());
                 }
@@ -383,7 +383,8 @@
 fn complete_reply(status: StatusCode, fields: HeaderMap, bytes: Bytes) -> Reply {
     let (tx, body) = relay::channel();
     // The channel is empty, so it has capacity.
-    let _ = tx.try_send(Ok(bytes));
+    let _ = tx.try_send(Part::Chunk(bytes));
+    let _ = tx.try_send(Part::End);
     Reply::Response {
         status,
         fields,
--- a/crates/sesamebarrow_node/src/peer/serve.rs
+++ b/crates/sesamebarrow_node/src/peer/serve.rs
@@ -8,14 +8,14 @@
 use sesamebarrow_policy::{Head, Origin, Reason, Refusal};
 use sesamebarrow_wire::stream::{self as frames, Open};
 use smol_str::SmolStr;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use super::stream::{Inbound, Stream};
 use crate::attempt::OutboundRequest;
 use crate::exchange::{self, OutboundFuture, Reply};
 use crate::node::Node;
 use crate::problem::{self, Problem};
-use crate::relay::Interrupted;
+use crate::relay::{self, Part};
 
 /// Starts a task that serves the request on a stream opened by `open`.
 pub(super) fn start(node: Arc<Node>, stream: Stream, open: Open) {
@@ -163,21 +163,25 @@
     stream: &mut Stream,
     status: StatusCode,
     fields: &HeaderMap,
-    mut body: mpsc::Receiver<Result<Bytes, Interrupted>>,
+    mut body: relay::Receiver,
 ) {
     stream.send_head(frames::Head {
         stream: stream.id(),
         status: u32::from(status.as_u16()),
         fields: super::encode_fields(fields),
     });
-    while let Some(chunk) = body.recv().await {
-        let Ok(bytes) = chunk else {
-            return;
-        };
-        if !stream.send_data(bytes).await {
-            return;
+    while let Some(part) = body.recv().await {
+        match part {
+            Part::Chunk(bytes) => {
+                if !stream.send_data(bytes).await {
+                    return;
+                }
+            }
+            Part::End => {
+                stream.send_end();
+                stream.mark_ended();
+                return;
+            }
         }
     }
-    stream.send_end();
-    stream.mark_ended();
 }
--- a/crates/sesamebarrow_node/src/relay.rs
+++ b/crates/sesamebarrow_node/src/relay.rs
@@ -33,11 +33,20 @@
 /// Body of a response to a caller.
 pub type Body = BoxBody<Bytes, Interrupted>;
 
-/// Sender of a streamed body.
-///
-/// If it is dropped without a final `Err`, the body counts as complete. Its owner must
-/// therefore send [`Interrupted`] if the response is incomplete.
-pub type Sender = mpsc::Sender<Result<Bytes, Interrupted>>;
+/// Part of a streamed body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Bytes of the body.
+    Chunk(Bytes),
+    /// The body is complete.
+    End,
+}
+
+/// Sender of a streamed body. The body counts as interrupted unless it sends [`Part::End`].
+pub type Sender = mpsc::Sender<Part>;
+
+/// Receiver of a streamed body.
+pub type Receiver = mpsc::Receiver<Part>;
 
 /// Returns a body that consists of `bytes`.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
@@ -57,16 +66,24 @@
     response
 }
 
-/// Creates a channel for the chunks of a streamed body.
-pub fn channel() -> (Sender, mpsc::Receiver<Result<Bytes, Interrupted>>) {
+/// Creates a channel for the parts of a streamed body.
+pub fn channel() -> (Sender, Receiver) {
     mpsc::channel(CHANNEL_CAPACITY_CHUNKS)
 }
 
-/// Returns a body that streams the chunks from `rx`.
-pub fn streamed(rx: mpsc::Receiver<Result<Bytes, Interrupted>>) -> Body {
-    let stream = futures_util::stream::unfold(rx, |mut rx| async move {
-        let chunk = rx.recv().await?;
-        Some((chunk.map(Frame::data), rx))
+/// Returns a body that streams the parts from `rx`.
+pub fn streamed(rx: Receiver) -> Body {
+    let stream = futures_util::stream::unfold(Some(rx), |rx| async move {
+        let mut rx = rx?;
+        match rx.recv().await {
+            Some(Part::Chunk(bytes)) => Some((Ok(Frame::data(bytes)), Some(rx))),
+            Some(Part::End) => None,
+            None => {
+                // The HTTP library drops what it has not sent yet when a body fails.
+                tokio::task::yield_now().await;
+                Some((Err(Interrupted), None))
+            }
+        }
     });
     BodyExt::boxed(StreamBody::new(stream))
 }
--- a/crates/sesamebarrow_node/tests/units.rs
+++ b/crates/sesamebarrow_node/tests/units.rs
@@ -2,12 +2,13 @@
 
 use std::path::Path;
 
+use http_body_util::BodyExt;
 use hyper::HeaderMap;
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use rstest::rstest;
 use sesamebarrow_node::Settings;
 use sesamebarrow_node::credential::{Error, Key, check_key_absent, has_key_parameter};
-use sesamebarrow_node::relay::ResponseTracker;
+use sesamebarrow_node::relay::{self, Interrupted, Part, ResponseTracker};
 
 const SETTINGS: &str = include_str!("../../../examples/settings.toml");
 
@@ -130,3 +131,22 @@
     tracker.update(stream);
     assert_eq!(tracker.is_complete(), is_complete);
 }
+
+#[tokio::test]
+async fn body_without_its_end_is_interrupted_for_the_caller() {
+    let (tx, rx) = relay::channel();
+    tx.try_send(Part::Chunk("data: {}".into()))
+        .expect("the channel has capacity");
+    drop(tx);
+    assert_eq!(relay::streamed(rx).collect().await.err(), Some(Interrupted));
+}
+
+#[tokio::test]
+async fn body_with_its_end_is_whole_for_the_caller() {
+    let (tx, rx) = relay::channel();
+    for part in [Part::Chunk("paid".into()), Part::End] {
+        tx.try_send(part).expect("the channel has capacity");
+    }
+    let body = relay::streamed(rx).collect().await.expect("a whole body");
+    assert_eq!(body.to_bytes(), "paid");
+}
