Relay resumable streams whose lines end with CRLF or CR

What callers saw: of a resumable stream only what came before a double LF was relayed. One whose lines end with CRLF or CR, as the standard allows, gave the head and nothing else, and ended as broken. The parser of event streams now finds the ends of events, and holds one state for relaying, resuming and completeness.

--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -49,58 +49,57 @@
         history: Some(history),
         status: parts.status.as_u16(),
         framing: response.framing,
-        parser: Parser::new(ResumePoint::Start),
         timing: StreamTiming::default(),
     };
     Response::from_parts(parts, body.boxed_unsync())
 }
 
-/// Splits a stream into events, so that a stream that is resumed at another upstream continues
-/// after the last complete event.
+/// Holds back events that are not complete, so that a stream can be resumed at another upstream.
 #[derive(Debug)]
 struct EventBuffer {
     /// Whether only complete events are relayed; otherwise, bytes are relayed as they arrive.
     complete_events_only: bool,
+    parser: Parser,
     /// Bytes of an incomplete event.
     partial: BytesMut,
-    /// Id of the last complete event.
-    last_id: Option<SmolStr>,
 }
 
 impl EventBuffer {
     fn new(complete_events_only: bool, last_id: Option<SmolStr>) -> Self {
+        let resume_point = last_id.map_or(ResumePoint::Start, ResumePoint::After);
         Self {
             complete_events_only,
+            parser: Parser::new(resume_point),
             partial: BytesMut::new(),
-            last_id,
         }
     }
 
     /// Adds a chunk and returns the bytes that can be relayed.
     fn push(&mut self, chunk: Bytes) -> Bytes {
+        let boundary = self.parser.push(&chunk);
         if !self.complete_events_only {
             return chunk;
         }
+        let held = self.partial.len();
         self.partial.extend_from_slice(&chunk);
-        let last_end = memchr::memmem::rfind(&self.partial, b"\n\n");
-        let Some(last_end) = last_end else {
-            return Bytes::new();
-        };
-        let complete = self.partial.split_to(last_end + 2).freeze();
-        if let Some(id) = last_event_id(&complete) {
-            self.last_id = Some(id);
+        boundary.map_or(Bytes::new(), |offset| {
+            self.partial.split_to(held + offset).freeze()
+        })
+    }
+
+    /// Returns the id of the last complete event.
+    fn last_id(&self) -> Option<&SmolStr> {
+        match self.parser.resume_point() {
+            ResumePoint::After(id) => Some(id),
+            ResumePoint::Start | ResumePoint::Nowhere => None,
         }
-        complete
     }
-}
 
-/// Returns the id of the last event that has an id.
-fn last_event_id(events: &[u8]) -> Option<SmolStr> {
-    let line = events
-        .split(|b| *b == b'\n')
-        .rev()
-        .find_map(|line| line.strip_prefix(b"id:"))?;
-    Some(SmolStr::new(std::str::from_utf8(line).ok()?.trim()))
+    /// Drops the incomplete event, which another target sends again.
+    fn restart(&mut self) {
+        self.partial.clear();
+        self.parser.restart();
+    }
 }
 
 enum StreamState {
@@ -126,8 +125,6 @@
     status: u16,
     /// What ends the body that is being received.
     framing: Framing,
-    /// Tracks the position in the stream.
-    parser: Parser,
     /// Name of the upstream or instance that sends the stream.
     target: SmolStr,
     timing: StreamTiming,
@@ -141,8 +138,8 @@
             outcome,
             framing: self.framing,
             stream: Some(StreamEnd {
-                events: self.parser.events(),
-                position: self.parser.position(),
+                events: self.events.parser.events(),
+                position: self.events.parser.position(),
                 timing: &self.timing,
             }),
         };
@@ -180,11 +177,10 @@
         else {
             return false;
         };
-        self.events.partial.clear();
-        self.parser.restart();
+        self.events.restart();
         let shared = self.shared.clone();
         let job = self.job.clone();
-        let last_id = self.events.last_id.clone();
+        let last_id = self.events.last_id().cloned();
         self.state = StreamState::Resuming(Box::pin(async move {
             let result =
                 exchange::make_attempts_after(&shared, &job, &mut history, last_id.as_ref()).await;
@@ -241,15 +237,16 @@
                     if let StreamState::Receiving(_, Some(attempt)) = &mut this.state {
                         attempt.record_first_byte();
                     }
-                    this.parser.push(&data);
                     let data = this.events.push(data);
                     if !data.is_empty() {
                         this.timing.record_event(this.job.started_at);
                         return Poll::Ready(Some(Ok(Frame::data(data))));
                     }
                 }
-                None if this.events.partial.is_empty()
-                    && framing::is_stream_complete(this.framing, this.parser.position()) =>
+                None if framing::is_stream_complete(
+                    this.framing,
+                    this.events.parser.position(),
+                ) =>
                 {
                     this.end_attempt(AttemptOutcome::Whole);
                     this.record_end("whole");
@@ -262,10 +259,10 @@
                     };
                     this.end_attempt(AttemptOutcome::Broken);
                     let (framing, ended_at): (&str, &str) =
-                        (this.framing.into(), this.parser.position().into());
+                        (this.framing.into(), this.events.parser.position().into());
                     log::info!(
                         request = this.job.id.as_str(),
-                        event = this.events.last_id.as_deref().unwrap_or("none"), framing, ended_at,
+                        event = this.events.last_id().map_or("none", SmolStr::as_str), framing, ended_at,
                         error:% = error; "stream broken"
                     );
                     if !this.resume() {
