Do not resume a stream after an event without an id that can be sent

What callers saw: a resumable stream whose events have no ids (or whose id was reset, or cannot stand in a header) was resumed from its start, or after an older event, and its events came twice; the joined stream ended as complete (ORDER). Such a stream is now cut off.

Test: events_without_ids_are_not_repeated_by_a_resumed_stream failed before (the first event twice).

--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -87,6 +87,11 @@
         })
     }
 
+    /// Returns whether another target can continue the stream without repeating an event.
+    fn can_resume(&self) -> bool {
+        self.complete_events_only && *self.parser.resume_point() != ResumePoint::Nowhere
+    }
+
     /// Returns the id of the last complete event.
     fn last_id(&self) -> Option<&SmolStr> {
         match self.parser.resume_point() {
@@ -170,11 +175,10 @@
 
     /// Starts to resume the stream at another target. Returns whether that is allowed.
     fn resume(&mut self) -> bool {
-        let Some(mut history) = self
-            .history
-            .take()
-            .filter(|_| self.events.complete_events_only)
-        else {
+        if !self.events.can_resume() {
+            return false;
+        }
+        let Some(mut history) = self.history.take() else {
             return false;
         };
         self.events.restart();
