Remove the byte order mark of a resumed part of a stream

What callers saw: a part that another upstream continues may start with a byte order mark. Inside the joined stream it became part of the first field's name, so the first event lost its id.

Test: byte_order_mark_of_a_resumed_part_does_not_hide_its_first_field failed before.

--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::task::{Context, Poll, ready};
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use futures_util::future::BoxFuture;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -17,7 +17,7 @@
 use tokio::time::Sleep;
 
 use crate::attempt::Attempt;
-use crate::event_stream::{Parser, ResumePoint};
+use crate::event_stream::{BYTE_ORDER_MARK, Parser, ResumePoint};
 use crate::exchange::{self, AttemptHistory, UpstreamResponse};
 use crate::framing::{self, Framing};
 use crate::intake::Job;
@@ -62,6 +62,9 @@
     parser: Parser,
     /// Bytes of an incomplete event.
     partial: BytesMut,
+    /// Whether nothing of a part that another target continues has been relayed. Inside the joined
+    /// stream its byte order mark would belong to the name of its first field.
+    is_start_of_part: bool,
 }
 
 impl EventBuffer {
@@ -71,6 +74,7 @@
             complete_events_only,
             parser: Parser::new(resume_point),
             partial: BytesMut::new(),
+            is_start_of_part: false,
         }
     }
 
@@ -82,9 +86,14 @@
         }
         let held = self.partial.len();
         self.partial.extend_from_slice(&chunk);
-        boundary.map_or(Bytes::new(), |offset| {
-            self.partial.split_to(held + offset).freeze()
-        })
+        let Some(offset) = boundary else {
+            return Bytes::new();
+        };
+        let mut complete = self.partial.split_to(held + offset).freeze();
+        if std::mem::take(&mut self.is_start_of_part) && complete.starts_with(BYTE_ORDER_MARK) {
+            complete.advance(BYTE_ORDER_MARK.len());
+        }
+        complete
     }
 
     /// Returns whether another target can continue the stream without repeating an event.
@@ -104,6 +113,7 @@
     fn restart(&mut self) {
         self.partial.clear();
         self.parser.restart();
+        self.is_start_of_part = true;
     }
 }
 
