Fail a resumable stream whose event exceeds one megabyte

An event is held back until it is complete, so an upstream that never ended one made the instance keep all it sent, and the same again from the upstream that resumed it.

Test: resumable_stream_with_an_event_above_the_limit_fails failed before (3 MB kept, sent twice).

--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -54,6 +54,14 @@
     Response::from_parts(parts, body.boxed_unsync())
 }
 
+/// Maximum size of an event of a resumable stream, which is held back until it is complete.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// An event is larger than [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("event is too large")]
+struct EventTooLarge;
+
 /// Holds back events that are not complete, so that a stream can be resumed at another upstream.
 #[derive(Debug)]
 struct EventBuffer {
@@ -79,21 +87,25 @@
     }
 
     /// Adds a chunk and returns the bytes that can be relayed.
-    fn push(&mut self, chunk: Bytes) -> Bytes {
+    fn push(&mut self, chunk: Bytes) -> Result<Bytes, EventTooLarge> {
         let boundary = self.parser.push(&chunk);
         if !self.complete_events_only {
-            return chunk;
+            return Ok(chunk);
         }
         let held = self.partial.len();
         self.partial.extend_from_slice(&chunk);
         let Some(offset) = boundary else {
-            return Bytes::new();
+            return if self.partial.len() > MAX_EVENT_BYTES {
+                Err(EventTooLarge)
+            } else {
+                Ok(Bytes::new())
+            };
         };
         let mut complete = self.partial.split_to(held + offset).freeze();
         if std::mem::take(&mut self.is_start_of_part) && complete.starts_with(BYTE_ORDER_MARK) {
             complete.advance(BYTE_ORDER_MARK.len());
         }
-        complete
+        Ok(complete)
     }
 
     /// Returns whether another target can continue the stream without repeating an event.
@@ -251,7 +263,10 @@
                     if let StreamState::Receiving(_, Some(attempt)) = &mut this.state {
                         attempt.record_first_byte();
                     }
-                    let data = this.events.push(data);
+                    let Ok(data) = this.events.push(data) else {
+                        this.end_attempt(AttemptOutcome::Broken);
+                        return this.fail(cx, "event-too-large");
+                    };
                     if !data.is_empty() {
                         this.timing.record_event(this.job.started_at);
                         return Poll::Ready(Some(Ok(Frame::data(data))));
