Do not join an answer that is no event stream to a stream

What callers saw: if the upstream that was to continue a stream answered with another media type, its body became part of the stream, which ended as complete.

Test: stream_is_not_continued_by_an_answer_that_is_no_stream, made stricter (its plain answer now reads like an event), failed before.

--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -17,7 +17,7 @@
 use tokio::time::Sleep;
 
 use crate::attempt::Attempt;
-use crate::event_stream::{BYTE_ORDER_MARK, Parser, ResumePoint};
+use crate::event_stream::{self, BYTE_ORDER_MARK, Parser, ResumePoint};
 use crate::exchange::{self, AttemptHistory, UpstreamResponse};
 use crate::framing::{self, Framing};
 use crate::intake::Job;
@@ -216,6 +216,11 @@
     }
 }
 
+/// Returns whether the response to a resumed request is a part of its stream.
+fn continues_stream(head: &Response<()>) -> bool {
+    head.status().is_success() && event_stream::is_event_stream(head.headers())
+}
+
 impl HttpBody for StreamBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -234,7 +239,7 @@
                 }
                 StreamState::Resuming(future) => match future.as_mut().poll(cx) {
                     Poll::Pending => Poll::Pending,
-                    Poll::Ready((history, Ok(response))) if response.head.status().is_success() => {
+                    Poll::Ready((history, Ok(response))) if continues_stream(&response.head) => {
                         this.history = Some(history);
                         this.target = response.attempt.target_name().clone();
                         this.framing = response.framing;
