--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -6,7 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{HeaderMap, Response};
 use sesamebarrow_platform::head;
 use sesamebarrow_routing::upstream::AttemptOutcome;
@@ -38,6 +38,16 @@
         .boxed_unsync()
 }
 
+/// Receives the whole body of `response`. A client that reads no chunks could not tell a stream that
+/// breaks off from a complete one.
+pub async fn buffer_response(response: Response<Body>) -> Result<Response<Body>, Refusal> {
+    let (parts, body) = response.into_parts();
+    match Limited::new(body, MAX_BUFFERED_BYTES).collect().await {
+        Ok(body) => Ok(Response::from_parts(parts, full_body(body.to_bytes()))),
+        Err(_) => Err(Refusal::Unknown("answer-broken")),
+    }
+}
+
 /// Relays the response to `job`. If a buffered response ends early, the request is retried where
 /// that is allowed.
 pub async fn relay_response(
--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sesamebarrow_routing::config::Limits;
 use smol_str::SmolStr;
@@ -110,10 +110,15 @@
     let _active = ActiveRequest::new(&shared);
     let started_at = Instant::now();
     let id = sesamebarrow_platform::head::read_attempt_id(req.headers());
+    let reads_chunks = req.version() > Version::HTTP_10;
     let result = match intake::receive(&shared, req).await {
         Ok(job) => proxy(&shared, job).await,
         Err(refusal) => Err(refusal),
     };
+    let result = match result {
+        Ok(response) if !reads_chunks => relay::buffer_response(response).await,
+        result => result,
+    };
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => refusal_response(&shared, &id, refusal, started_at),
--- a/crates/sesamebarrow_node/src/accept.rs
+++ b/crates/sesamebarrow_node/src/accept.rs
@@ -7,9 +7,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::HeaderValue;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
@@ -90,6 +91,7 @@
 ) -> Result<Response<Body>, relay::Interrupted> {
     let started_at = Instant::now();
     let id = node.next_request_id();
+    let reads_chunks = req.version() > Version::HTTP_10;
     let result = route(node, &id, req).await;
     let mut response = match result {
         Ok(response) => response,
@@ -106,7 +108,13 @@
     if let Ok(value) = HeaderValue::from_str(&id) {
         response.headers_mut().insert("x-request-id", value);
     }
-    Ok(response)
+    if reads_chunks {
+        return Ok(response);
+    }
+    // The caller could not tell a body that breaks off from a complete one.
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await?.to_bytes();
+    Ok(Response::from_parts(parts, relay::full(body)))
 }
 
 fn record_problem(id: &SmolStr, problem: &Problem, started_at: Instant) {
