Resume a forwarded stream in the region that began it

What callers saw: a resumable stream that broke off behind a hop was cut off, since each region is tried once, although the second region had other upstreams. If nothing else is left, a request that may be repeated is now forwarded to a tried region again. The second instance names the upstream that it selected in a header of its answer, and the first names the tried ones when it forwards again. Headers of the protocol between instances are removed from upstreams' answers, so that none passes for one of ours.

Test: stream_framed_by_its_connection_and_cut_in_an_event_behind_a_hop_is_resumed failed before (cut off after the first event).

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -50,6 +50,8 @@
 pub struct AttemptHistory {
     tried_upstreams: Vec<Key>,
     tried_regions: Vec<SmolStr>,
+    /// Ids of upstreams of other regions that ran the request.
+    tried_remote_upstreams: Vec<SmolStr>,
     /// Number of attempts begun, including those that could not connect.
     begun: u32,
     /// Number of attempts that were sent to a target, including those that did not run.
@@ -200,7 +202,8 @@
     } else {
         time_to_target
     };
-    spec.tried_upstreams.clone_from(&history.tried_upstreams);
+    // Another instance may have named upstreams that it tried.
+    spec.tried_upstreams.extend(&history.tried_upstreams);
     let region_allowed = job.residency.allows(&board.identity.region);
     let mut local = if region_allowed {
         admit::select_upstream(&mut board, now, &spec)
@@ -209,7 +212,9 @@
     };
     let exhausted =
         region_allowed && local == Err(Rejection::NoUpstream) && !spec.tried_upstreams.is_empty();
-    if exhausted && history.possible_runs > 0 && job.policy.may_repeat {
+    let may_repeat_there = job.policy.may_repeat
+        && (history.possible_runs > 0 || !job.spec.tried_upstreams.is_empty());
+    if exhausted && may_repeat_there {
         // All upstreams were tried. The request may be repeated, so they may be tried again.
         spec.tried_upstreams.clear();
         local = admit::select_upstream(&mut board, now, &spec);
@@ -229,14 +234,22 @@
     // requests share.
     let affinity_key = spec.prompt.iter().rev().nth(1).map(|part| part.id);
     let allowed = |region: &str| job.residency.allows(region);
-    let remote = spill::select_instance(
-        &mut board,
-        now,
-        &job.policy.service,
-        allowed,
-        &history.tried_regions,
-        affinity_key,
-    );
+    let mut select_instance = |tried_regions: &[SmolStr]| {
+        let service = &job.policy.service;
+        spill::select_instance(
+            &mut board,
+            now,
+            service,
+            allowed,
+            tried_regions,
+            affinity_key,
+        )
+    };
+    let mut remote = select_instance(&history.tried_regions);
+    if remote.is_none() && local.is_err() && history.possible_runs > 0 && job.policy.may_repeat {
+        // All regions were tried. Other upstreams of theirs may continue.
+        remote = select_instance(&[]);
+    }
     match (local, remote) {
         (Ok(selected), Some(remote))
             if remote.estimated_wait + MIN_FORWARDING_GAIN < selected.estimated_wait =>
@@ -321,7 +334,9 @@
     };
     let req = match target {
         Target::Upstream(selected) => build_upstream_request(job, selected, last_event),
-        Target::Instance(remote) => hop::build_request(job, remote, last_event),
+        Target::Instance(remote) => {
+            hop::build_request(job, remote, last_event, &history.tried_remote_upstreams)
+        }
     };
     // A forwarded request was already counted by the instance that forwarded it.
     if history.sent == 0 && !job.policy.from_instance {
@@ -402,6 +417,11 @@
             .upstreams
             .record_reported_load(now, selected.key, load);
     }
+    if matches!(target, Target::Instance(_)) {
+        history
+            .tried_remote_upstreams
+            .extend(hop::read_upstream(&parts.headers));
+    }
     if matches!(target, Target::Instance(_))
         && let Some(refusal_kind) = hop::read_refusal_kind(&parts.headers)
     {
--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request, Response};
 use serde::{Deserialize, Serialize};
 use sesamebarrow_platform::head;
@@ -31,6 +32,9 @@
 /// says whether the request may have run.
 const RESULT_HEADER: &str = "sesamebarrow-result";
 
+/// Header of a response that names the upstream that the second instance selected.
+const UPSTREAM_HEADER: &str = "sesamebarrow-upstream";
+
 /// The decisions of the first instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Envelope {
@@ -47,6 +51,9 @@
     target: u64,
     /// Id of the event after which a resumed stream continues.
     last_event: Option<SmolStr>,
+    /// Ids of upstreams of the second instance's region that have already run the request.
+    #[serde(default)]
+    tried_upstreams: Vec<SmolStr>,
 }
 
 /// Whether a request that the second instance refused may have run.
@@ -76,6 +83,7 @@
     job: &Job,
     remote: &RemoteInstance,
     last_event: Option<&SmolStr>,
+    tried_upstreams: &[SmolStr],
 ) -> Request<Full<Bytes>> {
     let mut req = exchange::build_request(job);
     let time_to_target = job
@@ -96,6 +104,7 @@
         left: to_millis(job.time_left().saturating_sub(return_delay)),
         target: to_millis(time_to_target.saturating_sub(return_delay)),
         last_event: last_event.cloned(),
+        tried_upstreams: tried_upstreams.to_vec(),
     };
     let text = serde_json::to_string(&envelope).unwrap_or_default();
     if let Ok(value) = hyper::header::HeaderValue::from_str(&text) {
@@ -110,6 +119,27 @@
     headers.get(RESULT_HEADER)?.to_str().ok()?.parse().ok()
 }
 
+/// Reads which upstream the second instance selected.
+pub fn read_upstream(headers: &HeaderMap) -> Option<SmolStr> {
+    headers
+        .get(UPSTREAM_HEADER)?
+        .to_str()
+        .ok()
+        .map(SmolStr::new)
+}
+
+/// Writes for the first instance which upstream this one selected.
+pub fn write_upstream(headers: &mut HeaderMap, id: &str) {
+    if let Ok(value) = hyper::header::HeaderValue::from_str(id) {
+        headers.insert(UPSTREAM_HEADER, value);
+    }
+}
+
+/// Returns whether a header belongs to the protocol between instances.
+pub fn is_between_instances(name: &HeaderName) -> bool {
+    [ENVELOPE_HEADER, RESULT_HEADER, UPSTREAM_HEADER].contains(&name.as_str())
+}
+
 /// Writes for the first instance whether the refused request may have run.
 pub fn write_refusal_kind(response: &mut Response<Body>, refusal: Refusal) {
     let refusal_kind = match refusal {
@@ -138,6 +168,11 @@
     let (prompt_tokens, output_tokens) = request_head.tokens.unwrap_or((0, 0));
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
     parts.headers.remove(hyper::header::TRANSFER_ENCODING);
+    let tried_upstreams = {
+        let board = shared.board();
+        let keys = envelope.tried_upstreams.iter();
+        keys.filter_map(|id| board.upstreams.key(id)).collect()
+    };
     Ok(Job {
         id: request_head.id,
         method: parts.method,
@@ -164,7 +199,7 @@
                 .output_tokens_hint
                 .map_or(output_tokens, |h| h.min(output_tokens)),
             target_wait: Duration::from_millis(envelope.target),
-            tried_upstreams: Vec::new(),
+            tried_upstreams,
         },
         last_event: envelope.last_event,
         started_at,
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::event_stream::{self, Position};
 use crate::exchange::{self, AttemptHistory, UpstreamResponse};
 use crate::framing::Framing;
+use crate::hop;
 use crate::intake::Job;
 use crate::reply::Refusal;
 use crate::shared::Shared;
@@ -116,21 +117,24 @@
     };
     record_end(shared, job, &end);
     let (mut parts, ()) = response.head.into_parts();
-    remove_internal_headers(&mut parts.headers);
+    replace_internal_headers(&mut parts.headers, job, &target);
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
     Response::from_parts(parts, full_body(body))
 }
 
-/// Removes the headers of an upstream's response that are not meant for the client.
-pub fn remove_internal_headers(headers: &mut HeaderMap) {
+/// Replaces the headers of a target's response that are not meant for whoever sent the request.
+pub fn replace_internal_headers(headers: &mut HeaderMap, job: &Job, target: &str) {
     let not_returned: Vec<_> = headers
         .keys()
-        .filter(|n| !head::may_return(n))
+        .filter(|n| !head::may_return(n) || hop::is_between_instances(n))
         .cloned()
         .collect();
     for name in not_returned {
         headers.remove(name);
     }
+    if job.policy.from_instance {
+        hop::write_upstream(headers, target);
+    }
 }
 
 /// End of a response that was received from a target.
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -35,7 +35,8 @@
     response: UpstreamResponse,
 ) -> Response<Body> {
     let (mut parts, ()) = response.head.into_parts();
-    relay::remove_internal_headers(&mut parts.headers);
+    let target = response.attempt.target_name().clone();
+    relay::replace_internal_headers(&mut parts.headers, &job, &target);
     // A stream that breaks off or is resumed has another length than its first target announced.
     parts.headers.remove(CONTENT_LENGTH);
     shared.active_requests.fetch_add(1, Ordering::Relaxed);
@@ -44,7 +45,7 @@
         deadline: Box::pin(tokio::time::sleep_until(job.deadline.into())),
         events: EventBuffer::new(job.policy.resumable, job.last_event.clone()),
         job: Arc::new(job),
-        target: response.attempt.target_name().clone(),
+        target,
         state: StreamState::Receiving(response.body, Some(Box::new(response.attempt))),
         history: Some(history),
         status: parts.status.as_u16(),
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -181,6 +181,11 @@
 }
 
 impl Upstreams {
+    /// Returns the key of the upstream with this id.
+    pub fn key(&self, id: &str) -> Option<Key> {
+        self.keys_by_id.get(id).copied()
+    }
+
     /// Returns the upstreams of `service`.
     pub fn of_service(&self, service: &str) -> &[Key] {
         self.keys_by_service.get(service).map_or(&[], Vec::as_slice)
