Spare upstreams that leave, and those that want no requests for a while

Upstreams announce both in their answers: Server-Leaving, and Retry-After with 503. Neither was read: of two upstreams the leaving one kept half of all requests, and a resting one got 207 requests in 4.8 s (the issue's figures).

A leaving run is never chosen again, also as the last one, when the store says ready, or when a removed entry comes back; the region's other instances are told, at most 16 runs a datagram. A resting upstream gets nothing until the latest end, instances return spread over a quarter of the rest (1 s at most), and then one request, two, four at a time. What was announced while a connection was opened holds too. If all rest, another region is tried, else the caller is refused at once with the earliest end as the floor of its Retry-After, spread by a quarter.

Tests: 15 of the decisions over virtual time, 13 with real processes, 15 of decoding.

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use smol_str::SmolStr;
 
 use crate::intake::Job;
+use crate::notice;
 use crate::pool::Connection;
 use crate::shared::Shared;
 use crate::telemetry;
@@ -47,6 +48,7 @@
     /// How long the connection may stay idle after the attempt; `None` if it must be closed.
     pub idle_time: Option<Duration>,
     started_at: Instant,
+    request_id: SmolStr,
     ended: bool,
 }
 
@@ -93,6 +95,7 @@
             connection: None,
             idle_time: None,
             started_at: Instant::now(),
+            request_id: job.id.clone(),
             ended: false,
         }
     }
@@ -142,19 +145,24 @@
         let now = self.shared.now();
         let mut board = self.shared.board();
         let mut max_idle = MAX_IDLE_TO_INSTANCE;
+        let mut leaving = false;
         match &self.target {
             Target::Upstream(selected) => {
                 let upstream = board.upstreams.all.get(selected.key);
+                leaving = upstream.is_none_or(|u| u.availability.leaving);
                 if let Some(service) = upstream.map(|u| u.entry.service.clone()) {
                     max_idle = board.max_idle_connections(&service);
                     let warmup = board.warmup(&service);
-                    board.upstreams.finish_attempt(
+                    let change = board.upstreams.finish_attempt(
                         now,
                         selected.key,
                         self.request_load,
                         outcome,
                         warmup,
                     );
+                    if let Some(change) = change {
+                        notice::record_change(change, selected, &self.request_id, None);
+                    }
                     if outcome == AttemptOutcome::Whole {
                         board.record_request_duration(&service, self.started_at.elapsed());
                     }
@@ -169,6 +177,7 @@
         drop(board);
         if let Some(connection) = self.connection.take()
             && reusable
+            && !leaving
         {
             self.shared
                 .pool
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -21,6 +21,7 @@
 use crate::framing::Framing;
 use crate::hop;
 use crate::intake::Job;
+use crate::notice;
 use crate::pool;
 use crate::reply::Refusal;
 use crate::shared::Shared;
@@ -39,9 +40,12 @@
 /// `max_attempts` limits only the attempts that may have run.
 const MAX_ATTEMPTS_BEGUN: u32 = 4;
 
-/// Maximum random time that is added to the retry delays of refused clients.
+/// Minimum of the range of random times that is added to the retry delays of refused clients.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(400);
 
+/// Range of random times that is added to long retry delays, as a fraction of the delay.
+const RETRY_AFTER_SPREAD: f64 = 0.25;
+
 /// Minimum remaining time for a retry.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(30);
 
@@ -78,8 +82,8 @@
     /// The upstream ran the request and returned a server error, which is relayed if no retry
     /// succeeds.
     Failed(Box<UpstreamResponse>),
-    /// The request has not run.
-    NotRun(&'static str),
+    /// The request has not run. Contains the reason and the time after which to retry.
+    NotRun(&'static str, Duration),
     /// The request may have run.
     Broken(&'static str),
     /// The request may have run, and its deadline has passed.
@@ -119,10 +123,10 @@
                 failed_response = Some(response);
                 ("failed", Refusal::Unknown("upstream-failed"))
             }
-            AttemptResult::NotRun(reason) => (
-                reason,
-                Refusal::NotRun(reason, jittered_retry_after(MIN_RETRY_AFTER)),
-            ),
+            AttemptResult::NotRun(reason, after) => {
+                let after = jittered_retry_after(after.max(rest_of_service(shared, job)));
+                (reason, Refusal::NotRun(reason, after))
+            }
             AttemptResult::Broken(reason) => (reason, Refusal::Unknown(reason)),
             AttemptResult::TimedOut => ("timeout", Refusal::TimedOut),
         };
@@ -178,10 +182,18 @@
     granted
 }
 
+/// Returns the time until an upstream of this region wants requests for the service of `job` again;
+/// zero if one does now, or if there are none.
+fn rest_of_service(shared: &Shared, job: &Job) -> Duration {
+    let now = shared.now();
+    admit::service_rest(&shared.board(), now, &job.policy.service).unwrap_or_default()
+}
+
 /// Returns the delay after which a refused client may retry, at least `min`. It is random so
 /// that refused clients do not all retry at the same time.
 pub fn jittered_retry_after(min: Duration) -> Duration {
-    min + RETRY_AFTER_JITTER.mul_f64(rand::rng().random::<f64>())
+    let range = RETRY_AFTER_JITTER.max(min.mul_f64(RETRY_AFTER_SPREAD));
+    min + range.mul_f64(rand::rng().random::<f64>())
 }
 
 fn select_target(
@@ -293,6 +305,7 @@
     let min = match rejection {
         Rejection::NoUpstream => Duration::from_millis(600),
         Rejection::Cold => Duration::from_millis(400),
+        Rejection::Resting(rest) => rest.max(MIN_RETRY_AFTER),
         Rejection::Overload => MIN_RETRY_AFTER,
     };
     Refusal::NotRun(rejection.into(), jittered_retry_after(min))
@@ -329,9 +342,17 @@
                 "not connected"
             );
             attempt.end(AttemptOutcome::Unreachable);
-            return AttemptResult::NotRun("unreachable");
+            return AttemptResult::NotRun("unreachable", MIN_RETRY_AFTER);
         }
     };
+    if let Target::Upstream(selected) = target {
+        // What other answers said while the connection was opened.
+        let now = shared.now();
+        if !admit::may_send(&shared.board(), now, selected.key) {
+            attempt.end(AttemptOutcome::Cancelled);
+            return AttemptResult::NotRun("upstream-withdrew", MIN_RETRY_AFTER);
+        }
+    }
     let req = match target {
         Target::Upstream(selected) => build_upstream_request(job, selected, last_event),
         Target::Instance(remote) => {
@@ -357,7 +378,7 @@
             history.possible_runs -= 1;
             job.reservation.set_consumed(history.possible_runs > 0);
             attempt.end(AttemptOutcome::Broken);
-            return AttemptResult::NotRun("connection-closed");
+            return AttemptResult::NotRun("connection-closed", MIN_RETRY_AFTER);
         }
         Ok(Err(pool::Error::Broken)) => {
             attempt.end(AttemptOutcome::Broken);
@@ -408,6 +429,9 @@
 ) -> AttemptResult {
     let (parts, body) = response.into_parts();
     attempt.idle_time = pool::idle_time(&parts.headers);
+    if let Target::Upstream(selected) = target {
+        notice::record(shared, job, selected, &parts);
+    }
     if let (Target::Upstream(selected), Some(load)) =
         (target, head::read_reported_load(&parts.headers))
     {
@@ -431,7 +455,8 @@
             hop::RefusalKind::NotRun => {
                 history.possible_runs -= 1;
                 job.reservation.set_consumed(history.possible_runs > 0);
-                AttemptResult::NotRun("refused-there")
+                let after = head::read_refusal_delay(&parts.headers);
+                AttemptResult::NotRun("refused-there", after.max(MIN_RETRY_AFTER))
             }
             hop::RefusalKind::Unknown => AttemptResult::Broken("broken-there"),
             hop::RefusalKind::TimedOut => AttemptResult::TimedOut,
@@ -444,7 +469,7 @@
             // hyper closes the connection unless it can read the rest of the body at once.
             drop(body);
             attempt.end(AttemptOutcome::Refused);
-            AttemptResult::NotRun("refused-by-upstream")
+            AttemptResult::NotRun("refused-by-upstream", MIN_RETRY_AFTER)
         }
         ResponseKind::Invalid => {
             attempt.end(AttemptOutcome::Broken);
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod hop;
 pub mod intake;
 pub mod log_limit;
+pub mod notice;
 pub mod pool;
 pub mod relay;
 pub mod reply;
--- /dev/null
+++ b/crates/sesamebarrow_gateway/src/notice.rs
@@ -0,0 +1,46 @@
+//! Records what upstreams announce in their answers: that they leave, and when they want requests
+//! again.
+
+use std::time::{Duration, SystemTime};
+
+use hyper::http::response::Parts;
+use sesamebarrow_platform::head;
+use sesamebarrow_routing::admit::SelectedUpstream;
+use sesamebarrow_routing::availability::Change;
+
+use crate::intake::Job;
+use crate::shared::Shared;
+
+/// Records what `selected` announces in the head of its answer to `job`.
+pub fn record(shared: &Shared, job: &Job, selected: &SelectedUpstream, parts: &Parts) {
+    let now = SystemTime::now();
+    let notice = head::read_notice(parts.status, &parts.headers, &job.id, now);
+    let change = shared
+        .board()
+        .record_notice(shared.now(), selected.key, notice);
+    let Some(change) = change else {
+        return;
+    };
+    if change == Change::Leaving {
+        shared.pool.close_idle(selected.address);
+    }
+    record_change(change, selected, &job.id, notice.rest);
+}
+
+/// Logs and counts a change of an upstream's availability; `request` is the request whose answer
+/// showed it, `rest` the time for which the upstream wants no request.
+pub fn record_change(
+    change: Change,
+    selected: &SelectedUpstream,
+    request: &str,
+    rest: Option<Duration>,
+) {
+    let change: &str = change.into();
+    log::info!(
+        request, upstream = selected.id.as_str(), change,
+        rest_ms = rest.map_or(0, |r| r.as_millis());
+        "upstream announced a change"
+    );
+    metrics::counter!("sesamebarrow_upstream_changes_total", "change" => change.to_owned())
+        .increment(1);
+}
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -125,6 +125,12 @@
         }
     }
 
+    /// Closes the idle connections to `address`.
+    pub fn close_idle(&self, address: SocketAddr) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.remove(&address);
+    }
+
     /// Removes connections whose idle time is over or that are closed, and addresses without
     /// connections.
     pub fn remove_expired(&self) {
--- a/crates/sesamebarrow_gateway/src/store.rs
+++ b/crates/sesamebarrow_gateway/src/store.rs
@@ -296,7 +296,7 @@
                     key, error:% = error, revision;
                     "cannot decode upstream entry, removing the upstream"
                 );
-                shared.board().upstreams.remove(id);
+                shared.board().upstreams.remove(now, id);
             }
         },
         (Key::Upstream(id), None) => {
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -10,6 +10,7 @@
 
 use smol_str::SmolStr;
 
+use crate::availability::Verdict;
 use crate::board::Board;
 use crate::cache::PromptPart;
 use crate::cold;
@@ -64,6 +65,8 @@
     /// another instance owns them, their request rate is reached, or this instance is still
     /// discovering the others.
     Cold,
+    /// All available upstreams refused requests and want none for the contained time.
+    Resting(Duration),
     /// All available upstreams are full, or the estimated wait is too long for the target
     /// latency.
     Overload,
@@ -179,6 +182,10 @@
     if usable.is_empty() {
         return Err(Rejection::NoUpstream);
     }
+    if let Some(rest) = shortest_rest(board, now, usable.iter()) {
+        return Err(Rejection::Resting(rest));
+    }
+    usable.retain(|k| rest(board, now, *k).is_none());
     usable.retain(|k| {
         let upstream = &board.upstreams.all[*k];
         !upstream.is_cold(now) || admits_cold(board, now, upstream)
@@ -186,7 +193,15 @@
     if usable.is_empty() {
         return Err(Rejection::Cold);
     }
-    let not_ejected = |k: &Key| now >= board.upstreams.all[*k].ejected_until;
+    let verdict = |k: &Key| {
+        let upstream = &board.upstreams.all[*k];
+        upstream.availability.verdict(now, upstream.in_progress)
+    };
+    usable.retain(|k| verdict(k) != Verdict::Ramping);
+    if usable.is_empty() {
+        return Err(Rejection::Overload);
+    }
+    let not_ejected = |k: &Key| verdict(k) == Verdict::Available;
     if usable.iter().any(not_ejected) {
         usable.retain(not_ejected);
     }
@@ -209,9 +224,44 @@
     board.config.as_ref()?.services.get(service)?.engine
 }
 
-/// Returns whether an upstream is ready and not being evacuated.
+/// Returns whether an upstream is ready, does not leave and is not being evacuated.
 fn accepts_requests(board: &Board, upstream: &Upstream) -> bool {
-    upstream.entry.ready && !board.evacuated.contains(&upstream.entry.domain)
+    upstream.entry.ready
+        && !upstream.availability.leaving
+        && !board.evacuated.contains(&upstream.entry.domain)
+}
+
+/// Returns whether a request for which an upstream was selected may still be sent to it.
+pub fn may_send(board: &Board, now: Duration, key: Key) -> bool {
+    let upstream = board.upstreams.all.get(key);
+    upstream.is_some_and(|u| accepts_requests(board, u)) && rest(board, now, key).is_none()
+}
+
+/// Returns the time for which an upstream still rests; `None` if it does not.
+fn rest(board: &Board, now: Duration, key: Key) -> Option<Duration> {
+    let upstream = &board.upstreams.all[key];
+    match upstream.availability.verdict(now, upstream.in_progress) {
+        Verdict::Resting(rest) => Some(rest),
+        _ => None,
+    }
+}
+
+/// Returns the shortest rest of the upstreams `keys`; `None` if there are none or one does not rest.
+fn shortest_rest<'a>(
+    board: &Board,
+    now: Duration,
+    keys: impl Iterator<Item = &'a Key>,
+) -> Option<Duration> {
+    let rests: Option<Vec<Duration>> = keys.map(|k| rest(board, now, *k)).collect();
+    rests?.into_iter().min()
+}
+
+/// Returns the time until an upstream of `service` accepts requests again, if all that are usable
+/// rest, whether or not a request has tried them.
+pub fn service_rest(board: &Board, now: Duration, service: &str) -> Option<Duration> {
+    let keys = board.upstreams.of_service(service).iter();
+    let usable = keys.filter(|k| accepts_requests(board, &board.upstreams.all[**k]));
+    shortest_rest(board, now, usable)
 }
 
 /// Returns whether this instance may send one more request to a cold upstream.
@@ -290,7 +340,7 @@
         cost_ms: wait_ms
             + tokens(repeated_tokens) / prefill_per_ms * REPEATED_PREFILL_WEIGHT
             + non_preferred_penalty_ms
-            + upstream.failure_ratio * FAILURE_PENALTY_MS,
+            + upstream.availability.failure_ratio * FAILURE_PENALTY_MS,
         request_load: RequestLoad {
             prefill_tokens,
             kv_tokens: request_tokens,
@@ -366,7 +416,7 @@
     ScoredUpstream {
         key,
         wait_ms,
-        cost_ms: wait_ms + upstream.failure_ratio * FAILURE_PENALTY_MS,
+        cost_ms: wait_ms + upstream.availability.failure_ratio * FAILURE_PENALTY_MS,
         request_load: RequestLoad::default(),
         full: outstanding >= slots * MAX_PER_SLOT_WITHOUT_ENGINE,
     }
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use smol_str::SmolStr;
 
+use crate::availability::{Change, Notice};
 use crate::budget::{self, RetryBudget};
 use crate::cold;
 use crate::config::{Config, Route};
@@ -19,7 +20,7 @@
 use crate::quota::{self, Quota};
 use crate::rendezvous;
 use crate::token;
-use crate::upstream::{Entry, Upstream, Upstreams};
+use crate::upstream::{Entry, Key, Upstream, Upstreams};
 
 mod gossip;
 
@@ -222,10 +223,20 @@
         let grace_end = self.last_store_outage_at.map(|at| at + REPUBLISH_GRACE);
         match grace_end {
             Some(until) if now < until => self.upstreams.schedule_removal(id, until),
-            _ => self.upstreams.remove(id),
+            _ => self.upstreams.remove(now, id),
         }
     }
 
+    /// Records what an upstream announced in an answer. Returns what has changed about its
+    /// availability.
+    pub fn record_notice(&mut self, now: Duration, key: Key, notice: Notice) -> Option<Change> {
+        if notice == Notice::default() {
+            return None;
+        }
+        let spread = self.rng.random();
+        self.upstreams.record_notice(now, key, notice, spread)
+    }
+
     /// Records how long a first event took compared with its estimate, to correct later
     /// estimates.
     pub fn record_first_event(
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -43,6 +43,7 @@
             service_loads: self.service_loads(now),
             upstream_loads: Vec::new(),
             reported_loads: None,
+            leaving_runs: Vec::new(),
             seen_heartbeat: 0,
             // CAST: bounded by `REPUBLISH_GRACE`.
             store_outage_age_ms: self
@@ -100,6 +101,10 @@
             Vec::new()
         };
         datagram.reported_loads = same_region.then(|| self.reported_loads(now));
+        datagram.leaving_runs = match same_region {
+            true => self.upstreams.leaving_runs().collect(),
+            false => Vec::new(),
+        };
         datagram.heard_ages = self.members.recent_ages(now, &mut self.rng);
     }
 
@@ -209,6 +214,7 @@
         if let Some(loads) = &datagram.reported_loads {
             self.apply_reported_loads(now, loads);
         }
+        self.upstreams.record_leaving_runs(&datagram.leaving_runs);
         datagram.seen_heartbeat == 0 || !datagram.wanted_name_hashes.is_empty()
     }
 
--- a/crates/sesamebarrow_routing/src/lib.rs
+++ b/crates/sesamebarrow_routing/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`Board`] holds what the instance knows: the configuration ([`config`]), the other
 //! instances ([`member`]), the token buckets of customers ([`quota`], [`holder`]) and the
-//! upstreams with their load ([`upstream`]). [`admit`], [`spill`] and [`place`] decide where requests
+//! upstreams with their load ([`upstream`]) and what their answers say about them
+//! ([`availability`]). [`admit`], [`spill`] and [`place`] decide where requests
 //! and clients go; most other modules own one part of the board. `Board` follows the
 //! blackboard pattern: all modules read and write its tables.
 //!
@@ -14,6 +15,7 @@
 //! process.
 
 pub mod admit;
+pub mod availability;
 pub mod board;
 pub mod budget;
 pub mod cache;
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -1,11 +1,12 @@
 //! The upstreams of the region: their published entries, their load and their failures.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use smol_str::SmolStr;
 
+use crate::availability::{Availability, Change, Notice};
 use crate::cache::{PrefixCache, PromptPart};
 use crate::cold::SendWindow;
 use crate::gossip::{UpstreamLoad, short_hash};
@@ -78,13 +79,8 @@
     pub cold_until: Duration,
     /// Recent requests sent while it was cold.
     pub cold_sends: SendWindow,
-    /// Number of failures since the last success.
-    pub consecutive_failures: u32,
-    /// Time until which it is ejected after failures. Ejected upstreams receive requests
-    /// only if every usable upstream of the service is ejected.
-    pub ejected_until: Duration,
-    /// Moving average of the fraction of answers that failed, 0 to 1.
-    pub failure_ratio: f64,
+    /// What its answers say about it.
+    pub availability: Availability,
     /// Time at which it is to be removed. Set if its entry disappeared during or shortly
     /// after an outage of the store.
     pub removal_at: Option<Duration>,
@@ -92,19 +88,6 @@
     pub cache: PrefixCache,
 }
 
-/// Number of consecutive failures after which an upstream is ejected; an unreachable
-/// upstream is ejected at once.
-const EJECT_AFTER_FAILURES: u32 = 2;
-
-/// Maximum duration of an ejection.
-const MAX_EJECTION: Duration = Duration::from_secs(4);
-
-/// Duration of the first ejection; doubles with each further failure.
-const FIRST_EJECTION: Duration = Duration::from_millis(500);
-
-/// Weight of the newest answer in the failure ratio.
-const FAILURE_RATIO_GAIN: f64 = 0.08;
-
 /// Age above which a reported load is ignored.
 const REPORTED_LOAD_LIFETIME: Duration = Duration::from_secs(1);
 
@@ -120,9 +103,7 @@
             others_load: UpstreamLoad::default(),
             reported_load: None,
             cold_sends: SendWindow::default(),
-            consecutive_failures: 0,
-            ejected_until: Duration::ZERO,
-            failure_ratio: 0.0,
+            availability: Availability::default(),
             removal_at: None,
             cache: PrefixCache::default(),
         }
@@ -178,6 +159,39 @@
     keys_by_id: HashMap<SmolStr, Key>,
     /// Keys by service, for all entries in `all`.
     keys_by_service: HashMap<SmolStr, Vec<Key>>,
+    /// Availability of removed upstreams that leave or rest, by id, with their start times and the
+    /// times at which it is forgotten. A late read of the store may bring their entries back.
+    removed: HashMap<SmolStr, Removed>,
+    /// Runs of upstreams that told this instance that they leave, the latest last, and when.
+    leaving_runs: VecDeque<(Duration, u64)>,
+}
+
+/// A removed upstream that may come back.
+#[derive(Debug)]
+struct Removed {
+    started_at_ms: Option<u64>,
+    availability: Availability,
+    forget_at: Duration,
+}
+
+/// Time for which the availability of a removed upstream is kept.
+const REMOVED_LIFETIME: Duration = Duration::from_secs(600);
+
+/// Maximum number of leaving runs that are told to other instances.
+const MAX_LEAVING_RUNS: usize = 16;
+
+/// Time for which a leaving run is told to other instances.
+const LEAVING_RUN_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Returns the number that stands for a run of an upstream in datagrams.
+fn run_hash(entry: &Entry) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(entry.id.as_bytes());
+    hasher.update(&entry.started_at_ms.unwrap_or_default().to_le_bytes());
+    let hash = hasher.finalize();
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
 }
 
 impl Upstreams {
@@ -199,7 +213,7 @@
             return;
         };
         if self.all[key].entry.service != entry.service {
-            self.remove(&entry.id);
+            self.remove(now, &entry.id);
             self.insert(now, entry);
             return;
         }
@@ -208,8 +222,7 @@
         let was_scheduled_for_removal = upstream.removal_at.take().is_some();
         if restarted {
             upstream.cache.clear();
-            upstream.consecutive_failures = 0;
-            upstream.ejected_until = Duration::ZERO;
+            upstream.availability = upstream.availability.of_new_run();
             upstream.reported_load = None;
         }
         let cold_remaining = match (restarted, was_scheduled_for_removal) {
@@ -223,21 +236,39 @@
 
     fn insert(&mut self, now: Duration, entry: Entry) {
         let (id, service) = (entry.id.clone(), entry.service.clone());
-        let key = self.all.insert(Upstream::new(entry, now));
+        let mut upstream = Upstream::new(entry, now);
+        if let Some(removed) = self.removed.remove(&id) {
+            let same_run = removed.started_at_ms == upstream.entry.started_at_ms;
+            upstream.availability = match same_run {
+                true => removed.availability,
+                false => removed.availability.of_new_run(),
+            };
+        }
+        let key = self.all.insert(upstream);
         self.keys_by_id.insert(id, key);
         self.keys_by_service.entry(service).or_default().push(key);
     }
 
     /// Removes an upstream.
-    pub fn remove(&mut self, id: &str) {
+    pub fn remove(&mut self, now: Duration, id: &str) {
         let Some(key) = self.keys_by_id.remove(id) else {
             return;
         };
-        if let Some(upstream) = self.all.remove(key)
-            && let Some(list) = self.keys_by_service.get_mut(&upstream.entry.service)
-        {
+        let Some(upstream) = self.all.remove(key) else {
+            return;
+        };
+        if let Some(list) = self.keys_by_service.get_mut(&upstream.entry.service) {
             list.retain(|k| *k != key);
         }
+        let availability = upstream.availability;
+        if availability.leaving || now < availability.rest_until {
+            let removed = Removed {
+                started_at_ms: upstream.entry.started_at_ms,
+                availability,
+                forget_at: now + REMOVED_LIFETIME,
+            };
+            self.removed.insert(upstream.entry.id, removed);
+        }
     }
 
     /// Removes an upstream at `at`, unless its entry is published again by then.
@@ -257,10 +288,58 @@
             .map(|u| u.entry.id.clone())
             .collect();
         for id in ids {
-            self.remove(&id);
+            self.remove(now, &id);
+        }
+        self.removed.retain(|_, removed| now < removed.forget_at);
+        let is_old = |at: &Duration| now.saturating_sub(*at) > LEAVING_RUN_LIFETIME;
+        while self.leaving_runs.front().is_some_and(|(at, _)| is_old(at)) {
+            self.leaving_runs.pop_front();
         }
     }
 
+    /// Records what an upstream announced in an answer; see [`Availability::observe_notice`].
+    pub fn record_notice(
+        &mut self,
+        now: Duration,
+        key: Key,
+        notice: Notice,
+        spread: f64,
+    ) -> Option<Change> {
+        let upstream = self.all.get_mut(key)?;
+        let change = upstream.availability.observe_notice(now, notice, spread);
+        if change == Some(Change::Leaving) {
+            self.leaving_runs
+                .push_back((now, run_hash(&upstream.entry)));
+            if self.leaving_runs.len() > MAX_LEAVING_RUNS {
+                self.leaving_runs.pop_front();
+            }
+        }
+        change
+    }
+
+    /// Returns the runs of upstreams that told this instance recently that they leave, as sent to
+    /// other instances.
+    pub fn leaving_runs(&self) -> impl Iterator<Item = u64> {
+        self.leaving_runs.iter().map(|(_, run)| *run)
+    }
+
+    /// Records runs of upstreams that told another instance that they leave. Returns the ids of
+    /// those that this instance did not know to leave. They are not told on, so that they are
+    /// forgotten at some time.
+    pub fn record_leaving_runs(&mut self, runs: &[u64]) -> Vec<SmolStr> {
+        if runs.is_empty() {
+            return Vec::new();
+        }
+        let mut ids = Vec::new();
+        for upstream in self.all.values_mut() {
+            if !upstream.availability.leaving && runs.contains(&run_hash(&upstream.entry)) {
+                upstream.availability.leaving = true;
+                ids.push(upstream.entry.id.clone());
+            }
+        }
+        ids
+    }
+
     /// Records that an attempt begins. `kv_capacity_tokens` is the size of the engine's KV
     /// cache.
     pub fn start_attempt(
@@ -325,7 +404,8 @@
 
     /// Records that an attempt ended. After [`Self::record_prefill_done`], the caller must
     /// pass 0 as `request_load.prefill_tokens`, or the tokens are subtracted twice. `warmup`
-    /// is the minimum time for which an unreachable upstream then counts as cold.
+    /// is the minimum time for which an unreachable upstream then counts as cold. Returns what has
+    /// changed about the upstream's availability.
     pub fn finish_attempt(
         &mut self,
         now: Duration,
@@ -333,44 +413,18 @@
         request_load: RequestLoad,
         outcome: AttemptOutcome,
         warmup: Duration,
-    ) {
-        let Some(upstream) = self.all.get_mut(key) else {
-            return;
-        };
+    ) -> Option<Change> {
+        let upstream = self.all.get_mut(key)?;
         upstream.in_progress = upstream.in_progress.saturating_sub(1);
         upstream.prefill_tokens = upstream
             .prefill_tokens
             .saturating_sub(request_load.prefill_tokens);
         upstream.kv_tokens = upstream.kv_tokens.saturating_sub(request_load.kv_tokens);
-        let failed = match outcome {
-            AttemptOutcome::Whole => false,
-            AttemptOutcome::Failed
-            | AttemptOutcome::Unreachable
-            | AttemptOutcome::Broken
-            | AttemptOutcome::Silent => true,
-            AttemptOutcome::Refused | AttemptOutcome::Cancelled => return,
-        };
-        let newest = if failed { 1.0 } else { 0.0 };
-        upstream.failure_ratio += FAILURE_RATIO_GAIN * (newest - upstream.failure_ratio);
-        if !failed {
-            upstream.consecutive_failures = 0;
-            return;
-        }
-        upstream.consecutive_failures += 1;
-        if matches!(outcome, AttemptOutcome::Unreachable) {
+        if outcome == AttemptOutcome::Unreachable {
             // The upstream may have restarted, so that it is cold and has nothing cached.
             upstream.cold_until = upstream.cold_until.max(now + warmup);
             upstream.cache.clear();
         }
-        let doublings = upstream
-            .consecutive_failures
-            .saturating_sub(EJECT_AFTER_FAILURES)
-            .min(8);
-        if upstream.consecutive_failures >= EJECT_AFTER_FAILURES
-            || matches!(outcome, AttemptOutcome::Unreachable)
-        {
-            let ejection = (FIRST_EJECTION * 2_u32.pow(doublings)).min(MAX_EJECTION);
-            upstream.ejected_until = now + ejection;
-        }
+        upstream.availability.observe_outcome(now, outcome)
     }
 }
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -2,6 +2,8 @@
 
 #[path = "decisions/admission.rs"]
 mod admission;
+#[path = "decisions/availability.rs"]
+mod availability;
 #[path = "decisions/buckets.rs"]
 mod buckets;
 #[path = "decisions/budgets.rs"]
