Do not pass on an upstream's 503, 429 or 408 for an order without proof that it has not run

What callers could see, by reading: an upstream that answers 503 without Not-Run may have run the request. The status was relayed as it was, and promises callers that it has not; they send the order again. On routes that may not be repeated such an answer is now 502, without the upstream's signature.

Test: order_refused_without_not_run_is_not_reported_as_not_run failed before (503), three statuses, with and without a hop.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -475,6 +475,13 @@
             attempt.end(AttemptOutcome::Broken);
             AttemptResult::Broken("foreign-answer")
         }
+        ResponseKind::Executed
+            if !job.policy.may_repeat && head::promises_not_run(parts.status) =>
+        {
+            // Relayed, the status would promise to the client that the request has not run.
+            attempt.end(AttemptOutcome::Failed);
+            AttemptResult::Broken("unproven-refusal")
+        }
         ResponseKind::Executed => {
             let response = Box::new(UpstreamResponse {
                 framing: Framing::of(&parts.headers, &body),
