Share a region's part of a rate between the sides of a split that outlasts 30 s

An instance that is silent for 30 s is removed, and the next in rank refilled its buckets in full. In a region that is split in itself for longer, both sides did so: 1.67 times the rate in the fleet of the test, above the bound from 33 s on. Removed members that had not drained now count as lost for ten minutes; each side refills its share of the region's part by the number of instances that it reaches, and the retry budget, idle connections and sends to cold upstreams are divided by the lost ones too. A region in which an instance has ended for good loses 1/n of its part for that time.

Tests: limit_holds_when_a_region_is_split_in_itself_for_longer_than_members_are_kept (40 s) and …_for_five_minutes failed before (6,823,039 tokens in a window of at most 6,822,000, and rising), and pass now, as do all 92 tests of the decisions.

--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -333,15 +333,18 @@
         region_count(&self.regions)
     }
 
-    /// Returns the number of known instances, including this one.
+    /// Returns the number of instances, including this one and those that are lost. Limits that all
+    /// share are divided by it.
     pub fn instance_count(&self) -> usize {
-        self.members.all.len() + 1
+        self.members.all.len() + self.members.lost_count() + 1
     }
 
-    /// Returns the number of known instances in this region, including this one.
+    /// Returns the number of instances in this region, including this one and those that are lost.
     pub fn region_instance_count(&self) -> usize {
-        let same_region = |m: &&Member| m.region == self.identity.region;
-        self.members.all.values().filter(same_region).count() + 1
+        let region = &self.identity.region;
+        let same_region = |m: &&Member| m.region == *region;
+        let known = self.members.all.values().filter(same_region).count();
+        known + self.members.lost_count_in(region) + 1
     }
 
     /// Returns whether this instance reads the store for its region. The instances with the
--- a/crates/sesamebarrow_routing/src/holder.rs
+++ b/crates/sesamebarrow_routing/src/holder.rs
@@ -7,6 +7,11 @@
 //! buckets, each at an equal part of the region's part of the rate; the others have only
 //! borrowed tokens. While an instance is silent, the next one takes its place as a holder,
 //! but does not refill a bucket for it, so that views that differ never exceed the rate.
+//!
+//! An instance that was silent for [`REMOVAL_TIMEOUT`] without having drained has ended, or serves
+//! behind a partition. The others then refill in its place, but only their share of the region's
+//! part, by the number of instances that they reach: the sides of a region that is split in itself
+//! add up to that part.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -133,8 +138,11 @@
         .map(|m| m.name_hash)
         .collect();
     let refill_fraction = refill_fraction(board, now);
-    // CAST: a small number.
-    let own_part = refill_fraction / REFILLED_PER_REGION.min(known.len() + 1) as f64;
+    // CAST: small numbers.
+    let count = |n: usize| n as f64;
+    let reached_fraction = count(known.len() + 1) / count(board.region_instance_count());
+    let own_part =
+        refill_fraction * reached_fraction / count(REFILLED_PER_REGION.min(known.len() + 1));
     let rank = |customer: u64, others: &[u32]| {
         let own_weight = weight(customer, own_hash);
         let before = |hash: &&u32| weight(customer, **hash) > own_weight;
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -26,6 +26,10 @@
 /// Longer than the network partitions that must be tolerated.
 pub const REMOVAL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time for which a removed member counts as lost. Longer than any partition that is expected, since
+/// after it both sides of one would use the whole of each limit.
+pub const LOST_LIFETIME: Duration = Duration::from_secs(600);
+
 /// Time after its start in which an instance discovers the others. If it has heard from none
 /// by then, it assumes that it is the only one. Until then it sends no requests to cold
 /// upstreams that have a rate limit.
@@ -146,6 +150,13 @@
     pub usable_upstreams: u32,
 }
 
+/// A member that fell silent and was removed.
+#[derive(Debug)]
+struct LostMember {
+    region: SmolStr,
+    removed_at: Duration,
+}
+
 /// All known instances except this one.
 #[derive(Debug, Default)]
 pub struct Members {
@@ -153,6 +164,9 @@
     pub all: BTreeMap<SmolStr, Member>,
     /// Loads of services by region and hash of the service's name.
     service_loads: HashMap<(SmolStr, u32), ReceivedServiceLoad>,
+    /// Members that were removed without having drained, by name. They may have ended, or serve behind
+    /// a partition.
+    lost: HashMap<SmolStr, LostMember>,
     /// When a member was last added.
     pub last_joined: Duration,
     /// Hashes of the names of instances that other members know and this one does not;
@@ -287,6 +301,7 @@
                 revision: 0,
             };
             self.all.insert(SmolStr::new(&record.name), member);
+            self.lost.remove(record.name.as_str());
             self.last_joined = now;
             return;
         };
@@ -324,10 +339,31 @@
         }
     }
 
-    /// Removes members that have been silent for [`REMOVAL_TIMEOUT`].
+    /// Removes members that have been silent for [`REMOVAL_TIMEOUT`]. Those that did not announce
+    /// their end count as lost for [`LOST_LIFETIME`].
     pub fn remove_silent(&mut self, now: Duration) {
-        self.all
-            .retain(|_, m| now.saturating_sub(m.last_heard) < REMOVAL_TIMEOUT);
+        let silent = |m: &Member| now.saturating_sub(m.last_heard) >= REMOVAL_TIMEOUT;
+        let lost = self.all.iter().filter(|(_, m)| silent(m));
+        for (name, member) in lost.filter(|(_, m)| m.record.draining_time_ms == 0) {
+            let lost = LostMember {
+                region: member.region.clone(),
+                removed_at: now,
+            };
+            self.lost.insert(name.clone(), lost);
+        }
+        self.all.retain(|_, m| !silent(m));
+        self.lost
+            .retain(|_, lost| now.saturating_sub(lost.removed_at) < LOST_LIFETIME);
+    }
+
+    /// Returns the number of lost members.
+    pub fn lost_count(&self) -> usize {
+        self.lost.len()
+    }
+
+    /// Returns the number of lost members of `region`.
+    pub fn lost_count_in(&self, region: &str) -> usize {
+        self.lost.values().filter(|l| l.region == region).count()
     }
 
     /// Selects the addresses that receive this round's datagram: members, including those
--- a/crates/sesamebarrow_routing/tests/decisions/buckets.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/buckets.rs
@@ -492,6 +492,32 @@
     }
 );
 
+bucket_test!(
+    limit_holds_when_a_region_is_split_in_itself_for_longer_than_members_are_kept,
+    SMALL,
+    &[(600_000.0, 9_000.0)],
+    2,
+    |simulation| {
+        simulation.set_demand(|_| 1.3);
+        simulation.run(ms(2_000), all);
+        simulation.run(ms(40_000), |from, to| from % 2 == to % 2);
+        simulation.run(ms(8_000), all);
+    }
+);
+
+bucket_test!(
+    limit_holds_when_a_region_is_split_in_itself_for_five_minutes,
+    SMALL,
+    &[(600_000.0, 9_000.0)],
+    1,
+    |simulation| {
+        simulation.set_demand(|_| 1.3);
+        simulation.run(ms(2_000), all);
+        simulation.run(ms(300_000), |from, to| from % 2 == to % 2);
+        simulation.run(ms(40_000), all);
+    }
+);
+
 bucket_test!(
     customers_are_served_while_a_third_of_the_instances_is_gone,
     LARGE,
