Confirm that an upstream lives when only its connection ended its answer

Nothing is probed for answers with a length or chunks.

Tests: stream_of_a_crash_between_two_events_does_not_look_complete (also behind a hop), …_is_resumed and plain_answer_of_a_crash_does_not_look_complete failed before; the last answers of an upstream that leaves are still relayed.

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -129,6 +129,31 @@
         }
     }
 
+    /// Returns whether the end of the connection was the end of the answer, which has no other
+    /// framing. It was not if the upstream has crashed: it accepts no connections although it neither
+    /// leaves nor is gone from the store. An upstream that leaves may end with its last answer.
+    pub fn confirm_end(&self) -> impl Future<Output = bool> + Send + 'static {
+        let shared = self.shared.clone();
+        let expected = match &self.target {
+            Target::Upstream(selected) => {
+                let board = shared.board();
+                let upstream = board.upstreams.all.get(selected.key);
+                let expected = upstream.filter(|u| u.entry.ready && !u.availability.leaving);
+                expected.map(|u| {
+                    let max_idle = board.max_idle_connections(&u.entry.service);
+                    (selected.address, max_idle)
+                })
+            }
+            Target::Instance(_) => None,
+        };
+        async move {
+            match expected {
+                Some((address, max_idle)) => shared.pool.confirm_listening(address, max_idle).await,
+                None => true,
+            }
+        }
+    }
+
     /// Ends the attempt. Its connection returns to the pool if `outcome` allows it.
     pub fn end(mut self, outcome: AttemptOutcome) {
         self.finish(outcome);
--- a/crates/sesamebarrow_gateway/src/framing.rs
+++ b/crates/sesamebarrow_gateway/src/framing.rs
@@ -1,13 +1,15 @@
 //! Framing of response bodies, and whether a body that has ended is complete.
 //!
-//! | ends | in order | with an error |
+//! | body | ends in order | ends with an error |
 //! |---|---|---|
-//! | any body | complete, but for the rows below | broken off |
 //! | event stream, inside an event | broken off | broken off |
 //! | event stream without an event, framed by its connection | broken off | broken off |
+//! | any other, framed by its connection | complete, unless the upstream has crashed | broken off |
+//! | any other | complete | broken off |
 //!
-//! The connection of a process that has crashed is also closed in order, so an end in order proves
-//! something only where the content agrees.
+//! The connections of a process that has crashed are closed in order too, so such an end proves
+//! nothing where nothing else frames the body. Whether the upstream has crashed is seen by opening
+//! its next connection ([`crate::attempt::Attempt::confirm_end`]).
 
 use hyper::HeaderMap;
 use hyper::body::{Body, Incoming};
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -21,6 +21,9 @@
 /// Time for which a connection may stay idle if the peer does not state one.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(4);
 
+/// Maximum time to see whether a peer still accepts connections.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Time by which an idle connection is given up before the peer would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -93,6 +96,18 @@
         Ok(Connection { address, sender })
     }
 
+    /// Returns whether a process accepts connections at `address`, by opening one, which is then kept
+    /// as [`Self::release`] does. Only a refusal proves that none does.
+    pub async fn confirm_listening(&self, address: SocketAddr, max_idle: usize) -> bool {
+        match self.open(address, CONFIRM_TIMEOUT).await {
+            Ok(connection) => {
+                self.release(connection, Some(DEFAULT_IDLE_TIME), max_idle);
+                true
+            }
+            Err(error) => error.kind() != io::ErrorKind::ConnectionRefused,
+        }
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -91,6 +91,9 @@
             return Err(BodyError);
         }
     }
+    if response.framing == Framing::Connection && !response.attempt.confirm_end().await {
+        return Err(BodyError);
+    }
     Ok(buf.freeze())
 }
 
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -133,6 +133,8 @@
 enum StreamState {
     /// Receiving events from the target.
     Receiving(Incoming, Option<Box<Attempt>>),
+    /// The body has ended with its connection; finding out whether the target has crashed.
+    Confirming(BoxFuture<'static, bool>, Option<Box<Attempt>>),
     /// Making attempts to resume the stream at another target.
     Resuming(BoxFuture<'static, (AttemptHistory, Result<UpstreamResponse, Refusal>)>),
     /// The stream broke. The next poll ends it with an error; what was relayed is sent before.
@@ -176,13 +178,44 @@
 
     /// Ends the current attempt.
     fn end_attempt(&mut self, outcome: AttemptOutcome) {
-        if let StreamState::Receiving(_, Some(attempt)) =
-            std::mem::replace(&mut self.state, StreamState::Done)
+        let state = std::mem::replace(&mut self.state, StreamState::Done);
+        if let StreamState::Receiving(_, Some(attempt))
+        | StreamState::Confirming(_, Some(attempt)) = state
         {
             attempt.end(outcome);
         }
     }
 
+    /// Ends the stream, which is complete.
+    fn complete(&mut self) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        self.end_attempt(AttemptOutcome::Whole);
+        self.record_end("whole");
+        Poll::Ready(None)
+    }
+
+    /// Starts to find out whether the target has crashed.
+    fn confirm_end(&mut self) {
+        let state = std::mem::replace(&mut self.state, StreamState::Done);
+        if let StreamState::Receiving(_, Some(attempt)) = state {
+            let future = Box::pin(attempt.confirm_end());
+            self.state = StreamState::Confirming(future, Some(attempt));
+        }
+    }
+
+    /// Ends the attempt, which broke with `error`, and starts to resume the stream if that is
+    /// allowed. Returns whether it is.
+    fn recover(&mut self, error: &str) -> bool {
+        self.end_attempt(AttemptOutcome::Broken);
+        let (framing, ended_at): (&str, &str) =
+            (self.framing.into(), self.events.parser.position().into());
+        log::info!(
+            request = self.job.id.as_str(),
+            event = self.events.last_id().map_or("none", SmolStr::as_str), framing, ended_at, error;
+            "stream broken"
+        );
+        self.resume()
+    }
+
     /// Ends the stream with an error at the next poll. The HTTP library drops what it has not sent
     /// yet when a body fails, so it gets a turn to send the events that were relayed.
     fn fail(
@@ -254,6 +287,15 @@
                     }
                     Poll::Ready(_) => return this.fail(cx, "not-resumed"),
                 },
+                StreamState::Confirming(future, _) => {
+                    if ready!(future.as_mut().poll(cx)) {
+                        return this.complete();
+                    }
+                    if this.recover("target has crashed") {
+                        continue;
+                    }
+                    return this.fail(cx, "broken");
+                }
                 StreamState::Receiving(body, _) => Pin::new(body).poll_frame(cx),
             };
             let Poll::Ready(polled) = polled else {
@@ -283,24 +325,17 @@
                     this.events.parser.position(),
                 ) =>
                 {
-                    this.end_attempt(AttemptOutcome::Whole);
-                    this.record_end("whole");
-                    return Poll::Ready(None);
+                    if this.framing != Framing::Connection {
+                        return this.complete();
+                    }
+                    this.confirm_end();
                 }
                 ended => {
                     let error = match ended {
                         Some(Err(error)) => error.to_string(),
                         _ => "end of body".to_owned(),
                     };
-                    this.end_attempt(AttemptOutcome::Broken);
-                    let (framing, ended_at): (&str, &str) =
-                        (this.framing.into(), this.events.parser.position().into());
-                    log::info!(
-                        request = this.job.id.as_str(),
-                        event = this.events.last_id().map_or("none", SmolStr::as_str), framing, ended_at,
-                        error:% = error; "stream broken"
-                    );
-                    if !this.resume() {
+                    if !this.recover(&error) {
                         return this.fail(cx, "broken");
                     }
                 }
