Frame responses to callers by the gateway's version of HTTP, not the upstream's

If an upstream answered in HTTP/1.0, which frames streams by the connection, the gateway closed the caller's connection in order as well, so a stream that it had seen to break and cut off looked complete, also at the first instance of a hop.

Tests: stream_in_http_1_0_cut_in_an_event_does_not_look_complete (also behind a hop) failed before.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode, Uri, Version};
 use rand::RngExt;
 use sesamebarrow_platform::head::{self, ResponseKind};
 use sesamebarrow_routing::Board;
@@ -427,7 +427,7 @@
     mut attempt: Attempt,
     response: Response<Incoming>,
 ) -> AttemptResult {
-    let (parts, body) = response.into_parts();
+    let (mut parts, body) = response.into_parts();
     attempt.idle_time = pool::idle_time(&parts.headers);
     if let Target::Upstream(selected) = target {
         notice::record(shared, job, selected, &parts);
@@ -483,6 +483,8 @@
             AttemptResult::Broken("unproven-refusal")
         }
         ResponseKind::Executed => {
+            // The HTTP library frames a response to the client by its version; HTTP/1.0 has no chunks.
+            parts.version = Version::HTTP_11;
             let response = Box::new(UpstreamResponse {
                 framing: Framing::of(&parts.headers, &body),
                 head: Response::from_parts(parts, ()),
