Revert nothing when the store comes back from an older copy

In a drill the store may return from a copy some seconds old, with a risen Store-Era: revisions go back and are given out again. Catalogs compared plain revisions, so changes written again after it counted as old until the revision had passed the known one, and items that the copy lacks stayed for good.

Positions are now pairs of era and revision, packed into the number that instances send each other already; without eras nothing changes. A new era is read in full, deltas across one are full catalogs, a lower era is not read. The configuration in force stays, and instances that start get it from the others (datagrams name its version); upstreams and evacuations that the copy lacks hold for the grace of an outage; entries of ended runs, and a ready state of a run that drains, are not believed.

--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -104,7 +104,7 @@
     let now = shared.now();
     let mut board = shared.board();
     let needs_reply = board.handle_datagram(now, &datagram);
-    if datagram.revision > board.revision {
+    if datagram.revision > board.revision || datagram.config_version > board.config_version() {
         shared.catalog_outdated.notify_one();
     }
     if !needs_reply {
--- a/crates/sesamebarrow_gateway/src/store.rs
+++ b/crates/sesamebarrow_gateway/src/store.rs
@@ -12,7 +12,8 @@
 use rand::RngExt;
 use sesamebarrow_platform::item::{self, Key};
 use sesamebarrow_platform::store as platform_store;
-use sesamebarrow_routing::catalog::{Catalog, Change};
+use sesamebarrow_routing::catalog::{Catalog, Change, Item, Position};
+use smol_str::SmolStr;
 
 use crate::shared::Shared;
 use crate::socket;
@@ -45,6 +46,10 @@
     Status(StatusCode),
     #[error("the changes since the last revision are no longer available")]
     HistoryCompacted,
+    #[error("the store was restored from an older copy: era {0}")]
+    EraChanged(u16),
+    #[error("the store answers in era {0}, which has ended")]
+    EarlierEra(u16),
     #[error("invalid response: {0}")]
     Response(#[from] platform_store::Error),
 }
@@ -81,7 +86,10 @@
         if shared.now().saturating_sub(started_at) > MAX_BACKOFF * 2 {
             backoff = MIN_BACKOFF;
         }
-        if matches!(error, Error::HistoryCompacted) {
+        if let Error::EraChanged(era) = error {
+            log::warn!(era, error:% = error; "reading the whole store again");
+            metrics::counter!("sesamebarrow_store_eras_total").increment(1);
+        } else if matches!(error, Error::HistoryCompacted) {
             log::warn!(error:% = error; "reading the whole store again");
         } else {
             if !failed {
@@ -144,7 +152,8 @@
     failed: &mut bool,
 ) -> Result<std::convert::Infallible, Error> {
     let mut client = connect(shared).await?;
-    let revision = read_all(shared, &mut client).await?;
+    let mut era = None;
+    let revision = read_all(shared, &mut client, &mut era).await?;
     let recovered = std::mem::take(failed);
     {
         let mut board = shared.board();
@@ -158,7 +167,7 @@
     if recovered {
         log::info!(revision; "store regained");
     }
-    watch(shared, client, revision).await
+    watch(shared, client, revision, era).await
 }
 
 async fn connect(shared: &Shared) -> Result<SendRequest<Full<Bytes>>, Error> {
@@ -172,11 +181,13 @@
     Ok(client)
 }
 
+/// Calls the store, which was in `era`, and returns the body of its response.
 async fn call(
     shared: &Shared,
     client: &mut SendRequest<Full<Bytes>>,
     path: &str,
     wait: Duration,
+    era: &mut Option<u16>,
 ) -> Result<Bytes, Error> {
     let mut req = Request::new(Full::new(Bytes::new()));
     if let Ok(uri) = path.parse() {
@@ -191,12 +202,21 @@
         client.ready().await?;
         let response = client.send_request(req).await?;
         let status = response.status();
+        let era = platform_store::read_era(response.headers());
         let body = response.into_body().collect().await?.to_bytes();
-        Ok::<_, hyper::Error>((status, body))
+        Ok::<_, hyper::Error>((status, era, body))
     };
-    let (status, body) = tokio::time::timeout(wait + CALL_TIMEOUT, round_trip)
+    let (status, answered_era, body) = tokio::time::timeout(wait + CALL_TIMEOUT, round_trip)
         .await
         .map_err(|_| Error::TimedOut)??;
+    if let Some(answered) = answered_era.filter(|answered| *answered < shared.catalog().era()) {
+        return Err(Error::EarlierEra(answered));
+    }
+    if let Some(answered) = answered_era
+        && era.replace(answered).is_some_and(|known| known != answered)
+    {
+        return Err(Error::EraChanged(answered));
+    }
     if platform_store::is_history_compacted(status) {
         return Err(Error::HistoryCompacted);
     }
@@ -206,18 +226,24 @@
     Ok(body)
 }
 
+/// Returns the era of a response, that of the catalog if the response names none.
+fn era_or_known(shared: &Shared, era: Option<u16>) -> u16 {
+    era.unwrap_or_else(|| shared.catalog().era())
+}
+
 /// Reads all items and returns the revision after which to watch for changes.
 async fn read_all(
     shared: &Arc<Shared>,
     client: &mut SendRequest<Full<Bytes>>,
+    era: &mut Option<u16>,
 ) -> Result<u64, Error> {
     let mut items = std::collections::BTreeMap::new();
     let mut first_revision = None;
     let mut next_after = None;
     loop {
         let path = platform_store::range_path(platform_store::ALL_KEYS, next_after.as_deref());
-        let body = call(shared, client, &path, Duration::ZERO).await?;
-        let page = platform_store::decode_page(&body)?;
+        let body = call(shared, client, &path, Duration::ZERO, era).await?;
+        let page = platform_store::decode_page(&body, era_or_known(shared, *era))?;
         // The pages are not a consistent snapshot. The watch starts at the revision of the
         // first page, so that it returns the changes made while the others were read.
         let revision = *first_revision.get_or_insert(page.revision);
@@ -228,6 +254,7 @@
         }
         let mut catalog = shared.catalog();
         let changes = catalog.diff(&items, revision);
+        begin_era(shared, &catalog, revision);
         apply(shared, &mut catalog, &changes);
         catalog.advance_to(revision);
         shared.board().revision = catalog.revision;
@@ -239,11 +266,12 @@
     shared: &Arc<Shared>,
     mut client: SendRequest<Full<Bytes>>,
     mut revision: u64,
+    mut era: Option<u16>,
 ) -> Result<std::convert::Infallible, Error> {
     loop {
         let path = platform_store::watch_path(platform_store::ALL_KEYS, revision, WATCH_WAIT);
-        let body = call(shared, &mut client, &path, WATCH_WAIT).await?;
-        let response = platform_store::decode_watch_response(&body)?;
+        let body = call(shared, &mut client, &path, WATCH_WAIT, &mut era).await?;
+        let response = platform_store::decode_watch_response(&body, era_or_known(shared, era))?;
         revision = revision.max(response.revision);
         let mut catalog = shared.catalog();
         apply(shared, &mut catalog, &response.changes);
@@ -253,9 +281,21 @@
     }
 }
 
+/// Prepares for the changes that lead to `revision`. If it is of a later era than the catalog, what the
+/// restored copy lacks is kept for a while, as after an outage: it is published again.
+pub fn begin_era(shared: &Shared, catalog: &Catalog, revision: u64) {
+    let era = Position::unpack(revision).era;
+    if catalog.revision > 0 && era > catalog.era() {
+        log::warn!(era, before = catalog.era(); "store began a new era");
+        shared.board().last_store_outage_at = Some(shared.now());
+    }
+}
+
 /// Applies changes to the catalog, and to the board those that are new to the catalog.
 pub fn apply(shared: &Shared, catalog: &mut Catalog, changes: &[Change]) {
     for change in changes {
+        let kept = kept_config(catalog, change);
+        let change = kept.as_ref().unwrap_or(change);
         if catalog.apply(change) {
             apply_change(shared, change);
         }
@@ -264,6 +304,43 @@
     board.revision = board.revision.max(catalog.revision);
 }
 
+/// Returns the known configuration in place of an older one, or of none, that a restored store
+/// contains; otherwise instances that start would get it from this one.
+fn kept_config(catalog: &Catalog, change: &Change) -> Option<Change> {
+    let known = catalog.items.get(&change.key)?;
+    let era = |revision| Position::unpack(revision).era;
+    if era(change.revision) == era(known.revision) || item::parse_key(&change.key) != Key::Config {
+        return None;
+    }
+    let version = |item: &Item| item::decode_config(&item.value).map_or(0, |c| c.version);
+    let is_older = |item: &Item| version(item) < version(known);
+    change.item.as_ref().is_none_or(is_older).then(|| Change {
+        key: change.key.clone(),
+        item: Some(Item {
+            value: known.value.clone(),
+            revision: change.revision,
+        }),
+        revision: change.revision,
+    })
+}
+
+/// Puts a configuration that another instance has in force, if it is newer than this one's.
+pub fn adopt_config(shared: &Shared, catalog: &mut Catalog, key: &SmolStr, item: &Item) {
+    if item::parse_key(key) != Key::Config {
+        return;
+    }
+    let Ok(config) = item::decode_config(&item.value) else {
+        return;
+    };
+    let version = config.version;
+    if shared.board().apply_config(shared.now(), config) {
+        log::info!(version; "configuration in force, from another instance");
+        let revision = catalog.items.get(key).map_or(item.revision, |i| i.revision);
+        let value = item.value.clone();
+        catalog.items.insert(key.clone(), Item { value, revision });
+    }
+}
+
 fn apply_change(shared: &Shared, change: &Change) {
     let now = shared.now();
     let value = change.item.as_ref().map(|i| i.value.as_slice());
--- a/crates/sesamebarrow_gateway/src/sync.rs
+++ b/crates/sesamebarrow_gateway/src/sync.rs
@@ -9,7 +9,9 @@
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use rand::seq::IteratorRandom;
+use sesamebarrow_platform::item::{self, Key};
 use sesamebarrow_routing::catalog::{Delta, Item};
+use sesamebarrow_routing::member::Member;
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -97,6 +99,10 @@
     /// Revision of the newest item that the requesting instance has.
     #[prost(uint64, tag = "1")]
     revision: u64,
+    /// Version of its configuration. It may be older than that of an instance with the same revision,
+    /// if the store was restored from an older copy.
+    #[prost(uint64, tag = "2")]
+    config_version: u64,
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
@@ -129,7 +135,18 @@
         return Ok(());
     };
     let request = SyncRequest::decode(request?)?;
-    let delta = shared.catalog().delta_since(request.revision);
+    let config_is_newer = shared.board().config_version() > request.config_version;
+    let mut delta = shared.catalog().delta_since(request.revision);
+    if config_is_newer {
+        let catalog = shared.catalog();
+        let config = catalog
+            .items
+            .iter()
+            .filter(|(key, _)| item::parse_key(key) == Key::Config);
+        delta
+            .items
+            .extend(config.map(|(key, item)| (key.clone(), item.clone())));
+    }
     framed.send(encode(delta)).await?;
     Ok(())
 }
@@ -144,9 +161,10 @@
         let port = shared.settings.listen.sync.port();
         let source = {
             let board = shared.board();
-            let revision = board.revision;
+            let (revision, version) = (board.revision, board.config_version());
             let now = shared.now();
-            let newer = board.members.alive(now).filter(|m| m.revision > revision);
+            let is_newer = |m: &&Member| m.revision > revision || m.config_version > version;
+            let newer = board.members.alive(now).filter(is_newer);
             newer
                 .choose(&mut rand::rng())
                 .map(|m| (m.record.name.clone(), m.ip()))
@@ -170,7 +188,10 @@
 async fn fetch_catalog(shared: &Shared, address: SocketAddr) -> anyhow::Result<u64> {
     let mut framed = framed(socket::connect(address, TRANSFER_TIMEOUT).await?);
     let revision = shared.catalog().revision;
-    let request = SyncRequest { revision };
+    let request = SyncRequest {
+        revision,
+        config_version: shared.board().config_version(),
+    };
     framed.send(Bytes::from(request.encode_to_vec())).await?;
     let response = framed.next().await;
     let response =
@@ -179,9 +200,13 @@
     let mut catalog = shared.catalog();
     if delta.revision > catalog.revision {
         let changes = catalog.changes_from(&delta);
+        store::begin_era(shared, &catalog, delta.revision);
         store::apply(shared, &mut catalog, &changes);
         catalog.advance_to(delta.revision);
         shared.board().revision = catalog.revision;
     }
+    for (key, item) in &delta.items {
+        store::adopt_config(shared, &mut catalog, key, item);
+    }
     Ok(catalog.revision)
 }
--- a/crates/sesamebarrow_gateway/src/telemetry.rs
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -14,7 +14,7 @@
 ];
 
 /// Names and descriptions of the counters.
-const COUNTERS: [(&str, &str); 14] = [
+const COUNTERS: [(&str, &str); 15] = [
     (
         "sesamebarrow_answers_total",
         "Answers that came from an upstream, by how they ended.",
@@ -64,6 +64,10 @@
         "Connections opened to upstreams and instances.",
     ),
     ("sesamebarrow_store_calls_total", "Calls to the store."),
+    (
+        "sesamebarrow_store_eras_total",
+        "Times that this instance saw the store come back from an older copy.",
+    ),
     (
         "sesamebarrow_log_lines_dropped_total",
         "Log lines beyond their budget.",
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -93,6 +93,9 @@
     pub config: Option<Arc<Config>>,
     /// Failure domains that are being evacuated; their upstreams receive no new requests.
     pub evacuated: HashSet<SmolStr>,
+    /// Evacuations whose items are gone since shortly after an outage of the store, by failure domain,
+    /// and when they end unless their items are published again.
+    evacuations_ending: HashMap<SmolStr, Duration>,
     /// The upstreams of this region.
     pub upstreams: Upstreams,
     /// The other instances.
@@ -147,6 +150,7 @@
             regions_by_hash,
             config: None,
             evacuated: HashSet::new(),
+            evacuations_ending: HashMap::new(),
             upstreams: Upstreams::default(),
             members: Members::default(),
             quota,
@@ -212,6 +216,11 @@
         if region != Some(&self.identity.region) {
             return;
         }
+        let grace_end = self.last_store_outage_at.map(|at| at + REPUBLISH_GRACE);
+        if grace_end.is_some_and(|until| now < until) && self.upstreams.is_earlier_run(&entry) {
+            // A restored store may contain entries of runs that have ended.
+            return;
+        }
         let warmup = self.warmup(&entry.service);
         self.upstreams.put(now, entry, warmup);
     }
@@ -280,12 +289,34 @@
         }
     }
 
-    /// Starts or ends the evacuation of a failure domain.
+    /// Starts or ends the evacuation of a failure domain. During and shortly after an outage of the
+    /// store an evacuation ends later, because its item may be published again.
     pub fn set_evacuated(&mut self, now: Duration, domain: &str, evacuated: bool) {
+        self.evacuations_ending.remove(domain);
         if evacuated {
             self.evacuated.insert(SmolStr::new(domain));
             return;
         }
+        let grace_end = self.last_store_outage_at.map(|at| at + REPUBLISH_GRACE);
+        match grace_end {
+            Some(until) if now < until && self.evacuated.contains(domain) => {
+                self.evacuations_ending.insert(SmolStr::new(domain), until);
+            }
+            _ => self.end_evacuation(now, domain),
+        }
+    }
+
+    /// Ends the evacuations whose items were not published again in time.
+    pub(crate) fn end_due_evacuations(&mut self, now: Duration) {
+        let due = self.evacuations_ending.iter().filter(|(_, at)| **at <= now);
+        let due: Vec<SmolStr> = due.map(|(domain, _)| domain.clone()).collect();
+        for domain in due {
+            self.evacuations_ending.remove(&domain);
+            self.end_evacuation(now, &domain);
+        }
+    }
+
+    fn end_evacuation(&mut self, now: Duration, domain: &str) {
         if !self.evacuated.remove(domain) {
             return;
         }
@@ -323,6 +354,11 @@
         }
     }
 
+    /// Returns the version of the active configuration; 0 if there is none.
+    pub fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |c| c.version)
+    }
+
     /// Returns the hash of this instance's name.
     pub fn name_hash(&self) -> u32 {
         self.name_hash
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -29,6 +29,7 @@
         self.heartbeat += 1;
         self.members.remove_silent(now);
         self.upstreams.remove_due(now);
+        self.end_due_evacuations(now);
         self.sum_other_loads(now);
         holder::update_buckets(self, now);
         Datagram {
@@ -40,6 +41,7 @@
             heard_ages: None,
             wanted_name_hashes: self.members.take_unknown(),
             revision: self.revision,
+            config_version: self.config_version(),
             service_loads: self.service_loads(now),
             upstream_loads: Vec::new(),
             reported_loads: None,
--- a/crates/sesamebarrow_routing/src/catalog.rs
+++ b/crates/sesamebarrow_routing/src/catalog.rs
@@ -1,14 +1,46 @@
 //! The items published in the store, as one instance knows them: keys, values and
 //! revisions.
 //!
-//! The contents of a catalog depend only on the store's revision. Of two catalogs the one
-//! with the newer revision is therefore correct and may replace the other. Instances that
+//! The contents of a catalog depend only on the store's position. Of two catalogs the one
+//! with the later position is therefore correct and may replace the other. Instances that
 //! get no answer from the store copy the catalog from instances that do.
+//!
+//! A store that is restored from an older copy begins a new *era*, in which it gives out revisions
+//! again. A [`Position`] is the pair of era and revision. Fields named `revision` hold one, packed,
+//! so that instances of earlier versions, which know no eras, compare them alike.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use smol_str::SmolStr;
 
+/// Number of bits of a packed position that hold the revision.
+const REVISION_BITS: u32 = 48;
+
+/// A position in the store: an era and a revision in it. A later era follows all of an earlier one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// Number of times that the store was restored from an older copy; 0 if it does not say.
+    pub era: u16,
+    /// Revision, below 2^48.
+    pub revision: u64,
+}
+
+impl Position {
+    /// Returns the position as one number with the same order.
+    pub fn pack(self) -> u64 {
+        u64::from(self.era) << REVISION_BITS | self.revision.min((1 << REVISION_BITS) - 1)
+    }
+
+    /// Returns the position that `packed` stands for.
+    pub fn unpack(packed: u64) -> Self {
+        Self {
+            // CAST: the remaining 16 bits.
+            era: (packed >> REVISION_BITS) as u16,
+            revision: packed & ((1 << REVISION_BITS) - 1),
+        }
+    }
+}
+
 /// A published item.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Item {
@@ -88,9 +120,17 @@
         true
     }
 
-    /// Records that all changes up to `revision` were applied.
+    /// Returns the era of the store.
+    pub fn era(&self) -> u16 {
+        Position::unpack(self.revision).era
+    }
+
+    /// Records that all changes up to `revision` were applied. If it is of a later era than the
+    /// deletions, the changes were those of a full read.
     pub fn advance_to(&mut self, revision: u64) {
-        if self.revision == 0 {
+        let era = |packed| Position::unpack(packed).era;
+        if self.revision == 0 || era(revision) > era(self.deletions_since) {
+            self.deletions.clear();
             self.deletions_since = revision;
         }
         self.revision = self.revision.max(revision);
--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -140,6 +140,9 @@
     /// the region.
     #[prost(fixed64, repeated, tag = "11")]
     pub leaving_runs: Vec<u64>,
+    /// Version of the sender's configuration; 0 if it has none.
+    #[prost(uint64, tag = "12")]
+    pub config_version: u64,
 }
 
 /// Returns the hash that stands for a name in datagrams.
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -130,6 +130,8 @@
     pub forwarded_in_progress: u32,
     /// Revision of the newest change in the store that it knows.
     pub revision: u64,
+    /// Version of its configuration; 0 if it has none, or is of an earlier version that does not say.
+    pub config_version: u64,
 }
 
 impl Member {
@@ -258,6 +260,7 @@
             return;
         };
         member.revision = datagram.revision;
+        member.config_version = datagram.config_version;
         let upstream_loads = datagram
             .upstream_loads
             .iter()
@@ -299,6 +302,7 @@
                 upstream_loads: (Duration::ZERO, HashMap::new()),
                 forwarded_in_progress: 0,
                 revision: 0,
+                config_version: 0,
             };
             self.all.insert(SmolStr::new(&record.name), member);
             self.lost.remove(record.name.as_str());
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -205,6 +205,12 @@
         self.keys_by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns whether a known run of the upstream started after the one that `entry` describes.
+    pub fn is_earlier_run(&self, entry: &Entry) -> bool {
+        let known = self.key(&entry.id).map(|key| &self.all[key].entry);
+        known.is_some_and(|known| entry.started_at_ms < known.started_at_ms)
+    }
+
     /// Adds an upstream or updates its entry. `warmup` is the minimum time for which a
     /// restarted upstream then counts as cold.
     pub fn put(&mut self, now: Duration, entry: Entry, warmup: Duration) {
@@ -231,7 +237,10 @@
             _ => entry.cold_remaining,
         };
         upstream.cold_until = now + cold_remaining;
+        // A run that drains does not become ready again; a restored store may say so.
+        let still_ready = restarted || upstream.entry.ready;
         upstream.entry = entry;
+        upstream.entry.ready &= still_ready;
     }
 
     fn insert(&mut self, now: Duration, entry: Entry) {
--- a/crates/sesamebarrow_routing/tests/decisions/catalogs.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/catalogs.rs
@@ -1,8 +1,17 @@
 //! Tests that a catalog never goes back to older items, and that applying a delta yields
 //! the same items.
 
+use std::time::Duration;
+
 use sesamebarrow_routing::Catalog;
-use sesamebarrow_routing::catalog::{Change, Item};
+use sesamebarrow_routing::catalog::{Change, Item, Position};
+
+use crate::fleet::{Fleet, config, entry, ms, route};
+
+/// Returns a revision of a later era.
+fn at(era: u16, revision: u64) -> u64 {
+    Position { era, revision }.pack()
+}
 
 fn put(key: &str, revision: u64) -> Change {
     Change {
@@ -93,3 +102,133 @@
         .collect();
     assert_eq!(keys, ["b", "a"], "`a` is deleted, `late` is kept");
 }
+
+/// Returns the catalog of a store after it was restored to `items` at `revision`.
+fn restored(catalog: &Catalog, items: &[(&str, u64)], revision: u64) -> Catalog {
+    let mut catalog = catalog.clone();
+    let changes = items.iter().map(|(key, revision)| put(key, *revision));
+    let read = catalog_of(&changes.collect::<Vec<_>>());
+    for change in catalog.diff(&read.items, revision) {
+        catalog.apply(&change);
+    }
+    catalog.advance_to(revision);
+    catalog
+}
+
+#[test]
+fn positions_are_ordered_by_era_first() {
+    let positions = [(0, 0), (0, 9), (1, 0), (1, 3), (2, 1)].map(|(era, n)| at(era, n));
+    assert!(positions.is_sorted(), "{positions:?}");
+    assert_eq!(at(0, 77), 77, "without eras nothing changes");
+    let position = Position {
+        era: 3,
+        revision: 12,
+    };
+    assert_eq!(Position::unpack(position.pack()), position);
+}
+
+#[test]
+fn revision_given_out_twice_does_not_pass_for_the_first() {
+    let before = catalog_of(&[put("a", 5), put("b", 9)]);
+    let mut catalog = restored(&before, &[("a", at(1, 4))], at(1, 6));
+    assert_eq!(catalog.items["a"].revision, at(1, 4));
+    assert!(!catalog.items.contains_key("b"), "the copy lacks it");
+    assert!(!catalog.apply(&put("a", 8)), "a change of the last era");
+    assert!(catalog.apply(&put("b", at(1, 9))), "written again");
+}
+
+#[test]
+fn instance_that_was_cut_off_through_two_restorations_catches_up() {
+    let mut behind = catalog_of(&[put("a", 5), put("gone", 6), put("b", 9)]);
+    let first = restored(&behind, &[("a", at(1, 4)), ("gone", at(1, 4))], at(1, 6));
+    let second = restored(&first, &[("a", at(2, 5))], at(2, 5));
+    assert!(second.delta_since(behind.revision).full);
+    catch_up(&mut behind, &second);
+    assert_eq!(behind.items, second.items);
+    assert_eq!(behind.revision, second.revision);
+}
+
+#[test]
+fn deltas_within_a_later_era_hold_its_deletions() {
+    let first = restored(
+        &catalog_of(&[put("a", 5)]),
+        &[("a", at(1, 4)), ("b", at(1, 5))],
+        at(1, 6),
+    );
+    let (mut ahead, mut behind) = (first.clone(), first);
+    ahead.apply(&delete("b", at(1, 8)));
+    let delta = ahead.delta_since(behind.revision);
+    assert!(!delta.full);
+    catch_up(&mut behind, &ahead);
+    assert_eq!(behind.items, ahead.items);
+}
+
+const NOW: Duration = Duration::from_secs(20);
+
+/// Returns a board that has just seen the store come back.
+fn board_after_restoration() -> sesamebarrow_routing::Board {
+    let mut fleet = Fleet::new(&[("a", 1)], config(&[], vec![route("r", &[])]));
+    let mut board = fleet.instances.remove(0).board;
+    board.put_upstream(Duration::ZERO, entry("up", "a", Duration::ZERO));
+    board.last_store_outage_at = Some(NOW);
+    board
+}
+
+#[test]
+fn evacuation_that_a_restored_store_lacks_holds_until_it_is_published_again() {
+    let mut board = board_after_restoration();
+    board.set_evacuated(ms(5_000), "a", true);
+    board.set_evacuated(NOW, "a", false);
+    assert!(board.evacuated.contains("a"));
+    board.set_evacuated(NOW + ms(1_000), "a", true);
+    board.begin_gossip_round(NOW + ms(9_000));
+    assert!(board.evacuated.contains("a"), "it was published again");
+}
+
+#[test]
+fn evacuation_that_a_restored_store_lacks_ends_if_it_is_not_published_again() {
+    let mut board = board_after_restoration();
+    board.set_evacuated(ms(5_000), "a", true);
+    board.set_evacuated(NOW, "a", false);
+    board.begin_gossip_round(NOW + ms(2_400));
+    assert!(board.evacuated.contains("a"));
+    board.begin_gossip_round(NOW + ms(2_600));
+    assert!(!board.evacuated.contains("a"));
+}
+
+#[test]
+fn upstream_that_drains_is_not_made_ready_by_a_restored_store() {
+    let mut board = board_after_restoration();
+    let ready = entry("up", "a", Duration::ZERO);
+    let mut draining = ready.clone();
+    draining.ready = false;
+    board.put_upstream(ms(19_000), draining);
+    board.put_upstream(NOW, ready.clone());
+    let is_ready = |board: &sesamebarrow_routing::Board| {
+        let key = board.upstreams.key("up").expect("known");
+        board.upstreams.all[key].entry.ready
+    };
+    assert!(!is_ready(&board));
+    let mut new_run = ready;
+    new_run.started_at_ms = Some(2);
+    board.put_upstream(NOW + ms(1_000), new_run);
+    assert!(is_ready(&board));
+}
+
+#[test]
+fn entry_of_an_ended_run_in_a_restored_store_is_ignored() {
+    let mut board = board_after_restoration();
+    let first_run = entry("up", "a", Duration::ZERO);
+    let mut second_run = first_run.clone();
+    second_run.started_at_ms = Some(2);
+    board.put_upstream(ms(19_000), second_run);
+    board.put_upstream(NOW + ms(100), first_run.clone());
+    let started_at = |board: &sesamebarrow_routing::Board| {
+        let key = board.upstreams.key("up").expect("known");
+        board.upstreams.all[key].entry.started_at_ms
+    };
+    assert_eq!(started_at(&board), Some(2));
+    // Long after it, a clock that was set back explains an earlier start.
+    board.put_upstream(NOW + ms(9_000), first_run);
+    assert_eq!(started_at(&board), Some(1));
+}
