Keep floors of single instances inside the fleet's retry budget and limit on cold sends

Each instance could retry once a window, and send one request to a cold upstream, however many instances there were. With few requests each, 350 instances made 700 retries in a window that allows 192; 65 instances of a region that cannot reach each other sent 65 requests in a second that allows 8.

The limit of a cold upstream is divided by the instances that are not heard from, without a floor, in place of by all of the region as soon as one is missing: with one of 65 gone, the owner sends more than before.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -175,9 +175,10 @@
     }
     let mut board = shared.board();
     let instances = board.instance_count();
-    let granted = board
-        .budget
-        .try_spend(shared.now(), &job.policy.service, instances);
+    let granted =
+        board
+            .budget
+            .try_spend(shared.now(), &job.policy.service, instances, rand::random());
     telemetry::count_retry(granted);
     granted
 }
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -284,12 +284,8 @@
     let is_owner = alive
         .iter()
         .all(|m| rendezvous::weight(id, &m.record.name) < own_weight);
-    let send_limit = cold::max_sends(
-        board.parameters.cold,
-        rate,
-        known_count,
-        alive.len() + 1 == known_count,
-    );
+    let unreached = known_count.saturating_sub(alive.len() + 1);
+    let send_limit = cold::max_sends(board.parameters.cold, rate, unreached);
     is_owner && upstream.cold_sends.allows(now, send_limit)
 }
 
--- a/crates/sesamebarrow_routing/src/cold.rs
+++ b/crates/sesamebarrow_routing/src/cold.rs
@@ -3,7 +3,8 @@
 //! A cold upstream can serve only a few requests per second from all instances together.
 //! The instance of its region with the highest rendezvous weight owns the upstream, and
 //! only the owner sends it requests. While some instances of the region are not heard from,
-//! several may consider themselves the owner; each then uses an equal part of the limit.
+//! several may consider themselves the owner; each then uses a part of the limit, which is none if
+//! more are not heard from than the limit has requests.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -44,15 +45,13 @@
     }
 }
 
-/// Returns how many requests one instance may send in a window.
+/// Returns how many requests the owner of an upstream may send in a window.
 ///
-/// `rate` is the rate that the service states, `instances` is the number of instances in
-/// the region, and `all_alive` tells whether all of them are heard from.
-pub fn max_sends(limit: Limit, rate: f64, instances: usize, all_alive: bool) -> usize {
+/// `rate` is the rate that the service states, and `unreached` the number of instances of the
+/// region that are not heard from. Each of them may consider itself the owner too; one more part is
+/// left to an instance that does not know yet that this one is.
+pub fn max_sends(limit: Limit, rate: f64, unreached: usize) -> usize {
     let total_sends = rate * limit.rate_factor + limit.slack;
-    // Half of the limit is left to an instance that does not know yet that this one is the
-    // owner.
-    let divisor = if all_alive { 2 } else { instances.max(2) };
-    // CAST: a small positive number, rounded down.
-    (total_sends / divisor as f64).floor().max(1.0) as usize
+    // CAST: a small number that is not negative, rounded down.
+    (total_sends / (2 + unreached) as f64).floor().max(0.0) as usize
 }
--- a/crates/sesamebarrow_routing/tests/decisions/cold_upstreams.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/cold_upstreams.rs
@@ -131,3 +131,30 @@
     }
     check_limit(&send_requests(&mut fleet, ms(2_000), |_, _| true));
 }
+
+/// Returns the requests sent to a cold upstream by a region of `count` instances of which `gone` have
+/// been silent for a while. Those that are left send a request every 20 ms.
+fn send_with_gone(count: usize, gone: usize, reaches_others: bool) -> Vec<Duration> {
+    let mut fleet = Fleet::new(&[("a", count)], config(&[], vec![route("r", &[])]));
+    fleet.advance(ms(6_000));
+    publish(&mut fleet, ms(60_000));
+    let reaches =
+        |from: usize, to: usize| from == to || reaches_others && from >= gone && to >= gone;
+    let until = fleet.now + ms(7_000);
+    while fleet.now < until {
+        fleet.step(reaches);
+    }
+    send_requests(&mut fleet, ms(3_000), reaches)
+}
+
+#[test]
+fn instances_of_a_large_region_that_cannot_reach_each_other_stay_within_the_limit() {
+    check_limit(&send_with_gone(65, 0, false));
+}
+
+#[test]
+fn cold_upstream_is_warmed_while_one_instance_of_a_large_region_is_gone() {
+    let sent = send_with_gone(65, 1, true);
+    check_limit(&sent);
+    assert!(sent.len() >= 3, "only {} requests sent", sent.len());
+}
