Refill no more than each rate by instances that start without reaching each other

An instance that had never heard another refilled 1/18 of each rate in a deployment of three domains (1/36 with six), and after 30 s its region's whole part: 350 that start cut off from each other would have refilled 19 times the rate, later more. Unless the settings name no other instance, each now refills 1/350 of the rate, the size that the system is designed for, until it hears another or ten minutes have passed. The price: an instance that starts alone while it is cut off refuses most requests of limited customers.

Test: instances_that_start_without_reaching_each_other_refill_no_more_than_each_rate (350 instances, 45 s). It was not run on the code before; the figures above are computed from it.

--- a/crates/sesamebarrow_gateway/src/settings.rs
+++ b/crates/sesamebarrow_gateway/src/settings.rs
@@ -266,9 +266,6 @@
                 window: limits.quota_window,
                 overshoot: limits.quota_over,
                 slack: limits.quota_slack,
-                // The smallest deployments so far have two instances per failure domain. The
-                // value is needed only until the first datagrams are answered.
-                assumed_instances: (self.domains.len() * 2).max(6) as f64,
             },
             cold: cold::Limit {
                 rate_factor: limits.cold_ratio,
@@ -276,6 +273,7 @@
             },
             prefill_per_ms: limits.prefill_per_ms,
             region_delay: limits.region_delay,
+            expects_others: self.seeds.iter().any(|seed| *seed != self.listen.sync),
         }
     }
 }
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -53,6 +53,8 @@
     pub prefill_per_ms: f64,
     /// One-way delay between regions.
     pub region_delay: Duration,
+    /// Whether the settings name other instances.
+    pub expects_others: bool,
 }
 
 /// Time after an outage of the store in which entries that expired during the outage may be
--- a/crates/sesamebarrow_routing/src/holder.rs
+++ b/crates/sesamebarrow_routing/src/holder.rs
@@ -8,7 +8,7 @@
 //! borrowed tokens. While an instance is silent, the next one takes its place as a holder,
 //! but does not refill a bucket for it, so that views that differ never exceed the rate.
 //!
-//! An instance that was silent for [`REMOVAL_TIMEOUT`] without having drained has ended, or serves
+//! An instance that was silent for [`crate::member::REMOVAL_TIMEOUT`] without having drained has ended, or serves
 //! behind a partition. The others then refill in its place, but only their share of the region's
 //! part, by the number of instances that they reach: the sides of a region that is split in itself
 //! add up to that part.
@@ -20,7 +20,7 @@
 use smol_str::SmolStr;
 
 use crate::board::Board;
-use crate::member::{DISCOVERY_TIME, Member, REMOVAL_TIMEOUT};
+use crate::member::{DISCOVERY_TIME, LOST_LIFETIME, Member};
 use crate::quota::LoanNeed;
 use crate::rendezvous;
 
@@ -33,6 +33,10 @@
 /// Maximum time after its start in which an instance waits until no new members appear.
 const MAX_DISCOVERY_TIME: Duration = Duration::from_secs(6);
 
+/// Number of instances that the system is designed for. If all of them start without reaching each
+/// other, they refill each rate once.
+const MAX_INSTANCES: f64 = 350.0;
+
 /// Number of instances per region that refill a customer's bucket. With two, the region
 /// keeps half of its part while the failure of one is being detected.
 pub const REFILLED_PER_REGION: usize = 2;
@@ -180,9 +184,10 @@
     let count = |n: usize| n as f64;
     let region_fraction = 1.0 / count(board.region_count());
     let members = &board.members;
-    if members.all.is_empty() && now < REMOVAL_TIMEOUT {
-        // The others may be cut off from this instance rather than absent.
-        return region_fraction / board.parameters.quota.assumed_instances;
+    let never_heard_others = members.all.is_empty() && members.lost_count() == 0;
+    if never_heard_others && board.parameters.expects_others && now < LOST_LIFETIME {
+        // The others are more likely cut off from this instance than absent.
+        return 1.0 / MAX_INSTANCES;
     }
     let previous_version = members.all.values().filter(|m| !m.record.keeps_buckets);
     match previous_version.count() {
--- a/crates/sesamebarrow_routing/src/quota.rs
+++ b/crates/sesamebarrow_routing/src/quota.rs
@@ -68,8 +68,6 @@
     pub overshoot: f64,
     /// Tokens allowed in addition in each window.
     pub slack: f64,
-    /// Maximum number of instances that may start without having heard from each other.
-    pub assumed_instances: f64,
 }
 
 /// Describes a request that exceeds its customer's rate.
--- a/crates/sesamebarrow_routing/tests/decisions/buckets.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/buckets.rs
@@ -635,6 +635,23 @@
     }
 }
 
+#[test]
+fn instances_that_start_without_reaching_each_other_refill_no_more_than_each_rate() {
+    let counts = [("a", 117), ("b", 117), ("c", 116)];
+    let mut fleet = Fleet::new(&counts, config_with(&[600_000.0; 19], 1));
+    let until = fleet.now + ms(45_000);
+    while fleet.now < until {
+        fleet.step(|from, to| from == to);
+        for fraction in refill_fractions(&fleet) {
+            assert!(
+                fraction <= 1.0 + 1e-9,
+                "{fraction} of a rate at {:?}",
+                fleet.now
+            );
+        }
+    }
+}
+
 /// Defines a test that starts a fleet, and then restarts all its instances at once.
 macro_rules! refill_test {
     ($name:ident, $counts:expr, $start_time:expr) => {
--- a/crates/sesamebarrow_routing/tests/decisions/fleet.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/fleet.rs
@@ -43,7 +43,6 @@
             window: Duration::from_secs(8),
             overshoot: 0.25,
             slack: 72_000.0,
-            assumed_instances: 6.0,
         },
         cold: cold::Limit {
             rate_factor: 1.5,
@@ -51,6 +50,7 @@
         },
         prefill_per_ms: 91.8,
         region_delay: DELAY,
+        expects_others: true,
     }
 }
 
--- a/crates/sesamebarrow_trial/src/placement.rs
+++ b/crates/sesamebarrow_trial/src/placement.rs
@@ -488,7 +488,6 @@
             window,
             overshoot: 0.25,
             slack: 72_000.0,
-            assumed_instances: 6.0,
         },
         cold: cold::Limit {
             rate_factor: 1.5,
@@ -496,5 +495,6 @@
         },
         prefill_per_ms: cfg.engine.prefill_per_ms,
         region_delay: Duration::from_millis(80),
+        expects_others: true,
     }
 }
