Use the region delay of the settings for hops, pause after each failed accept, drop a match without effect

A forwarded request gave up a fixed 80 ms in place of the delay of the settings. The admin and link listeners of the callers' interface retried a failed accept at once and without a log line, so that running out of file descriptors spun the processor. `Upstreams::put` matched on a value that changed nothing: a run whose entry comes back is the same run, and is not cold.

No test of its own: the first two need a clock and descriptors that tests do not set; the third changes nothing.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -357,7 +357,14 @@
     let req = match target {
         Target::Upstream(selected) => build_upstream_request(job, selected, last_event),
         Target::Instance(remote) => {
-            hop::build_request(job, remote, last_event, &history.tried_remote_upstreams)
+            let delay = shared.board().parameters.region_delay;
+            hop::build_request(
+                job,
+                remote,
+                delay,
+                last_event,
+                &history.tried_remote_upstreams,
+            )
         }
     };
     // A forwarded request was already counted by the instance that forwarded it.
--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -82,6 +82,7 @@
 pub fn build_request(
     job: &Job,
     remote: &RemoteInstance,
+    region_delay: Duration,
     last_event: Option<&SmolStr>,
     tried_upstreams: &[SmolStr],
 ) -> Request<Full<Bytes>> {
@@ -89,9 +90,9 @@
     let time_to_target = job
         .response_due_at
         .saturating_duration_since(Instant::now());
-    // The times are reduced by the default one-way delay between regions, but by no more than the
+    // The times are reduced by the one-way delay between regions, but by no more than the
     // estimated wait, since the first byte of the response arrives that much later.
-    let return_delay = remote.estimated_wait.min(Duration::from_millis(80));
+    let return_delay = remote.estimated_wait.min(region_delay);
     let envelope = Envelope {
         service: job.policy.service.clone(),
         route: job.policy.route.clone(),
--- a/crates/sesamebarrow_node/src/accept.rs
+++ b/crates/sesamebarrow_node/src/accept.rs
@@ -42,8 +42,7 @@
         let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
-                log::warn!(error:% = error; "cannot accept connection");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                pause_after_failure(&error).await;
                 continue;
             }
         };
@@ -66,6 +65,12 @@
 /// Delay after a failed accept. The likely cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Logs a failed accept, and waits before the next one.
+pub async fn pause_after_failure(error: &std::io::Error) {
+    log::warn!(error:% = error; "cannot accept connection");
+    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+}
+
 /// Maximum time to receive the head of an HTTP/1.1 request.
 const HEAD_READ_TIMEOUT: Duration = Duration::from_secs(10);
 
--- a/crates/sesamebarrow_node/src/admin.rs
+++ b/crates/sesamebarrow_node/src/admin.rs
@@ -16,6 +16,7 @@
 use subtle::ConstantTimeEq;
 use tokio::net::TcpListener;
 
+use crate::accept;
 use crate::driver::Command;
 use crate::node::Node;
 use crate::problem::Problem;
@@ -34,9 +35,12 @@
 /// Serves operators until the process ends.
 pub async fn serve(cx: Arc<Context>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
-            continue;
+        let (stream, _) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                accept::pause_after_failure(&error).await;
+                continue;
+            }
         };
         let cx = cx.clone();
         tokio::spawn(async move {
--- a/crates/sesamebarrow_node/src/peer.rs
+++ b/crates/sesamebarrow_node/src/peer.rs
@@ -21,6 +21,7 @@
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::accept;
 use crate::attempt::{OutboundRequest, RequestContext};
 use crate::node::Node;
 
@@ -179,9 +180,12 @@
 /// Accepts links until the process ends.
 pub async fn listen(node: Arc<Node>, listener: TcpListener) {
     loop {
-        let Ok((stream, address)) = listener.accept().await else {
-            tokio::task::yield_now().await;
-            continue;
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                accept::pause_after_failure(&error).await;
+                continue;
+            }
         };
         let node = node.clone();
         tokio::spawn(async move {
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -225,17 +225,15 @@
         }
         let upstream = &mut self.all[key];
         let restarted = upstream.entry.started_at_ms != entry.started_at_ms;
-        let was_scheduled_for_removal = upstream.removal_at.take().is_some();
+        upstream.removal_at = None;
         if restarted {
             upstream.cache.clear();
             upstream.availability = upstream.availability.of_new_run();
             upstream.reported_load = None;
         }
-        let cold_remaining = match (restarted, was_scheduled_for_removal) {
-            // A restarted upstream may be cold without having published it yet.
-            (true, _) => entry.cold_remaining.max(warmup),
-            _ => entry.cold_remaining,
-        };
+        // A restarted upstream may be cold without having published it yet.
+        let min_cold = if restarted { warmup } else { Duration::ZERO };
+        let cold_remaining = entry.cold_remaining.max(min_cold);
         upstream.cold_until = now + cold_remaining;
         // A run that drains does not become ready again; a restored store may say so.
         let still_ready = restarted || upstream.entry.ready;
