Measure streams by their events, not by the chunks that carry them

Events that arrive together still count as one. No test of its own; the tests of streams and decisions pass.

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -105,9 +105,9 @@
         self.target.name()
     }
 
-    /// Records at the first call that bytes of the response body were received, so that the prompt
-    /// has been prefilled. Later calls have no effect.
-    pub fn record_first_byte(&mut self) {
+    /// Records at the first call that an event of the stream was received, so that the prompt has been
+    /// prefilled. Later calls have no effect.
+    pub fn record_first_event(&mut self) {
         if let Target::Upstream(selected) = &self.target
             && self.request_load.prefill_tokens > 0
         {
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -176,6 +176,14 @@
         relay::record_end(&self.shared, &self.job, &end);
     }
 
+    /// Records that an event was completed, which also shows that the prompt has been prefilled.
+    fn record_event(&mut self) {
+        if let StreamState::Receiving(_, Some(attempt)) = &mut self.state {
+            attempt.record_first_event();
+        }
+        self.timing.record_event(self.job.started_at);
+    }
+
     /// Ends the current attempt.
     fn end_attempt(&mut self, outcome: AttemptOutcome) {
         let state = std::mem::replace(&mut self.state, StreamState::Done);
@@ -308,15 +316,15 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    if let StreamState::Receiving(_, Some(attempt)) = &mut this.state {
-                        attempt.record_first_byte();
-                    }
+                    let events_before = this.events.parser.events();
                     let Ok(data) = this.events.push(data) else {
                         this.end_attempt(AttemptOutcome::Broken);
                         return this.fail(cx, "event-too-large");
                     };
+                    if this.events.parser.events() > events_before {
+                        this.record_event();
+                    }
                     if !data.is_empty() {
-                        this.timing.record_event(this.job.started_at);
                         return Poll::Ready(Some(Ok(Frame::data(data))));
                     }
                 }
--- a/crates/sesamebarrow_gateway/src/stream_timing.rs
+++ b/crates/sesamebarrow_gateway/src/stream_timing.rs
@@ -13,8 +13,8 @@
 }
 
 impl StreamTiming {
-    /// Records that a chunk of the stream is relayed now, for a request that was received at
-    /// `request_started_at`. A chunk counts as one event.
+    /// Records that an event is relayed now, for a request that was received at
+    /// `request_started_at`. Events that arrive together count as one.
     pub fn record_event(&mut self, request_started_at: Instant) {
         let now = Instant::now();
         self.first_event.get_or_insert(now - request_started_at);
