--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -267,7 +267,8 @@
         if let Some(list) = self.keys_by_service.get_mut(&upstream.entry.service) {
             list.retain(|k| *k != key);
         }
-        let availability = upstream.availability;
+        let mut availability = upstream.availability;
+        availability.leaving |= !upstream.entry.ready;
         if availability.leaving || now < availability.rest_until {
             let removed = Removed {
                 started_at_ms: upstream.entry.started_at_ms,
--- a/crates/sesamebarrow_routing/tests/decisions/catalogs.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/catalogs.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use sesamebarrow_routing::Catalog;
 use sesamebarrow_routing::catalog::{Change, Item, Position};
+use sesamebarrow_routing::{Catalog, admit};
 
 use crate::fleet::{Fleet, config, entry, ms, route};
 
@@ -215,6 +215,19 @@
     assert!(is_ready(&board));
 }
 
+#[test]
+fn removed_upstream_that_drained_is_not_made_ready_by_a_restored_store() {
+    let mut board = board_after_restoration();
+    let ready = entry("up", "a", Duration::ZERO);
+    let mut draining = ready.clone();
+    draining.ready = false;
+    board.put_upstream(ms(15_000), draining);
+    board.upstreams.remove(ms(19_000), "up");
+    board.put_upstream(NOW, ready);
+    let key = board.upstreams.key("up").expect("known");
+    assert!(!admit::may_send(&board, NOW, key));
+}
+
 #[test]
 fn entry_of_an_ended_run_in_a_restored_store_is_ignored() {
     let mut board = board_after_restoration();
