--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -1,8 +1,8 @@
 //! The gateway instance for traffic that is routed by host and path.
 //!
 //! [`server`] accepts a request. [`intake`] finds its route, identifies the customer and
-//! reserves the tokens that it costs. [`exchange`] makes attempts at the targets that
-//! `sesamebarrow_routing` selects, over connections of [`pool`]. [`relay`] sends the response to
+//! reserves the tokens that it costs. [`exchange`] makes attempts at the targets that [`selection`]
+//! takes from `sesamebarrow_routing`, over connections of [`pool`]. [`relay`] sends the response to
 //! the client, [`stream`] an event stream. [`event_stream`] and [`framing`] tell whether a body
 //! that has ended is complete. [`hop`] forwards requests to an instance of another region.
 //!
@@ -26,6 +26,7 @@
 pub mod relay;
 pub mod reply;
 pub mod run;
+pub mod selection;
 pub mod server;
 pub mod settings;
 pub mod shared;
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -12,11 +12,12 @@
 use sesamebarrow_routing::upstream::AttemptOutcome;
 
 use crate::event_stream::{self, Position};
-use crate::exchange::{self, AttemptHistory, UpstreamResponse};
+use crate::exchange::{self, UpstreamResponse};
 use crate::framing::Framing;
 use crate::hop;
 use crate::intake::Job;
 use crate::reply::Refusal;
+use crate::selection::AttemptHistory;
 use crate::shared::Shared;
 use crate::stream;
 use crate::stream_timing::StreamTiming;
--- /dev/null
+++ b/crates/sesamebarrow_gateway/src/selection.rs
@@ -0,0 +1,171 @@
+//! Selects the target of an attempt: an upstream of this region, or an instance of another.
+
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+use sesamebarrow_routing::Board;
+use sesamebarrow_routing::admit::{self, MIN_RETRY_AFTER, Rejection, RequestSpec};
+use sesamebarrow_routing::spill::{self, RemoteInstance};
+use sesamebarrow_routing::upstream::Key;
+use smol_str::SmolStr;
+
+use crate::attempt::Target;
+use crate::intake::Job;
+use crate::reply::Refusal;
+use crate::shared::Shared;
+
+/// Minimum estimated time that forwarding a request to another region must save.
+const MIN_FORWARDING_GAIN: Duration = Duration::from_millis(120);
+
+/// Minimum of the range of random times that is added to the retry delays of refused clients.
+const RETRY_AFTER_JITTER: Duration = Duration::from_millis(400);
+
+/// Range of random times that is added to long retry delays, as a fraction of the delay.
+const RETRY_AFTER_SPREAD: f64 = 0.25;
+
+/// The attempts made so far for a job.
+#[derive(Debug, Default)]
+pub struct AttemptHistory {
+    /// Upstreams of this region that were tried.
+    pub tried_upstreams: Vec<Key>,
+    /// Other regions that were tried.
+    pub tried_regions: Vec<SmolStr>,
+    /// Ids of upstreams of other regions that ran the request.
+    pub tried_remote_upstreams: Vec<SmolStr>,
+    /// Number of attempts begun, including those that could not connect.
+    pub begun: u32,
+    /// Number of attempts that were sent to a target, including those that did not run.
+    pub sent: u32,
+    /// Number of attempts that may have run.
+    pub possible_runs: u32,
+}
+
+/// Returns the time until an upstream of this region wants requests for the service of `job` again;
+/// zero if one does now, or if there are none.
+pub fn rest_of_service(shared: &Shared, job: &Job) -> Duration {
+    let now = shared.now();
+    admit::service_rest(&shared.board(), now, &job.policy.service).unwrap_or_default()
+}
+
+/// Returns the delay after which a refused client may retry, at least `min`. It is random so
+/// that refused clients do not all retry at the same time.
+pub fn jittered_retry_after(min: Duration) -> Duration {
+    let range = RETRY_AFTER_JITTER.max(min.mul_f64(RETRY_AFTER_SPREAD));
+    min + range.mul_f64(rand::rng().random::<f64>())
+}
+
+/// Selects the target of the next attempt of `job`.
+pub fn select_target(
+    shared: &Shared,
+    job: &Job,
+    history: &mut AttemptHistory,
+) -> Result<Target, Refusal> {
+    let now = shared.now();
+    let mut board = shared.board();
+    let time_to_target = job
+        .response_due_at
+        .saturating_duration_since(Instant::now());
+    let mut spec = job.spec.clone();
+    // Once the target latency has passed, half of the remaining time takes its place, so that the
+    // request is still sent while its deadline allows.
+    spec.target_wait = if time_to_target.is_zero() {
+        job.time_left() / 2
+    } else {
+        time_to_target
+    };
+    // Another instance may have named upstreams that it tried.
+    spec.tried_upstreams.extend(&history.tried_upstreams);
+    let region_allowed = job.residency.allows(&board.identity.region);
+    let mut local = if region_allowed {
+        admit::select_upstream(&mut board, now, &spec)
+    } else {
+        Err(Rejection::NoUpstream)
+    };
+    let exhausted =
+        region_allowed && local == Err(Rejection::NoUpstream) && !spec.tried_upstreams.is_empty();
+    let may_repeat_there = job.policy.may_repeat
+        && (history.possible_runs > 0 || !job.spec.tried_upstreams.is_empty());
+    if exhausted && may_repeat_there {
+        // All upstreams were tried. The request may be repeated, so they may be tried again.
+        spec.tried_upstreams.clear();
+        local = admit::select_upstream(&mut board, now, &spec);
+    }
+    if job.policy.from_instance {
+        return local.map(Target::Upstream).map_err(|rejection| {
+            log_rejection(shared, &board, job, &spec, (rejection, None));
+            to_refusal(rejection)
+        });
+    }
+    if let Ok(selected) = &local
+        && selected.estimated_wait < MIN_FORWARDING_GAIN + board.parameters.region_delay * 2
+    {
+        return Ok(Target::Upstream(selected.clone()));
+    }
+    // The last part belongs to this request alone. The part before it stands for the prefix that
+    // requests share.
+    let affinity_key = spec.prompt.iter().rev().nth(1).map(|part| part.id);
+    let allowed = |region: &str| job.residency.allows(region);
+    let mut select_instance = |tried_regions: &[SmolStr]| {
+        let service = &job.policy.service;
+        spill::select_instance(
+            &mut board,
+            now,
+            service,
+            allowed,
+            tried_regions,
+            affinity_key,
+        )
+    };
+    let mut remote = select_instance(&history.tried_regions);
+    if remote.is_none() && local.is_err() && history.possible_runs > 0 && job.policy.may_repeat {
+        // All regions were tried. Other upstreams of theirs may continue.
+        remote = select_instance(&[]);
+    }
+    match (local, remote) {
+        (Ok(selected), Some(remote))
+            if remote.estimated_wait + MIN_FORWARDING_GAIN < selected.estimated_wait =>
+        {
+            Ok(Target::Instance(remote))
+        }
+        (Ok(selected), _) => Ok(Target::Upstream(selected)),
+        (Err(_), Some(remote)) if remote.estimated_wait < spec.target_wait => {
+            Ok(Target::Instance(remote))
+        }
+        (Err(rejection), remote) => {
+            log_rejection(shared, &board, job, &spec, (rejection, remote.as_ref()));
+            Err(to_refusal(rejection))
+        }
+    }
+}
+
+/// Logs that neither an upstream nor another region accepts a request, with the values that
+/// decided it.
+fn log_rejection(
+    shared: &Shared,
+    board: &Board,
+    job: &Job,
+    spec: &RequestSpec,
+    (rejection, remote): (Rejection, Option<&RemoteInstance>),
+) {
+    if !shared.log_limiter.allow(true) {
+        return;
+    }
+    let (wait, usable) = admit::service_load(board, shared.now(), &spec.service);
+    log::info!(
+        request = job.id.as_str(), refused:% = rejection, service = spec.service.as_str(), usable,
+        wait_ms = wait.as_millis(), target_ms = spec.target_wait.as_millis(), tokens = spec.prompt_tokens,
+        hop = remote.map_or("none", |h| h.name.as_str()),
+        hop_wait_ms = remote.map_or(0, |h| h.estimated_wait.as_millis());
+        "nothing takes it"
+    );
+}
+
+fn to_refusal(rejection: Rejection) -> Refusal {
+    let min = match rejection {
+        Rejection::NoUpstream => Duration::from_millis(600),
+        Rejection::Cold => Duration::from_millis(400),
+        Rejection::Resting(rest) => rest.max(MIN_RETRY_AFTER),
+        Rejection::Overload => MIN_RETRY_AFTER,
+    };
+    Refusal::NotRun(rejection.into(), jittered_retry_after(min))
+}
--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -15,10 +15,11 @@
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::exchange::{self, AttemptHistory};
+use crate::exchange;
 use crate::intake::{self, Job};
 use crate::relay::{self, Body};
 use crate::reply::Refusal;
+use crate::selection::AttemptHistory;
 use crate::shared::Shared;
 use crate::{hop, socket};
 
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -18,11 +18,12 @@
 
 use crate::attempt::Attempt;
 use crate::event_stream::{self, BYTE_ORDER_MARK, Parser, ResumePoint};
-use crate::exchange::{self, AttemptHistory, UpstreamResponse};
+use crate::exchange::{self, UpstreamResponse};
 use crate::framing::{self, Framing};
 use crate::intake::Job;
 use crate::relay::{self, Body, BodyError, End, StreamEnd};
 use crate::reply::Refusal;
+use crate::selection::AttemptHistory;
 use crate::shared::Shared;
 use crate::stream_timing::StreamTiming;
 use crate::telemetry;
--- a/crates/sesamebarrow_gateway/src/token.rs
+++ b/crates/sesamebarrow_gateway/src/token.rs
@@ -18,8 +18,8 @@
 use tokio::sync::oneshot;
 use tokio::time::MissedTickBehavior;
 
-use crate::exchange::jittered_retry_after;
 use crate::reply::Refusal;
+use crate::selection::jittered_retry_after;
 use crate::shared::Shared;
 use crate::telemetry;
 
