--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -22,3 +22,5 @@
 mod members;
 #[path = "decisions/placement.rs"]
 mod placement;
+#[path = "decisions/refills.rs"]
+mod refills;
--- a/crates/sesamebarrow_routing/tests/decisions/buckets.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/buckets.rs
@@ -7,10 +7,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sesamebarrow_routing::Config;
-use sesamebarrow_routing::token;
 use smol_str::{SmolStr, format_smolstr};
 
-use crate::fleet::{Fleet, Instance, STEP, config, customer, ms, route};
+use crate::fleet::{Fleet, STEP, config, customer, ms, route};
 
 // The tolerance, with the same values as in `parameters().quota`.
 const WINDOW: Duration = Duration::from_secs(8);
@@ -175,7 +174,7 @@
 }
 
 /// Returns a configuration with a customer for each rate.
-fn config_with(rates: &[f64], version: u64) -> Config {
+pub fn config_with(rates: &[f64], version: u64) -> Config {
     let customers = rates.iter().enumerate();
     let customers = customers.map(|(n, rate)| customer(&format!("customer-{n}"), *rate));
     let mut config = config(&customers.collect::<Vec<_>>(), vec![route("r", &[])]);
@@ -222,8 +221,8 @@
     true
 }
 
-const SMALL: &[(&str, usize)] = &[("a", 3), ("b", 1), ("c", 2)];
-const LARGE: &[(&str, usize)] = &[("a", 65), ("b", 65), ("c", 65)];
+pub const SMALL: &[(&str, usize)] = &[("a", 3), ("b", 1), ("c", 2)];
+pub const LARGE: &[(&str, usize)] = &[("a", 65), ("b", 65), ("c", 65)];
 
 /// Defines a test for a fleet and its customers' rates and mean costs, which runs with
 /// several seeds. [`send`] checks the limit.
@@ -584,11 +583,6 @@
     }
 );
 
-fn refill_fraction(instance: &Instance, customer: u64) -> f64 {
-    let state = instance.board.quota.bucket_state(customer);
-    state.map_or(0.0, |s| s.refill_fraction)
-}
-
 bucket_test!(
     tokens_stored_before_a_rate_was_lowered_are_not_spent_after_it,
     LARGE,
@@ -606,96 +600,3 @@
         simulation.run(ms(9_000), all);
     }
 );
-
-/// Returns the fraction of each of 19 customers' rates that all buckets together refill at.
-fn refill_fractions(fleet: &Fleet) -> Vec<f64> {
-    let fraction = |n: u32| {
-        let customer = token::customer_hash(&format!("customer-{n}"));
-        let instances = fleet.instances.iter();
-        instances.map(|i| refill_fraction(i, customer)).sum()
-    };
-    (0..19).map(fraction).collect()
-}
-
-/// Buckets refill at exactly the rate soon after a start, and never at more than the rate
-/// and the eighth that is added to it.
-fn check_refill_after_start(fleet: &mut Fleet, start_time: Duration) {
-    let started_at = fleet.now;
-    while fleet.now < started_at + start_time + ms(2_000) {
-        fleet.advance(ms(100));
-        let after = fleet.now - started_at;
-        let fractions = refill_fractions(fleet);
-        for fraction in &fractions {
-            assert!(*fraction <= 1.125, "{fraction} of a rate after {after:?}");
-            if after > start_time {
-                let exact = (fraction - 1.0).abs() < 1e-9;
-                assert!(exact, "{fraction} of a rate after {after:?}");
-            }
-        }
-    }
-}
-
-#[test]
-fn instances_that_start_without_reaching_each_other_refill_no_more_than_each_rate() {
-    let counts = [("a", 117), ("b", 117), ("c", 116)];
-    let mut fleet = Fleet::new(&counts, config_with(&[600_000.0; 19], 1));
-    let until = fleet.now + ms(45_000);
-    while fleet.now < until {
-        fleet.step(|from, to| from == to);
-        for fraction in refill_fractions(&fleet) {
-            assert!(
-                fraction <= 1.0 + 1e-9,
-                "{fraction} of a rate at {:?}",
-                fleet.now
-            );
-        }
-    }
-}
-
-/// Defines a test that starts a fleet, and then restarts all its instances at once.
-macro_rules! refill_test {
-    ($name:ident, $counts:expr, $start_time:expr) => {
-        #[test]
-        fn $name() {
-            let rates = [600_000.0; 19];
-            let mut fleet = Fleet::new($counts, config_with(&rates, 1));
-            check_refill_after_start(&mut fleet, $start_time);
-            (0..fleet.instances.len()).for_each(|at| fleet.restart(at));
-            check_refill_after_start(&mut fleet, $start_time);
-        }
-    };
-}
-
-refill_test!(six_instances_refill_each_rate_once, SMALL, ms(1_600));
-refill_test!(
-    seventy_five_instances_refill_each_rate_once,
-    &[("a", 25), ("b", 25), ("c", 25)],
-    ms(3_000)
-);
-refill_test!(
-    one_hundred_ninety_five_instances_refill_each_rate_once,
-    LARGE,
-    ms(3_000)
-);
-
-#[test]
-fn instances_of_the_previous_version_leave_room_for_the_others() {
-    let mut simulation = Simulation::new(&[("a", 4), ("b", 4)], &[(600_000.0, 1_000.0)], 0);
-    let fleet = &mut simulation.fleet;
-    for index in [0, 1, 4, 5] {
-        fleet.instances[index].previous_version = true;
-    }
-    fleet.advance(ms(4_000));
-    let customer = token::customer_hash("customer-0");
-    let fraction: f64 = [2, 3, 6, 7]
-        .iter()
-        .map(|index| refill_fraction(&fleet.instances[*index], customer))
-        .sum();
-    // An instance of the previous version divides at least a tenth of each rate equally, so
-    // the four new ones get a twentieth.
-    assert!(fraction <= 0.05 + 1e-9, "{fraction} of the rate");
-    assert!(
-        fraction > 0.0,
-        "customers are served by the new instances too"
-    );
-}
