--- a/crates/sesamebarrow_gateway/src/store.rs
+++ b/crates/sesamebarrow_gateway/src/store.rs
@@ -329,8 +329,12 @@
     if item::parse_key(key) != Key::Config {
         return;
     }
-    let Ok(config) = item::decode_config(&item.value) else {
-        return;
+    let config = match item::decode_config(&item.value) {
+        Ok(config) => config,
+        Err(error) => {
+            log::warn!(error:% = error; "cannot decode the configuration of another instance");
+            return;
+        }
     };
     let version = config.version;
     if shared.board().apply_config(shared.now(), config) {
