--- a/crates/sesamebarrow_ctl/src/client.rs
+++ b/crates/sesamebarrow_ctl/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use anyhow::Context;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, StatusCode};
@@ -24,7 +25,9 @@
     path: &str,
     token: &str,
 ) -> anyhow::Result<ReceivedResponse> {
-    let stream = TcpStream::connect(address).await?;
+    let stream = TcpStream::connect(address)
+        .await
+        .with_context(|| format!("cannot connect to {address}"))?;
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(connection);
@@ -34,7 +37,10 @@
         .header("host", address.to_string())
         .header("authorization", format!("Bearer {token}"))
         .body(Full::new(Bytes::new()))?;
-    let response = sender.send_request(req).await?;
+    let response = sender
+        .send_request(req)
+        .await
+        .with_context(|| format!("no response from {address}"))?;
     let status = response.status();
     let body = response.into_body().collect().await?.to_bytes();
     Ok(ReceivedResponse { status, body })
--- a/crates/sesamebarrow_gateway/src/settings.rs
+++ b/crates/sesamebarrow_gateway/src/settings.rs
@@ -229,12 +229,24 @@
                 limits.prefill_per_ms > 0.0,
                 "expected a number above zero",
             ),
+            (
+                "limits.quota_window",
+                !limits.quota_window.is_zero(),
+                "expected a time above zero",
+            ),
             (
                 "limits",
-                [limits.retry_ratio, limits.retry_slack, limits.quota_slack]
-                    .iter()
-                    .all(|n| *n >= 0.0),
-                "expected retry_ratio, retry_slack and quota_slack not to be below zero",
+                [
+                    limits.retry_ratio,
+                    limits.retry_slack,
+                    limits.quota_over,
+                    limits.quota_slack,
+                    limits.cold_ratio,
+                    limits.cold_slack,
+                ]
+                .iter()
+                .all(|n| n.is_finite() && *n >= 0.0),
+                "expected ratios and slacks to be finite and not below zero",
             ),
             (
                 "shutdown",
--- /dev/null
+++ b/crates/sesamebarrow_gateway/tests/settings.rs
@@ -0,0 +1,65 @@
+//! Tests of the validation of settings.
+
+use rstest::rstest;
+use sesamebarrow_gateway::Settings;
+
+const SETTINGS: &str = r#"
+name = "a-0"
+domain = "a"
+ip = "127.0.0.1"
+seeds = []
+[domains]
+a = "a"
+[listen]
+callers = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+directory = "127.0.0.1:3"
+sync = "127.0.0.1:4"
+hop = "127.0.0.1:5"
+gossip = "127.0.0.1:5"
+tokens = "127.0.0.1:6"
+admin = "127.0.0.1:6"
+[store]
+address = "127.0.0.1:7"
+[limits]
+retry_ratio = 0.2
+retry_slack = 50
+retry_window = "10s"
+quota_window = "8s"
+quota_over = 0.25
+quota_slack = 72000
+cold_ratio = 1.5
+cold_slack = 3
+"#;
+
+fn load(text: &str) -> Result<Settings, String> {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let path = folder.path().join("settings.toml");
+    std::fs::write(&path, text).expect("written");
+    Settings::load(&path).map_err(|e| e.to_string())
+}
+
+#[test]
+fn valid_settings_are_accepted() {
+    load(SETTINGS).expect("valid");
+}
+
+#[rstest]
+#[case::quota_window(
+    "quota_window = \"8s\"",
+    "quota_window = \"0s\"",
+    "limits.quota_window"
+)]
+#[case::quota_over("quota_over = 0.25", "quota_over = -0.25", "limits")]
+#[case::cold_ratio("cold_ratio = 1.5", "cold_ratio = -1.5", "limits")]
+#[case::cold_slack("cold_slack = 3", "cold_slack = inf", "limits")]
+#[case::retry_slack("retry_slack = 50", "retry_slack = nan", "limits")]
+fn error_names_the_limit_that_is_invalid(
+    #[case] old: &str,
+    #[case] new: &str,
+    #[case] expected: &str,
+) {
+    assert!(SETTINGS.contains(old));
+    let error = load(&SETTINGS.replace(old, new)).expect_err("invalid");
+    assert!(error.contains(expected), "{error}");
+}
