--- a/crates/sesamebarrow_routing/src/availability.rs
+++ b/crates/sesamebarrow_routing/src/availability.rs
@@ -174,8 +174,8 @@
         }
     }
 
-    /// Returns the availability of a new run of the upstream. Its failures and its leaving ended with
-    /// the last run; what it asked to be spared is kept.
+    /// Returns the availability of a new run of the upstream. Its leaving and its failures in a row
+    /// ended with the last run; its rest and the average of its failures are kept.
     pub fn of_new_run(&self) -> Self {
         Self {
             rest_until: self.rest_until,
