--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -136,7 +136,7 @@
     /// Loads that upstreams reported recently; sent only to instances of the region.
     #[prost(message, optional, tag = "10")]
     pub reported_loads: Option<ReportedLoads>,
-    /// Runs of upstreams that told the sender recently that they leave; sent only to instances of
+    /// Runs of upstreams that announced recently to the sender that they leave; sent only to instances of
     /// the region.
     #[prost(fixed64, repeated, tag = "11")]
     pub leaving_runs: Vec<u64>,
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -162,7 +162,7 @@
     /// Availability of removed upstreams that leave or rest, by id, with their start times and the
     /// times at which it is forgotten. A late read of the store may bring their entries back.
     removed: HashMap<SmolStr, Removed>,
-    /// Runs of upstreams that told this instance that they leave, the latest last, and when.
+    /// Runs of upstreams that announced to this instance that they leave, the latest last, and when.
     leaving_runs: VecDeque<(Duration, u64)>,
 }
 
@@ -177,10 +177,10 @@
 /// Time for which the availability of a removed upstream is kept.
 const REMOVED_LIFETIME: Duration = Duration::from_secs(600);
 
-/// Maximum number of leaving runs that are told to other instances.
+/// Maximum number of leaving runs that are sent to other instances.
 const MAX_LEAVING_RUNS: usize = 16;
 
-/// Time for which a leaving run is told to other instances.
+/// Time for which a leaving run is sent to other instances.
 const LEAVING_RUN_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Returns the number that stands for a run of an upstream in datagrams.
@@ -325,14 +325,14 @@
         change
     }
 
-    /// Returns the runs of upstreams that told this instance recently that they leave, as sent to
+    /// Returns the runs of upstreams that announced recently to this instance that they leave, as sent to
     /// other instances.
     pub fn leaving_runs(&self) -> impl Iterator<Item = u64> {
         self.leaving_runs.iter().map(|(_, run)| *run)
     }
 
-    /// Records runs of upstreams that told another instance that they leave. Returns the ids of
-    /// those that this instance did not know to leave. They are not told on, so that they are
+    /// Records runs of upstreams that announced to another instance that they leave. Returns the ids of
+    /// those that this instance did not know to leave. They are not relayed further, so that they are
     /// forgotten at some time.
     pub fn record_leaving_runs(&mut self, runs: &[u64]) -> Vec<SmolStr> {
         if runs.is_empty() {
