--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! An attempt at an upstream or another instance, with the load and the connection that it
 //! occupies until it ends.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -37,6 +38,15 @@
     }
 }
 
+/// Where an upstream accepts connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Maximum number of idle connections to it.
+    pub max_idle: usize,
+}
+
 /// An attempt in progress. Its load is on the board, and is removed when the attempt ends or is
 /// dropped; dropping means that it was cancelled.
 pub struct Attempt {
@@ -134,26 +144,32 @@
     /// leaves nor is gone from the store. An upstream that leaves may end with its last answer.
     pub fn confirm_end(&self) -> impl Future<Output = bool> + Send + 'static {
         let shared = self.shared.clone();
-        let expected = match &self.target {
-            Target::Upstream(selected) => {
-                let board = shared.board();
-                let upstream = board.upstreams.all.get(selected.key);
-                let expected = upstream.filter(|u| u.entry.ready && !u.availability.leaving);
-                expected.map(|u| {
-                    let max_idle = board.max_idle_connections(&u.entry.service);
-                    (selected.address, max_idle)
-                })
-            }
-            Target::Instance(_) => None,
-        };
+        let endpoint = self.serving_endpoint();
         async move {
-            match expected {
-                Some((address, max_idle)) => shared.pool.confirm_listening(address, max_idle).await,
+            match endpoint {
+                Some(Endpoint { address, max_idle }) => {
+                    shared.pool.confirm_listening(address, max_idle).await
+                }
                 None => true,
             }
         }
     }
 
+    /// Returns where the target accepts connections; `None` if it is no upstream, or one that leaves or
+    /// is gone from the store.
+    pub fn serving_endpoint(&self) -> Option<Endpoint> {
+        let Target::Upstream(selected) = &self.target else {
+            return None;
+        };
+        let board = self.shared.board();
+        let upstream = board.upstreams.all.get(selected.key)?;
+        let serves = upstream.entry.ready && !upstream.availability.leaving;
+        serves.then(|| Endpoint {
+            address: selected.address,
+            max_idle: board.max_idle_connections(&upstream.entry.service),
+        })
+    }
+
     /// Ends the attempt. Its connection returns to the pool if `outcome` allows it.
     pub fn end(mut self, outcome: AttemptOutcome) {
         self.finish(outcome);
--- /dev/null
+++ b/crates/sesamebarrow_gateway/src/crash.rs
@@ -0,0 +1,48 @@
+//! Finds out whether an upstream has crashed under a request whose answer broke off.
+
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+use tokio::task::JoinHandle;
+
+use crate::attempt::Attempt;
+use crate::intake::Job;
+use crate::shared::Shared;
+
+/// Starts to find out whether the upstream of `attempt`, whose answer to `job` broke off after `events`
+/// events, has crashed. Returns `None` if the target is no upstream, or one whose end was announced.
+pub fn examine(
+    shared: &Arc<Shared>,
+    job: &Job,
+    attempt: &Attempt,
+    events: u64,
+) -> Option<JoinHandle<bool>> {
+    let endpoint = attempt.serving_endpoint()?;
+    let shared = shared.clone();
+    let (request, route) = (job.id.clone(), job.policy.route.clone());
+    let upstream = attempt.target_name().clone();
+    let parts = format_parts(job);
+    Some(tokio::spawn(async move {
+        let crashed = !shared
+            .pool
+            .confirm_listening(endpoint.address, endpoint.max_idle)
+            .await;
+        if shared.log_limiter.allow(true) {
+            log::info!(
+                request = request.as_str(), route = route.as_str(), upstream = upstream.as_str(), crashed,
+                events, parts = parts.as_str();
+                "answer broke off"
+            );
+        }
+        let crashed_text = if crashed { "yes" } else { "no" };
+        metrics::counter!("sesamebarrow_broken_answers_total", "crashed" => crashed_text)
+            .increment(1);
+        crashed
+    }))
+}
+
+/// Returns the ids of the parts of a prompt, which are no data of the request.
+fn format_parts(job: &Job) -> SmolStr {
+    let ids = job.spec.prompt.iter().map(|part| format!("{:x}", part.id));
+    ids.collect::<Vec<_>>().join(",").into()
+}
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -13,6 +13,7 @@
 use smol_str::SmolStr;
 
 use crate::attempt::{Attempt, Target};
+use crate::crash;
 use crate::framing::Framing;
 use crate::hop;
 use crate::intake::Job;
@@ -81,8 +82,11 @@
     let mut failed_response: Option<Box<UpstreamResponse>> = None;
     let mut last_refusal = None;
     loop {
-        if history.begun > 0 && !try_spend_retry(shared, job, history) {
-            return final_result(failed_response, last_refusal);
+        if history.begun > 0 {
+            history.finish_examination().await;
+            if !try_spend_retry(shared, job, history) {
+                return final_result(failed_response, last_refusal);
+            }
         }
         let target = match selection::select_target(shared, job, history) {
             Ok(target) => target,
@@ -233,6 +237,7 @@
             return AttemptResult::NotRun("connection-closed", MIN_RETRY_AFTER);
         }
         Ok(Err(pool::Error::Broken)) => {
+            history.examination = crash::examine(shared, job, &attempt, 0);
             attempt.end(AttemptOutcome::Broken);
             return AttemptResult::Broken("connection-broken");
         }
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod admin;
 pub mod attempt;
+pub mod crash;
 pub mod directory;
 pub mod event_stream;
 pub mod exchange;
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use sesamebarrow_platform::head;
 use sesamebarrow_routing::upstream::AttemptOutcome;
 
+use crate::crash;
 use crate::event_stream::{self, Position};
 use crate::exchange::{self, UpstreamResponse};
 use crate::framing::Framing;
@@ -69,6 +70,9 @@
             Ok(Err(BodyError)) => (Refusal::Unknown("answer-broken"), AttemptOutcome::Broken),
             Err(_) => (Refusal::TimedOut, AttemptOutcome::Silent),
         };
+        if outcome == AttemptOutcome::Broken {
+            history.examination = crash::examine(shared, &job, &response.attempt, 0);
+        }
         response.attempt.end(outcome);
         log::info!(request = job.id.as_str(), outcome:% = refusal; "attempt ended");
         if !job.policy.may_repeat {
--- a/crates/sesamebarrow_gateway/src/selection.rs
+++ b/crates/sesamebarrow_gateway/src/selection.rs
@@ -8,6 +8,7 @@
 use sesamebarrow_routing::spill::{self, RemoteInstance};
 use sesamebarrow_routing::upstream::Key;
 use smol_str::SmolStr;
+use tokio::task::JoinHandle;
 
 use crate::attempt::Target;
 use crate::intake::Job;
@@ -38,6 +39,21 @@
     pub sent: u32,
     /// Number of attempts that may have run.
     pub possible_runs: u32,
+    /// Number of attempts whose upstream has crashed.
+    pub crashes: u32,
+    /// Finds out whether the upstream of the last attempt, which broke off, has crashed.
+    pub examination: Option<JoinHandle<bool>>,
+}
+
+impl AttemptHistory {
+    /// Waits until it is known whether the upstream of the last attempt has crashed.
+    pub async fn finish_examination(&mut self) {
+        if let Some(examination) = self.examination.take()
+            && examination.await.unwrap_or_default()
+        {
+            self.crashes += 1;
+        }
+    }
 }
 
 /// Returns the time until an upstream of this region wants requests for the service of `job` again;
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -17,6 +17,7 @@
 use tokio::time::Sleep;
 
 use crate::attempt::Attempt;
+use crate::crash;
 use crate::event_stream::{self, BYTE_ORDER_MARK, Parser, ResumePoint};
 use crate::exchange::{self, UpstreamResponse};
 use crate::framing::{self, Framing};
@@ -214,6 +215,13 @@
     /// Ends the attempt, which broke with `error`, and starts to resume the stream if that is
     /// allowed. Returns whether it is.
     fn recover(&mut self, error: &str) -> bool {
+        if let StreamState::Receiving(_, Some(attempt)) | StreamState::Confirming(_, Some(attempt)) =
+            &self.state
+            && let Some(history) = &mut self.history
+        {
+            let events = self.events.parser.events();
+            history.examination = crash::examine(&self.shared, &self.job, attempt, events);
+        }
         self.end_attempt(AttemptOutcome::Broken);
         let (framing, ended_at): (&str, &str) =
             (self.framing.into(), self.events.parser.position().into());
--- a/crates/sesamebarrow_gateway/src/telemetry.rs
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -14,7 +14,7 @@
 ];
 
 /// Names and descriptions of the counters.
-const COUNTERS: [(&str, &str); 15] = [
+const COUNTERS: [(&str, &str); 16] = [
     (
         "sesamebarrow_answers_total",
         "Answers that came from an upstream, by how they ended.",
@@ -23,6 +23,10 @@
         "sesamebarrow_answer_ends_total",
         "Ends of answers, by framing, position in the event stream and outcome.",
     ),
+    (
+        "sesamebarrow_broken_answers_total",
+        "Answers that broke off, by whether their upstream had crashed.",
+    ),
     (
         "sesamebarrow_upstream_changes_total",
         "Changes that upstreams announced in answers, by kind.",
