Quarantine prompt parts that crash upstreams, in the whole fleet

Cause: a crash counted against the upstream only. Nobody related it to the requests that had been running on it, so the next request with the part went to the next upstream, at any instance, for as long as they came. Change: a crash blames the parts of all requests that met it, once for each run of an upstream; a complete answer acquits its parts of crashes until 10 s later. Three instances by rendezvous hash collect the blame of a part from all others; three runs lead to an order, sent to all at once, and again by digest to those that lack it (lost datagrams, new instances, both sides of a split). An order binds one customer while all blame is of that one. Requests that met a crash are not repeated once a part is suspected, nor after two crashes at all. One trial in the whole fleet, 4 s, 68 s, 18 min after the order, at the upstream with the fewest requests, finds out whether a part was blamed wrongly. Why it works: a harmful part has no complete answer, unlike all that runs beside it. Tried: evidence to all instances by gossip; 24 reporters a crash and 350 receivers exceed 6 KB/s.

--- a/crates/sesamebarrow_gateway/src/admin.rs
+++ b/crates/sesamebarrow_gateway/src/admin.rs
@@ -77,7 +77,24 @@
             }))
         })
         .collect();
+    let orders: Vec<_> = board
+        .quarantine
+        .orders()
+        .map(|o| {
+            json!({
+                "part": format!("{:x}", o.part), "in_force": o.in_force,
+                "all_customers": o.customer.is_none(), "serial": o.serial, "trials": o.trials,
+                "age_ms": now.saturating_sub(o.since).as_millis() as u64,
+                "crash_age_ms": now.saturating_sub(o.last_crash_at).as_millis() as u64,
+            })
+        })
+        .collect();
+    let blamed = board.quarantine.blamed();
+    let blamed: Vec<_> = blamed
+        .map(|(part, runs)| json!({ "part": format!("{part:x}"), "crashes": runs }))
+        .collect();
     json!({
+        "quarantine": orders, "blamed_parts": blamed,
         "name": board.identity.name, "region": board.identity.region, "ready": board.is_ready(),
         "refuses_streams": shared.refuses_streams.load(Ordering::Relaxed),
         "config": board.config.as_ref().map(|c| c.version),
--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 
 use sesamebarrow_routing::admit::SelectedUpstream;
 use sesamebarrow_routing::spill::RemoteInstance;
-use sesamebarrow_routing::upstream::{AttemptOutcome, RequestLoad};
+use sesamebarrow_routing::upstream::{self, AttemptOutcome, RequestLoad};
 use smol_str::SmolStr;
 
 use crate::intake::Job;
@@ -45,6 +45,8 @@
     pub address: SocketAddr,
     /// Maximum number of idle connections to it.
     pub max_idle: usize,
+    /// Number that stands for its run.
+    pub run: u64,
 }
 
 /// An attempt in progress. Its load is on the board, and is removed when the attempt ends or is
@@ -147,7 +149,10 @@
         let endpoint = self.serving_endpoint();
         async move {
             match endpoint {
-                Some(Endpoint { address, max_idle }) => {
+                Some(endpoint) => {
+                    let Endpoint {
+                        address, max_idle, ..
+                    } = endpoint;
                     shared.pool.confirm_listening(address, max_idle).await
                 }
                 None => true,
@@ -167,6 +172,7 @@
         serves.then(|| Endpoint {
             address: selected.address,
             max_idle: board.max_idle_connections(&upstream.entry.service),
+            run: upstream::run_hash(&upstream.entry),
         })
     }
 
--- a/crates/sesamebarrow_gateway/src/crash.rs
+++ b/crates/sesamebarrow_gateway/src/crash.rs
@@ -1,4 +1,4 @@
-//! Finds out whether an upstream has crashed under a request whose answer broke off.
+//! Finds out whether an upstream has crashed under a request whose answer broke off, and records it.
 
 use std::sync::Arc;
 
@@ -7,6 +7,7 @@
 
 use crate::attempt::Attempt;
 use crate::intake::Job;
+use crate::quarantine;
 use crate::shared::Shared;
 
 /// Starts to find out whether the upstream of `attempt`, whose answer to `job` broke off after `events`
@@ -22,6 +23,7 @@
     let (request, route) = (job.id.clone(), job.policy.route.clone());
     let upstream = attempt.target_name().clone();
     let parts = format_parts(job);
+    let (customer, prompt) = (quarantine::customer_hash(job), job.spec.prompt.clone());
     Some(tokio::spawn(async move {
         let crashed = !shared
             .pool
@@ -37,6 +39,9 @@
         let crashed_text = if crashed { "yes" } else { "no" };
         metrics::counter!("sesamebarrow_broken_answers_total", "crashed" => crashed_text)
             .increment(1);
+        if crashed {
+            quarantine::record_crash(&shared, endpoint.run, customer, &prompt);
+        }
         crashed
     }))
 }
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -19,6 +19,7 @@
 use crate::intake::Job;
 use crate::notice;
 use crate::pool;
+use crate::quarantine;
 use crate::reply::Refusal;
 use crate::selection::{self, AttemptHistory};
 use crate::shared::Shared;
@@ -34,6 +35,9 @@
 /// `max_attempts` limits only the attempts that may have run.
 const MAX_ATTEMPTS_BEGUN: u32 = 4;
 
+/// Maximum number of upstreams that may crash under one request.
+const MAX_CRASHES_PER_REQUEST: u32 = 2;
+
 /// Minimum remaining time for a retry.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(30);
 
@@ -57,6 +61,8 @@
     Failed(Box<UpstreamResponse>),
     /// The request has not run. Contains the reason and the time after which to retry.
     NotRun(&'static str, Duration),
+    /// The request has not run; its prompt contains a part that crashes upstreams.
+    Harmful,
     /// The request may have run.
     Broken(&'static str),
     /// The request may have run, and its deadline has passed.
@@ -88,6 +94,9 @@
                 return final_result(failed_response, last_refusal);
             }
         }
+        if let Err(refusal) = quarantine::admit(shared, job, history).await {
+            return final_result(failed_response, last_refusal.or(Some(refusal)));
+        }
         let target = match selection::select_target(shared, job, history) {
             Ok(target) => target,
             Err(refusal) => return final_result(failed_response, last_refusal.or(Some(refusal))),
@@ -104,6 +113,10 @@
                 let after = selection::jittered_retry_after(min);
                 (reason, Refusal::NotRun(reason, after))
             }
+            AttemptResult::Harmful => {
+                let refusal = last_refusal.or(Some(Refusal::Harmful));
+                return final_result(failed_response, refusal);
+            }
             AttemptResult::Broken(reason) => (reason, Refusal::Unknown(reason)),
             AttemptResult::TimedOut => ("timeout", Refusal::TimedOut),
         };
@@ -146,6 +159,12 @@
     {
         return false;
     }
+    if history.is_trial || history.crashes >= MAX_CRASHES_PER_REQUEST {
+        return false;
+    }
+    if history.crashes > 0 && shared.board().quarantine.is_suspected(&job.spec.prompt) {
+        return false;
+    }
     if history.sent == 0 {
         // Nothing was sent yet, so the next attempt is not a retry.
         return true;
@@ -202,6 +221,10 @@
             return AttemptResult::NotRun("upstream-withdrew", MIN_RETRY_AFTER);
         }
     }
+    if !quarantine::may_send(shared, job, history) {
+        attempt.end(AttemptOutcome::Cancelled);
+        return AttemptResult::Harmful;
+    }
     let req = match target {
         Target::Upstream(selected) => build_upstream_request(job, selected, last_event),
         Target::Instance(remote) => {
@@ -315,6 +338,11 @@
                 let after = head::read_refusal_delay(&parts.headers);
                 AttemptResult::NotRun("refused-there", after.max(MIN_RETRY_AFTER))
             }
+            hop::RefusalKind::Harmful => {
+                history.possible_runs -= 1;
+                job.reservation.set_consumed(history.possible_runs > 0);
+                AttemptResult::Harmful
+            }
             hop::RefusalKind::Unknown => AttemptResult::Broken("broken-there"),
             hop::RefusalKind::TimedOut => AttemptResult::TimedOut,
         };
--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -7,6 +7,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
+use crate::quarantine;
 use crate::shared::Shared;
 
 /// Maximum size of a received datagram.
@@ -65,6 +66,7 @@
     }
     // Not related to gossip; done here because rounds are regular.
     shared.pool.remove_expired();
+    quarantine::send_blame(shared);
 }
 
 /// Announces a newer revision to the region's other instances without waiting for the next
@@ -102,6 +104,11 @@
         }
     };
     let now = shared.now();
+    // A sender without a heartbeat announces a revision only.
+    if datagram.sender.heartbeat > 0 {
+        let ip = Ipv4Addr::from_bits(datagram.sender.ip);
+        quarantine::send_orders(shared, ip, datagram.quarantine_digest);
+    }
     let mut board = shared.board();
     let needs_reply = board.handle_datagram(now, &datagram);
     if datagram.revision > board.revision || datagram.config_version > board.config_version() {
--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -62,6 +62,8 @@
 pub enum RefusalKind {
     /// The request has not run and will not.
     NotRun,
+    /// The request has not run and will not: its prompt contains a part that crashes upstreams.
+    Harmful,
     /// The request may have run.
     Unknown,
     /// The request may have run, and its deadline has passed.
@@ -146,6 +148,7 @@
     let refusal_kind = match refusal {
         Refusal::Unknown(_) => RefusalKind::Unknown,
         Refusal::TimedOut => RefusalKind::TimedOut,
+        Refusal::Harmful => RefusalKind::Harmful,
         _ => RefusalKind::NotRun,
     };
     if let Ok(value) = hyper::header::HeaderValue::from_str(&refusal_kind.to_string()) {
@@ -201,6 +204,7 @@
                 .map_or(output_tokens, |h| h.min(output_tokens)),
             target_wait: Duration::from_millis(envelope.target),
             tried_upstreams,
+            is_trial: false,
         },
         last_event: envelope.last_event,
         started_at,
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -191,6 +191,7 @@
             output_tokens,
             target_wait: route.target_latency,
             tried_upstreams: Vec::new(),
+            is_trial: false,
         },
         last_event: request_head.last_event,
         started_at,
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -6,6 +6,9 @@
 //! the client, [`stream`] an event stream. [`event_stream`] and [`framing`] tell whether a body
 //! that has ended is complete. [`hop`] forwards requests to an instance of another region.
 //!
+//! [`crash`] finds out which upstreams have crashed under a request, and [`quarantine`] refuses requests
+//! that would crash more.
+//!
 //! [`token`] takes the tokens of requests from the buckets that instances keep.
 //! [`store`], [`sync`] and [`gossip`] keep the board up to date, the tables of
 //! `sesamebarrow_routing` that hold all that this instance knows. [`directory`] and [`admin`]
@@ -24,6 +27,7 @@
 pub mod log_limit;
 pub mod notice;
 pub mod pool;
+pub mod quarantine;
 pub mod relay;
 pub mod reply;
 pub mod run;
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::framing::Framing;
 use crate::hop;
 use crate::intake::Job;
+use crate::quarantine;
 use crate::reply::Refusal;
 use crate::selection::AttemptHistory;
 use crate::shared::Shared;
@@ -116,6 +117,9 @@
     };
     let target = response.attempt.target_name().clone();
     response.attempt.end(outcome);
+    if status.is_success() {
+        quarantine::record_answer(shared, job);
+    }
     let end = End {
         target: &target,
         status: status.as_u16(),
--- a/crates/sesamebarrow_gateway/src/reply.rs
+++ b/crates/sesamebarrow_gateway/src/reply.rs
@@ -30,6 +30,9 @@
     /// retry.
     #[error("{0}")]
     NotRun(&'static str, Duration),
+    /// The request has not run and will not: its prompt contains a part that crashes upstreams.
+    #[error("harmful-prompt")]
+    Harmful,
     /// The request may have run. Contains the reason.
     #[error("{0}")]
     Unknown(&'static str),
@@ -47,7 +50,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BadBody => StatusCode::BAD_REQUEST,
             Self::Rate(_) => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotRun(..) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotRun(..) | Self::Harmful => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/sesamebarrow_gateway/src/selection.rs
+++ b/crates/sesamebarrow_gateway/src/selection.rs
@@ -41,6 +41,8 @@
     pub possible_runs: u32,
     /// Number of attempts whose upstream has crashed.
     pub crashes: u32,
+    /// Whether the request is a trial of a quarantined part, which is sent once.
+    pub is_trial: bool,
     /// Finds out whether the upstream of the last attempt, which broke off, has crashed.
     pub examination: Option<JoinHandle<bool>>,
 }
@@ -91,6 +93,7 @@
     };
     // Another instance may have named upstreams that it tried.
     spec.tried_upstreams.extend(&history.tried_upstreams);
+    spec.is_trial = history.is_trial;
     let region_allowed = job.residency.allows(&board.identity.region);
     let mut local = if region_allowed {
         admit::select_upstream(&mut board, now, &spec)
@@ -106,7 +109,7 @@
         spec.tried_upstreams.clear();
         local = admit::select_upstream(&mut board, now, &spec);
     }
-    if job.policy.from_instance {
+    if job.policy.from_instance || history.is_trial {
         return local.map(Target::Upstream).map_err(|rejection| {
             log_rejection(shared, &board, job, &spec, (rejection, None));
             to_refusal(rejection)
--- a/crates/sesamebarrow_gateway/src/shared.rs
+++ b/crates/sesamebarrow_gateway/src/shared.rs
@@ -13,6 +13,7 @@
 
 use crate::log_limit::Limiter;
 use crate::pool::Pool;
+use crate::quarantine::Trials;
 use crate::settings::Settings;
 use crate::token::Tokens;
 
@@ -30,6 +31,8 @@
     pub pool: Pool,
     /// The exchange of tokens with other instances.
     pub tokens: Tokens,
+    /// Requests for trials of quarantined prompt parts.
+    pub trials: Trials,
     /// Limits the number of log lines.
     pub log_limiter: Limiter,
     /// Open inbound connections.
@@ -66,6 +69,7 @@
             catalog: Mutex::default(),
             pool: Pool::default(),
             tokens,
+            trials: Trials::default(),
             log_limiter: Limiter::default(),
             inbound_connections: TaskTracker::new(),
             active_requests: AtomicU64::new(0),
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -9,9 +9,9 @@
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::future::BoxFuture;
 use http_body_util::BodyExt;
-use hyper::Response;
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use hyper::header::CONTENT_LENGTH;
+use hyper::{Response, StatusCode};
 use sesamebarrow_routing::upstream::AttemptOutcome;
 use smol_str::SmolStr;
 use tokio::time::Sleep;
@@ -22,6 +22,7 @@
 use crate::exchange::{self, UpstreamResponse};
 use crate::framing::{self, Framing};
 use crate::intake::Job;
+use crate::quarantine;
 use crate::relay::{self, Body, BodyError, End, StreamEnd};
 use crate::reply::Refusal;
 use crate::selection::AttemptHistory;
@@ -199,6 +200,11 @@
     /// Ends the stream, which is complete.
     fn complete(&mut self) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         self.end_attempt(AttemptOutcome::Whole);
+        // A stream without events shows nothing of what its upstream does at the first one.
+        let is_success = StatusCode::from_u16(self.status).is_ok_and(|s| s.is_success());
+        if is_success && self.events.parser.events() > 0 {
+            quarantine::record_answer(&self.shared, &self.job);
+        }
         self.record_end("whole");
         Poll::Ready(None)
     }
--- a/crates/sesamebarrow_gateway/src/telemetry.rs
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -14,7 +14,7 @@
 ];
 
 /// Names and descriptions of the counters.
-const COUNTERS: [(&str, &str); 16] = [
+const COUNTERS: [(&str, &str); 17] = [
     (
         "sesamebarrow_answers_total",
         "Answers that came from an upstream, by how they ended.",
@@ -27,6 +27,10 @@
         "sesamebarrow_broken_answers_total",
         "Answers that broke off, by whether their upstream had crashed.",
     ),
+    (
+        "sesamebarrow_quarantine_changes_total",
+        "Changes of the quarantine of prompt parts, by kind.",
+    ),
     (
         "sesamebarrow_upstream_changes_total",
         "Changes that upstreams announced in answers, by kind.",
--- a/crates/sesamebarrow_gateway/src/token.rs
+++ b/crates/sesamebarrow_gateway/src/token.rs
@@ -18,6 +18,7 @@
 use tokio::sync::oneshot;
 use tokio::time::MissedTickBehavior;
 
+use crate::quarantine;
 use crate::reply::Refusal;
 use crate::selection::jittered_retry_after;
 use crate::shared::Shared;
@@ -77,7 +78,7 @@
 
     /// Sends a datagram. An error is only logged: datagrams may be lost anyway, and what they
     /// would have granted or returned is lost with them.
-    fn send(&self, to: SocketAddr, body: Body) {
+    pub fn send(&self, to: SocketAddr, body: Body) {
         if let Err(error) = self.socket.try_send_to(&token::encode(body), to) {
             log::debug!(to:% = to, error:% = error; "cannot send token datagram");
         }
@@ -334,6 +335,13 @@
         }
         Ok(Some(Body::Grant(grant))) => handle_grant(shared, grant, from.ip()),
         Ok(Some(Body::Return(returned))) => handle_return(shared, &returned, from.ip()),
+        Ok(Some(Body::Blames(blames))) => quarantine::handle_blames(shared, &blames),
+        Ok(Some(Body::Orders(orders))) => quarantine::handle_orders(shared, &orders),
+        Ok(Some(Body::TrialRequest(request))) => {
+            let grant = quarantine::handle_trial_request(shared, request);
+            shared.tokens.send(from, Body::TrialGrant(grant));
+        }
+        Ok(Some(Body::TrialGrant(grant))) => quarantine::handle_trial_grant(shared, grant),
         Ok(None) => log::debug!(from:% = from; "unknown kind of token datagram"),
         Err(error) => log::warn!(from:% = from, error:% = error; "cannot decode token datagram"),
     }
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -36,6 +36,8 @@
     pub target_wait: Duration,
     /// Upstreams that have already been tried.
     pub tried_upstreams: Vec<Key>,
+    /// Whether the request may crash its upstream, so that it is sent where that harms least.
+    pub is_trial: bool,
 }
 
 /// The upstream selected for a request.
@@ -151,8 +153,13 @@
     request: &RequestSpec,
 ) -> Result<SelectedUpstream, Rejection> {
     let scored = score_all(board, now, request)?;
-    let not_full = scored.iter().filter(|s| !s.full);
-    let best = not_full.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms));
+    let not_full: Vec<_> = scored.iter().filter(|s| !s.full).collect();
+    let best = if request.is_trial {
+        select_for_trial(board, now, &not_full)
+    } else {
+        let by_cost = |a: &&&ScoredUpstream, b: &&&ScoredUpstream| a.cost_ms.total_cmp(&b.cost_ms);
+        not_full.iter().min_by(by_cost).copied()
+    };
     let Some(best) = best else {
         return Err(Rejection::Overload);
     };
@@ -169,6 +176,19 @@
     })
 }
 
+/// Returns the upstream with the fewest requests for a trial, but never the last one.
+fn select_for_trial<'a>(
+    board: &Board,
+    now: Duration,
+    not_full: &[&'a ScoredUpstream],
+) -> Option<&'a ScoredUpstream> {
+    if not_full.len() < 2 {
+        return None;
+    }
+    let outstanding = |s: &&&ScoredUpstream| board.upstreams.all[s.key].outstanding(now);
+    not_full.iter().min_by_key(outstanding).copied()
+}
+
 fn score_all(
     board: &Board,
     now: Duration,
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -17,12 +17,14 @@
 use crate::gossip::short_hash;
 use crate::holder;
 use crate::member::{Member, Members};
+use crate::quarantine::Quarantine;
 use crate::quota::{self, Quota};
 use crate::rendezvous;
 use crate::token;
 use crate::upstream::{Entry, Key, Upstream, Upstreams};
 
 mod gossip;
+pub mod quarantine;
 
 /// Identifies this instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,6 +102,8 @@
     evacuations_ending: HashMap<SmolStr, Duration>,
     /// The upstreams of this region.
     pub upstreams: Upstreams,
+    /// Prompt parts that crash upstreams.
+    pub quarantine: Quarantine,
     /// The other instances.
     pub members: Members,
     /// The token buckets of customers that this instance keeps.
@@ -154,6 +158,7 @@
             evacuated: HashSet::new(),
             evacuations_ending: HashMap::new(),
             upstreams: Upstreams::default(),
+            quarantine: Quarantine::default(),
             members: Members::default(),
             quota,
             discovery_done: false,
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -29,6 +29,7 @@
         self.heartbeat += 1;
         self.members.remove_silent(now);
         self.upstreams.remove_due(now);
+        self.quarantine.remove_expired(now);
         self.end_due_evacuations(now);
         self.sum_other_loads(now);
         holder::update_buckets(self, now);
@@ -42,6 +43,7 @@
             wanted_name_hashes: self.members.take_unknown(),
             revision: self.revision,
             config_version: self.config_version(),
+            quarantine_digest: Some(self.quarantine.digest()),
             service_loads: self.service_loads(now),
             upstream_loads: Vec::new(),
             reported_loads: None,
--- /dev/null
+++ b/crates/sesamebarrow_routing/src/board/quarantine.rs
@@ -0,0 +1,211 @@
+//! Which instances judge a prompt part, and what instances tell each other of [`crate::quarantine`].
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use crate::board::Board;
+use crate::cache::PromptPart;
+use crate::quarantine::Order;
+use crate::quarantine::message::{BlameEntry, Blames, MAX_ENTRIES, OrderEntry, Orders};
+use crate::rendezvous;
+use crate::token::Body;
+
+/// Number of instances that judge a part. Two may be lost or behind a partition.
+const JUDGES: usize = 3;
+
+/// An instance that judges a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Judge {
+    /// This instance.
+    Own,
+    /// The instance at this address.
+    Other(Ipv4Addr),
+}
+
+/// A change of the orders that this instance knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Change {
+    /// This instance gave or extended the order.
+    Quarantined,
+    /// Another instance gave, extended or changed the order.
+    Learned,
+    /// This instance granted a trial.
+    Trial,
+    /// A complete answer at this instance revoked the order.
+    Revoked,
+    /// Another instance revoked the order.
+    Unlearned,
+}
+
+/// What follows from an event: messages to send, and changes to log.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Effects {
+    /// Messages and the addresses of their receivers.
+    pub messages: Vec<(Ipv4Addr, Body)>,
+    /// Changes of the orders in force.
+    pub changes: Vec<(Change, Order)>,
+}
+
+impl Board {
+    /// Returns the instances that judge a part, the first one first.
+    pub fn judges(&self, now: Duration, part: u64) -> Vec<Judge> {
+        let weight = |name_hash: u32| rendezvous::weight_of_hashes(part, name_hash.into());
+        let members = self.members.alive(now).filter(|m| m.judges_parts);
+        let members = members.map(|m| (weight(m.name_hash), Judge::Other(m.ip())));
+        let own = (weight(self.name_hash()), Judge::Own);
+        let mut ranked: Vec<_> = members.chain([own]).collect();
+        ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        ranked.truncate(JUDGES);
+        ranked.into_iter().map(|(_, judge)| judge).collect()
+    }
+
+    /// Records that an upstream's `run` crashed under a request with `prompt` of this instance.
+    pub fn record_crash(
+        &mut self,
+        now: Duration,
+        run: u64,
+        customer: u64,
+        prompt: &[PromptPart],
+    ) -> Effects {
+        let orders = self.quarantine.record_crash(now, run, customer, prompt);
+        let mut effects = self.announce(now, Change::Quarantined, &orders);
+        effects.messages.extend(self.take_blame_messages(now));
+        effects
+    }
+
+    /// Records that a request with `prompt` was answered completely.
+    pub fn record_answer(&mut self, now: Duration, prompt: &[PromptPart]) -> Effects {
+        let revoked = self.quarantine.record_answer(now, prompt);
+        self.announce_revoked(now, &revoked)
+    }
+
+    /// Returns the blame to send now. Must be called in each gossip round.
+    pub fn take_blame_messages(&mut self, now: Duration) -> Vec<(Ipv4Addr, Body)> {
+        let mut by_receiver: BTreeMap<Ipv4Addr, Vec<BlameEntry>> = BTreeMap::new();
+        for (blame, age) in self.quarantine.take_due_reports(now) {
+            for judge in self.judges(now, blame.part) {
+                if let Judge::Other(ip) = judge {
+                    let entry = BlameEntry::new(blame, age);
+                    by_receiver.entry(ip).or_default().push(entry);
+                }
+            }
+        }
+        let mut messages = Vec::new();
+        for (ip, entries) in by_receiver {
+            let chunks = entries.chunks(MAX_ENTRIES).map(<[_]>::to_vec);
+            messages.extend(chunks.map(|entries| (ip, Body::Blames(Blames { entries }))));
+        }
+        messages
+    }
+
+    /// Handles blame for parts that this instance judges.
+    pub fn handle_blames(&mut self, now: Duration, blames: &Blames) -> Effects {
+        let decoded = blames.entries.iter().map(|entry| entry.decode());
+        let orders: Vec<Order> = decoded
+            .filter_map(|(blame, age)| self.quarantine.record_blame(now, age, blame))
+            .collect();
+        self.announce(now, Change::Quarantined, &orders)
+    }
+
+    /// Handles orders of another instance.
+    pub fn handle_orders(&mut self, now: Duration, message: &Orders) -> Effects {
+        let mut effects = Effects::default();
+        let mut new = Vec::new();
+        let mut revoked = Vec::new();
+        for entry in &message.entries {
+            let order = entry.decode(now);
+            let (is_new, revocation) = self.quarantine.merge_order(now, order);
+            if is_new {
+                let change = match order.in_force {
+                    true => Change::Learned,
+                    false => Change::Unlearned,
+                };
+                effects.changes.push((change, order));
+                new.push(order);
+            }
+            revoked.extend(revocation);
+        }
+        if message.spread {
+            effects.messages.extend(self.messages_to_all(now, &new));
+        }
+        effects.append(self.announce_revoked(now, &revoked));
+        effects
+    }
+
+    /// Grants a trial of a quarantined part if one is due. Returns whether it was granted.
+    pub fn grant_trial(&mut self, now: Duration, part: u64) -> (bool, Effects) {
+        let order = self.quarantine.grant_trial(now, part);
+        let effects = self.announce(now, Change::Trial, order.as_slice());
+        (order.is_some(), effects)
+    }
+
+    /// Returns messages with all orders for the instance at `ip`, if `digest`, which stands for its orders,
+    /// differs. Instances of earlier versions send none.
+    pub fn order_messages(
+        &self,
+        now: Duration,
+        ip: Ipv4Addr,
+        digest: Option<u32>,
+    ) -> Vec<(Ipv4Addr, Body)> {
+        if digest.is_none_or(|digest| digest == self.quarantine.digest()) {
+            return Vec::new();
+        }
+        let orders: Vec<Order> = self.quarantine.orders().copied().collect();
+        let messages = encode_orders(now, &orders, false);
+        messages.map(|body| (ip, body)).collect()
+    }
+
+    /// Sends changed orders to all instances.
+    fn announce(&self, now: Duration, change: Change, orders: &[Order]) -> Effects {
+        Effects {
+            messages: self.messages_to_all(now, orders),
+            changes: orders.iter().map(|order| (change, *order)).collect(),
+        }
+    }
+
+    /// Sends revocations to the judges, which send them to all: many instances may revoke the same order
+    /// at once.
+    fn announce_revoked(&self, now: Duration, orders: &[Order]) -> Effects {
+        let mut effects = Effects::default();
+        for order in orders {
+            effects.changes.push((Change::Revoked, *order));
+            for judge in self.judges(now, order.part) {
+                let orders = std::slice::from_ref(order);
+                match judge {
+                    Judge::Own => effects.messages.extend(self.messages_to_all(now, orders)),
+                    Judge::Other(ip) => {
+                        let messages = encode_orders(now, orders, true);
+                        effects.messages.extend(messages.map(|body| (ip, body)));
+                    }
+                }
+            }
+        }
+        effects
+    }
+
+    fn messages_to_all(&self, now: Duration, orders: &[Order]) -> Vec<(Ipv4Addr, Body)> {
+        if orders.is_empty() {
+            return Vec::new();
+        }
+        let receivers = self.members.alive(now).filter(|m| m.judges_parts);
+        let messages = |ip| encode_orders(now, orders, false).map(move |body| (ip, body));
+        receivers.flat_map(|m| messages(m.ip())).collect()
+    }
+}
+
+impl Effects {
+    fn append(&mut self, other: Self) {
+        self.messages.extend(other.messages);
+        self.changes.extend(other.changes);
+    }
+}
+
+/// Returns messages with `orders`. `spread` says whether their receivers send them to all instances.
+fn encode_orders(now: Duration, orders: &[Order], spread: bool) -> impl Iterator<Item = Body> {
+    orders.chunks(MAX_ENTRIES).map(move |orders| {
+        let entries = orders.iter().map(|o| OrderEntry::new(now, o)).collect();
+        Body::Orders(Orders { entries, spread })
+    })
+}
--- a/crates/sesamebarrow_routing/src/lib.rs
+++ b/crates/sesamebarrow_routing/src/lib.rs
@@ -3,7 +3,7 @@
 //! A [`Board`] holds what the instance knows: the configuration ([`config`]), the other
 //! instances ([`member`]), the token buckets of customers ([`quota`], [`holder`]) and the
 //! upstreams with their load ([`upstream`]) and what their answers say about them
-//! ([`availability`]). [`admit`], [`spill`] and [`place`] decide where requests
+//! ([`availability`]) and about the parts of prompts ([`quarantine`]). [`admit`], [`spill`] and [`place`] decide where requests
 //! and clients go; most other modules own one part of the board. `Board` follows the
 //! blackboard pattern: all modules read and write its tables.
 //!
@@ -28,6 +28,7 @@
 pub mod holder;
 pub mod member;
 pub mod place;
+pub mod quarantine;
 pub mod quota;
 pub mod rendezvous;
 pub mod spill;
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -132,6 +132,9 @@
     pub revision: u64,
     /// Version of its configuration; 0 if it has none, or is of an earlier version that does not say.
     pub config_version: u64,
+    /// Whether it takes part in [`crate::quarantine`]; instances of earlier versions do not. Unknown ones
+    /// count as of this version.
+    pub judges_parts: bool,
 }
 
 impl Member {
@@ -261,6 +264,7 @@
         };
         member.revision = datagram.revision;
         member.config_version = datagram.config_version;
+        member.judges_parts = datagram.quarantine_digest.is_some();
         let upstream_loads = datagram
             .upstream_loads
             .iter()
@@ -303,6 +307,7 @@
                 forwarded_in_progress: 0,
                 revision: 0,
                 config_version: 0,
+                judges_parts: true,
             };
             self.all.insert(SmolStr::new(&record.name), member);
             self.lost.remove(record.name.as_str());
--- /dev/null
+++ b/crates/sesamebarrow_routing/src/quarantine/order.rs
@@ -0,0 +1,99 @@
+//! Orders that quarantine a prompt part, and how those of several instances are merged.
+
+use std::time::Duration;
+
+use crate::rendezvous;
+
+/// Time after an order until a request may be a trial.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(4);
+
+/// Factor by which the delay grows after each trial.
+const TRIAL_DELAY_FACTOR: u32 = 16;
+
+/// Maximum number of times that the delay grows.
+const MAX_DELAY_STEPS: u32 = 3;
+
+/// Time for which an order is in force after its last trial, and longer than the longest delay.
+const LIFETIME: Duration = Duration::from_secs(24 * 3_600);
+
+/// Time for which a revoked order is kept, so that no instance brings it back.
+const REVOKED_LIFETIME: Duration = Duration::from_secs(600);
+
+/// Number of values that [`digest`] has besides 0; they fit two bytes of a datagram.
+const DIGEST_VALUES: u64 = 16_383;
+
+/// An order to refuse requests with a prompt part, or its revocation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Id of the part.
+    pub part: u64,
+    /// Hash of the name of the customer whose requests are refused; `None` for all.
+    pub customer: Option<u64>,
+    /// Number of times that the order was given, extended or revoked. A larger one is newer.
+    pub serial: u32,
+    /// Whether it is in force; otherwise it was revoked.
+    pub in_force: bool,
+    /// Number of trials granted since it was given.
+    pub trials: u32,
+    /// When it was given or revoked, or the last trial was granted.
+    pub since: Duration,
+    /// When an upstream last crashed under a request with the part.
+    pub last_crash_at: Duration,
+}
+
+impl Order {
+    /// Returns whether requests of a customer are refused.
+    pub fn binds(&self, customer: u64) -> bool {
+        self.in_force && self.customer.is_none_or(|c| c == customer)
+    }
+
+    /// Returns when the next trial may be granted.
+    pub fn trial_due_at(&self) -> Duration {
+        let factor = TRIAL_DELAY_FACTOR.pow(self.trials.min(MAX_DELAY_STEPS));
+        self.since + FIRST_TRIAL_DELAY * factor
+    }
+
+    /// Extends the order to all customers if it does not bind `customer`. Returns whether it did so.
+    pub fn extend_to(&mut self, customer: u64) -> bool {
+        if self.binds(customer) {
+            return false;
+        }
+        self.customer = None;
+        self.serial += 1;
+        true
+    }
+
+    /// Revokes the order.
+    pub fn revoke(&mut self, now: Duration) {
+        self.in_force = false;
+        self.serial += 1;
+        self.since = now;
+    }
+
+    /// Returns whether this order replaces `known`, which is of the same part. Of two that were changed at the
+    /// same time the stricter one counts.
+    pub fn replaces(&self, known: &Self) -> bool {
+        let rank = |o: &Self| (o.serial, o.in_force, o.customer.is_none(), o.trials);
+        rank(self) > rank(known)
+    }
+
+    /// Returns whether the order is so old that it no longer counts.
+    pub fn is_expired(&self, now: Duration) -> bool {
+        let lifetime = match self.in_force {
+            true => LIFETIME,
+            false => REVOKED_LIFETIME,
+        };
+        now.saturating_sub(self.since) >= lifetime
+    }
+}
+
+/// Returns a number that stands for the given orders in datagrams; 0 if there are none.
+pub fn digest<'a>(orders: impl Iterator<Item = &'a Order>) -> u32 {
+    let hash = |o: &Order| {
+        let changes = u64::from(o.serial) << 32 | u64::from(o.trials) << 1 | u64::from(o.in_force);
+        rendezvous::weight_of_hashes(o.part ^ o.customer.unwrap_or_default(), changes)
+    };
+    let sum = orders.map(hash).reduce(u64::wrapping_add);
+    // CAST: less than 2^14.
+    sum.map_or(0, |sum| (sum % DIGEST_VALUES) as u32 + 1)
+}
--- a/crates/sesamebarrow_routing/src/token.rs
+++ b/crates/sesamebarrow_routing/src/token.rs
@@ -1,12 +1,15 @@
-//! The datagrams with which instances take, lend and return tokens of customers' rates.
+//! The datagrams that instances send to one other: those with which they take, lend and return tokens of
+//! customers' rates, and those of [`crate::quarantine`].
 
 use prost::Message as _;
 
-/// A datagram, one of three kinds.
+use crate::quarantine::message::{Blames, Orders, TrialGrant, TrialRequest};
+
+/// A datagram, one of several kinds.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Datagram {
     /// Content; `None` for kinds that this version does not know.
-    #[prost(oneof = "Body", tags = "1, 2, 3")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: Option<Body>,
 }
 
@@ -22,6 +25,18 @@
     /// Returns tokens.
     #[prost(message, tag = "3")]
     Return(Return),
+    /// Blame for the judges of prompt parts.
+    #[prost(message, tag = "4")]
+    Blames(Blames),
+    /// Orders to quarantine prompt parts.
+    #[prost(message, tag = "5")]
+    Orders(Orders),
+    /// Asks for a trial of a quarantined part.
+    #[prost(message, tag = "6")]
+    TrialRequest(TrialRequest),
+    /// Answers a request for a trial.
+    #[prost(message, tag = "7")]
+    TrialGrant(TrialGrant),
 }
 
 /// Asks the holder of a bucket for tokens.
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -184,7 +184,7 @@
 const LEAVING_RUN_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Returns the number that stands for a run of an upstream in datagrams.
-fn run_hash(entry: &Entry) -> u64 {
+pub fn run_hash(entry: &Entry) -> u64 {
     let mut hasher = blake3::Hasher::new();
     hasher.update(entry.id.as_bytes());
     hasher.update(&entry.started_at_ms.unwrap_or_default().to_le_bytes());
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -22,5 +22,7 @@
 mod members;
 #[path = "decisions/placement.rs"]
 mod placement;
+#[path = "decisions/quarantine.rs"]
+mod quarantine;
 #[path = "decisions/refills.rs"]
 mod refills;
