Limit the bytes of a connection that are no part of a message

What callers saw: an upstream that sends interim responses without a pause, or the size of a chunk without end, left the whole instance answering nobody, its own deadlines included. Cause: the HTTP library parses on while it has input, without an error, a frame or the end of its buffer, so that its task is always ready and 20 such connections keep the thread for themselves. Change: a meter on each connection to upstreams, instances and the store, and from callers, at both interfaces: 512 KiB without progress (a head, or body bytes times 16) end the connection, 16 KiB more each second allow for what a long-lived connection needs. Responses of the store are limited to 16 MiB.

--- a/crates/sesamebarrow_gateway/src/admin.rs
+++ b/crates/sesamebarrow_gateway/src/admin.rs
@@ -4,12 +4,12 @@
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::json;
 use sesamebarrow_routing::token;
 
+use crate::meter::MeteredBody;
 use crate::relay::{self, Body};
 use crate::shared::Shared;
 use crate::telemetry;
@@ -18,7 +18,7 @@
 pub async fn handle(
     shared: Arc<Shared>,
     metrics: PrometheusHandle,
-    req: Request<Incoming>,
+    req: Request<MeteredBody>,
 ) -> Response<Body> {
     match req.uri().path() {
         "/metrics" => {
--- a/crates/sesamebarrow_gateway/src/directory.rs
+++ b/crates/sesamebarrow_gateway/src/directory.rs
@@ -5,17 +5,17 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use sesamebarrow_platform::directory;
 use sesamebarrow_routing::place;
 
+use crate::meter::MeteredBody;
 use crate::relay::{self, Body};
 use crate::shared::Shared;
 
 /// Handles a query to the directory.
-pub async fn resolve(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+pub async fn resolve(shared: Arc<Shared>, req: Request<MeteredBody>) -> Response<Body> {
     if req.uri().path() != directory::RESOLVE_PATH {
         return empty_response(StatusCode::NOT_FOUND);
     }
@@ -39,7 +39,7 @@
 }
 
 /// Handles the readiness check.
-pub async fn ready(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+pub async fn ready(shared: Arc<Shared>, req: Request<MeteredBody>) -> Response<Body> {
     if req.uri().path() != directory::READY_PATH {
         return empty_response(StatusCode::NOT_FOUND);
     }
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, Uri, Version};
 use sesamebarrow_platform::head::{self, ResponseKind};
 use sesamebarrow_routing::admit::{self, MIN_RETRY_AFTER, SelectedUpstream};
@@ -17,6 +16,7 @@
 use crate::framing::Framing;
 use crate::hop;
 use crate::intake::Job;
+use crate::meter::MeteredBody;
 use crate::notice;
 use crate::pool;
 use crate::quarantine;
@@ -46,7 +46,7 @@
     /// Status and headers.
     pub head: Response<()>,
     /// The body, which is still being received.
-    pub body: Incoming,
+    pub body: MeteredBody,
     /// What ends the body.
     pub framing: Framing,
     /// The attempt that it belongs to.
@@ -305,7 +305,7 @@
     target: &Target,
     history: &mut AttemptHistory,
     mut attempt: Attempt,
-    response: Response<Incoming>,
+    response: Response<MeteredBody>,
 ) -> AttemptResult {
     let (mut parts, body) = response.into_parts();
     attempt.idle_time = pool::idle_time(&parts.headers);
--- a/crates/sesamebarrow_gateway/src/framing.rs
+++ b/crates/sesamebarrow_gateway/src/framing.rs
@@ -12,10 +12,11 @@
 //! its next connection ([`crate::attempt::Attempt::confirm_end`]).
 
 use hyper::HeaderMap;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::header::TRANSFER_ENCODING;
 
 use crate::event_stream::Position;
+use crate::meter::MeteredBody;
 
 /// What ends the body of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
@@ -31,7 +32,7 @@
 
 impl Framing {
     /// Returns the framing of a response with these headers and this body.
-    pub fn of(headers: &HeaderMap, body: &Incoming) -> Self {
+    pub fn of(headers: &HeaderMap, body: &MeteredBody) -> Self {
         let is_chunked = |v: &hyper::header::HeaderValue| {
             let last = v.to_str().ok().and_then(|v| v.rsplit(',').next());
             last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -9,7 +9,6 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request, Response};
 use serde::{Deserialize, Serialize};
@@ -20,6 +19,7 @@
 
 use crate::exchange;
 use crate::intake::{Job, RequestPolicy, Residency, path_and_query};
+use crate::meter::MeteredBody;
 use crate::relay::Body;
 use crate::reply::Refusal;
 use crate::shared::Shared;
@@ -157,7 +157,7 @@
 }
 
 /// Receives a forwarded request and turns it into a job.
-pub async fn receive(shared: &Arc<Shared>, req: Request<Incoming>) -> Result<Job, Refusal> {
+pub async fn receive(shared: &Arc<Shared>, req: Request<MeteredBody>) -> Result<Job, Refusal> {
     let started_at = Instant::now();
     let (mut parts, body) = req.into_parts();
     let envelope = parts.headers.remove(ENVELOPE_HEADER);
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -7,7 +7,6 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Uri};
@@ -18,6 +17,7 @@
 use sesamebarrow_routing::{Config, RequestKind};
 use smol_str::SmolStr;
 
+use crate::meter::MeteredBody;
 use crate::reply::Refusal;
 use crate::shared::Shared;
 use crate::token::{self, Reservation};
@@ -112,7 +112,7 @@
 }
 
 /// Receives a client's request and turns it into a job.
-pub async fn receive(shared: &Arc<Shared>, req: Request<Incoming>) -> Result<Job, Refusal> {
+pub async fn receive(shared: &Arc<Shared>, req: Request<MeteredBody>) -> Result<Job, Refusal> {
     let started_at = Instant::now();
     let (parts, body) = req.into_parts();
     let config = shared.board().config.clone();
@@ -242,7 +242,7 @@
     Ok(customer)
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
+async fn read_body(body: MeteredBody, max_bytes: usize) -> Result<Bytes, Refusal> {
     use hyper::body::Body as _;
     if body.is_end_stream() {
         return Ok(Bytes::new());
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod hop;
 pub mod intake;
 pub mod log_limit;
+pub mod meter;
 pub mod notice;
 pub mod pool;
 pub mod quarantine;
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -11,11 +11,11 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
 
+use crate::meter::{Meter, Metered, MeteredBody};
 use crate::socket;
 
 /// Time for which a connection may stay idle if the peer does not state one.
@@ -43,13 +43,21 @@
 pub struct Connection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    meter: Meter,
 }
 
 impl Connection {
     /// Sends a request and returns the response, whose body is still being received.
-    pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+    pub async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<MeteredBody>, Error> {
+        self.meter.reset();
         match self.sender.try_send_request(req).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.meter.reset();
+                Ok(response.map(|body| MeteredBody::new(body, self.meter.clone())))
+            }
             Err(mut error) => match error.take_message() {
                 // A request is returned only if the connection has not started to send it.
                 Some(_) => Err(Error::NotSent),
@@ -84,6 +92,7 @@
     /// as it might an idle one.
     pub async fn open(&self, address: SocketAddr, timeout: Duration) -> io::Result<Connection> {
         let stream = socket::connect(address, timeout).await?;
+        let (stream, meter) = Metered::new(stream);
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -93,7 +102,11 @@
             }
         });
         metrics::counter!("sesamebarrow_connections_opened_total").increment(1);
-        Ok(Connection { address, sender })
+        Ok(Connection {
+            address,
+            sender,
+            meter,
+        })
     }
 
     /// Returns whether a process accepts connections at `address`, by opening one, which is then kept
--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -17,6 +17,7 @@
 
 use crate::exchange;
 use crate::intake::{self, Job};
+use crate::meter::{Metered, MeteredBody};
 use crate::relay::{self, Body};
 use crate::reply::Refusal;
 use crate::selection::AttemptHistory;
@@ -36,7 +37,7 @@
 /// Serves connections of `listener` until the process ends; `handler` answers requests.
 pub async fn serve<F, R>(shared: Arc<Shared>, listener: TcpListener, handler: F)
 where
-    F: Fn(Arc<Shared>, Request<Incoming>) -> R + Clone + Send + 'static,
+    F: Fn(Arc<Shared>, Request<MeteredBody>) -> R + Clone + Send + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
     loop {
@@ -52,7 +53,7 @@
 
 fn spawn_connection<F, R>(shared: &Arc<Shared>, stream: TcpStream, handler: F)
 where
-    F: Fn(Arc<Shared>, Request<Incoming>) -> R + Clone + Send + 'static,
+    F: Fn(Arc<Shared>, Request<MeteredBody>) -> R + Clone + Send + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
     if let Err(error) = socket::set_options(&stream) {
@@ -64,7 +65,10 @@
     let shared = shared.clone();
     let close_idle = shared.close_idle.clone();
     let tracker = shared.inbound_connections.clone();
-    let service = hyper::service::service_fn(move |req| {
+    let (stream, meter) = Metered::new(stream);
+    let service = hyper::service::service_fn(move |req: Request<Incoming>| {
+        meter.reset();
+        let req = req.map(|body| MeteredBody::new(body, meter.clone()));
         let response = handler(shared.clone(), req);
         async move { Ok::<_, Infallible>(response.await) }
     });
@@ -107,7 +111,7 @@
 }
 
 /// Handles a client's request.
-pub async fn handle_client(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+pub async fn handle_client(shared: Arc<Shared>, req: Request<MeteredBody>) -> Response<Body> {
     let _active = ActiveRequest::new(&shared);
     let started_at = Instant::now();
     let id = sesamebarrow_platform::head::read_attempt_id(req.headers());
@@ -132,7 +136,7 @@
 }
 
 /// Handles a request that another instance forwarded.
-pub async fn handle_instance(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+pub async fn handle_instance(shared: Arc<Shared>, req: Request<MeteredBody>) -> Response<Body> {
     let _active = ActiveRequest::new(&shared);
     let started_at = Instant::now();
     let id = sesamebarrow_platform::head::read_attempt_id(req.headers());
--- a/crates/sesamebarrow_gateway/src/store.rs
+++ b/crates/sesamebarrow_gateway/src/store.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
@@ -15,6 +15,7 @@
 use sesamebarrow_routing::catalog::{Catalog, Change, Item, Position};
 use smol_str::SmolStr;
 
+use crate::meter::{Meter, Metered, MeteredBody};
 use crate::shared::Shared;
 use crate::socket;
 
@@ -27,6 +28,9 @@
 /// quarter of a second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum size of a response of the store. A page has about a megabyte, and a third more in its encoding.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
 /// Backoff after the first failure; each further failure doubles it.
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 
@@ -40,6 +44,8 @@
     Io(#[from] std::io::Error),
     #[error("call failed: {0}")]
     Call(#[from] hyper::Error),
+    #[error("response body failed: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
     #[error("no response in time")]
     TimedOut,
     #[error("unexpected status {0}")]
@@ -170,21 +176,28 @@
     watch(shared, client, revision, era).await
 }
 
-async fn connect(shared: &Shared) -> Result<SendRequest<Full<Bytes>>, Error> {
+/// A connection to the store.
+struct Client {
+    sender: SendRequest<Full<Bytes>>,
+    meter: Meter,
+}
+
+async fn connect(shared: &Shared) -> Result<Client, Error> {
     let stream = socket::connect(shared.settings.store.address, CALL_TIMEOUT).await?;
-    let (client, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let (stream, meter) = Metered::new(stream);
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!(error:% = error; "store connection failed");
         }
     });
-    Ok(client)
+    Ok(Client { sender, meter })
 }
 
 /// Calls the store, which was in `era`, and returns the body of its response.
 async fn call(
     shared: &Shared,
-    client: &mut SendRequest<Full<Bytes>>,
+    client: &mut Client,
     path: &str,
     wait: Duration,
     era: &mut Option<u16>,
@@ -199,12 +212,16 @@
     }
     metrics::counter!("sesamebarrow_store_calls_total").increment(1);
     let round_trip = async {
-        client.ready().await?;
-        let response = client.send_request(req).await?;
+        client.sender.ready().await?;
+        client.meter.reset();
+        let response = client.sender.send_request(req).await?;
+        client.meter.reset();
         let status = response.status();
         let era = platform_store::read_era(response.headers());
-        let body = response.into_body().collect().await?.to_bytes();
-        Ok::<_, hyper::Error>((status, era, body))
+        let body = MeteredBody::new(response.into_body(), client.meter.clone());
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+        let body = body.map_err(Error::Body)?.to_bytes();
+        Ok::<_, Error>((status, era, body))
     };
     let (status, answered_era, body) = tokio::time::timeout(wait + CALL_TIMEOUT, round_trip)
         .await
@@ -234,7 +251,7 @@
 /// Reads all items and returns the revision after which to watch for changes.
 async fn read_all(
     shared: &Arc<Shared>,
-    client: &mut SendRequest<Full<Bytes>>,
+    client: &mut Client,
     era: &mut Option<u16>,
 ) -> Result<u64, Error> {
     let mut items = std::collections::BTreeMap::new();
@@ -264,7 +281,7 @@
 
 async fn watch(
     shared: &Arc<Shared>,
-    mut client: SendRequest<Full<Bytes>>,
+    mut client: Client,
     mut revision: u64,
     mut era: Option<u16>,
 ) -> Result<std::convert::Infallible, Error> {
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -9,7 +9,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::future::BoxFuture;
 use http_body_util::BodyExt;
-use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 use sesamebarrow_routing::upstream::AttemptOutcome;
@@ -22,6 +22,7 @@
 use crate::exchange::{self, UpstreamResponse};
 use crate::framing::{self, Framing};
 use crate::intake::Job;
+use crate::meter::MeteredBody;
 use crate::quarantine;
 use crate::relay::{self, Body, BodyError, End, StreamEnd};
 use crate::reply::Refusal;
@@ -135,7 +136,7 @@
 
 enum StreamState {
     /// Receiving events from the target.
-    Receiving(Incoming, Option<Box<Attempt>>),
+    Receiving(MeteredBody, Option<Box<Attempt>>),
     /// The body has ended with its connection; finding out whether the target has crashed.
     Confirming(BoxFuture<'static, bool>, Option<Box<Attempt>>),
     /// Making attempts to resume the stream at another target.
--- a/crates/sesamebarrow_node/src/accept.rs
+++ b/crates/sesamebarrow_node/src/accept.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
+use sesamebarrow_gateway::meter::{Metered, MeteredBody};
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -49,7 +50,12 @@
         // Without this, small chunks of streamed responses would be delayed.
         let _ = stream.set_nodelay(true);
         let node = node.clone();
-        let service = hyper::service::service_fn(move |req| handle_request(node.clone(), req));
+        let (stream, meter) = Metered::new(stream);
+        let service = hyper::service::service_fn(move |req: Request<Incoming>| {
+            meter.reset();
+            let req = req.map(|body| MeteredBody::new(body, meter.clone()));
+            handle_request(node.clone(), req)
+        });
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let watched = graceful.watch(connection.into_owned());
         tokio::spawn(async move {
@@ -92,7 +98,7 @@
 
 async fn handle_request(
     node: Arc<Node>,
-    req: Request<Incoming>,
+    req: Request<MeteredBody>,
 ) -> Result<Response<Body>, relay::Interrupted> {
     let started_at = Instant::now();
     let id = node.next_request_id();
@@ -150,7 +156,7 @@
 async fn route(
     node: Arc<Node>,
     id: &SmolStr,
-    req: Request<Incoming>,
+    req: Request<MeteredBody>,
 ) -> Result<Response<Body>, Failure> {
     let path = req.uri().path();
     if path == "/placement" && req.method() == Method::GET {
@@ -171,7 +177,7 @@
 async fn handle_service_request(
     node: Arc<Node>,
     id: &SmolStr,
-    req: Request<Incoming>,
+    req: Request<MeteredBody>,
     service: SmolStr,
     path: String,
 ) -> Result<Response<Body>, Failure> {
--- a/crates/sesamebarrow_node/src/accept/head.rs
+++ b/crates/sesamebarrow_node/src/accept/head.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 use hyper::{HeaderMap, StatusCode};
+use sesamebarrow_gateway::meter::MeteredBody;
 use sesamebarrow_policy::{Head, Origin};
 use smol_str::SmolStr;
 
@@ -102,7 +102,7 @@
     node: &Node,
     outbound: OutboundRequest,
     key: Option<Key>,
-    body: Incoming,
+    body: MeteredBody,
     max_length: u64,
 ) -> OutboundFuture {
     let limit = usize::try_from(max_length).unwrap_or(usize::MAX);
--- a/crates/sesamebarrow_node/src/accept/placement.rs
+++ b/crates/sesamebarrow_node/src/accept/placement.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
+use sesamebarrow_gateway::meter::MeteredBody;
 use sesamebarrow_policy::event::Candidate;
 use sesamebarrow_policy::{Action, Event};
 use smol_str::{SmolStr, format_smolstr};
@@ -33,7 +33,7 @@
 /// Answers `GET /placement?service=NAME`.
 pub(super) async fn respond(
     node: &Node,
-    req: &Request<Incoming>,
+    req: &Request<MeteredBody>,
 ) -> Result<Response<Body>, Failure> {
     let key = Key::from_headers(req.headers()).map_err(|e| head::bad_credential(&e))?;
     let query = req.uri().query().unwrap_or_default();
--- a/crates/sesamebarrow_node/src/admin.rs
+++ b/crates/sesamebarrow_node/src/admin.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
 use metrics_exporter_prometheus::PrometheusHandle;
+use sesamebarrow_gateway::meter::{Metered, MeteredBody};
 use sesamebarrow_policy::Event;
 use subtle::ConstantTimeEq;
 use tokio::net::TcpListener;
@@ -44,7 +45,12 @@
         };
         let cx = cx.clone();
         tokio::spawn(async move {
-            let service = hyper::service::service_fn(move |req| handle_request(cx.clone(), req));
+            let (stream, meter) = Metered::new(stream);
+            let service = hyper::service::service_fn(move |req: Request<Incoming>| {
+                meter.reset();
+                let req = req.map(|body| MeteredBody::new(body, meter.clone()));
+                handle_request(cx.clone(), req)
+            });
             let builder = auto::Builder::new(TokioExecutor::new());
             let connection = builder.serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
@@ -56,7 +62,7 @@
 
 async fn handle_request(
     cx: Arc<Context>,
-    req: Request<Incoming>,
+    req: Request<MeteredBody>,
 ) -> Result<Response<Body>, Infallible> {
     let response = match route(&cx, &req).await {
         Ok(response) => response,
@@ -65,7 +71,7 @@
     Ok(response)
 }
 
-async fn route(cx: &Context, req: &Request<Incoming>) -> Result<Response<Body>, Problem> {
+async fn route(cx: &Context, req: &Request<MeteredBody>) -> Result<Response<Body>, Problem> {
     match (req.method(), req.uri().path()) {
         (&Method::GET, "/health") => Ok(text("ok\n")),
         (&Method::GET, "/ready") => ready(cx).await,
@@ -115,7 +121,7 @@
     ))
 }
 
-fn check_token(cx: &Context, req: &Request<Incoming>) -> Result<(), Problem> {
+fn check_token(cx: &Context, req: &Request<MeteredBody>) -> Result<(), Problem> {
     let token = req
         .headers()
         .get(AUTHORIZATION)
--- a/crates/sesamebarrow_node/src/attempt.rs
+++ b/crates/sesamebarrow_node/src/attempt.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode};
+use sesamebarrow_gateway::meter::MeteredBody;
 use sesamebarrow_gateway::pool::{self, Connection};
 use sesamebarrow_policy::Refusal;
 use sesamebarrow_policy::event::Target;
@@ -78,7 +78,7 @@
 enum BodySource {
     /// Also holds the connection, and for how long it may stay idle for reuse after the
     /// response; `None` if it must be closed then.
-    Upstream(Incoming, Option<(Connection, Option<Duration>)>),
+    Upstream(MeteredBody, Option<(Connection, Option<Duration>)>),
     Instance(Box<Stream>),
 }
 
@@ -236,7 +236,7 @@
     }
 }
 
-async fn read_upstream(body: &mut Incoming) -> BodyPart {
+async fn read_upstream(body: &mut MeteredBody) -> BodyPart {
     loop {
         match body.frame().await {
             None => return BodyPart::End,
--- a/crates/sesamebarrow_node/src/platform.rs
+++ b/crates/sesamebarrow_node/src/platform.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
+use sesamebarrow_gateway::meter::{Metered, MeteredBody};
 use sesamebarrow_policy::Event;
 use sesamebarrow_rules::Document;
 use sesamebarrow_wire::control::DocumentKind;
@@ -137,6 +138,7 @@
 
 async fn fetch(address: SocketAddr, path: &str, limit: usize) -> Result<Response, Error> {
     let stream = TcpStream::connect(address).await?;
+    let (stream, meter) = Metered::new(stream);
     let (mut sender, connection) =
         hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     let connection_task = tokio::spawn(connection);
@@ -152,7 +154,8 @@
         .headers()
         .get("x-revision")
         .and_then(|v| v.to_str().ok()?.parse().ok());
-    let body = Limited::new(response.into_body(), limit);
+    let body = MeteredBody::new(response.into_body(), meter);
+    let body = Limited::new(body, limit);
     let body = body.collect().await.map_err(Error::Body)?.to_bytes();
     connection_task.abort();
     Ok(Response {
