--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -250,7 +250,13 @@
     history.sent += 1;
     history.possible_runs += 1;
     job.reservation.set_consumed(true);
-    let sent = tokio::time::timeout(job.time_left(), connection.send(req)).await;
+    let sent = tokio::select! {
+        sent = tokio::time::timeout(job.time_left(), connection.send(req)) => sent,
+        () = quarantine::wait_until_bound(shared, job, history) => {
+            attempt.end(AttemptOutcome::Cancelled);
+            return AttemptResult::Broken("harmful-prompt");
+        }
+    };
     let response = match sent {
         Ok(Ok(response)) => response,
         Ok(Err(pool::Error::NotSent)) => {
--- a/crates/sesamebarrow_gateway/src/quarantine.rs
+++ b/crates/sesamebarrow_gateway/src/quarantine.rs
@@ -97,6 +97,18 @@
     }
 }
 
+/// Waits until `job` contains a quarantined part. Its upstream may not have begun to answer it, and then
+/// drops it when the connection is closed.
+pub async fn wait_until_bound(shared: &Shared, job: &Job, history: &AttemptHistory) {
+    let mut changed = shared.quarantine_changed.subscribe();
+    // The sender lives as long as the process.
+    while changed.changed().await.is_ok() {
+        if !may_send(shared, job, history) {
+            return;
+        }
+    }
+}
+
 fn log_refused(shared: &Shared, job: &Job, part: u64) {
     if !shared.log_limiter.allow(true) {
         return;
@@ -209,6 +221,9 @@
 }
 
 fn apply(shared: &Shared, effects: Effects) {
+    if !effects.changes.is_empty() {
+        shared.quarantine_changed.send_replace(());
+    }
     for (change, order) in effects.changes {
         log_change(shared, change, &order);
     }
--- a/crates/sesamebarrow_gateway/src/shared.rs
+++ b/crates/sesamebarrow_gateway/src/shared.rs
@@ -7,7 +7,7 @@
 
 use sesamebarrow_routing::{Board, Catalog, Identity};
 use smol_str::SmolStr;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -33,6 +33,8 @@
     pub tokens: Tokens,
     /// Requests for trials of quarantined prompt parts.
     pub trials: Trials,
+    /// Sent when the quarantine of prompt parts has changed.
+    pub quarantine_changed: watch::Sender<()>,
     /// Limits the number of log lines.
     pub log_limiter: Limiter,
     /// Open inbound connections.
@@ -70,6 +72,7 @@
             pool: Pool::default(),
             tokens,
             trials: Trials::default(),
+            quarantine_changed: watch::Sender::default(),
             log_limiter: Limiter::default(),
             inbound_connections: TaskTracker::new(),
             active_requests: AtomicU64::new(0),
--- a/crates/sesamebarrow_trial/src/lib.rs
+++ b/crates/sesamebarrow_trial/src/lib.rs
@@ -12,6 +12,7 @@
 //! [`placement`] and [`engine`] form a separate simulation, which uses the routing decisions of
 //! `sesamebarrow_routing`. That crate has a `Board` of its own.
 
+pub mod containment;
 pub mod engine;
 pub mod fleet;
 pub mod invariant;
--- /dev/null
+++ b/crates/sesamebarrow_trial/tests/containment.rs
@@ -0,0 +1,139 @@
+//! Tests that harm by requests is bounded over a whole fleet, over virtual time, and that planted faults are
+//! seen. More seeds: `cargo run --release -p sesamebarrow_trial --example containment -- --seeds 200`.
+
+use sesamebarrow_trial::containment::{self, Experiment, Policy, Report};
+
+/// Number of requests with a harmful part that the users' rule allows later than 6 s after the fifth crash.
+const ALLOWED_LATE: u64 = 3;
+
+/// Fraction of the sound requests served before that must be served once the part is contained.
+const MIN_SERVED: f64 = 0.95;
+
+/// Aims for the number of crashes at four harmful requests a second, in a fleet of 8 and of up to 350
+/// instances.
+const MAX_CRASHES_SMALL: u64 = 6;
+const MAX_CRASHES_LARGE: u64 = 8;
+
+const SEEDS: u64 = 12;
+
+fn reports(cfg: &Experiment, policy: Policy) -> Vec<Report> {
+    (0..SEEDS)
+        .map(|seed| containment::run(cfg, policy, seed))
+        .collect()
+}
+
+/// Checks the users' rule, and that at most `max_crashes` upstreams crash where an aim is stated.
+fn check_contained(cfg: &Experiment, max_crashes: Option<u64>) {
+    for (seed, report) in reports(cfg, Policy::Fleet).iter().enumerate() {
+        assert!(
+            report.late <= ALLOWED_LATE,
+            "seed {seed}: {} late",
+            report.late
+        );
+        assert!(
+            max_crashes.is_none_or(|max| report.crashes <= max),
+            "seed {seed}: {} crashes",
+            report.crashes
+        );
+        assert_eq!(report.wrongly_refused, 0, "seed {seed}");
+        let (before, after) = (report.before.fraction(), report.after.fraction());
+        assert!(
+            after >= MIN_SERVED * before,
+            "seed {seed}: {before:.3}, then {after:.3}"
+        );
+    }
+}
+
+/// Defines a test that a harmful part is contained.
+macro_rules! contained_test {
+    ($($name:ident: $max_crashes:expr, $cfg:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            check_contained(&$cfg, $max_crashes);
+        }
+    )*};
+}
+
+fn small() -> Experiment {
+    Experiment::default()
+}
+
+fn large() -> Experiment {
+    Experiment {
+        instances: 117,
+        upstreams: 140,
+        batch: 8,
+        sound_per_s: 400.0,
+        ..small()
+    }
+}
+
+contained_test! {
+    part_is_contained_in_a_small_fleet: Some(MAX_CRASHES_SMALL), small();
+    part_is_contained_in_a_large_fleet: Some(MAX_CRASHES_LARGE), large();
+    part_that_stands_first_is_contained: None, Experiment { position: 0, ..small() };
+    part_that_stands_next_to_last_is_contained: None, Experiment { position: 2, ..small() };
+    part_is_contained_while_messages_are_lost: None, Experiment { loss: 0.3, ..small() };
+    part_that_comes_once_in_ten_seconds_is_contained: None, Experiment {
+        harmful_per_s: 0.1, harmful_spans: vec![(0.0, 120.0)], seconds: 120.0, ..small()
+    };
+    part_that_comes_back_after_a_minute_is_still_contained: None, Experiment {
+        harmful_spans: vec![(0.0, 10.0), (70.0, 120.0)], seconds: 120.0, ..small()
+    };
+    part_is_contained_on_both_sides_of_a_cut: None, Experiment { cut: Some((0.0, 30.0)), ..small() };
+    sides_of_a_cut_that_join_need_no_second_round_of_crashes: None, Experiment {
+        cut: Some((2.0, 40.0)), seconds: 80.0, harmful_spans: vec![(0.0, 80.0)], ..small()
+    };
+    instances_that_restart_learn_what_is_contained: None, Experiment { restart: Some(15.0), ..small() };
+}
+
+/// Defines a test of upstreams that crash by themselves: no request is refused.
+macro_rules! own_crashes_test {
+    ($($name:ident: $per_min:expr, $cfg:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let cfg = Experiment {
+                own_crashes_per_min: $per_min, harmful_spans: Vec::new(), ..$cfg
+            };
+            for (seed, report) in reports(&cfg, Policy::Fleet).iter().enumerate() {
+                assert_eq!(report.wrongly_refused, 0, "seed {seed}");
+            }
+        }
+    )*};
+}
+
+own_crashes_test! {
+    crash_a_minute_blames_nobody: 1.0, small();
+    five_crashes_a_minute_blame_nobody: 5.0, small();
+    five_crashes_a_minute_blame_nobody_in_a_large_fleet: 5.0, large();
+}
+
+#[test]
+fn blame_at_each_instance_by_itself_is_not_enough() {
+    let late = reports(&small(), Policy::Instance)
+        .iter()
+        .map(|r| r.late)
+        .max();
+    assert!(
+        late > Some(ALLOWED_LATE),
+        "the check does not see the planted fault"
+    );
+}
+
+#[test]
+fn blame_without_acquittal_refuses_sound_requests() {
+    let reports = reports(&small(), Policy::NoAcquittal);
+    assert!(
+        reports.iter().any(|r| r.wrongly_refused > 0),
+        "the check does not see the planted fault"
+    );
+}
+
+#[test]
+fn repetition_without_a_bound_crashes_more_upstreams() {
+    let crashes = |policy| -> u64 { reports(&small(), policy).iter().map(|r| r.crashes).sum() };
+    assert!(
+        crashes(Policy::NoBound) > crashes(Policy::Fleet),
+        "the check does not see the planted fault"
+    );
+}
