--- a/crates/sesamebarrow_ctl/src/explain.rs
+++ b/crates/sesamebarrow_ctl/src/explain.rs
@@ -1,6 +1,7 @@
-//! Prints the lines of one request from the logs of several instances.
+//! Prints the lines of one request from the logs of several instances. If the request was refused for a part of
+//! its prompt, prints also the crashes for which the part was blamed and the orders that quarantined it.
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 use anyhow::Context;
 
@@ -14,10 +15,22 @@
 /// Runs `explain`. Returns `false` if no log has a line of the request.
 pub fn run(args: &clap::ArgMatches) -> anyhow::Result<bool> {
     let id = args.get_one::<String>("id").cloned().unwrap_or_default();
-    let mut lines = Vec::new();
+    let mut logs = Vec::new();
     for path in args.get_many::<PathBuf>("logs").unwrap_or_default() {
         let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
-        lines.extend(matching_lines(&text, path, &id));
+        logs.push((path, text));
+    }
+    let field = format!("request={id}");
+    let is_of_request = |line: &str| line.split_whitespace().any(|word| word == field);
+    let mut lines = matching_lines(&logs, is_of_request);
+    let parts: Vec<String> = lines
+        .iter()
+        .map(|line| field_value(&line.text, "part").to_owned())
+        .filter(|part| !part.is_empty())
+        .collect();
+    if !parts.is_empty() {
+        let is_cause = |line: &str| !is_of_request(line) && is_about_parts(line, &parts);
+        lines.extend(matching_lines(&logs, is_cause));
     }
     lines.sort_by(|a, b| a.timestamp.cmp(&b.timestamp));
     for line in &lines {
@@ -29,21 +42,28 @@
     Ok(!lines.is_empty())
 }
 
-fn matching_lines<'a>(text: &'a str, path: &Path, id: &str) -> impl Iterator<Item = Line> + 'a {
-    let file = path
-        .file_name()
-        .unwrap_or_default()
-        .to_string_lossy()
-        .into_owned();
-    let field = format!("request={id}");
-    let matching = text
-        .lines()
-        .filter(move |line| line.split_whitespace().any(|word| word == field));
-    matching.map(move |line| Line {
-        timestamp: field_value(line, "timestamp").to_owned(),
-        file: file.clone(),
-        text: line.to_owned(),
-    })
+/// Returns whether a line tells of a crash under a request with one of `parts`, or of the quarantine of one.
+fn is_about_parts(line: &str, parts: &[String]) -> bool {
+    let is_named = |part: &str| parts.iter().any(|p| p == part);
+    let changed = line.contains("quarantine of a prompt part changed");
+    let crashed = field_value(line, "crashed") == "true";
+    (changed && is_named(field_value(line, "part")))
+        || (crashed && field_value(line, "parts").split(',').any(is_named))
+}
+
+fn matching_lines(logs: &[(&PathBuf, String)], matches: impl Fn(&str) -> bool) -> Vec<Line> {
+    let mut lines = Vec::new();
+    for (path, text) in logs {
+        let file = path.file_name().unwrap_or_default().to_string_lossy();
+        for line in text.lines().filter(|line| matches(line)) {
+            lines.push(Line {
+                timestamp: field_value(line, "timestamp").to_owned(),
+                file: file.clone().into_owned(),
+                text: line.to_owned(),
+            });
+        }
+    }
+    lines
 }
 
 /// Returns the value of the field `name`, or an empty text if there is none.
--- a/crates/sesamebarrow_ctl/tests/commands.rs
+++ b/crates/sesamebarrow_ctl/tests/commands.rs
@@ -70,3 +70,23 @@
     let is_sent: Vec<_> = text.lines().map(|l| l.contains("message=sent")).collect();
     assert_eq!(is_sent, [true, false], "{text}");
 }
+
+#[test]
+fn explain_leads_from_a_refused_part_to_the_crashes_that_caused_it() {
+    let directory = tempfile::tempdir().expect("temporary directory");
+    let path = directory.path().join("log");
+    let text = "timestamp=1 message=\"answer broke off\" request=x1 crashed=true parts=51,bad0,77\n\
+         timestamp=2 message=\"answer broke off\" request=x2 crashed=false parts=bad0,78\n\
+         timestamp=3 message=\"answer broke off\" request=x3 crashed=true parts=51,79\n\
+         timestamp=4 message=\"quarantine of a prompt part changed\" change=quarantined part=bad0\n\
+         timestamp=5 message=\"request contains a quarantined part\" request=ab1 part=bad0\n\
+         timestamp=6 message=\"request contains a quarantined part\" request=x4 part=bad0\n";
+    std::fs::write(&path, text).expect("write log");
+    let output = ctl(&["explain", "ab1", &path.to_string_lossy()]);
+    let text = String::from_utf8_lossy(&output.stdout);
+    let times: Vec<_> = text
+        .lines()
+        .filter_map(|line| line.split("timestamp=").nth(1)?.split(' ').next())
+        .collect();
+    assert_eq!(times, ["1", "4", "5"], "{text}");
+}
