--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -162,7 +162,7 @@
     if history.is_trial || history.crashes >= MAX_CRASHES_PER_REQUEST {
         return false;
     }
-    if history.crashes > 0 && shared.board().quarantine.is_suspected(&job.spec.prompt) {
+    if history.crashes > 0 && quarantine::is_suspected(shared, job) {
         return false;
     }
     if history.sent == 0 {
--- a/crates/sesamebarrow_gateway/src/quarantine.rs
+++ b/crates/sesamebarrow_gateway/src/quarantine.rs
@@ -109,6 +109,13 @@
     }
 }
 
+/// Returns whether `job`, which met a crash, must not be repeated.
+pub fn is_suspected(shared: &Shared, job: &Job) -> bool {
+    let customer = customer_hash(job);
+    let quarantine = &shared.board().quarantine;
+    quarantine.is_suspected(customer, &job.spec.prompt)
+}
+
 fn log_refused(shared: &Shared, job: &Job, part: u64) {
     if !shared.log_limiter.allow(true) {
         return;
@@ -174,8 +181,9 @@
 
 /// Records that `job` was answered completely.
 pub fn record_answer(shared: &Shared, job: &Job) {
-    let now = shared.now();
-    let effects = shared.board().record_answer(now, &job.spec.prompt);
+    let (now, customer) = (shared.now(), customer_hash(job));
+    let prompt = &job.spec.prompt;
+    let effects = shared.board().record_answer(now, customer, prompt);
     apply(shared, effects);
 }
 
--- a/crates/sesamebarrow_routing/src/board/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/board/quarantine.rs
@@ -76,8 +76,13 @@
     }
 
     /// Records that a request with `prompt` was answered completely.
-    pub fn record_answer(&mut self, now: Duration, prompt: &[PromptPart]) -> Effects {
-        let revoked = self.quarantine.record_answer(now, prompt);
+    pub fn record_answer(
+        &mut self,
+        now: Duration,
+        customer: u64,
+        prompt: &[PromptPart],
+    ) -> Effects {
+        let revoked = self.quarantine.record_answer(now, customer, prompt);
         self.announce_revoked(now, &revoked)
     }
 
--- a/crates/sesamebarrow_routing/src/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/quarantine.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 
 use crate::cache::PromptPart;
+use crate::rendezvous;
 
 pub mod message;
 mod order;
@@ -45,6 +46,12 @@
 /// Maximum number of parts that are blamed.
 const MAX_BLAMED: usize = 1_024;
 
+/// Maximum number of parts of one prompt that are told apart.
+const MAX_PARTS: usize = 32;
+
+/// Key of the number that stands for a customer's prompts with more parts.
+const LONG_PROMPTS: u64 = 1;
+
 /// Maximum number of parts whose last answer is kept.
 const MAX_ANSWERED: usize = 8_192;
 
@@ -134,10 +141,19 @@
     reports: Vec<Report>,
 }
 
-/// Returns the parts of a prompt that may be blamed: all but the last.
-pub fn shared_parts(prompt: &[PromptPart]) -> impl Iterator<Item = u64> {
-    let shared = prompt.len().saturating_sub(1);
-    prompt[..shared].iter().map(|part| part.id)
+/// Returns the parts of a customer's prompt that may be blamed: all but the last. One number stands for
+/// all prompts of the customer with more than [`MAX_PARTS`], so that made-up parts neither fill the tables nor
+/// hide a harmful one.
+pub fn blamed_parts(customer: u64, prompt: &[PromptPart]) -> impl Iterator<Item = u64> {
+    let shared = &prompt[..prompt.len().saturating_sub(1)];
+    let (few, many) = match shared.len() <= MAX_PARTS {
+        true => (shared, None),
+        false => (
+            &[][..],
+            Some(rendezvous::weight_of_hashes(customer, LONG_PROMPTS)),
+        ),
+    };
+    few.iter().map(|part| part.id).chain(many)
 }
 
 impl Quarantine {
@@ -191,7 +207,7 @@
         prompt: &[PromptPart],
     ) -> Vec<Order> {
         let mut orders = Vec::new();
-        for part in shared_parts(prompt) {
+        for part in blamed_parts(customer, prompt) {
             if self.is_acquitted(part, now) {
                 continue;
             }
@@ -213,9 +229,14 @@
     }
 
     /// Records a complete answer. Returns the orders that it revokes.
-    pub fn record_answer(&mut self, now: Duration, prompt: &[PromptPart]) -> Vec<Order> {
+    pub fn record_answer(
+        &mut self,
+        now: Duration,
+        customer: u64,
+        prompt: &[PromptPart],
+    ) -> Vec<Order> {
         let mut revoked = Vec::new();
-        for part in shared_parts(prompt) {
+        for part in blamed_parts(customer, prompt) {
             self.answered.insert(part, now);
             self.cases.remove(&part);
             self.reports.retain(|report| report.blame.part != part);
@@ -244,7 +265,7 @@
         if self.orders.is_empty() {
             return admission;
         }
-        for part in shared_parts(prompt) {
+        for part in blamed_parts(customer, prompt) {
             let Some(order) = self.orders.get(&part) else {
                 continue;
             };
@@ -260,8 +281,8 @@
     }
 
     /// Returns whether a request that met a crash must not be repeated: one of its parts is suspected.
-    pub fn is_suspected(&self, prompt: &[PromptPart]) -> bool {
-        shared_parts(prompt).any(|part| {
+    pub fn is_suspected(&self, customer: u64, prompt: &[PromptPart]) -> bool {
+        blamed_parts(customer, prompt).any(|part| {
             let runs = self.cases.get(&part).map_or(0, Case::runs);
             runs >= SUSPICION_CRASHES || self.orders.get(&part).is_some_and(|o| o.in_force)
         })
--- a/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use prost::Message as _;
 use sesamebarrow_routing::cache::PromptPart;
-use sesamebarrow_routing::quarantine::message::OrderEntry;
+use sesamebarrow_routing::quarantine::message::{OrderEntry, Orders};
 use sesamebarrow_routing::quarantine::{
     ACQUITTAL_TIME, Admission, Blame, Order, QUARANTINE_CRASHES, Quarantine,
 };
+use sesamebarrow_routing::token;
 
 use crate::fleet::ms;
 
@@ -55,7 +57,7 @@
             for run in 0..QUARANTINE_CRASHES as u64 {
                 let now = START + ms(100 * run);
                 assert_eq!(admission(&q, now, ROSA, &$parts(OWN)), Admission::Allowed);
-                q.record_answer(now, &prompt(&[SHARED, 2, OWN]));
+                q.record_answer(now, ROSA, &prompt(&[SHARED, 2, OWN]));
                 crash(&mut q, now, run, ROSA, &$parts(OWN + run));
             }
             let now = START + ms(400);
@@ -78,7 +80,7 @@
         let now = START + ms(250 * run);
         crash(&mut q, now, run, ROSA, &[SHARED, HARMFUL, OWN]);
         crash(&mut q, now, run, ROSA, &[SHARED, 7, OWN]);
-        q.record_answer(now + ms(50), &prompt(&[SHARED, 7, OWN]));
+        q.record_answer(now + ms(50), ROSA, &prompt(&[SHARED, 7, OWN]));
         assert_eq!(
             admission(&q, now, ROSA, &[SHARED, 7, OWN]),
             Admission::Allowed
@@ -89,7 +91,7 @@
 #[test]
 fn part_of_many_requests_is_not_blamed_for_upstreams_that_crash_at_once() {
     let mut q = Quarantine::default();
-    q.record_answer(START, &prompt(&[SHARED, 7, OWN]));
+    q.record_answer(START, ROSA, &prompt(&[SHARED, 7, OWN]));
     for run in 0..50 {
         crash(&mut q, START + ms(20), run, ROSA, &[SHARED, 7, OWN]);
     }
@@ -151,11 +153,11 @@
     let mut q = Quarantine::default();
     let harmful = prompt(&[SHARED, HARMFUL, OWN]);
     crash(&mut q, START, 1, ROSA, &[SHARED, HARMFUL, OWN]);
-    assert!(!q.is_suspected(&harmful), "one crash says little");
-    q.record_answer(START, &prompt(&[SHARED, OWN]));
+    assert!(!q.is_suspected(ROSA, &harmful), "one crash says little");
+    q.record_answer(START, ROSA, &prompt(&[SHARED, OWN]));
     crash(&mut q, START, 2, ROSA, &[SHARED, HARMFUL, OWN]);
-    assert!(q.is_suspected(&harmful));
-    assert!(!q.is_suspected(&prompt(&[SHARED, OWN])));
+    assert!(q.is_suspected(ROSA, &harmful));
+    assert!(!q.is_suspected(ROSA, &prompt(&[SHARED, OWN])));
 }
 
 #[test]
@@ -182,7 +184,7 @@
 #[test]
 fn complete_answer_revokes_an_order() {
     let mut q = ordered(&[ROSA]);
-    let revoked = q.record_answer(START + ms(500), &prompt(&[HARMFUL, OWN]));
+    let revoked = q.record_answer(START + ms(500), ROSA, &prompt(&[HARMFUL, OWN]));
     assert_eq!(revoked.len(), 1);
     assert_eq!(
         admission(&q, START + ms(500), ROSA, &[HARMFUL, OWN]),
@@ -194,7 +196,7 @@
 fn instance_that_knows_a_recent_answer_revokes_the_order_of_another() {
     let order = *ordered(&[ROSA]).orders().next().expect("an order");
     let mut q = Quarantine::default();
-    q.record_answer(START - ms(2_000), &prompt(&[HARMFUL, OWN]));
+    q.record_answer(START - ms(2_000), ROSA, &prompt(&[HARMFUL, OWN]));
     let (is_new, revoked) = q.merge_order(START, order);
     assert!(is_new);
     let revoked = revoked.expect("the answer acquits the part");
@@ -209,7 +211,7 @@
 #[test]
 fn part_that_becomes_harmful_after_sound_answers_is_quarantined() {
     let mut q = Quarantine::default();
-    q.record_answer(START, &prompt(&[HARMFUL, OWN]));
+    q.record_answer(START, ROSA, &prompt(&[HARMFUL, OWN]));
     let later = START + ACQUITTAL_TIME;
     for run in 0..QUARANTINE_CRASHES as u64 {
         crash(&mut q, later, run, ROSA, &[HARMFUL, OWN]);
@@ -224,7 +226,7 @@
 fn revoked_order_is_not_brought_back_by_an_instance_that_still_has_it() {
     let old = *ordered(&[ROSA]).orders().next().expect("an order");
     let mut q = ordered(&[ROSA]);
-    q.record_answer(START, &prompt(&[HARMFUL, OWN]));
+    q.record_answer(START, ROSA, &prompt(&[HARMFUL, OWN]));
     assert!(!q.merge_order(START + ms(100), old).0);
 }
 
@@ -331,3 +333,58 @@
     }
     assert_eq!(sent, 4);
 }
+
+#[test]
+fn harmful_part_in_a_long_list_of_made_up_parts_is_quarantined_for_its_customer_only() {
+    let mut q = Quarantine::default();
+    let long = |number: u64| -> Vec<u64> {
+        let made_up = (0..2_000).map(|n| 100_000 + number * 2_000 + n);
+        made_up.chain([HARMFUL, OWN]).collect()
+    };
+    for run in 0..QUARANTINE_CRASHES as u64 {
+        crash(&mut q, START, run, ROSA, &long(run));
+    }
+    assert_eq!(q.blamed().count(), 0, "made-up parts fill no table");
+    let of_rosa = admission(&q, START, ROSA, &long(50));
+    assert!(matches!(of_rosa, Admission::Quarantined(_)));
+    assert_eq!(admission(&q, START, IKER, &long(50)), Admission::Allowed);
+    assert_eq!(
+        admission(&q, START, ROSA, &[SHARED, 7, OWN]),
+        Admission::Allowed
+    );
+}
+
+#[test]
+fn trial_that_is_answered_frees_a_part_that_was_blamed_wrongly() {
+    let mut q = ordered(&[ROSA]);
+    let later = START + ms(4_000);
+    assert_eq!(
+        admission(&q, later, ROSA, &[HARMFUL, OWN]),
+        Admission::TrialDue(HARMFUL)
+    );
+    assert!(q.grant_trial(later, HARMFUL).is_some());
+    q.record_answer(later + ms(300), ROSA, &prompt(&[HARMFUL, OWN]));
+    assert_eq!(
+        admission(&q, later + ms(300), ROSA, &[HARMFUL, OWN]),
+        Admission::Allowed
+    );
+}
+
+/// A datagram as the version before reads it.
+#[derive(Clone, PartialEq, prost::Message)]
+struct EarlierDatagram {
+    #[prost(message, tag = "1")]
+    request: Option<token::Request>,
+}
+
+#[test]
+fn instance_of_the_version_before_ignores_orders() {
+    let order = *ordered(&[ROSA]).orders().next().expect("an order");
+    let orders = Orders {
+        entries: vec![OrderEntry::new(START, &order)],
+        spread: false,
+    };
+    let bytes = token::encode(token::Body::Orders(orders));
+    let read = EarlierDatagram::decode(&bytes[..]).expect("unknown kinds are skipped");
+    assert_eq!(read, EarlierDatagram::default());
+}
--- a/crates/sesamebarrow_trial/src/containment.rs
+++ b/crates/sesamebarrow_trial/src/containment.rs
@@ -430,7 +430,8 @@
 
     fn reaches(&self, from: usize, to: usize) -> bool {
         let is_cut = self.cfg.cut.is_some_and(|(start, end)| {
-            (start..end).contains(&self.seconds()) && (from % REGIONS == 0) != (to % REGIONS == 0)
+            (start..end).contains(&self.seconds())
+                && from.is_multiple_of(REGIONS) != to.is_multiple_of(REGIONS)
         });
         !is_cut && self.instances[to].up
     }
@@ -775,7 +776,9 @@
         let is_bound = match self.policy {
             Policy::None | Policy::NoBound => false,
             _ => {
-                request.crashes >= 2 || request.is_trial || quarantine.is_suspected(&request.prompt)
+                request.crashes >= 2
+                    || request.is_trial
+                    || quarantine.is_suspected(request.customer, &request.prompt)
             }
         };
         self.cfg.repeatable && request.crashes < 4 && !is_bound
@@ -794,7 +797,7 @@
         }
         let now = self.process_time(request.instance);
         let board = &mut self.instances[request.instance].board;
-        let effects = board.record_answer(now, &request.prompt);
+        let effects = board.record_answer(now, request.customer, &request.prompt);
         self.apply(request.instance, effects);
     }
 }
