Restart tasks that fail, and let no stated number overflow

Cause: a panic in the task that receives datagrams, accepts connections or reads the store ended that task and left a process that ran on deaf.

--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -14,7 +14,7 @@
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
 /// Sends and receives datagrams until the process ends.
-pub async fn run(shared: Arc<Shared>, socket: UdpSocket) {
+pub async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     let mut next_round = Instant::now();
     loop {
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod store;
 pub mod stream;
 pub mod stream_timing;
+pub mod supervise;
 pub mod sync;
 pub mod telemetry;
 pub mod token;
--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -7,15 +7,18 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::Context;
+use hyper::{Request, Response};
 use sesamebarrow_routing::Identity;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::meter::MeteredBody;
+use crate::relay::Body;
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::telemetry;
 use crate::token::{self, Tokens};
-use crate::{admin, directory, gossip, server, store, sync};
+use crate::{admin, directory, gossip, server, store, supervise, sync};
 
 /// Interval at which a draining process checks whether all requests have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -48,39 +51,55 @@
         name = shared.identity.name.as_str(), domain = shared.identity.domain.as_str(),
         incarnation = shared.identity.incarnation, callers:% = listen.callers; "started"
     );
-    tokio::spawn(store::follow(shared.clone()));
-    tokio::spawn(sync::follow(shared.clone()));
-    tokio::spawn(sync::serve(shared.clone(), sync_listener));
-    tokio::spawn(gossip::run(shared.clone(), gossip_socket));
-    tokio::spawn(token::run(shared.clone()));
-    tokio::spawn(server::serve(
-        shared.clone(),
-        client_listener,
-        server::handle_client,
-    ));
-    tokio::spawn(server::serve(
-        shared.clone(),
-        hop_listener,
-        server::handle_instance,
-    ));
-    tokio::spawn(server::serve(
-        shared.clone(),
-        ready_listener,
-        directory::ready,
-    ));
-    tokio::spawn(server::serve(
-        shared.clone(),
-        directory_listener,
-        directory::resolve,
-    ));
+    supervise(&shared, "store", store::follow);
+    supervise(&shared, "sync", sync::follow);
+    supervise(&shared, "tokens", token::run);
+    supervise(&shared, "log-limit", reset_log_limiter);
+    let gossip_socket = Arc::new(gossip_socket);
+    supervise(&shared, "gossip", move |shared| {
+        gossip::run(shared, gossip_socket.clone())
+    });
+    let sync_listener = Arc::new(sync_listener);
+    supervise(&shared, "sync-server", move |shared| {
+        sync::serve(shared, sync_listener.clone())
+    });
+    supervise_server(&shared, "callers", client_listener, server::handle_client);
+    supervise_server(&shared, "hops", hop_listener, server::handle_instance);
+    supervise_server(&shared, "ready", ready_listener, directory::ready);
+    supervise_server(&shared, "directory", directory_listener, directory::resolve);
     let admin_handler = move |shared, req| admin::handle(shared, metrics.clone(), req);
-    tokio::spawn(server::serve(shared.clone(), admin_listener, admin_handler));
-    tokio::spawn(reset_log_limiter(shared.clone()));
+    supervise_server(&shared, "admin", admin_listener, admin_handler);
     wait_for_stop(&shared, path).await?;
     drain(&shared).await;
     Ok(())
 }
 
+fn supervise<F>(
+    shared: &Arc<Shared>,
+    name: &'static str,
+    task: impl Fn(Arc<Shared>) -> F + Send + 'static,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let shared = shared.clone();
+    supervise::spawn(name, move || task(shared.clone()));
+}
+
+fn supervise_server<F, R>(
+    shared: &Arc<Shared>,
+    name: &'static str,
+    listener: TcpListener,
+    handler: F,
+) where
+    F: Fn(Arc<Shared>, Request<MeteredBody>) -> R + Clone + Send + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    let listener = Arc::new(listener);
+    supervise(shared, name, move |shared| {
+        server::serve(shared, listener.clone(), handler.clone())
+    });
+}
+
 async fn reset_log_limiter(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(Duration::from_secs(1)).await;
--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -35,7 +35,7 @@
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Serves connections of `listener` until the process ends; `handler` answers requests.
-pub async fn serve<F, R>(shared: Arc<Shared>, listener: TcpListener, handler: F)
+pub async fn serve<F, R>(shared: Arc<Shared>, listener: Arc<TcpListener>, handler: F)
 where
     F: Fn(Arc<Shared>, Request<MeteredBody>) -> R + Clone + Send + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
--- a/crates/sesamebarrow_gateway/src/sync.rs
+++ b/crates/sesamebarrow_gateway/src/sync.rs
@@ -112,7 +112,7 @@
 }
 
 /// Sends the catalog to instances that request it.
-pub async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+pub async fn serve(shared: Arc<Shared>, listener: Arc<TcpListener>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(OWN_WATCH_GRACE).await;
--- a/crates/sesamebarrow_gateway/src/telemetry.rs
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -14,7 +14,7 @@
 ];
 
 /// Names and descriptions of the counters.
-const COUNTERS: [(&str, &str); 17] = [
+const COUNTERS: [(&str, &str); 18] = [
     (
         "sesamebarrow_answers_total",
         "Answers that came from an upstream, by how they ended.",
@@ -76,6 +76,10 @@
         "sesamebarrow_store_eras_total",
         "Times that this instance saw the store come back from an older copy.",
     ),
+    (
+        "sesamebarrow_task_failures_total",
+        "Tasks of the process that failed and were started again, by task.",
+    ),
     (
         "sesamebarrow_log_lines_dropped_total",
         "Log lines beyond their budget.",
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -349,7 +349,7 @@
         NON_PREFERRED_PENALTY_MS
     };
     let max_tokens = tokens(engine.kv_capacity_tokens) * MAX_KV_FRACTION;
-    let slot_demand = f64::from(upstream.outstanding(now) + 1);
+    let slot_demand = f64::from(upstream.outstanding(now)) + 1.0;
     ScoredUpstream {
         key,
         wait_ms,
@@ -417,7 +417,7 @@
             .get(service)
             .map_or(0.0, |correction| correction.ms(now)),
     };
-    let excess_slots = f64::from(outstanding + 1) - f64::from(engine.slots) * BUSY_SLOT_FRACTION;
+    let excess_slots = f64::from(outstanding) + 1.0 - f64::from(engine.slots) * BUSY_SLOT_FRACTION;
     correction_ms
         + pending_tokens / board.parameters.prefill_per_ms
         + f64::from(outstanding) * OUTSTANDING_REQUEST_DELAY_MS
@@ -428,13 +428,13 @@
 fn score_without_engine(now: Duration, key: Key, upstream: &Upstream) -> ScoredUpstream {
     let slots = upstream.entry.slots.max(1);
     let outstanding = upstream.outstanding(now);
-    let wait_ms = f64::from(outstanding + 1) / f64::from(slots) * REQUEST_MS_WITHOUT_ENGINE;
+    let wait_ms = (f64::from(outstanding) + 1.0) / f64::from(slots) * REQUEST_MS_WITHOUT_ENGINE;
     ScoredUpstream {
         key,
         wait_ms,
         cost_ms: wait_ms + upstream.availability.failure_ratio * FAILURE_PENALTY_MS,
         request_load: RequestLoad::default(),
-        full: outstanding >= slots * MAX_PER_SLOT_WITHOUT_ENGINE,
+        full: outstanding >= slots.saturating_mul(MAX_PER_SLOT_WITHOUT_ENGINE),
     }
 }
 
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -235,9 +235,10 @@
                 let Some(load) = member.upstream_loads.1.get(&upstream.id_hash) else {
                     continue;
                 };
-                sum.in_progress += load.in_progress;
-                sum.prefill_tokens += load.prefill_tokens;
-                sum.kv_tokens += load.kv_tokens;
+                // A malformed report must not overflow the sums.
+                sum.in_progress = sum.in_progress.saturating_add(load.in_progress);
+                sum.prefill_tokens = sum.prefill_tokens.saturating_add(load.prefill_tokens);
+                sum.kv_tokens = sum.kv_tokens.saturating_add(load.kv_tokens);
             }
             upstream.others_load = sum;
         }
--- a/crates/sesamebarrow_routing/src/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/quarantine.rs
@@ -183,7 +183,8 @@
         }
         let (customer, last_crash_at) = (case.only_customer(), case.last_at());
         self.cases.remove(&blame.part);
-        let serial = self.orders.get(&blame.part).map_or(0, |o| o.serial) + 1;
+        let known = self.orders.get(&blame.part);
+        let serial = known.map_or(1, |o| o.serial.saturating_add(1));
         let order = Order {
             part: blame.part,
             customer,
@@ -294,7 +295,7 @@
         if !order.in_force || now < order.trial_due_at() {
             return None;
         }
-        order.trials += 1;
+        order.trials = order.trials.saturating_add(1);
         order.since = now;
         Some(*order)
     }
--- a/crates/sesamebarrow_routing/src/quarantine/order.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/order.rs
@@ -59,14 +59,14 @@
             return false;
         }
         self.customer = None;
-        self.serial += 1;
+        self.serial = self.serial.saturating_add(1);
         true
     }
 
     /// Revokes the order.
     pub fn revoke(&mut self, now: Duration) {
         self.in_force = false;
-        self.serial += 1;
+        self.serial = self.serial.saturating_add(1);
         self.since = now;
     }
 
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -116,15 +116,18 @@
 
     /// Returns the running and queued requests of all instances, as far as known.
     pub fn outstanding(&self, now: Duration) -> u32 {
-        let from_datagrams = self.in_progress + self.others_load.in_progress;
+        let from_datagrams = self
+            .in_progress
+            .saturating_add(self.others_load.in_progress);
         let reported = self
             .reported_load
             .map_or(0, |(at, reported, own_in_progress)| {
                 if now.saturating_sub(at) > REPORTED_LOAD_LIFETIME {
                     return 0;
                 }
-                let others = (reported.running + reported.queued).saturating_sub(own_in_progress);
-                others + self.in_progress
+                let reported = reported.running.saturating_add(reported.queued);
+                let others = reported.saturating_sub(own_in_progress);
+                others.saturating_add(self.in_progress)
             });
         from_datagrams.max(reported)
     }
--- a/crates/sesamebarrow_routing/tests/decisions/admission.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/admission.rs
@@ -5,7 +5,7 @@
 use sesamebarrow_routing::Board;
 use sesamebarrow_routing::admit::{self, Rejection, RequestSpec, SelectedUpstream};
 use sesamebarrow_routing::cache::PromptPart;
-use sesamebarrow_routing::upstream::{AttemptOutcome, RequestLoad};
+use sesamebarrow_routing::upstream::{AttemptOutcome, ReportedLoad, RequestLoad};
 
 use crate::fleet::{Fleet, MODEL, config, entry, ms, route};
 
@@ -256,3 +256,17 @@
     assert_ne!(next.id, first.id);
     assert_eq!(RequestLoad::default().prefill_tokens, 0);
 }
+
+#[test]
+fn upstream_that_reports_an_impossible_load_counts_as_full() {
+    let mut board = board(1);
+    let selected = send(&mut board, &request(1, 1)).expect("an idle upstream accepts it");
+    let load = ReportedLoad {
+        running: u32::MAX,
+        queued: u32::MAX,
+    };
+    board
+        .upstreams
+        .record_reported_load(NOW, selected.key, load);
+    assert_eq!(send(&mut board, &request(1, 2)), Err(Rejection::Overload));
+}
