Count a prompt as cached only once it is sent

Cause: the prompt entered the cache estimate when the attempt began. One that could not connect, or was withdrawn while it connected (by a rest, a departure or the quarantine), left it there, and later requests with its prefix were sent to an upstream that had never read it.

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -72,26 +72,15 @@
         match target {
             Target::Upstream(selected) => {
                 request_load = selected.request_load;
-                let config = board.config.clone();
-                let service = config
-                    .as_ref()
-                    .and_then(|c| c.services.get(&job.policy.service));
-                let kv_capacity_tokens = service
-                    .and_then(|s| s.engine)
-                    .map_or(0, |e| e.kv_capacity_tokens);
                 let now = shared.now();
                 let upstream = board.upstreams.all.get(selected.key);
                 if upstream.is_some_and(|u| u.is_cold(now)) {
                     metrics::counter!("sesamebarrow_cold_sends_total").increment(1);
                 }
                 telemetry::count_prompt(job.spec.prompt_tokens, request_load.prefill_tokens);
-                board.upstreams.start_attempt(
-                    now,
-                    selected.key,
-                    request_load,
-                    &job.spec.prompt,
-                    kv_capacity_tokens,
-                );
+                board
+                    .upstreams
+                    .start_attempt(now, selected.key, request_load);
             }
             Target::Instance(instance) => {
                 if let Some(member) = board.members.all.get_mut(&instance.name) {
@@ -112,6 +101,25 @@
         }
     }
 
+    /// Records that the request is about to be sent.
+    pub fn record_sent(&self, job: &Job) {
+        let Target::Upstream(selected) = &self.target else {
+            return;
+        };
+        let mut board = self.shared.board();
+        let config = board.config.clone();
+        let services = config.as_ref().map(|c| &c.services);
+        let service = services.and_then(|s| s.get(&job.policy.service));
+        let engine = service.and_then(|s| s.engine);
+        let kv_capacity_tokens = engine.map_or(0, |e| e.kv_capacity_tokens);
+        board.upstreams.record_prompt_sent(
+            self.shared.now(),
+            selected.key,
+            &job.spec.prompt,
+            kv_capacity_tokens,
+        );
+    }
+
     /// Returns the name of the target.
     pub fn target_name(&self) -> &SmolStr {
         self.target.name()
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -247,6 +247,7 @@
             .budget
             .record_first_attempt(now, &job.policy.service, instances);
     }
+    attempt.record_sent(job);
     history.sent += 1;
     history.possible_runs += 1;
     job.reservation.set_consumed(true);
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -351,16 +351,8 @@
         ids
     }
 
-    /// Records that an attempt begins. `kv_capacity_tokens` is the size of the engine's KV
-    /// cache.
-    pub fn start_attempt(
-        &mut self,
-        now: Duration,
-        key: Key,
-        request_load: RequestLoad,
-        prompt: &[PromptPart],
-        kv_capacity_tokens: u64,
-    ) {
+    /// Records that an attempt begins.
+    pub fn start_attempt(&mut self, now: Duration, key: Key, request_load: RequestLoad) {
         let Some(upstream) = self.all.get_mut(key) else {
             return;
         };
@@ -370,7 +362,20 @@
         if upstream.is_cold(now) {
             upstream.cold_sends.record(now);
         }
-        if !prompt.is_empty() {
+    }
+
+    /// Records that a prompt is sent, so that it counts as cached. `kv_capacity_tokens` is the size of the
+    /// engine's KV cache.
+    pub fn record_prompt_sent(
+        &mut self,
+        now: Duration,
+        key: Key,
+        prompt: &[PromptPart],
+        kv_capacity_tokens: u64,
+    ) {
+        if let Some(upstream) = self.all.get_mut(key)
+            && !prompt.is_empty()
+        {
             upstream.cache.insert(now, prompt, kv_capacity_tokens);
         }
     }
--- a/crates/sesamebarrow_routing/tests/decisions/admission.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/admission.rs
@@ -40,13 +40,11 @@
 
 fn send(board: &mut Board, request: &RequestSpec) -> Result<SelectedUpstream, Rejection> {
     let selected = admit::select_upstream(board, NOW, request)?;
-    board.upstreams.start_attempt(
-        NOW,
-        selected.key,
-        selected.request_load,
-        &request.prompt,
-        350_000,
-    );
+    let (key, load) = (selected.key, selected.request_load);
+    board.upstreams.start_attempt(NOW, key, load);
+    board
+        .upstreams
+        .record_prompt_sent(NOW, key, &request.prompt, 350_000);
     Ok(selected)
 }
 
@@ -270,3 +268,14 @@
         .record_reported_load(NOW, selected.key, load);
     assert_eq!(send(&mut board, &request(1, 2)), Err(Rejection::Overload));
 }
+
+#[test]
+fn prompt_of_an_attempt_that_was_withdrawn_before_it_was_sent_does_not_count_as_cached() {
+    let mut board = board(4);
+    let withdrawn = admit::select_upstream(&mut board, NOW, &request(77, 1)).expect("idle");
+    let (key, load) = (withdrawn.key, withdrawn.request_load);
+    board.upstreams.start_attempt(NOW, key, load);
+    finish(&mut board, &withdrawn, AttemptOutcome::Cancelled);
+    let cache = &board.upstreams.all[key].cache;
+    assert_eq!(cache.cached_tokens(&request(77, 2).prompt), 0);
+}
--- a/crates/sesamebarrow_routing/tests/decisions/availability.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/availability.rs
@@ -55,9 +55,7 @@
 fn send(board: &mut Board, now: Duration) -> Result<SelectedUpstream, Rejection> {
     let selected = admit::select_upstream(board, now, &request())?;
     let load = selected.request_load;
-    board
-        .upstreams
-        .start_attempt(now, selected.key, load, &[], 350_000);
+    board.upstreams.start_attempt(now, selected.key, load);
     Ok(selected)
 }
 
--- a/crates/sesamebarrow_routing/tests/decisions/cold_upstreams.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/cold_upstreams.rs
@@ -45,13 +45,8 @@
                 ..RequestSpec::default()
             };
             if let Ok(selected) = admit::select_upstream(board, process_time, &request) {
-                board.upstreams.start_attempt(
-                    process_time,
-                    selected.key,
-                    selected.request_load,
-                    &[],
-                    0,
-                );
+                let (key, load) = (selected.key, selected.request_load);
+                board.upstreams.start_attempt(process_time, key, load);
                 sent.push(fleet.now);
             }
         }
--- a/crates/sesamebarrow_routing/tests/decisions/members.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/members.rs
@@ -125,7 +125,7 @@
         let upstreams = &mut fleet.instances[index].board.upstreams;
         let keys: Vec<_> = upstreams.all.keys().collect();
         for key in keys {
-            upstreams.start_attempt(now, key, request_load, &[], 350_000);
+            upstreams.start_attempt(now, key, request_load);
         }
     }
 }
--- a/crates/sesamebarrow_trial/src/placement.rs
+++ b/crates/sesamebarrow_trial/src/placement.rs
@@ -301,13 +301,9 @@
         }
         let kv_capacity_tokens = self.cfg.engine.kv_tokens;
         let board = &mut self.boards[instance];
-        board.upstreams.start_attempt(
-            self.now,
-            key,
-            request_load,
-            &spec.prompt,
-            kv_capacity_tokens,
-        );
+        let upstreams = &mut board.upstreams;
+        upstreams.start_attempt(self.now, key, request_load);
+        upstreams.record_prompt_sent(self.now, key, &spec.prompt, kv_capacity_tokens);
         let request = InFlight {
             instance,
             key,
