Keep the idle connections of a large region inside an upstream's limit

Cause: each instance kept at least one idle connection, 117 in a region against a limit of 96 connections, half of which may be idle. Change: the allowed idle connections are divided without a floor; the remainder goes to the instances with the highest rendezvous weights. Measured: at 117 instances and a limit of 96 the sum is at most 48; before it is 117 by the formula.

--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -349,18 +349,31 @@
     /// Returns how many idle connections this instance may keep to an upstream of
     /// `service`, so that the connections of all instances in the region fit its limit.
     pub fn max_idle_connections(&self, service: &str) -> usize {
-        let service = self.config.as_ref().and_then(|c| c.services.get(service));
-        match service.map_or(0, |s| s.max_connections) {
+        let config = self.config.as_ref();
+        let limits = config.and_then(|c| c.services.get(service));
+        match limits.map_or(0, |s| s.max_connections) {
             0 => MAX_IDLE_CONNECTIONS,
             max_connections => {
-                let idle = f64::from(max_connections) * IDLE_CONNECTION_FRACTION
-                    / self.region_instance_count() as f64;
                 // CAST: the number of connections is small.
-                (idle as usize).clamp(1, MAX_IDLE_CONNECTIONS)
+                let total = (f64::from(max_connections) * IDLE_CONNECTION_FRACTION) as usize;
+                let instances = self.region_instance_count();
+                let has_remainder = self.rank_in_region(service) < total % instances;
+                (total / instances + usize::from(has_remainder)).min(MAX_IDLE_CONNECTIONS)
             }
         }
     }
 
+    /// Returns the number of known instances of this region whose rendezvous weight for `key` is higher than
+    /// this one's.
+    fn rank_in_region(&self, key: &str) -> usize {
+        let key = short_hash(key).into();
+        let weight = |name_hash: u32| rendezvous::weight_of_hashes(key, name_hash.into());
+        let own = weight(self.name_hash);
+        let same_region = |m: &&Member| m.region == self.identity.region;
+        let others = self.members.all.values().filter(same_region);
+        others.filter(|m| weight(m.name_hash) > own).count()
+    }
+
     /// Returns the version of the active configuration; 0 if there is none.
     pub fn config_version(&self) -> u64 {
         self.config.as_ref().map_or(0, |c| c.version)
--- a/crates/sesamebarrow_routing/tests/decisions/members.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/members.rs
@@ -91,6 +91,25 @@
     );
 }
 
+#[test]
+fn idle_connections_of_a_large_region_fit_the_limit_of_an_upstream() {
+    let mut config = config(&[], vec![route("r", &[])]);
+    let service = config.services.get_mut(MODEL).expect("a service");
+    service.max_connections = 96;
+    let mut fleet = Fleet::new(&[("a", 117)], config);
+    fleet.advance(ms(6_000));
+    let max_idle = |index: usize| fleet.instances[index].board.max_idle_connections(MODEL);
+    let total: usize = (0..117).map(max_idle).sum();
+    assert!(
+        total <= 48,
+        "{total} idle connections, allowed are half of 96"
+    );
+    assert!(
+        total >= 40,
+        "{total} idle connections, allowed are half of 96"
+    );
+}
+
 /// Returns 342 instances in 19 regions; each region has 18 instances and 24 upstreams.
 fn large_fleet() -> Fleet {
     let name = |n: usize| format!("customer-{n}");
