--- a/crates/sesamebarrow_ctl/src/explain.rs
+++ b/crates/sesamebarrow_ctl/src/explain.rs
@@ -42,7 +42,7 @@
     Ok(!lines.is_empty())
 }
 
-/// Returns whether a line tells of a crash under a request with one of `parts`, or of the quarantine of one.
+/// Returns whether a line reports a crash under a request with one of `parts`, or the quarantine of one.
 fn is_about_parts(line: &str, parts: &[String]) -> bool {
     let is_named = |part: &str| parts.iter().any(|p| p == part);
     let changed = line.contains("quarantine of a prompt part changed");
--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -45,7 +45,7 @@
     pub address: SocketAddr,
     /// Maximum number of idle connections to it.
     pub max_idle: usize,
-    /// Number that stands for its run.
+    /// Hash of its run.
     pub run: u64,
 }
 
--- a/crates/sesamebarrow_gateway/src/quarantine.rs
+++ b/crates/sesamebarrow_gateway/src/quarantine.rs
@@ -1,5 +1,5 @@
-//! Refuses requests whose prompts contain a quarantined part, and exchanges with other instances what is
-//! known of parts that crash upstreams. The decisions are in `sesamebarrow_routing::quarantine`.
+//! Refuses requests whose prompts contain a quarantined part, and exchanges evidence and orders with other
+//! instances. The decisions are in `sesamebarrow_routing::quarantine`.
 
 use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -42,7 +42,7 @@
     }
 }
 
-/// Returns the number that stands for the customer of a request.
+/// Returns the hash of the name of a request's customer.
 pub fn customer_hash(job: &Job) -> u64 {
     token::customer_hash(job.policy.customer.as_deref().unwrap_or_default())
 }
@@ -193,7 +193,7 @@
     send_all(shared, messages);
 }
 
-/// Sends all orders to the instance at `ip` if `digest`, which stands for its own, differs.
+/// Sends all orders to the instance at `ip` if `digest`, that of its own, differs.
 pub fn send_orders(shared: &Shared, ip: Ipv4Addr, digest: Option<u32>) {
     let messages = shared.board().order_messages(shared.now(), ip, digest);
     send_all(shared, messages);
--- a/crates/sesamebarrow_routing/src/board/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/board/quarantine.rs
@@ -1,4 +1,4 @@
-//! Which instances judge a prompt part, and what instances tell each other of [`crate::quarantine`].
+//! Selects the judges of prompt parts, and handles the messages of [`crate::quarantine`].
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -146,7 +146,7 @@
         (order.is_some(), effects)
     }
 
-    /// Returns messages with all orders for the instance at `ip`, if `digest`, which stands for its orders,
+    /// Returns messages with all orders for the instance at `ip`, if `digest`, that of its orders,
     /// differs. Instances of earlier versions send none.
     pub fn order_messages(
         &self,
--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -143,7 +143,7 @@
     /// Version of the sender's configuration; 0 if it has none.
     #[prost(uint64, tag = "12")]
     pub config_version: u64,
-    /// Stands for the sender's orders ([`crate::quarantine`]); `None` from instances of earlier versions.
+    /// Digest of the sender's orders ([`crate::quarantine`]); `None` from instances of earlier versions.
     #[prost(uint32, optional, tag = "13")]
     pub quarantine_digest: Option<u32>,
 }
--- a/crates/sesamebarrow_routing/src/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/quarantine.rs
@@ -46,10 +46,10 @@
 /// Maximum number of parts that are blamed.
 const MAX_BLAMED: usize = 1_024;
 
-/// Maximum number of parts of one prompt that are told apart.
+/// Maximum number of parts of one prompt that are distinguished.
 const MAX_PARTS: usize = 32;
 
-/// Key of the number that stands for a customer's prompts with more parts.
+/// Key of the id that replaces the parts of longer prompts.
 const LONG_PROMPTS: u64 = 1;
 
 /// Maximum number of parts whose last answer is kept.
@@ -74,7 +74,7 @@
 pub struct Blame {
     /// Id of the part.
     pub part: u64,
-    /// Number that stands for the run of the upstream; see [`crate::upstream::run_hash`].
+    /// Hash of the run of the upstream; see [`crate::upstream::run_hash`].
     pub run: u64,
     /// Hash of the name of the customer whose request it was.
     pub customer: u64,
@@ -128,7 +128,7 @@
     sent: usize,
 }
 
-/// What one instance knows of parts that crash upstreams.
+/// The blame, acquittals and orders that one instance has.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     /// Blame by part; at most [`MAX_BLAMED`]. Without the parts that an order binds.
@@ -141,9 +141,9 @@
     reports: Vec<Report>,
 }
 
-/// Returns the parts of a customer's prompt that may be blamed: all but the last. One number stands for
-/// all prompts of the customer with more than [`MAX_PARTS`], so that made-up parts neither fill the tables nor
-/// hide a harmful one.
+/// Returns the parts of a customer's prompt that may be blamed: all but the last. All prompts of a
+/// customer with more than [`MAX_PARTS`] share one id, so that made-up parts neither fill the tables nor hide a
+/// harmful one.
 pub fn blamed_parts(customer: u64, prompt: &[PromptPart]) -> impl Iterator<Item = u64> {
     let shared = &prompt[..prompt.len().saturating_sub(1)];
     let (few, many) = match shared.len() <= MAX_PARTS {
@@ -198,8 +198,8 @@
         Some(order)
     }
 
-    /// Records that upstreams crashed under a request of this instance, so that the judges are told.
-    /// Returns the orders that this leads to.
+    /// Records that the `run` of an upstream crashed under a request of this instance, and schedules reports to
+    /// the judges. Returns the orders that this leads to.
     pub fn record_crash(
         &mut self,
         now: Duration,
@@ -342,7 +342,7 @@
         self.cases.iter().map(|(part, case)| (*part, case.runs()))
     }
 
-    /// Returns a number that differs from that of an instance with other orders; 0 without orders.
+    /// Returns a digest of the orders, with which instances find out whether theirs differ; 0 without orders.
     pub fn digest(&self) -> u32 {
         order::digest(self.orders.values())
     }
--- a/crates/sesamebarrow_routing/src/quarantine/message.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/message.rs
@@ -1,4 +1,4 @@
-//! What instances send to each other about prompt parts that crash upstreams. Times are sent as ages, since
+//! The messages that instances exchange about prompt parts that crash upstreams. Times are sent as ages, since
 //! the clocks of instances differ.
 
 use std::time::Duration;
@@ -22,7 +22,7 @@
     /// Id of the part.
     #[prost(fixed64, tag = "1")]
     pub part: u64,
-    /// Number that stands for the run of the upstream.
+    /// Hash of the run of the upstream.
     #[prost(fixed64, tag = "2")]
     pub run: u64,
     /// Hash of the customer's name.
@@ -33,7 +33,7 @@
     pub age_ms: u32,
 }
 
-/// Orders that are new to the receiver, perhaps.
+/// Orders, some of which may be new to the receiver.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Orders {
     /// At most [`MAX_ENTRIES`].
@@ -98,7 +98,7 @@
 }
 
 impl BlameEntry {
-    /// Returns the entry that stands for `blame`.
+    /// Encodes `blame`.
     pub fn new(blame: Blame, age: Duration) -> Self {
         Self {
             part: blame.part,
@@ -109,7 +109,7 @@
         }
     }
 
-    /// Returns the blame and its age.
+    /// Decodes the blame and its age.
     pub fn decode(self) -> (Blame, Duration) {
         let blame = Blame {
             part: self.part,
@@ -121,7 +121,7 @@
 }
 
 impl OrderEntry {
-    /// Returns the entry that stands for `order`.
+    /// Encodes `order`.
     pub fn new(now: Duration, order: &Order) -> Self {
         Self {
             part: order.part,
@@ -134,7 +134,7 @@
         }
     }
 
-    /// Returns the order, in the time of this process. Times before its start count as its start, which
+    /// Decodes the order, in the time of this process. Times before its start count as its start, which
     /// only delays what depends on them.
     pub fn decode(self, now: Duration) -> Order {
         Order {
--- a/crates/sesamebarrow_routing/src/quarantine/order.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/order.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// Returns a number that stands for the given orders in datagrams; 0 if there are none.
+/// Returns a digest of the given orders; 0 if there are none.
 pub fn digest<'a>(orders: impl Iterator<Item = &'a Order>) -> u32 {
     let hash = |o: &Order| {
         let changes = u64::from(o.serial) << 32 | u64::from(o.trials) << 1 | u64::from(o.in_force);
--- a/crates/sesamebarrow_trial/src/containment.rs
+++ b/crates/sesamebarrow_trial/src/containment.rs
@@ -109,7 +109,7 @@
     }
 }
 
-/// What is blamed for crashes, and who knows of it.
+/// What is blamed for crashes, and at which instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Policy {
