Name the changed settings that need a restart when they are reloaded

Cause: a reload reported restart=true only for the addresses to listen on, the name and the failure domains, and said nothing of a changed store, seeds, domain, ip, shutdown or log. Test: settings (six cases); the function is new, so it was not run on the code before.

--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -159,16 +159,15 @@
     std::fs::metadata(path).and_then(|m| m.modified()).ok()
 }
 
-/// Reloads the settings file and applies its limits. All other changes require a restart; the log
-/// line reports this only for the addresses to listen on, the name and the failure domains.
+/// Reloads the settings file and applies its limits. All other changes require a restart; the log line names
+/// their fields.
 fn reload(shared: &Shared, path: &Path) {
     match Settings::load(path) {
         Ok(settings) => {
             shared.board().set_parameters(settings.parameters());
-            let restart = settings.listen != shared.settings.listen
-                || settings.name != shared.settings.name
-                || settings.domains != shared.settings.domains;
-            log::info!(restart; "limits reloaded");
+            let fields = shared.settings.restart_fields(&settings);
+            let restart = !fields.is_empty();
+            log::info!(restart, restart_for = fields.join(",").as_str(); "limits reloaded");
         }
         Err(error) => log::error!(error:% = error; "cannot reload settings, keeping the old ones"),
     }
--- a/crates/sesamebarrow_gateway/src/settings.rs
+++ b/crates/sesamebarrow_gateway/src/settings.rs
@@ -209,6 +209,24 @@
         Ok(settings)
     }
 
+    /// Returns the fields in which `new` differs and that take effect only after a restart. The limits take
+    /// effect at once.
+    pub fn restart_fields(&self, new: &Self) -> Vec<&'static str> {
+        let changes = [
+            ("name", self.name != new.name),
+            ("domain", self.domain != new.domain),
+            ("ip", self.ip != new.ip),
+            ("seeds", self.seeds != new.seeds),
+            ("domains", self.domains != new.domains),
+            ("listen", self.listen != new.listen),
+            ("store", self.store != new.store),
+            ("shutdown", self.shutdown != new.shutdown),
+            ("log", self.log != new.log),
+        ];
+        let changed = changes.into_iter().filter(|(_, changed)| *changed);
+        changed.map(|(field, _)| field).collect()
+    }
+
     /// Validates what the types do not ensure.
     pub fn check(&self) -> Result<(), Error> {
         let limits = &self.limits;
--- a/crates/sesamebarrow_gateway/tests/settings.rs
+++ b/crates/sesamebarrow_gateway/tests/settings.rs
@@ -63,3 +63,21 @@
     let error = load(&SETTINGS.replace(old, new)).expect_err("invalid");
     assert!(error.contains(expected), "{error}");
 }
+
+#[rstest]
+#[case::limits("retry_slack = 50", "retry_slack = 60", &[])]
+#[case::store("127.0.0.1:7", "127.0.0.1:8", &["store"])]
+#[case::seeds("seeds = []", "seeds = [\"127.0.0.2:4\"]", &["seeds"])]
+#[case::ip("ip = \"127.0.0.1\"", "ip = \"127.0.0.9\"", &["ip"])]
+#[case::log("[limits]", "[log]\nlevel = \"debug\"\n[limits]", &["log"])]
+#[case::shutdown("[limits]", "[shutdown]\nlimit = \"5s\"\n[limits]", &["shutdown"])]
+fn changed_fields_that_need_a_restart_are_named(
+    #[case] old: &str,
+    #[case] new: &str,
+    #[case] expected: &[&str],
+) {
+    assert!(SETTINGS.contains(old));
+    let before = load(SETTINGS).expect("valid");
+    let after = load(&SETTINGS.replace(old, new)).expect("valid");
+    assert_eq!(before.restart_fields(&after), expected);
+}
