Act on departures that other instances report

Cause: an instance that learned from another that an upstream leaves logged and counted nothing and kept its idle connections to it; it hashed all its upstreams for each datagram that named leaving runs. Change: such departures reach the gateway once, which closes the idle connections, logs and counts them. Test: availability.

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 
 use sesamebarrow_routing::admit::SelectedUpstream;
 use sesamebarrow_routing::spill::RemoteInstance;
-use sesamebarrow_routing::upstream::{self, AttemptOutcome, RequestLoad};
+use sesamebarrow_routing::upstream::{AttemptOutcome, RequestLoad};
 use smol_str::SmolStr;
 
 use crate::intake::Job;
@@ -180,7 +180,7 @@
         serves.then(|| Endpoint {
             address: selected.address,
             max_idle: board.max_idle_connections(&upstream.entry.service),
-            run: upstream::run_hash(&upstream.entry),
+            run: upstream.run_hash,
         })
     }
 
--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -7,8 +7,8 @@
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
-use crate::quarantine;
 use crate::shared::Shared;
+use crate::{notice, quarantine};
 
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -26,7 +26,9 @@
             () = shared.catalog_updated.notified() => send_revision(&shared, &socket).await,
             received = socket.recv_from(&mut buf) => match received {
                 Ok((length, from)) => {
-                    if let Some(reply) = handle_datagram(&shared, &buf[..length], from) {
+                    let reply = handle_datagram(&shared, &buf[..length], from);
+                    notice::record_learned(&shared);
+                    if let Some(reply) = reply {
                         send(&socket, from, &reply).await;
                     }
                 }
--- a/crates/sesamebarrow_gateway/src/notice.rs
+++ b/crates/sesamebarrow_gateway/src/notice.rs
@@ -1,12 +1,14 @@
 //! Records what upstreams announce in their answers: that they leave, and when they want requests
 //! again.
 
+use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 
 use hyper::http::response::Parts;
 use sesamebarrow_platform::head;
 use sesamebarrow_routing::admit::SelectedUpstream;
 use sesamebarrow_routing::availability::Change;
+use smol_str::SmolStr;
 
 use crate::intake::Job;
 use crate::shared::Shared;
@@ -27,6 +29,23 @@
     record_change(change, selected, &job.id, notice.rest);
 }
 
+/// Acts on what other instances reported of upstreams that leave, as on an announcement to this one.
+pub fn record_learned(shared: &Shared) {
+    let departures: Vec<(SmolStr, SocketAddr)> = {
+        let mut board = shared.board();
+        let keys = board.upstreams.take_learned_departures();
+        let upstreams = keys.iter().filter_map(|key| board.upstreams.all.get(*key));
+        let entries = upstreams.map(|u| (u.entry.id.clone(), u.entry.address));
+        entries.collect()
+    };
+    for (id, address) in departures {
+        shared.pool.close_idle(address);
+        log::info!(upstream = id.as_str(), change = "leaving"; "upstream leaves, says another instance");
+        metrics::counter!("sesamebarrow_upstream_changes_total", "change" => "learned-leaving")
+            .increment(1);
+    }
+}
+
 /// Logs and counts a change of an upstream's availability; `request` is the request whose answer
 /// showed it, `rest` the time for which the upstream wants no request.
 pub fn record_change(
--- a/crates/sesamebarrow_routing/src/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/quarantine.rs
@@ -74,7 +74,7 @@
 pub struct Blame {
     /// Id of the part.
     pub part: u64,
-    /// Hash of the run of the upstream; see [`crate::upstream::run_hash`].
+    /// Hash of the run of the upstream.
     pub run: u64,
     /// Hash of the name of the customer whose request it was.
     pub customer: u64,
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -64,6 +64,8 @@
     pub entry: Entry,
     /// Hash of its id, as used in datagrams.
     pub id_hash: u32,
+    /// Hash of its run, as used in datagrams.
+    pub run_hash: u64,
     /// Requests of this instance that are in progress.
     pub in_progress: u32,
     /// Prompt tokens of this instance's requests that are not yet prefilled.
@@ -95,6 +97,7 @@
     fn new(entry: Entry, now: Duration) -> Self {
         Self {
             id_hash: short_hash(&entry.id),
+            run_hash: run_hash(&entry),
             cold_until: now + entry.cold_remaining,
             entry,
             in_progress: 0,
@@ -167,6 +170,8 @@
     removed: HashMap<SmolStr, Removed>,
     /// Runs of upstreams that announced to this instance that they leave, the latest last, and when.
     leaving_runs: VecDeque<(Duration, u64)>,
+    /// Upstreams of which other instances reported that they leave, since this was last taken.
+    learned_departures: Vec<Key>,
 }
 
 /// A removed upstream that may come back.
@@ -187,7 +192,7 @@
 const LEAVING_RUN_LIFETIME: Duration = Duration::from_secs(10);
 
 /// Returns the number that stands for a run of an upstream in datagrams.
-pub fn run_hash(entry: &Entry) -> u64 {
+fn run_hash(entry: &Entry) -> u64 {
     let mut hasher = blake3::Hasher::new();
     hasher.update(entry.id.as_bytes());
     hasher.update(&entry.started_at_ms.unwrap_or_default().to_le_bytes());
@@ -230,6 +235,7 @@
         let restarted = upstream.entry.started_at_ms != entry.started_at_ms;
         upstream.removal_at = None;
         if restarted {
+            upstream.run_hash = run_hash(&entry);
             upstream.cache.clear();
             upstream.availability = upstream.availability.of_new_run();
             upstream.reported_load = None;
@@ -319,8 +325,7 @@
         let upstream = self.all.get_mut(key)?;
         let change = upstream.availability.observe_notice(now, notice, spread);
         if change == Some(Change::Leaving) {
-            self.leaving_runs
-                .push_back((now, run_hash(&upstream.entry)));
+            self.leaving_runs.push_back((now, upstream.run_hash));
             if self.leaving_runs.len() > MAX_LEAVING_RUNS {
                 self.leaving_runs.pop_front();
             }
@@ -334,21 +339,23 @@
         self.leaving_runs.iter().map(|(_, run)| *run)
     }
 
-    /// Records runs of upstreams that announced to another instance that they leave. Returns the ids of
-    /// those that this instance did not know to leave. They are not relayed further, so that they are
-    /// forgotten at some time.
-    pub fn record_leaving_runs(&mut self, runs: &[u64]) -> Vec<SmolStr> {
+    /// Records runs of upstreams that announced to another instance that they leave. They are not relayed
+    /// further, so that they are forgotten at some time.
+    pub fn record_leaving_runs(&mut self, runs: &[u64]) {
         if runs.is_empty() {
-            return Vec::new();
+            return;
         }
-        let mut ids = Vec::new();
-        for upstream in self.all.values_mut() {
-            if !upstream.availability.leaving && runs.contains(&run_hash(&upstream.entry)) {
+        for (key, upstream) in &mut self.all {
+            if !upstream.availability.leaving && runs.contains(&upstream.run_hash) {
                 upstream.availability.leaving = true;
-                ids.push(upstream.entry.id.clone());
+                self.learned_departures.push(key);
             }
         }
-        ids
+    }
+
+    /// Returns and clears the upstreams of which other instances reported that they leave.
+    pub fn take_learned_departures(&mut self) -> Vec<Key> {
+        std::mem::take(&mut self.learned_departures)
     }
 
     /// Records that an attempt begins.
--- a/crates/sesamebarrow_routing/tests/decisions/availability.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/availability.rs
@@ -308,3 +308,23 @@
         assert!(count <= 15, "{count} of 60 instances return within 50 ms");
     }
 }
+
+#[test]
+fn departure_that_another_instance_reports_is_passed_to_the_gateway_once() {
+    let mut fleet = Fleet::new(&[("a", 3)], config(&[], vec![route("r", &[])]));
+    for instance in &mut fleet.instances {
+        instance.board.put_upstream(Duration::ZERO, up(0));
+    }
+    fleet.advance(ms(3_000));
+    let now = fleet.process_time(0);
+    let board = &mut fleet.instances[0].board;
+    let leaving = key(board, 0);
+    board.record_notice(now, leaving, LEAVING);
+    fleet.advance(ms(3_000));
+    for instance in &mut fleet.instances[1..] {
+        let board = &mut instance.board;
+        let learned = board.upstreams.take_learned_departures();
+        assert_eq!(learned, [key(board, 0)]);
+        assert!(board.upstreams.take_learned_departures().is_empty());
+    }
+}
