Split the containment simulation by job, close a gap before waiting for orders, and its measurements

wait_until_bound subscribed after the last check; an order that arrived between the two was seen only with the next change. Found by reading; no test.

--- a/crates/sesamebarrow_gateway/src/quarantine.rs
+++ b/crates/sesamebarrow_gateway/src/quarantine.rs
@@ -101,10 +101,11 @@
 /// drops it when the connection is closed.
 pub async fn wait_until_bound(shared: &Shared, job: &Job, history: &AttemptHistory) {
     let mut changed = shared.quarantine_changed.subscribe();
-    // The sender lives as long as the process.
-    while changed.changed().await.is_ok() {
-        if !may_send(shared, job, history) {
-            return;
+    // An order may have arrived since the last check, before this task subscribed.
+    while may_send(shared, job, history) {
+        if changed.changed().await.is_err() {
+            // The sender lives as long as the process.
+            std::future::pending::<()>().await;
         }
     }
 }
--- a/crates/sesamebarrow_trial/src/containment.rs
+++ b/crates/sesamebarrow_trial/src/containment.rs
@@ -3,21 +3,23 @@
 //! The instances are boards of `sesamebarrow_routing` that exchange the messages of its `quarantine` module
 //! over a network that delays, loses and cuts. Upstreams run batches of requests; a crash ends all of them.
 
+pub mod experiment;
+
+mod exchange;
+mod instance;
+mod request;
+
 use std::collections::{BTreeMap, HashMap};
-use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use rand::rngs::StdRng;
-use rand::seq::{IndexedRandom, IteratorRandom};
+use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
-use sesamebarrow_routing::board::Parameters;
-use sesamebarrow_routing::board::quarantine::{Effects, Judge};
+use sesamebarrow_routing::Board;
 use sesamebarrow_routing::cache::PromptPart;
-use sesamebarrow_routing::gossip::{Datagram, Record, short_hash};
-use sesamebarrow_routing::quarantine::Admission;
-use sesamebarrow_routing::token::{self, Body};
-use sesamebarrow_routing::{Board, Identity, budget, cold, quota};
-use smol_str::{SmolStr, format_smolstr};
+use sesamebarrow_routing::token::Body;
+
+pub use experiment::{Experiment, Policy, Report, Served};
 
 /// Id of the harmful part.
 const HARMFUL_PART: u64 = 0xbad;
@@ -58,123 +60,6 @@
 /// Fraction of requests that are forwarded to another region.
 const HOP_FRACTION: f64 = 0.2;
 
-/// What is simulated.
-#[derive(Clone, Debug)]
-pub struct Experiment {
-    /// Number of instances.
-    pub instances: usize,
-    /// Number of upstreams, in all regions together.
-    pub upstreams: usize,
-    /// Number of requests that an upstream runs at once.
-    pub batch: usize,
-    /// Harmful requests per second, between the times in seconds after the warm-up.
-    pub harmful_per_s: f64,
-    /// Spans in seconds after the warm-up in which harmful requests come.
-    pub harmful_spans: Vec<(f64, f64)>,
-    /// Sound requests per second.
-    pub sound_per_s: f64,
-    /// Crashes per minute that no request causes.
-    pub own_crashes_per_min: f64,
-    /// Fraction of messages that are lost.
-    pub loss: f64,
-    /// Span in seconds after the warm-up in which the first region is cut off from the others.
-    pub cut: Option<(f64, f64)>,
-    /// Time in seconds after the warm-up at which a third of the instances restart.
-    pub restart: Option<f64>,
-    /// Whether requests may be repeated after a crash.
-    pub repeatable: bool,
-    /// Position of the harmful part: 0 for the first.
-    pub position: usize,
-    /// Duration in seconds after the warm-up.
-    pub seconds: f64,
-}
-
-impl Default for Experiment {
-    fn default() -> Self {
-        Self {
-            instances: 8,
-            upstreams: 18,
-            batch: 16,
-            harmful_per_s: 4.0,
-            harmful_spans: vec![(0.0, 60.0)],
-            sound_per_s: 100.0,
-            own_crashes_per_min: 0.0,
-            loss: 0.0,
-            cut: None,
-            restart: None,
-            repeatable: true,
-            position: 1,
-            seconds: 60.0,
-        }
-    }
-}
-
-/// What is blamed for crashes, and at which instances.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter)]
-#[strum(serialize_all = "kebab-case")]
-pub enum Policy {
-    /// Shared parts, in the whole fleet.
-    Fleet,
-    /// Shared parts, at each instance by itself.
-    Instance,
-    /// The first part, in the whole fleet.
-    FirstPart,
-    /// The customer, in the whole fleet.
-    Customer,
-    /// Nothing.
-    None,
-    /// As `Fleet`, but complete answers acquit nothing; a planted fault.
-    NoAcquittal,
-    /// As `Fleet`, but crashes under repeated requests are not bounded; a planted fault.
-    NoBound,
-}
-
-/// What happened.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    /// Upstreams that crashed under harmful requests.
-    pub crashes: u64,
-    /// Of these, those before the first order.
-    pub crashes_before_order: u64,
-    /// Harmful requests that reached upstreams later than [`CONTACT_TIME`] after crash number
-    /// [`COUNTED_CRASHES`].
-    pub late: u64,
-    /// Sound requests sent and served in the warm-up.
-    pub before: Served,
-    /// The same from the first harmful request until [`CONTACT_TIME`] after crash number [`COUNTED_CRASHES`].
-    pub meanwhile: Served,
-    /// The same after that.
-    pub after: Served,
-    /// Sound requests refused because of their parts.
-    pub wrongly_refused: u64,
-    /// Longest time for which a sound part was quarantined anywhere.
-    pub longest_wrong: Duration,
-    /// Bytes of messages sent by each instance, per second.
-    pub bytes_per_s: f64,
-    /// Largest number of blamed parts and orders at an instance.
-    pub max_entries: usize,
-}
-
-/// Number of requests.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Served {
-    /// Requests sent.
-    pub asked: u64,
-    /// Requests answered completely.
-    pub served: u64,
-}
-
-impl Served {
-    /// Returns the fraction that was served; 1 if there were no requests.
-    pub fn fraction(self) -> f64 {
-        if self.asked == 0 {
-            return 1.0;
-        }
-        // CAST: small numbers.
-        self.served as f64 / self.asked as f64
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Before,
@@ -260,82 +145,6 @@
     run.report
 }
 
-fn ip_of(index: usize) -> Ipv4Addr {
-    // CAST: there are less than 2^16 instances.
-    let [high, low] = (index as u16).to_be_bytes();
-    Ipv4Addr::new(10, 0, high, low)
-}
-
-fn index_of(ip: Ipv4Addr) -> usize {
-    let [_, _, high, low] = ip.octets();
-    usize::from(u16::from_be_bytes([high, low]))
-}
-
-fn region_name(region: usize) -> SmolStr {
-    format_smolstr!("region-{region}")
-}
-
-fn instance_name(index: usize) -> SmolStr {
-    format_smolstr!("instance-{index}")
-}
-
-fn parameters() -> Parameters {
-    Parameters {
-        budget: budget::Limit {
-            ratio: 0.2,
-            slack: 50.0,
-            window: Duration::from_secs(10),
-        },
-        quota: quota::Tolerance {
-            window: Duration::from_secs(8),
-            overshoot: 0.25,
-            slack: 72_000.0,
-        },
-        cold: cold::Limit {
-            rate_factor: 1.5,
-            slack: 3.0,
-        },
-        prefill_per_ms: 90.0,
-        region_delay: DELAYS.1,
-        expects_others: true,
-    }
-}
-
-/// Builds the board of an instance that knows all others and never considers one silent. Blame for judges
-/// behind a cut is then lost, which is worse than what membership would do.
-fn build_board(index: usize, instances: usize) -> Board {
-    let region = region_name(index % REGIONS);
-    let regions: HashMap<SmolStr, SmolStr> = (0..REGIONS)
-        .map(|r| (region_name(r), region_name(r)))
-        .collect();
-    let identity = Identity {
-        name: instance_name(index),
-        domain: region.clone(),
-        region,
-        ip: ip_of(index),
-        incarnation: 1,
-    };
-    // CAST: the seed of a random generator.
-    let mut board = Board::new(identity, parameters(), regions, index as u64);
-    for other in (0..instances).filter(|other| *other != index) {
-        let datagram = Datagram {
-            sender: Record {
-                name: instance_name(other).to_string(),
-                domain_hash: short_hash(&region_name(other % REGIONS)),
-                ip: ip_of(other).to_bits(),
-                incarnation: 1,
-                heartbeat: 1,
-                ..Record::default()
-            },
-            quarantine_digest: Some(0),
-            seen_heartbeat: 1,
-            ..Datagram::default()
-        };
-        board.handle_datagram(Duration::MAX, &datagram);
-    }
-    board
-}
-
 impl<'a> Run<'a> {
     fn new(cfg: &'a Experiment, policy: Policy, seed: u64) -> Self {
         let mut run = Self {
@@ -355,7 +164,7 @@
         };
         run.instances = (0..cfg.instances)
             .map(|index| Instance {
-                board: build_board(index, cfg.instances),
+                board: instance::build_board(index, cfg.instances),
                 started_at: Duration::ZERO,
                 up: true,
             })
@@ -479,100 +288,13 @@
     /// Starts a new process of an instance. It knows the others and asks some for what they know.
     fn bring_back(&mut self, index: usize) {
         self.instances[index] = Instance {
-            board: build_board(index, self.cfg.instances),
+            board: instance::build_board(index, self.cfg.instances),
             started_at: self.now,
             up: true,
         };
         self.compare_digests(index);
     }
 
-    fn start_round(&mut self) {
-        self.schedule(ROUND, Event::Round);
-        for index in 0..self.instances.len() {
-            if !self.instances[index].up {
-                continue;
-            }
-            let now = self.process_time(index);
-            let board = &mut self.instances[index].board;
-            board.quarantine.remove_expired(now);
-            let entries = board.quarantine.blamed().count() + board.quarantine.orders().count();
-            let messages = board.take_blame_messages(now);
-            self.report.max_entries = self.report.max_entries.max(entries);
-            let effects = Effects {
-                messages,
-                changes: Vec::new(),
-            };
-            self.apply(index, effects);
-            self.compare_digests(index);
-        }
-        self.record_wrong_orders();
-    }
-
-    fn compare_digests(&mut self, index: usize) {
-        let digest = self.instances[index].board.quarantine.digest();
-        let others = (0..self.instances.len()).filter(|other| *other != index);
-        let receivers: Vec<usize> = others.sample(&mut self.rng, FANOUT);
-        for to in receivers {
-            if !self.reaches(index, to) || self.rng.random_bool(self.cfg.loss) {
-                continue;
-            }
-            let now = self.process_time(to);
-            let board = &self.instances[to].board;
-            let messages = board.order_messages(now, ip_of(index), Some(digest));
-            let effects = Effects {
-                messages,
-                changes: Vec::new(),
-            };
-            self.apply(to, effects);
-        }
-    }
-
-    fn record_wrong_orders(&mut self) {
-        let mut wrong: Vec<u64> = Vec::new();
-        for instance in &self.instances {
-            let orders = instance.board.quarantine.orders();
-            let is_wrong =
-                |o: &&sesamebarrow_routing::quarantine::Order| o.in_force && o.part != HARMFUL_PART;
-            wrong.extend(orders.filter(is_wrong).map(|o| o.part));
-        }
-        for part in &wrong {
-            self.wrong_since.entry(*part).or_insert(self.now);
-        }
-        let (now, longest) = (self.now, &mut self.report.longest_wrong);
-        self.wrong_since.retain(|part, since| {
-            let stays = wrong.contains(part);
-            if !stays {
-                *longest = (*longest).max(now.saturating_sub(*since));
-            }
-            stays
-        });
-    }
-
-    fn apply(&mut self, from: usize, effects: Effects) {
-        if self.report.crashes_before_order == 0 && !effects.changes.is_empty() {
-            self.report.crashes_before_order = self.report.crashes;
-        }
-        for (_, order) in effects.changes.iter().filter(|(_, order)| order.in_force) {
-            self.cancel(from, order.part);
-        }
-        if self.policy == Policy::Instance {
-            return;
-        }
-        for (ip, body) in effects.messages {
-            let to = index_of(ip);
-            // CAST: datagrams are small.
-            self.sent_bytes += token::encode(body.clone()).len() as u64;
-            if self.rng.random_bool(self.cfg.loss) {
-                continue;
-            }
-            let delay = match from % REGIONS == to % REGIONS {
-                true => DELAYS.0,
-                false => DELAYS.1,
-            };
-            self.schedule(delay, Event::Deliver { from, to, body });
-        }
-    }
-
     /// Cancels the requests of an instance with a part that their upstreams have not begun to answer.
     fn cancel(&mut self, instance: usize, part: u64) {
         let is_cancelled = |r: &Request| {
@@ -593,211 +315,4 @@
             }
         }
     }
-
-    fn deliver(&mut self, from: usize, to: usize, body: Body) {
-        if !self.reaches(from, to) {
-            return;
-        }
-        let now = self.process_time(to);
-        let board = &mut self.instances[to].board;
-        let effects = match body {
-            Body::Blames(blames) => board.handle_blames(now, &blames),
-            Body::Orders(orders) => board.handle_orders(now, &orders),
-            _ => return,
-        };
-        self.apply(to, effects);
-    }
-
-    fn parts(&mut self, harmful: bool) -> (u64, Vec<PromptPart>) {
-        let customer = self.rng.random_range(0..CUSTOMERS);
-        // CAST: small numbers.
-        let subjects = SUBJECTS_PER_INSTANCE * self.cfg.instances as u64;
-        let subject = SUBJECTS + self.rng.random_range(0..subjects);
-        let own = OWN_PARTS + self.new_id();
-        let mut ids = vec![COMMON_PART, subject, own];
-        if harmful {
-            ids.insert(self.cfg.position, HARMFUL_PART);
-        }
-        let ids = match self.policy {
-            Policy::FirstPart => vec![ids[0], own],
-            Policy::Customer => vec![customer, own],
-            _ => ids,
-        };
-        let parts = ids.into_iter().map(|id| PromptPart { id, tokens: 100 });
-        (customer, parts.collect())
-    }
-
-    fn send_harmful(&mut self) {
-        let seconds = self.seconds();
-        let spans = self.cfg.harmful_spans.iter();
-        if !spans
-            .into_iter()
-            .any(|(start, end)| (*start..*end).contains(&seconds))
-        {
-            return;
-        }
-        let pause = self.pause(self.cfg.harmful_per_s);
-        self.schedule(pause, Event::Harmful);
-        self.send(true);
-    }
-
-    fn send_sound(&mut self) {
-        let pause = self.pause(self.cfg.sound_per_s);
-        self.schedule(pause, Event::Sound);
-        let left = self.cfg.seconds - self.seconds();
-        if left < LAST_SECONDS {
-            return;
-        }
-        let phase = self.phase();
-        self.served(phase).asked += 1;
-        self.send(false);
-    }
-
-    fn send(&mut self, harmful: bool) {
-        let up: Vec<usize> = (0..self.instances.len())
-            .filter(|i| self.instances[*i].up)
-            .collect();
-        let Some(&entry) = up.choose(&mut self.rng) else {
-            return;
-        };
-        let (customer, prompt) = self.parts(harmful);
-        let mut request = Request {
-            instance: entry,
-            customer,
-            prompt,
-            harmful,
-            upstream: 0,
-            crashes: 0,
-            is_trial: false,
-            phase: self.phase(),
-        };
-        if !self.admit(&mut request) {
-            self.report.wrongly_refused += u64::from(!harmful);
-            return;
-        }
-        if !request.is_trial && self.rng.random_bool(HOP_FRACTION) {
-            let others = up.iter().filter(|i| **i % REGIONS != entry % REGIONS);
-            if let Some(&other) = others.choose(&mut self.rng)
-                && self.reaches(entry, other)
-            {
-                request.instance = other;
-                if !self.admit(&mut request) {
-                    self.report.wrongly_refused += u64::from(!harmful);
-                    return;
-                }
-            }
-        }
-        self.start(request);
-    }
-
-    /// Returns whether a request may be sent by its instance, if need be as a trial.
-    fn admit(&mut self, request: &mut Request) -> bool {
-        if self.policy == Policy::None {
-            return true;
-        }
-        let index = request.instance;
-        let now = self.process_time(index);
-        let board = &self.instances[index].board;
-        let part = match board
-            .quarantine
-            .admission(now, request.customer, &request.prompt)
-        {
-            Admission::Allowed => return true,
-            Admission::Quarantined(_) => return false,
-            Admission::TrialDue(part) => part,
-        };
-        let judge = match board.judges(now, part).first() {
-            Some(Judge::Other(ip)) => index_of(*ip),
-            _ => index,
-        };
-        let is_answered = self.reaches(index, judge) && self.reaches(judge, index);
-        if !is_answered || (self.policy == Policy::Instance && judge != index) {
-            return false;
-        }
-        let judge_now = self.process_time(judge);
-        let (granted, effects) = self.instances[judge].board.grant_trial(judge_now, part);
-        self.apply(judge, effects);
-        request.is_trial = granted;
-        granted
-    }
-
-    /// Sends a request to an upstream of its instance's region that has a free slot.
-    fn start(&mut self, mut request: Request) {
-        let region = request.instance % REGIONS;
-        let batch = self.cfg.batch;
-        let is_free = |u: &usize| {
-            let upstream = &self.upstreams[*u];
-            upstream.up && upstream.region == region && upstream.requests.len() < batch
-        };
-        let free = (0..self.upstreams.len()).filter(is_free);
-        let Some(index) = free.choose(&mut self.rng) else {
-            return;
-        };
-        let id = self.new_id();
-        request.upstream = index;
-        self.upstreams[index].requests.push(id);
-        if request.harmful {
-            let is_late = |at: Duration| self.now > at + CONTACT_TIME;
-            self.report.late += u64::from(self.fifth_crash_at.is_some_and(is_late));
-            let delay = BEGIN_TIME.mul_f64(self.rng.random_range(0.2..2.0));
-            self.schedule(delay, Event::Begin(id));
-        } else {
-            let delay = RUN_TIME.mul_f64(self.rng.random_range(0.5..1.5));
-            self.schedule(delay, Event::Finish(id));
-        }
-        self.requests.insert(id, request);
-    }
-
-    fn crash(&mut self, index: usize) {
-        let upstream = &mut self.upstreams[index];
-        upstream.up = false;
-        let run = upstream.run;
-        let ids = std::mem::take(&mut upstream.requests);
-        self.schedule(DOWN_TIME, Event::UpstreamBack(index));
-        for id in ids {
-            let Some(mut request) = self.requests.remove(&id) else {
-                continue;
-            };
-            request.crashes += 1;
-            if self.policy != Policy::None {
-                let now = self.process_time(request.instance);
-                let board = &mut self.instances[request.instance].board;
-                let effects = board.record_crash(now, run, request.customer, &request.prompt);
-                self.apply(request.instance, effects);
-            }
-            if self.may_repeat(&request) {
-                self.start(request);
-            }
-        }
-    }
-
-    fn may_repeat(&self, request: &Request) -> bool {
-        let quarantine = &self.instances[request.instance].board.quarantine;
-        let is_bound = match self.policy {
-            Policy::None | Policy::NoBound => false,
-            _ => {
-                request.crashes >= 2
-                    || request.is_trial
-                    || quarantine.is_suspected(request.customer, &request.prompt)
-            }
-        };
-        self.cfg.repeatable && request.crashes < 4 && !is_bound
-    }
-
-    fn finish(&mut self, id: u64) {
-        let Some(request) = self.requests.remove(&id) else {
-            return;
-        };
-        self.upstreams[request.upstream]
-            .requests
-            .retain(|other| *other != id);
-        self.served(request.phase).served += 1;
-        if matches!(self.policy, Policy::None | Policy::NoAcquittal) {
-            return;
-        }
-        let now = self.process_time(request.instance);
-        let board = &mut self.instances[request.instance].board;
-        let effects = board.record_answer(now, request.customer, &request.prompt);
-        self.apply(request.instance, effects);
-    }
 }
--- /dev/null
+++ b/crates/sesamebarrow_trial/src/containment/request.rs
@@ -0,0 +1,211 @@
+//! Requests on their way to upstreams, and what ends them.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::seq::{IndexedRandom, IteratorRandom};
+use sesamebarrow_routing::board::quarantine::Judge;
+use sesamebarrow_routing::cache::PromptPart;
+use sesamebarrow_routing::quarantine::Admission;
+
+use crate::containment::experiment::Policy;
+use crate::containment::{
+    BEGIN_TIME, COMMON_PART, CONTACT_TIME, CUSTOMERS, DOWN_TIME, Event, HARMFUL_PART, HOP_FRACTION,
+    LAST_SECONDS, OWN_PARTS, REGIONS, RUN_TIME, Request, Run, SUBJECTS, SUBJECTS_PER_INSTANCE,
+    instance,
+};
+
+impl Run<'_> {
+    pub(super) fn parts(&mut self, harmful: bool) -> (u64, Vec<PromptPart>) {
+        let customer = self.rng.random_range(0..CUSTOMERS);
+        // CAST: small numbers.
+        let subjects = SUBJECTS_PER_INSTANCE * self.cfg.instances as u64;
+        let subject = SUBJECTS + self.rng.random_range(0..subjects);
+        let own = OWN_PARTS + self.new_id();
+        let mut ids = vec![COMMON_PART, subject, own];
+        if harmful {
+            ids.insert(self.cfg.position, HARMFUL_PART);
+        }
+        let ids = match self.policy {
+            Policy::FirstPart => vec![ids[0], own],
+            Policy::Customer => vec![customer, own],
+            _ => ids,
+        };
+        let parts = ids.into_iter().map(|id| PromptPart { id, tokens: 100 });
+        (customer, parts.collect())
+    }
+
+    pub(super) fn send_harmful(&mut self) {
+        let seconds = self.seconds();
+        let spans = self.cfg.harmful_spans.iter();
+        if !spans
+            .into_iter()
+            .any(|(start, end)| (*start..*end).contains(&seconds))
+        {
+            return;
+        }
+        let pause = self.pause(self.cfg.harmful_per_s);
+        self.schedule(pause, Event::Harmful);
+        self.send(true);
+    }
+
+    pub(super) fn send_sound(&mut self) {
+        let pause = self.pause(self.cfg.sound_per_s);
+        self.schedule(pause, Event::Sound);
+        let left = self.cfg.seconds - self.seconds();
+        if left < LAST_SECONDS {
+            return;
+        }
+        let phase = self.phase();
+        self.served(phase).asked += 1;
+        self.send(false);
+    }
+
+    pub(super) fn send(&mut self, harmful: bool) {
+        let up: Vec<usize> = (0..self.instances.len())
+            .filter(|i| self.instances[*i].up)
+            .collect();
+        let Some(&entry) = up.choose(&mut self.rng) else {
+            return;
+        };
+        let (customer, prompt) = self.parts(harmful);
+        let mut request = Request {
+            instance: entry,
+            customer,
+            prompt,
+            harmful,
+            upstream: 0,
+            crashes: 0,
+            is_trial: false,
+            phase: self.phase(),
+        };
+        if !self.admit(&mut request) {
+            self.report.wrongly_refused += u64::from(!harmful);
+            return;
+        }
+        if !request.is_trial && self.rng.random_bool(HOP_FRACTION) {
+            let others = up.iter().filter(|i| **i % REGIONS != entry % REGIONS);
+            if let Some(&other) = others.choose(&mut self.rng)
+                && self.reaches(entry, other)
+            {
+                request.instance = other;
+                if !self.admit(&mut request) {
+                    self.report.wrongly_refused += u64::from(!harmful);
+                    return;
+                }
+            }
+        }
+        self.start(request);
+    }
+
+    /// Returns whether a request may be sent by its instance, if need be as a trial.
+    pub(super) fn admit(&mut self, request: &mut Request) -> bool {
+        if self.policy == Policy::None {
+            return true;
+        }
+        let index = request.instance;
+        let now = self.process_time(index);
+        let board = &self.instances[index].board;
+        let part = match board
+            .quarantine
+            .admission(now, request.customer, &request.prompt)
+        {
+            Admission::Allowed => return true,
+            Admission::Quarantined(_) => return false,
+            Admission::TrialDue(part) => part,
+        };
+        let judge = match board.judges(now, part).first() {
+            Some(Judge::Other(ip)) => instance::index_of(*ip),
+            _ => index,
+        };
+        let is_answered = self.reaches(index, judge) && self.reaches(judge, index);
+        if !is_answered || (self.policy == Policy::Instance && judge != index) {
+            return false;
+        }
+        let judge_now = self.process_time(judge);
+        let (granted, effects) = self.instances[judge].board.grant_trial(judge_now, part);
+        self.apply(judge, effects);
+        request.is_trial = granted;
+        granted
+    }
+
+    /// Sends a request to an upstream of its instance's region that has a free slot.
+    pub(super) fn start(&mut self, mut request: Request) {
+        let region = request.instance % REGIONS;
+        let batch = self.cfg.batch;
+        let is_free = |u: &usize| {
+            let upstream = &self.upstreams[*u];
+            upstream.up && upstream.region == region && upstream.requests.len() < batch
+        };
+        let free = (0..self.upstreams.len()).filter(is_free);
+        let Some(index) = free.choose(&mut self.rng) else {
+            return;
+        };
+        let id = self.new_id();
+        request.upstream = index;
+        self.upstreams[index].requests.push(id);
+        if request.harmful {
+            let is_late = |at: Duration| self.now > at + CONTACT_TIME;
+            self.report.late += u64::from(self.fifth_crash_at.is_some_and(is_late));
+            let delay = BEGIN_TIME.mul_f64(self.rng.random_range(0.2..2.0));
+            self.schedule(delay, Event::Begin(id));
+        } else {
+            let delay = RUN_TIME.mul_f64(self.rng.random_range(0.5..1.5));
+            self.schedule(delay, Event::Finish(id));
+        }
+        self.requests.insert(id, request);
+    }
+
+    pub(super) fn crash(&mut self, index: usize) {
+        let upstream = &mut self.upstreams[index];
+        upstream.up = false;
+        let run = upstream.run;
+        let ids = std::mem::take(&mut upstream.requests);
+        self.schedule(DOWN_TIME, Event::UpstreamBack(index));
+        for id in ids {
+            let Some(mut request) = self.requests.remove(&id) else {
+                continue;
+            };
+            request.crashes += 1;
+            if self.policy != Policy::None {
+                let now = self.process_time(request.instance);
+                let board = &mut self.instances[request.instance].board;
+                let effects = board.record_crash(now, run, request.customer, &request.prompt);
+                self.apply(request.instance, effects);
+            }
+            if self.may_repeat(&request) {
+                self.start(request);
+            }
+        }
+    }
+
+    pub(super) fn may_repeat(&self, request: &Request) -> bool {
+        let quarantine = &self.instances[request.instance].board.quarantine;
+        let is_bound = match self.policy {
+            Policy::None | Policy::NoBound => false,
+            _ => {
+                request.crashes >= 2
+                    || request.is_trial
+                    || quarantine.is_suspected(request.customer, &request.prompt)
+            }
+        };
+        self.cfg.repeatable && request.crashes < 4 && !is_bound
+    }
+
+    pub(super) fn finish(&mut self, id: u64) {
+        let Some(request) = self.requests.remove(&id) else {
+            return;
+        };
+        self.upstreams[request.upstream]
+            .requests
+            .retain(|other| *other != id);
+        self.served(request.phase).served += 1;
+        if matches!(self.policy, Policy::None | Policy::NoAcquittal) {
+            return;
+        }
+        let now = self.process_time(request.instance);
+        let board = &mut self.instances[request.instance].board;
+        let effects = board.record_answer(now, request.customer, &request.prompt);
+        self.apply(request.instance, effects);
+    }
+}
