Refuse a harmful prompt without a time to come back, also after other refusals

Cause: a request that an upstream had refused before its part was found quarantined got that earlier refusal, with a time to come back that cannot help. Found by reading; an attempt that may have run still decides.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -95,7 +95,8 @@
             }
         }
         if let Err(refusal) = quarantine::admit(shared, job, history).await {
-            return final_result(failed_response, last_refusal.or(Some(refusal)));
+            let refusal = harmful_refusal(history, last_refusal, refusal);
+            return final_result(failed_response, Some(refusal));
         }
         let target = match selection::select_target(shared, job, history) {
             Ok(target) => target,
@@ -114,8 +115,8 @@
                 (reason, Refusal::NotRun(reason, after))
             }
             AttemptResult::Harmful => {
-                let refusal = last_refusal.or(Some(Refusal::Harmful));
-                return final_result(failed_response, refusal);
+                let refusal = harmful_refusal(history, last_refusal, Refusal::Harmful);
+                return final_result(failed_response, Some(refusal));
             }
             AttemptResult::Broken(reason) => (reason, Refusal::Unknown(reason)),
             AttemptResult::TimedOut => ("timeout", Refusal::TimedOut),
@@ -137,6 +138,19 @@
     }
 }
 
+/// Returns the refusal of a request with a quarantined part: `refusal`, which names no time to come back, unless
+/// an earlier attempt may have run.
+fn harmful_refusal(
+    history: &AttemptHistory,
+    last_refusal: Option<Refusal>,
+    refusal: Refusal,
+) -> Refusal {
+    match last_refusal {
+        Some(earlier) if history.possible_runs > 0 => earlier,
+        _ => refusal,
+    }
+}
+
 /// Returns the result for the client after the last attempt.
 fn final_result(
     failed_response: Option<Box<UpstreamResponse>>,
