Log the limits that upstreams name, and count what is sent to limited upstreams

Change: the header is decoded and its changes are logged; sends to limited upstreams are counted by kind. No decision uses it yet.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -262,6 +262,9 @@
             .record_first_attempt(now, &job.policy.service, instances);
     }
     attempt.record_sent(job);
+    if let Target::Upstream(selected) = target {
+        notice::count_limited_send(shared, selected, job, history.sent);
+    }
     history.sent += 1;
     history.possible_runs += 1;
     job.reservation.set_consumed(true);
@@ -332,6 +335,7 @@
     attempt.idle_time = pool::idle_time(&parts.headers);
     if let Target::Upstream(selected) = target {
         notice::record(shared, job, selected, &parts);
+        notice::record_limit(shared, job, selected, &parts);
     }
     if let (Target::Upstream(selected), Some(load)) =
         (target, head::read_reported_load(&parts.headers))
--- a/crates/sesamebarrow_gateway/src/telemetry.rs
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -14,7 +14,7 @@
 ];
 
 /// Names and descriptions of the counters.
-const COUNTERS: [(&str, &str); 18] = [
+const COUNTERS: [(&str, &str); 19] = [
     (
         "sesamebarrow_answers_total",
         "Answers that came from an upstream, by how they ended.",
@@ -35,6 +35,10 @@
         "sesamebarrow_upstream_changes_total",
         "Changes that upstreams announced in answers, by kind.",
     ),
+    (
+        "sesamebarrow_limited_sends_total",
+        "Requests sent to upstreams that have named a limit, by whether they are first attempts.",
+    ),
     (
         "sesamebarrow_refusals_total",
         "Requests that this instance answered itself, by reason.",
--- a/crates/sesamebarrow_routing/src/lib.rs
+++ b/crates/sesamebarrow_routing/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod drain;
 pub mod gossip;
 pub mod holder;
+pub mod limit;
 pub mod member;
 pub mod place;
 pub mod quarantine;
