Keep to the limits that upstreams name, in the whole fleet

Change: one instance of the region, the owner, keeps the bucket of a limit. Each attempt at a limited upstream takes a permit: at the owner itself or by a datagram to it. What answers say reaches the owner, which tells the others when a limit begins and ends. A new owner begins with an empty bucket; owners on the sides of a split share the limit by the number of instances that each reaches.

--- a/crates/sesamebarrow_ctl/src/explain.rs
+++ b/crates/sesamebarrow_ctl/src/explain.rs
@@ -1,5 +1,6 @@
 //! Prints the lines of one request from the logs of several instances. If the request was refused for a part of
-//! its prompt, prints also the crashes for which the part was blamed and the orders that quarantined it.
+//! its prompt, prints also the crashes for which the part was blamed and the orders that quarantined it; if it was
+//! refused for limits that upstreams named, also the changes of these limits.
 
 use std::path::PathBuf;
 
@@ -32,6 +33,21 @@
         let is_cause = |line: &str| !is_of_request(line) && is_about_parts(line, &parts);
         lines.extend(matching_lines(&logs, is_cause));
     }
+    let limited = |line: &&Line| field_value(&line.text, "refused") == "limited";
+    let services: Vec<String> = lines
+        .iter()
+        .filter(limited)
+        .map(|line| field_value(&line.text, "service").to_owned())
+        .collect();
+    if !services.is_empty() {
+        let is_cause = |line: &str| {
+            let service = field_value(line, "service");
+            !is_of_request(line)
+                && line.contains("limit of an upstream changed")
+                && services.iter().any(|s| s == service)
+        };
+        lines.extend(matching_lines(&logs, is_cause));
+    }
     lines.sort_by(|a, b| a.timestamp.cmp(&b.timestamp));
     for line in &lines {
         println!("{}  {}", line.file, line.text);
--- a/crates/sesamebarrow_ctl/tests/commands.rs
+++ b/crates/sesamebarrow_ctl/tests/commands.rs
@@ -1,5 +1,6 @@
 //! Tests of the commands `rules`, `load` and `explain` of `sesamebarrowctl`.
 
+use std::path::Path;
 use std::process::{Command, Output};
 
 fn ctl(args: &[&str]) -> Output {
@@ -82,11 +83,33 @@
          timestamp=5 message=\"request contains a quarantined part\" request=ab1 part=bad0\n\
          timestamp=6 message=\"request contains a quarantined part\" request=x4 part=bad0\n";
     std::fs::write(&path, text).expect("write log");
+    assert_eq!(explained_times(&path), ["1", "4", "5"]);
+}
+
+#[test]
+fn explain_leads_from_a_refused_request_to_the_limits_that_caused_it() {
+    let directory = tempfile::tempdir().expect("temporary directory");
+    let path = directory.path().join("log");
+    let text = "timestamp=1 message=\"limit of an upstream changed\" request=x1 service=model rate=1\n\
+         timestamp=2 message=\"limit of an upstream changed\" request=x2 service=orders rate=1\n\
+         timestamp=3 message=\"nothing takes it\" request=x3 refused=limited service=orders\n\
+         timestamp=4 message=\"nothing takes it\" request=ab1 refused=limited service=model\n";
+    std::fs::write(&path, text).expect("write log");
+    assert_eq!(explained_times(&path), ["1", "4"]);
+}
+
+/// Returns the timestamps of the lines that explain the request `ab1`.
+fn explained_times(path: &Path) -> Vec<String> {
     let output = ctl(&["explain", "ab1", &path.to_string_lossy()]);
     let text = String::from_utf8_lossy(&output.stdout);
-    let times: Vec<_> = text
-        .lines()
-        .filter_map(|line| line.split("timestamp=").nth(1)?.split(' ').next())
-        .collect();
-    assert_eq!(times, ["1", "4", "5"], "{text}");
+    let time = |line: &str| {
+        Some(
+            line.split("timestamp=")
+                .nth(1)?
+                .split(' ')
+                .next()?
+                .to_owned(),
+        )
+    };
+    text.lines().filter_map(time).collect()
 }
--- a/crates/sesamebarrow_gateway/src/admin.rs
+++ b/crates/sesamebarrow_gateway/src/admin.rs
@@ -7,6 +7,7 @@
 use hyper::{Request, Response, StatusCode};
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::json;
+use sesamebarrow_routing::board::limit::Owner;
 use sesamebarrow_routing::token;
 
 use crate::meter::MeteredBody;
@@ -67,6 +68,24 @@
             })
         })
         .collect();
+    let limits: Vec<_> = board
+        .upstreams
+        .all
+        .values()
+        .filter_map(|u| {
+            let limit = board.limits.in_force(u.run_hash)?;
+            let pause = board.limits.pause(now, u.run_hash, u8::MAX);
+            let owner = match board.limit_owner(now, u.run_hash).0 {
+                Owner::Own => "own".to_owned(),
+                Owner::Other(ip) => ip.to_string(),
+            };
+            Some(json!({
+                "upstream": u.entry.id, "rate": limit.rate, "owner": owner, "serial": limit.serial,
+                "permits": limit.bucket.permits(), "paused_ms": pause.map_or(0, |p| p.as_millis() as u64),
+                "named_ms_ago": now.saturating_sub(limit.named_at).as_millis() as u64,
+            }))
+        })
+        .collect();
     let customers = board.config.iter().flat_map(|c| &c.customers);
     let buckets: Vec<_> = customers
         .filter_map(|c| {
@@ -94,7 +113,7 @@
         .map(|(part, runs)| json!({ "part": format!("{part:x}"), "crashes": runs }))
         .collect();
     json!({
-        "quarantine": orders, "blamed_parts": blamed,
+        "limits": limits, "quarantine": orders, "blamed_parts": blamed,
         "name": board.identity.name, "region": board.identity.region, "ready": board.is_ready(),
         "refuses_streams": shared.refuses_streams.load(Ordering::Relaxed),
         "config": board.config.as_ref().map(|c| c.version),
--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -60,6 +60,8 @@
     /// How long the connection may stay idle after the attempt; `None` if it must be closed.
     pub idle_time: Option<Duration>,
     started_at: Instant,
+    /// When the request was sent, or began to be connected.
+    pub sent_at: Duration,
     request_id: SmolStr,
     ended: bool,
 }
@@ -96,6 +98,7 @@
             connection: None,
             idle_time: None,
             started_at: Instant::now(),
+            sent_at: shared.now(),
             request_id: job.id.clone(),
             ended: false,
         }
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use crate::framing::Framing;
 use crate::hop;
 use crate::intake::Job;
+use crate::limit;
 use crate::meter::MeteredBody;
 use crate::notice;
 use crate::pool;
@@ -98,7 +99,7 @@
             let refusal = harmful_refusal(history, last_refusal, refusal);
             return final_result(failed_response, Some(refusal));
         }
-        let target = match selection::select_target(shared, job, history) {
+        let target = match selection::select_permitted(shared, job, history).await {
             Ok(target) => target,
             Err(refusal) => return final_result(failed_response, last_refusal.or(Some(refusal))),
         };
@@ -230,7 +231,8 @@
     if let Target::Upstream(selected) = target {
         // What other answers said while the connection was opened.
         let now = shared.now();
-        if !admit::may_send(&shared.board(), now, selected.key) {
+        let may_send = admit::may_send(&shared.board(), now, selected.key);
+        if !may_send || !limit::may_send(shared, selected, history.has_permit) {
             attempt.end(AttemptOutcome::Cancelled);
             return AttemptResult::NotRun("upstream-withdrew", MIN_RETRY_AFTER);
         }
@@ -261,9 +263,10 @@
             .budget
             .record_first_attempt(now, &job.policy.service, instances);
     }
+    attempt.sent_at = shared.now();
     attempt.record_sent(job);
-    if let Target::Upstream(selected) = target {
-        notice::count_limited_send(shared, selected, job, history.sent);
+    if history.has_permit {
+        limit::count_send(job, history.sent);
     }
     history.sent += 1;
     history.possible_runs += 1;
@@ -335,7 +338,7 @@
     attempt.idle_time = pool::idle_time(&parts.headers);
     if let Target::Upstream(selected) = target {
         notice::record(shared, job, selected, &parts);
-        notice::record_limit(shared, job, selected, &parts);
+        limit::record(shared, job, selected, &parts, attempt.sent_at);
     }
     if let (Target::Upstream(selected), Some(load)) =
         (target, head::read_reported_load(&parts.headers))
--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::shared::Shared;
-use crate::{notice, quarantine};
+use crate::{limit, notice, quarantine};
 
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -110,6 +110,7 @@
     if datagram.sender.heartbeat > 0 {
         let ip = Ipv4Addr::from_bits(datagram.sender.ip);
         quarantine::send_orders(shared, ip, datagram.quarantine_digest);
+        limit::send_states(shared, ip, datagram.limits_digest);
     }
     let mut board = shared.board();
     let needs_reply = board.handle_datagram(now, &datagram);
--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use sesamebarrow_platform::head;
 use sesamebarrow_routing::admit::RequestSpec;
+use sesamebarrow_routing::limit;
 use sesamebarrow_routing::spill::RemoteInstance;
 use smol_str::SmolStr;
 
@@ -204,6 +205,7 @@
                 .map_or(output_tokens, |h| h.min(output_tokens)),
             target_wait: Duration::from_millis(envelope.target),
             tried_upstreams,
+            urgency: limit::urgency(envelope.priority, envelope.may_repeat),
             is_trial: false,
         },
         last_event: envelope.last_event,
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -14,6 +14,7 @@
 use sesamebarrow_routing::admit::RequestSpec;
 use sesamebarrow_routing::config::{Customer, Route, is_region_allowed};
 use sesamebarrow_routing::drain::{self, Schedule};
+use sesamebarrow_routing::limit;
 use sesamebarrow_routing::{Config, RequestKind};
 use smol_str::SmolStr;
 
@@ -154,6 +155,7 @@
     };
     let random = rand::random();
     let service = route.pick_service(random).clone();
+    let priority = priority(&route, customer.as_deref());
     let (prompt_tokens, output_tokens) = request_head.tokens.unwrap_or((0, DEFAULT_OUTPUT_TOKENS));
     let output_tokens = request_head
         .output_tokens_hint
@@ -177,7 +179,7 @@
             may_repeat: route.may_repeat(),
             resumable: route.kind == RequestKind::Streaming && route.resumable,
             max_attempts: route.max_attempts,
-            priority: priority(&route, customer.as_deref()),
+            priority,
             from_instance: false,
         },
         residency: Residency {
@@ -191,6 +193,7 @@
             output_tokens,
             target_wait: route.target_latency,
             tried_upstreams: Vec::new(),
+            urgency: limit::urgency(priority, route.may_repeat()),
             is_trial: false,
         },
         last_event: request_head.last_event,
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod gossip;
 pub mod hop;
 pub mod intake;
+pub mod limit;
 pub mod log_limit;
 pub mod meter;
 pub mod notice;
--- a/crates/sesamebarrow_gateway/src/notice.rs
+++ b/crates/sesamebarrow_gateway/src/notice.rs
@@ -8,62 +8,11 @@
 use sesamebarrow_platform::head;
 use sesamebarrow_routing::admit::SelectedUpstream;
 use sesamebarrow_routing::availability::Change;
-use sesamebarrow_routing::limit::Statement;
 use smol_str::SmolStr;
 
 use crate::intake::Job;
 use crate::shared::Shared;
 
-/// Records which limit `selected` names in the head of its answer to `job`.
-pub fn record_limit(shared: &Shared, job: &Job, selected: &SelectedUpstream, parts: &Parts) {
-    let named = match head::read_limit(parts.status, &parts.headers, &job.id) {
-        Ok(Statement::Limit(rate)) => Some(rate),
-        Ok(Statement::NoLimit) => None,
-        Ok(Statement::Nothing) => return,
-        Err(error) => {
-            log::warn!(
-                request = job.id.as_str(), upstream = selected.id.as_str(), error:% = error;
-                "cannot read limit"
-            );
-            return;
-        }
-    };
-    let mut board = shared.board();
-    let Some(upstream) = board.upstreams.all.get_mut(selected.key) else {
-        return;
-    };
-    if std::mem::replace(&mut upstream.named_limit, named) == named {
-        return;
-    }
-    drop(board);
-    let change = if named.is_some() {
-        "limited"
-    } else {
-        "unlimited"
-    };
-    log::info!(
-        request = job.id.as_str(), upstream = selected.id.as_str(), change,
-        rate = named.unwrap_or_default();
-        "upstream announced a change"
-    );
-    metrics::counter!("sesamebarrow_upstream_changes_total", "change" => change).increment(1);
-}
-
-/// Counts a request to an upstream that has named a limit, and how often it had been sent before.
-pub fn count_limited_send(shared: &Shared, selected: &SelectedUpstream, job: &Job, sent: u32) {
-    let board = shared.board();
-    let upstream = board.upstreams.all.get(selected.key);
-    if upstream.is_none_or(|u| u.named_limit.is_none()) {
-        return;
-    }
-    let attempt = match (sent, job.policy.from_instance) {
-        (0, false) => "first",
-        (0, true) => "forwarded",
-        _ => "repeated",
-    };
-    metrics::counter!("sesamebarrow_limited_sends_total", "attempt" => attempt).increment(1);
-}
-
 /// Records what `selected` announces in the head of its answer to `job`.
 pub fn record(shared: &Shared, job: &Job, selected: &SelectedUpstream, parts: &Parts) {
     let now = SystemTime::now();
--- a/crates/sesamebarrow_gateway/src/selection.rs
+++ b/crates/sesamebarrow_gateway/src/selection.rs
@@ -12,6 +12,7 @@
 
 use crate::attempt::Target;
 use crate::intake::Job;
+use crate::limit;
 use crate::reply::Refusal;
 use crate::shared::Shared;
 
@@ -24,6 +25,10 @@
 /// Range of random times that is added to long retry delays, as a fraction of the delay.
 const RETRY_AFTER_SPREAD: f64 = 0.25;
 
+/// Maximum number of limited upstreams that are asked for a permit before one attempt. Those that refuse are not
+/// asked again for a while.
+const MAX_PERMIT_REQUESTS: u32 = 4;
+
 /// The attempts made so far for a job.
 #[derive(Debug, Default)]
 pub struct AttemptHistory {
@@ -43,6 +48,8 @@
     pub crashes: u32,
     /// Whether the request is a trial of a quarantined part, which is sent once.
     pub is_trial: bool,
+    /// Whether a permit was taken for the next attempt, since its upstream has a limit.
+    pub has_permit: bool,
     /// Finds out whether the upstream of the last attempt, which broke off, has crashed.
     pub examination: Option<JoinHandle<bool>>,
 }
@@ -72,6 +79,32 @@
     min + range.mul_f64(rand::rng().random::<f64>())
 }
 
+/// Selects the target of the next attempt of `job`, and takes a permit if that is an upstream with a limit.
+pub async fn select_permitted(
+    shared: &Shared,
+    job: &Job,
+    history: &mut AttemptHistory,
+) -> Result<Target, Refusal> {
+    let mut soonest = None;
+    for _ in 0..MAX_PERMIT_REQUESTS {
+        let target = select_target(shared, job, history)?;
+        history.has_permit = false;
+        let Target::Upstream(selected) = &target else {
+            return Ok(target);
+        };
+        match limit::take_permit(shared, job, selected).await {
+            Ok(has_permit) => {
+                history.has_permit = has_permit;
+                return Ok(target);
+            }
+            Err(due_in) => {
+                soonest = Some(soonest.map_or(due_in, |known: Duration| known.min(due_in)));
+            }
+        }
+    }
+    Err(to_refusal(Rejection::Limited(soonest.unwrap_or_default())))
+}
+
 /// Selects the target of the next attempt of `job`.
 pub fn select_target(
     shared: &Shared,
@@ -183,7 +216,7 @@
     let min = match rejection {
         Rejection::NoUpstream => Duration::from_millis(600),
         Rejection::Cold => Duration::from_millis(400),
-        Rejection::Resting(rest) => rest.max(MIN_RETRY_AFTER),
+        Rejection::Resting(rest) | Rejection::Limited(rest) => rest.max(MIN_RETRY_AFTER),
         Rejection::Overload => MIN_RETRY_AFTER,
     };
     Refusal::NotRun(rejection.into(), jittered_retry_after(min))
--- a/crates/sesamebarrow_gateway/src/shared.rs
+++ b/crates/sesamebarrow_gateway/src/shared.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::limit::Permits;
 use crate::log_limit::Limiter;
 use crate::pool::Pool;
 use crate::quarantine::Trials;
@@ -31,6 +32,8 @@
     pub pool: Pool,
     /// The exchange of tokens with other instances.
     pub tokens: Tokens,
+    /// Permits for requests to upstreams that have named a limit.
+    pub permits: Permits,
     /// Requests for trials of quarantined prompt parts.
     pub trials: Trials,
     /// Sent when the quarantine of prompt parts has changed.
@@ -71,6 +74,7 @@
             catalog: Mutex::default(),
             pool: Pool::default(),
             tokens,
+            permits: Permits::default(),
             trials: Trials::default(),
             quarantine_changed: watch::Sender::default(),
             log_limiter: Limiter::default(),
--- a/crates/sesamebarrow_gateway/src/telemetry.rs
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -14,7 +14,7 @@
 ];
 
 /// Names and descriptions of the counters.
-const COUNTERS: [(&str, &str); 19] = [
+const COUNTERS: [(&str, &str); 20] = [
     (
         "sesamebarrow_answers_total",
         "Answers that came from an upstream, by how they ended.",
@@ -39,6 +39,10 @@
         "sesamebarrow_limited_sends_total",
         "Requests sent to upstreams that have named a limit, by whether they are first attempts.",
     ),
+    (
+        "sesamebarrow_permits_total",
+        "Permits asked for to send a request to a limited upstream, by outcome.",
+    ),
     (
         "sesamebarrow_refusals_total",
         "Requests that this instance answered itself, by reason.",
--- a/crates/sesamebarrow_gateway/src/token.rs
+++ b/crates/sesamebarrow_gateway/src/token.rs
@@ -18,6 +18,7 @@
 use tokio::sync::oneshot;
 use tokio::time::MissedTickBehavior;
 
+use crate::limit;
 use crate::quarantine;
 use crate::reply::Refusal;
 use crate::selection::jittered_retry_after;
@@ -342,6 +343,13 @@
             shared.tokens.send(from, Body::TrialGrant(grant));
         }
         Ok(Some(Body::TrialGrant(grant))) => quarantine::handle_trial_grant(shared, grant),
+        Ok(Some(Body::PermitRequest(request))) => {
+            let answer = limit::handle_permit_request(shared, &request, from);
+            shared.tokens.send(from, Body::PermitAnswer(answer));
+        }
+        Ok(Some(Body::PermitAnswer(answer))) => limit::handle_permit_answer(shared, answer),
+        Ok(Some(Body::LimitObserved(observed))) => limit::handle_observed(shared, &observed),
+        Ok(Some(Body::LimitStates(states))) => limit::handle_states(shared, &states),
         Ok(None) => log::debug!(from:% = from; "unknown kind of token datagram"),
         Err(error) => log::warn!(from:% = from, error:% = error; "cannot decode token datagram"),
     }
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -36,6 +36,8 @@
     pub target_wait: Duration,
     /// Upstreams that have already been tried.
     pub tried_upstreams: Vec<Key>,
+    /// Order in which requests get permits of limited upstreams; 0 is the most urgent.
+    pub urgency: u8,
     /// Whether the request may crash its upstream, so that it is sent where that harms least.
     pub is_trial: bool,
 }
@@ -69,6 +71,8 @@
     Cold,
     /// All available upstreams refused requests and want none for the contained time.
     Resting(Duration),
+    /// All available upstreams have named limits, which are used up for the contained time.
+    Limited(Duration),
     /// All available upstreams are full, or the estimated wait is too long for the target
     /// latency.
     Overload,
@@ -221,6 +225,15 @@
     if usable.is_empty() {
         return Err(Rejection::Overload);
     }
+    let pause = |k: &Key| {
+        let run = board.upstreams.all[*k].run_hash;
+        board.limits.pause(now, run, request.urgency)
+    };
+    let pauses: Option<Vec<Duration>> = usable.iter().map(pause).collect();
+    if let Some(soonest) = pauses.and_then(|p| p.into_iter().min()) {
+        return Err(Rejection::Limited(soonest));
+    }
+    usable.retain(|k| pause(k).is_none());
     let not_ejected = |k: &Key| verdict(k) == Verdict::Available;
     if usable.iter().any(not_ejected) {
         usable.retain(not_ejected);
@@ -445,6 +458,7 @@
         service: service.clone(),
         prompt_tokens: 2_000,
         output_tokens: 100,
+        urgency: u8::MAX,
         ..RequestSpec::default()
     };
     let Ok(scored) = score_all(board, now, &request) else {
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -16,6 +16,7 @@
 use crate::correction::WaitCorrection;
 use crate::gossip::short_hash;
 use crate::holder;
+use crate::limit::Limits;
 use crate::member::{Member, Members};
 use crate::quarantine::Quarantine;
 use crate::quota::{self, Quota};
@@ -24,6 +25,7 @@
 use crate::upstream::{Entry, Key, Upstream, Upstreams};
 
 mod gossip;
+pub mod limit;
 pub mod quarantine;
 
 /// Identifies this instance.
@@ -102,6 +104,8 @@
     evacuations_ending: HashMap<SmolStr, Duration>,
     /// The upstreams of this region.
     pub upstreams: Upstreams,
+    /// Limits that upstreams of this region have named.
+    pub limits: Limits,
     /// Prompt parts that crash upstreams.
     pub quarantine: Quarantine,
     /// The other instances.
@@ -158,6 +162,7 @@
             evacuated: HashSet::new(),
             evacuations_ending: HashMap::new(),
             upstreams: Upstreams::default(),
+            limits: Limits::default(),
             quarantine: Quarantine::default(),
             members: Members::default(),
             quota,
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -31,6 +31,7 @@
         self.upstreams.remove_due(now);
         self.quarantine.remove_expired(now);
         self.end_due_evacuations(now);
+        self.update_limits(now);
         self.sum_other_loads(now);
         holder::update_buckets(self, now);
         Datagram {
@@ -44,6 +45,7 @@
             revision: self.revision,
             config_version: self.config_version(),
             quarantine_digest: Some(self.quarantine.digest()),
+            limits_digest: Some(self.limits.digest()),
             service_loads: self.service_loads(now),
             upstream_loads: Vec::new(),
             reported_loads: None,
--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -146,6 +146,9 @@
     /// Digest of the sender's orders ([`crate::quarantine`]); `None` from instances of earlier versions.
     #[prost(uint32, optional, tag = "13")]
     pub quarantine_digest: Option<u32>,
+    /// Digest of the limits that the sender knows ([`crate::limit`]); `None` from instances of earlier versions.
+    #[prost(uint32, optional, tag = "14")]
+    pub limits_digest: Option<u32>,
 }
 
 /// Returns the hash that stands for a name in datagrams.
--- a/crates/sesamebarrow_routing/src/lib.rs
+++ b/crates/sesamebarrow_routing/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! A [`Board`] holds what the instance knows: the configuration ([`config`]), the other
 //! instances ([`member`]), the token buckets of customers ([`quota`], [`holder`]) and the
-//! upstreams with their load ([`upstream`]) and what their answers say about them
-//! ([`availability`]) and about the parts of prompts ([`quarantine`]). [`admit`], [`spill`] and [`place`] decide where requests
+//! upstreams with their load ([`upstream`]) what their answers say about them
+//! ([`availability`]), the limits that they name ([`limit`]) and about the parts of prompts ([`quarantine`]). [`admit`], [`spill`] and [`place`] decide where requests
 //! and clients go; most other modules own one part of the board. `Board` follows the
 //! blackboard pattern: all modules read and write its tables.
 //!
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -132,6 +132,11 @@
     pub revision: u64,
     /// Version of its configuration; 0 if it has none, or is of an earlier version that does not say.
     pub config_version: u64,
+    /// Time until which it is not asked for permits, because it did not answer.
+    pub silent_owner_until: Duration,
+    /// Whether it keeps the limits of upstreams ([`crate::limit`]); instances of earlier versions do not. Unknown
+    /// ones count as of this version.
+    pub keeps_limits: bool,
     /// Whether it takes part in [`crate::quarantine`]; instances of earlier versions do not. Unknown ones
     /// count as of this version.
     pub judges_parts: bool,
@@ -265,6 +270,7 @@
         member.revision = datagram.revision;
         member.config_version = datagram.config_version;
         member.judges_parts = datagram.quarantine_digest.is_some();
+        member.keeps_limits = datagram.limits_digest.is_some();
         let upstream_loads = datagram
             .upstream_loads
             .iter()
@@ -308,6 +314,8 @@
                 revision: 0,
                 config_version: 0,
                 judges_parts: true,
+                silent_owner_until: Duration::ZERO,
+                keeps_limits: true,
             };
             self.all.insert(SmolStr::new(&record.name), member);
             self.lost.remove(record.name.as_str());
--- a/crates/sesamebarrow_routing/src/token.rs
+++ b/crates/sesamebarrow_routing/src/token.rs
@@ -1,15 +1,16 @@
 //! The datagrams that instances send to one other: those with which they take, lend and return tokens of
-//! customers' rates, and those of [`crate::quarantine`].
+//! customers' rates, and those of [`crate::quarantine`] and [`crate::limit`].
 
 use prost::Message as _;
 
+use crate::limit::message::{Observed, PermitAnswer, PermitRequest, States};
 use crate::quarantine::message::{Blames, Orders, TrialGrant, TrialRequest};
 
 /// A datagram, one of several kinds.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Datagram {
     /// Content; `None` for kinds that this version does not know.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: Option<Body>,
 }
 
@@ -37,6 +38,18 @@
     /// Answers a request for a trial.
     #[prost(message, tag = "7")]
     TrialGrant(TrialGrant),
+    /// Asks for a permit to send a request to a limited upstream.
+    #[prost(message, tag = "8")]
+    PermitRequest(PermitRequest),
+    /// Answers a request for a permit.
+    #[prost(message, tag = "9")]
+    PermitAnswer(PermitAnswer),
+    /// What an answer said about a limit.
+    #[prost(message, tag = "10")]
+    LimitObserved(Observed),
+    /// What the sender knows about limits.
+    #[prost(message, tag = "11")]
+    LimitStates(States),
 }
 
 /// Asks the holder of a bucket for tokens.
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -83,8 +83,6 @@
     pub cold_sends: SendWindow,
     /// What its answers say about it.
     pub availability: Availability,
-    /// Limit in requests per second that its last answer named.
-    pub named_limit: Option<f64>,
     /// Time at which it is to be removed. Set if its entry disappeared during or shortly
     /// after an outage of the store.
     pub removal_at: Option<Duration>,
@@ -109,7 +107,6 @@
             reported_load: None,
             cold_sends: SendWindow::default(),
             availability: Availability::default(),
-            named_limit: None,
             removal_at: None,
             cache: PrefixCache::default(),
         }
--- a/crates/sesamebarrow_routing/tests/decisions/admission.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/admission.rs
@@ -34,6 +34,7 @@
         output_tokens: 60,
         target_wait: ms(800),
         tried_upstreams: Vec::new(),
+        urgency: 0,
         is_trial: false,
     }
 }
--- a/crates/sesamebarrow_trial/src/placement.rs
+++ b/crates/sesamebarrow_trial/src/placement.rs
@@ -277,6 +277,7 @@
             output_tokens: answer_tokens,
             target_wait: Duration::from_secs_f64(self.cfg.target_ms / 1_000.0),
             tried_upstreams: Vec::new(),
+            urgency: 0,
             is_trial: false,
         };
         self.report.asked += u64::from(measured);
