--- a/crates/sesamebarrow_trial/src/containment.rs
+++ b/crates/sesamebarrow_trial/src/containment.rs
@@ -6,7 +6,7 @@
 pub mod experiment;
 
 mod exchange;
-mod instance;
+pub(crate) mod instance;
 mod request;
 
 use std::collections::{BTreeMap, HashMap};
--- a/crates/sesamebarrow_trial/src/containment/instance.rs
+++ b/crates/sesamebarrow_trial/src/containment/instance.rs
@@ -32,7 +32,8 @@
     format_smolstr!("instance-{index}")
 }
 
-fn parameters() -> Parameters {
+/// Returns the parameters of the simulated instances.
+pub fn parameters() -> Parameters {
     Parameters {
         budget: budget::Limit {
             ratio: 0.2,
--- a/crates/sesamebarrow_trial/src/lib.rs
+++ b/crates/sesamebarrow_trial/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod invariant;
+pub mod limits;
 pub mod network;
 pub mod placement;
 pub mod platform;
