Send requests past limited upstreams to one without a limit

Cause: four limited upstreams were asked for a permit, then the request was refused. Change: after four refusals, upstreams with limits are left out. If another region may take the request, the time to come back is that of an overload.

--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -206,6 +206,7 @@
             target_wait: Duration::from_millis(envelope.target),
             tried_upstreams,
             urgency: limit::urgency(envelope.priority, envelope.may_repeat),
+            skips_limited: false,
             is_trial: false,
         },
         last_event: envelope.last_event,
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -194,6 +194,7 @@
             target_wait: route.target_latency,
             tried_upstreams: Vec::new(),
             urgency: limit::urgency(priority, route.may_repeat()),
+            skips_limited: false,
             is_trial: false,
         },
         last_event: request_head.last_event,
--- a/crates/sesamebarrow_gateway/src/selection.rs
+++ b/crates/sesamebarrow_gateway/src/selection.rs
@@ -48,6 +48,8 @@
     pub crashes: u32,
     /// Whether the request is a trial of a quarantined part, which is sent once.
     pub is_trial: bool,
+    /// Whether the next attempt goes to an upstream without limit, since several limited ones have refused it.
+    pub skips_limited: bool,
     /// Whether a permit was taken for the next attempt, since its upstream has a limit.
     pub has_permit: bool,
     /// Finds out whether the upstream of the last attempt, which broke off, has crashed.
@@ -86,9 +88,16 @@
     history: &mut AttemptHistory,
 ) -> Result<Target, Refusal> {
     let mut soonest = None;
-    for _ in 0..MAX_PERMIT_REQUESTS {
-        let target = select_target(shared, job, history)?;
+    for request in 0..=MAX_PERMIT_REQUESTS {
+        // Limited upstreams whose owners were not asked are left to other requests.
+        history.skips_limited = request == MAX_PERMIT_REQUESTS;
         history.has_permit = false;
+        let target = match select_target(shared, job, history) {
+            Ok(target) => target,
+            // All are limited; those that were asked have said when a permit is due.
+            Err(Refusal::NotRun("limited", _)) if history.skips_limited => break,
+            Err(refusal) => return Err(refusal),
+        };
         let Target::Upstream(selected) = &target else {
             return Ok(target);
         };
@@ -127,6 +136,7 @@
     // Another instance may have named upstreams that it tried.
     spec.tried_upstreams.extend(&history.tried_upstreams);
     spec.is_trial = history.is_trial;
+    spec.skips_limited = history.skips_limited;
     let region_allowed = job.residency.allows(&board.identity.region);
     let mut local = if region_allowed {
         admit::select_upstream(&mut board, now, &spec)
@@ -185,6 +195,11 @@
         }
         (Err(rejection), remote) => {
             log_rejection(shared, &board, job, &spec, (rejection, remote.as_ref()));
+            // Another region may take the request sooner than a permit is due here.
+            let rejection = match (rejection, &remote) {
+                (Rejection::Limited(_), Some(_)) => Rejection::Overload,
+                (rejection, _) => rejection,
+            };
             Err(to_refusal(rejection))
         }
     }
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -38,6 +38,8 @@
     pub tried_upstreams: Vec<Key>,
     /// Order in which requests get permits of limited upstreams; 0 is the most urgent.
     pub urgency: u8,
+    /// Whether upstreams that have named a limit are left out, since some have refused it.
+    pub skips_limited: bool,
     /// Whether the request may crash its upstream, so that it is sent where that harms least.
     pub is_trial: bool,
 }
@@ -234,6 +236,12 @@
         return Err(Rejection::Limited(soonest));
     }
     usable.retain(|k| pause(k).is_none());
+    if request.skips_limited {
+        usable.retain(|k| board.is_unlimited(*k));
+        if usable.is_empty() {
+            return Err(Rejection::Limited(MIN_RETRY_AFTER));
+        }
+    }
     let not_ejected = |k: &Key| verdict(k) == Verdict::Available;
     if usable.iter().any(not_ejected) {
         usable.retain(not_ejected);
--- a/crates/sesamebarrow_routing/tests/decisions/admission.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/admission.rs
@@ -35,6 +35,7 @@
         target_wait: ms(800),
         tried_upstreams: Vec::new(),
         urgency: 0,
+        skips_limited: false,
         is_trial: false,
     }
 }
--- a/crates/sesamebarrow_trial/src/placement.rs
+++ b/crates/sesamebarrow_trial/src/placement.rs
@@ -278,6 +278,7 @@
             target_wait: Duration::from_secs_f64(self.cfg.target_ms / 1_000.0),
             tried_upstreams: Vec::new(),
             urgency: 0,
+            skips_limited: false,
             is_trial: false,
         };
         self.report.asked += u64::from(measured);
