Give an undecodable entry the grace that a missing one has

During and shortly after an outage of the store another writer's broken entry removed an upstream at once, while a missing entry is waited for. A test of the gateway's store failed before and passes.

--- a/crates/sesamebarrow_gateway/src/store.rs
+++ b/crates/sesamebarrow_gateway/src/store.rs
@@ -394,7 +394,7 @@
                     key, error:% = error, revision;
                     "cannot decode upstream entry, removing the upstream"
                 );
-                shared.board().upstreams.remove(now, id);
+                shared.board().remove_upstream(now, id);
             }
         },
         (Key::Upstream(id), None) => {
