--- a/crates/sesamebarrow_trial/src/placement.rs
+++ b/crates/sesamebarrow_trial/src/placement.rs
@@ -4,19 +4,22 @@
 //! The instances exchange real gossip datagrams, so each learns of the load of the others with
 //! the same delay as on a network.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde::Deserialize;
-use sesamebarrow_routing::admit::{self, RequestSpec};
+use sesamebarrow_routing::admit::{self, RequestSpec, SelectedUpstream};
+use sesamebarrow_routing::board::limit::Permission;
 use sesamebarrow_routing::board::{Board, Identity, Parameters};
 use sesamebarrow_routing::cache::PromptPart;
 use sesamebarrow_routing::config::{Config, Service};
 use sesamebarrow_routing::gossip::Datagram;
+use sesamebarrow_routing::limit::Statement;
 use sesamebarrow_routing::member::GOSSIP_INTERVAL;
+use sesamebarrow_routing::token::Body;
 use sesamebarrow_routing::upstream::{AttemptOutcome, Entry, Key, ReportedLoad, RequestLoad};
 use sesamebarrow_routing::{budget, cold, config, quota};
 use smol_str::{SmolStr, format_smolstr};
@@ -33,6 +36,9 @@
 /// fill.
 const WARMUP: Duration = Duration::from_secs(6);
 
+/// Maximum number of limited upstreams that are asked for one request, as in the gateway.
+const MAX_PERMIT_REQUESTS: u32 = 4;
+
 const SERVICE: &str = "model";
 
 /// Policy by which an upstream is selected.
@@ -85,6 +91,9 @@
     /// Capacity of each engine.
     #[serde(default)]
     pub engine: engine::Settings,
+    /// Upstreams, by index, that name a limit, and the limit in requests per second.
+    #[serde(default)]
+    pub limits: Vec<(usize, f64)>,
     /// Workloads, which run at the same time.
     pub kinds: Vec<Workload>,
 }
@@ -114,6 +123,7 @@
     pub first_p99_ms: f64,
 }
 
+#[derive(Clone)]
 struct InFlight {
     instance: usize,
     key: Key,
@@ -331,7 +341,7 @@
         };
         match self.policy {
             Policy::Gateway => {
-                let chosen = admit::select_upstream(board, now, spec).ok()?;
+                let chosen = self.select_permitted(instance, spec)?;
                 Some((chosen.key, chosen.request_load, chosen.estimated_wait))
             }
             Policy::LeastOutstanding => {
@@ -350,9 +360,60 @@
         }
     }
 
+    /// Selects an upstream that may get the request, as the gateway does.
+    fn select_permitted(
+        &mut self,
+        instance: usize,
+        spec: &RequestSpec,
+    ) -> Option<SelectedUpstream> {
+        let mut spec = spec.clone();
+        for request in 0..=MAX_PERMIT_REQUESTS {
+            spec.skips_limited = request == MAX_PERMIT_REQUESTS;
+            let board = &mut self.boards[instance];
+            let chosen = admit::select_upstream(board, self.now, &spec).ok()?;
+            let permission = match board.take_permit(self.now, chosen.key, spec.urgency) {
+                Permission::Ask(ip, request) => {
+                    let owner = &mut self.boards[usize::from(ip.octets()[3])];
+                    let answer = owner.handle_permit_request(self.now, &request);
+                    let board = &mut self.boards[instance];
+                    board.handle_permit_answer(self.now, &request, &answer)
+                }
+                permission => permission,
+            };
+            if matches!(permission, Permission::Unlimited | Permission::Granted) {
+                return Some(chosen);
+            }
+        }
+        None
+    }
+
+    /// Records what the head of an answer says about a limit, and delivers the messages that follow.
+    fn observe_limit(&mut self, engine_index: usize, request: &InFlight) {
+        let limits = &self.cfg.limits;
+        let Some((_, rate)) = limits.iter().find(|(index, _)| *index == engine_index) else {
+            return;
+        };
+        let statement = Statement::Limit(*rate);
+        let board = &mut self.boards[request.instance];
+        let effects = board.observe_limit(self.now, request.key, statement, false, request.sent_at);
+        let mut messages: VecDeque<_> = effects.messages.into();
+        while let Some((ip, body)) = messages.pop_front() {
+            let board = &mut self.boards[usize::from(ip.octets()[3])];
+            let effects = match body {
+                Body::LimitObserved(observed) => board.handle_observed(self.now, &observed),
+                Body::LimitStates(states) => board.handle_limit_states(self.now, &states),
+                _ => continue,
+            };
+            messages.extend(effects.messages);
+        }
+    }
+
     fn handle_engine_event(&mut self, engine_index: usize, event: Event) {
         match event {
             Event::First { id } => {
+                if let Some(request) = self.in_flight.get(&id).cloned() {
+                    self.observe_limit(engine_index, &request);
+                }
                 let Some(request) = self.in_flight.get_mut(&id) else {
                     return;
                 };
--- a/crates/sesamebarrow_trial/tests/placement.rs
+++ b/crates/sesamebarrow_trial/tests/placement.rs
@@ -33,6 +33,27 @@
     assert!(on_time_ratio(&gateway) > 0.4, "{gateway:?}");
 }
 
+/// Part of the answers that may be late for a limited upstream, beside one that is away.
+const LIMITED_TOLERANCE: f64 = 0.01;
+
+#[test]
+fn limited_upstream_costs_callers_no_more_than_one_that_is_away() {
+    let text = include_str!("../experiments/limited.toml");
+    let cfg: Experiment = toml::from_str(text).expect("limited.toml is a valid experiment");
+    let away = Experiment {
+        upstreams: cfg.upstreams - 1,
+        load: cfg.load * cfg.upstreams as f64 / (cfg.upstreams - 1) as f64,
+        limits: Vec::new(),
+        ..cfg.clone()
+    };
+    let limited = placement::run(&cfg, Policy::Gateway, 1);
+    let away = placement::run(&away, Policy::Gateway, 1);
+    assert!(
+        on_time_ratio(&limited) >= on_time_ratio(&away) - LIMITED_TOLERANCE,
+        "{limited:?} against {away:?}"
+    );
+}
+
 #[test]
 fn same_seed_gives_same_report() {
     let cfg = peak_experiment();
