--- a/crates/sesamebarrow_gateway/tests/store.rs
+++ b/crates/sesamebarrow_gateway/tests/store.rs
@@ -10,34 +10,7 @@
 use sesamebarrow_routing::{Catalog, Identity};
 use tokio::net::UdpSocket;
 
-const SETTINGS: &str = r#"
-name = "a-0"
-domain = "a"
-ip = "127.0.0.1"
-seeds = []
-[domains]
-a = "a"
-[listen]
-callers = "127.0.0.1:1"
-ready = "127.0.0.1:2"
-directory = "127.0.0.1:3"
-sync = "127.0.0.1:4"
-hop = "127.0.0.1:5"
-gossip = "127.0.0.1:5"
-tokens = "127.0.0.1:6"
-admin = "127.0.0.1:6"
-[store]
-address = "127.0.0.1:7"
-[limits]
-retry_ratio = 0.2
-retry_slack = 50
-retry_window = "10s"
-quota_window = "8s"
-quota_over = 0.25
-quota_slack = 72000
-cold_ratio = 1.5
-cold_slack = 3
-"#;
+const SETTINGS: &str = include_str!("support/settings.toml");
 
 const ENTRY: &str = r#"{"service":"model","address":"127.0.0.1:9","zone":"a","version":"v1","slots":16,
     "state":"ready","warmupLeftMs":0,"sequence":1,"born":1}"#;
--- a/crates/sesamebarrow_routing/src/limit.rs
+++ b/crates/sesamebarrow_routing/src/limit.rs
@@ -218,8 +218,7 @@
         self.by_run.iter_mut().map(|(run, limit)| (*run, limit))
     }
 
-    /// Returns the time until a request of this urgency may be asked for again, and the time until a permit
-    /// is due; `None` if it may be asked for now.
+    /// Returns the time until a permit is due; `None` if one may be asked for now for a request of this urgency.
     pub fn pause(&self, now: Duration, run: u64, urgency: u8) -> Option<Duration> {
         let pause = self.in_force(run)?.pause?;
         let binds = now < pause.until && urgency >= pause.urgency;
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -16,6 +16,8 @@
 mod drain;
 #[path = "decisions/fleet.rs"]
 mod fleet;
+#[path = "decisions/limit_owners.rs"]
+mod limit_owners;
 #[path = "decisions/limits.rs"]
 mod limits;
 #[path = "decisions/loads.rs"]
