--- a/crates/sesamebarrow_gateway/src/limit.rs
+++ b/crates/sesamebarrow_gateway/src/limit.rs
@@ -11,7 +11,7 @@
 use sesamebarrow_platform::head::{self, ResponseKind};
 use sesamebarrow_routing::admit::SelectedUpstream;
 use sesamebarrow_routing::board::limit::{Effects, Permission};
-use sesamebarrow_routing::limit::message::{Observed, PermitAnswer, PermitRequest, States};
+use sesamebarrow_routing::limit::message::{self, Observed, PermitAnswer, PermitRequest, States};
 use sesamebarrow_routing::limit::{Change, Statement};
 use sesamebarrow_routing::token::Body;
 use tokio::sync::oneshot;
@@ -217,14 +217,23 @@
     metrics::counter!("sesamebarrow_limited_sends_total", "attempt" => attempt).increment(1);
 }
 
+/// Logs a rate of another instance that is none; the board ignores it.
+fn warn_if_invalid(rate: Option<f64>) {
+    if !message::is_valid(rate) {
+        log::warn!(rate = rate.unwrap_or_default(); "invalid rate in a datagram about limits");
+    }
+}
+
 /// Handles what an answer to another instance said.
 pub fn handle_observed(shared: &Shared, observed: &Observed) {
+    warn_if_invalid(observed.rate);
     let effects = shared.board().handle_observed(shared.now(), observed);
     apply(shared, effects, "");
 }
 
 /// Handles what another instance knows about limits.
 pub fn handle_states(shared: &Shared, states: &States) {
+    states.entries.iter().for_each(|s| warn_if_invalid(s.rate));
     let effects = shared.board().handle_limit_states(shared.now(), states);
     apply(shared, effects, "");
 }
--- a/crates/sesamebarrow_routing/src/board/limit.rs
+++ b/crates/sesamebarrow_routing/src/board/limit.rs
@@ -9,6 +9,8 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use smol_str::SmolStr;
+
 use crate::board::Board;
 use crate::gossip::short_hash;
 use crate::limit::bucket::Bucket;
@@ -20,7 +22,6 @@
 use crate::rendezvous;
 use crate::token::Body;
 use crate::upstream::Key;
-use smol_str::SmolStr;
 
 /// Maximum sum of what several owners grant, as a multiple of the limit. Upstreams allow 1.5; the rest covers
 /// instances whose views differ for a while.
