--- a/crates/sesamebarrow_trial/examples/limits.rs
+++ b/crates/sesamebarrow_trial/examples/limits.rs
@@ -77,9 +77,11 @@
                 limited,
                 ..small.clone()
             };
-            let name = format!(
-                "{instances} instances, {upstreams} upstreams, {limited} limited, {rate}/s"
-            );
+            let part = match limited {
+                0.0 => "one limited".to_owned(),
+                part => format!("{:.0}% limited", part * 100.0),
+            };
+            let name = format!("{instances} instances, {upstreams} upstreams, {part}, {rate}/s");
             rows.push((name, cfg, Policy::Owner));
         }
     }
