--- a/crates/sesamebarrow_gateway/src/crash.rs
+++ b/crates/sesamebarrow_gateway/src/crash.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use sesamebarrow_routing::fingerprint;
 use smol_str::SmolStr;
 use tokio::task::JoinHandle;
 
@@ -23,6 +24,7 @@
     let (request, route) = (job.id.clone(), job.policy.route.clone());
     let upstream = attempt.target_name().clone();
     let parts = format_parts(job);
+    let fingerprint = format!("{:x}", fingerprint::of_request(&job.content()));
     let (customer, prompt) = (quarantine::customer_hash(job), job.spec.prompt.clone());
     Some(tokio::spawn(async move {
         let crashed = !shared
@@ -32,7 +34,7 @@
         if shared.log_limiter.allow(true) {
             log::info!(
                 request = request.as_str(), route = route.as_str(), upstream = upstream.as_str(), crashed,
-                events, parts = parts.as_str();
+                events, parts = parts.as_str(), fingerprint = fingerprint.as_str();
                 "answer broke off"
             );
         }
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -14,6 +14,7 @@
 use sesamebarrow_routing::admit::RequestSpec;
 use sesamebarrow_routing::config::{Customer, Route, is_region_allowed};
 use sesamebarrow_routing::drain::{self, Schedule};
+use sesamebarrow_routing::fingerprint;
 use sesamebarrow_routing::limit;
 use sesamebarrow_routing::{Config, RequestKind};
 use smol_str::SmolStr;
@@ -110,6 +111,17 @@
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
+
+    /// Returns what is the same when a caller sends the request again.
+    pub fn content(&self) -> fingerprint::Content<'_> {
+        fingerprint::Content {
+            method: self.method.as_str(),
+            host: head::read_host(&self.headers).unwrap_or_default(),
+            path_and_query: self.path_and_query.as_str(),
+            customer: self.policy.customer.as_deref().unwrap_or_default(),
+            body: &self.body,
+        }
+    }
 }
 
 /// Receives a client's request and turns it into a job.
--- a/crates/sesamebarrow_routing/src/lib.rs
+++ b/crates/sesamebarrow_routing/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod config;
 pub mod correction;
 pub mod drain;
+pub mod fingerprint;
 pub mod gossip;
 pub mod holder;
 pub mod limit;
