--- a/crates/sesamebarrow_ctl/src/explain.rs
+++ b/crates/sesamebarrow_ctl/src/explain.rs
@@ -1,5 +1,5 @@
-//! Prints the lines of one request from the logs of several instances. If the request was refused for a part of
-//! its prompt, prints also the crashes for which the part was blamed and the orders that quarantined it; if it was
+//! Prints the lines of one request from the logs of several instances. If the request was refused since it, or a
+//! part of its prompt, crashes upstreams, prints also these crashes and the orders that quarantined it; if it was
 //! refused for limits that upstreams named, also the changes of these limits.
 
 use std::path::PathBuf;
@@ -24,13 +24,13 @@
     let field = format!("request={id}");
     let is_of_request = |line: &str| line.split_whitespace().any(|word| word == field);
     let mut lines = matching_lines(&logs, is_of_request);
-    let parts: Vec<String> = lines
+    let suspects: Vec<String> = lines
         .iter()
-        .map(|line| field_value(&line.text, "part").to_owned())
-        .filter(|part| !part.is_empty())
+        .map(|line| field_value(&line.text, "suspect").to_owned())
+        .filter(|suspect| !suspect.is_empty())
         .collect();
-    if !parts.is_empty() {
-        let is_cause = |line: &str| !is_of_request(line) && is_about_parts(line, &parts);
+    if !suspects.is_empty() {
+        let is_cause = |line: &str| !is_of_request(line) && is_about_suspects(line, &suspects);
         lines.extend(matching_lines(&logs, is_cause));
     }
     let limited = |line: &&Line| field_value(&line.text, "refused") == "limited";
@@ -58,13 +58,14 @@
     Ok(!lines.is_empty())
 }
 
-/// Returns whether a line reports a crash under a request with one of `parts`, or the quarantine of one.
-fn is_about_parts(line: &str, parts: &[String]) -> bool {
-    let is_named = |part: &str| parts.iter().any(|p| p == part);
-    let changed = line.contains("quarantine of a prompt part changed");
+/// Returns whether a line reports a crash under a request with one of `suspects`, or the quarantine of one.
+fn is_about_suspects(line: &str, suspects: &[String]) -> bool {
+    let is_named = |id: &str| suspects.iter().any(|s| s == id);
+    let changed = line.contains("quarantine changed");
     let crashed = field_value(line, "crashed") == "true";
-    (changed && is_named(field_value(line, "part")))
-        || (crashed && field_value(line, "parts").split(',').any(is_named))
+    let mut blamed = field_value(line, "parts").split(',');
+    (changed && is_named(field_value(line, "suspect")))
+        || (crashed && (is_named(field_value(line, "fingerprint")) || blamed.any(is_named)))
 }
 
 fn matching_lines(logs: &[(&PathBuf, String)], matches: impl Fn(&str) -> bool) -> Vec<Line> {
--- a/crates/sesamebarrow_ctl/tests/commands.rs
+++ b/crates/sesamebarrow_ctl/tests/commands.rs
@@ -79,9 +79,22 @@
     let text = "timestamp=1 message=\"answer broke off\" request=x1 crashed=true parts=51,bad0,77\n\
          timestamp=2 message=\"answer broke off\" request=x2 crashed=false parts=bad0,78\n\
          timestamp=3 message=\"answer broke off\" request=x3 crashed=true parts=51,79\n\
-         timestamp=4 message=\"quarantine of a prompt part changed\" change=quarantined part=bad0\n\
-         timestamp=5 message=\"request contains a quarantined part\" request=ab1 part=bad0\n\
-         timestamp=6 message=\"request contains a quarantined part\" request=x4 part=bad0\n";
+         timestamp=4 message=\"quarantine changed\" change=quarantined kind=part suspect=bad0\n\
+         timestamp=5 message=\"request is quarantined\" request=ab1 kind=part suspect=bad0\n\
+         timestamp=6 message=\"request is quarantined\" request=x4 kind=part suspect=bad0\n";
+    std::fs::write(&path, text).expect("write log");
+    assert_eq!(explained_times(&path), ["1", "4", "5"]);
+}
+
+#[test]
+fn explain_leads_from_a_request_that_came_again_to_the_crashes_that_caused_its_refusal() {
+    let directory = tempfile::tempdir().expect("temporary directory");
+    let path = directory.path().join("log");
+    let text = "timestamp=1 message=\"answer broke off\" request=x1 crashed=true parts= fingerprint=f1\n\
+         timestamp=2 message=\"answer broke off\" request=x2 crashed=false parts= fingerprint=f1\n\
+         timestamp=3 message=\"answer broke off\" request=x3 crashed=true parts= fingerprint=f2\n\
+         timestamp=4 message=\"quarantine changed\" change=learned kind=request suspect=f1\n\
+         timestamp=5 message=\"request is quarantined\" request=ab1 kind=request suspect=f1\n";
     std::fs::write(&path, text).expect("write log");
     assert_eq!(explained_times(&path), ["1", "4", "5"]);
 }
--- a/crates/sesamebarrow_gateway/src/admin.rs
+++ b/crates/sesamebarrow_gateway/src/admin.rs
@@ -101,7 +101,8 @@
         .orders()
         .map(|o| {
             json!({
-                "part": format!("{:x}", o.part), "in_force": o.in_force,
+                "kind": o.suspect.kind.to_string(), "suspect": format!("{:x}", o.suspect.id),
+                "in_force": o.in_force,
                 "all_customers": o.customer.is_none(), "serial": o.serial, "trials": o.trials,
                 "age_ms": now.saturating_sub(o.since).as_millis() as u64,
                 "crash_age_ms": now.saturating_sub(o.last_crash_at).as_millis() as u64,
@@ -110,10 +111,13 @@
         .collect();
     let blamed = board.quarantine.blamed();
     let blamed: Vec<_> = blamed
-        .map(|(part, runs)| json!({ "part": format!("{part:x}"), "crashes": runs }))
+        .map(|(suspect, crashes)| {
+            let (kind, id) = (suspect.kind.to_string(), format!("{:x}", suspect.id));
+            json!({ "kind": kind, "suspect": id, "crashes": crashes })
+        })
         .collect();
     json!({
-        "limits": limits, "quarantine": orders, "blamed_parts": blamed,
+        "limits": limits, "quarantine": orders, "blamed": blamed,
         "name": board.identity.name, "region": board.identity.region, "ready": board.is_ready(),
         "refuses_streams": shared.refuses_streams.load(Ordering::Relaxed),
         "config": board.config.as_ref().map(|c| c.version),
--- a/crates/sesamebarrow_gateway/src/crash.rs
+++ b/crates/sesamebarrow_gateway/src/crash.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use sesamebarrow_routing::fingerprint;
 use smol_str::SmolStr;
 use tokio::task::JoinHandle;
 
@@ -24,8 +23,7 @@
     let (request, route) = (job.id.clone(), job.policy.route.clone());
     let upstream = attempt.target_name().clone();
     let parts = format_parts(job);
-    let fingerprint = format!("{:x}", fingerprint::of_request(&job.content()));
-    let (customer, prompt) = (quarantine::customer_hash(job), job.spec.prompt.clone());
+    let suspects = job.suspects.clone();
     Some(tokio::spawn(async move {
         let crashed = !shared
             .pool
@@ -34,7 +32,7 @@
         if shared.log_limiter.allow(true) {
             log::info!(
                 request = request.as_str(), route = route.as_str(), upstream = upstream.as_str(), crashed,
-                events, parts = parts.as_str(), fingerprint = fingerprint.as_str();
+                events, parts = parts.as_str(), fingerprint:% = format!("{:x}", suspects.fingerprint);
                 "answer broke off"
             );
         }
@@ -42,7 +40,7 @@
         metrics::counter!("sesamebarrow_broken_answers_total", "crashed" => crashed_text)
             .increment(1);
         if crashed {
-            quarantine::record_crash(&shared, endpoint.run, customer, &prompt);
+            quarantine::record_crash(&shared, endpoint.run, &suspects);
         }
         crashed
     }))
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -62,7 +62,7 @@
     Failed(Box<UpstreamResponse>),
     /// The request has not run. Contains the reason and the time after which to retry.
     NotRun(&'static str, Duration),
-    /// The request has not run; its prompt contains a part that crashes upstreams.
+    /// The request has not run; it crashes upstreams.
     Harmful,
     /// The request may have run.
     Broken(&'static str),
@@ -139,7 +139,7 @@
     }
 }
 
-/// Returns the refusal of a request with a quarantined part: `refusal`, which names no time to come back, unless
+/// Returns the refusal of a quarantined request: `refusal`, which names no time to come back, unless
 /// an earlier attempt may have run.
 fn harmful_refusal(
     history: &AttemptHistory,
@@ -275,7 +275,7 @@
         sent = tokio::time::timeout(job.time_left(), connection.send(req)) => sent,
         () = quarantine::wait_until_bound(shared, job, history) => {
             attempt.end(AttemptOutcome::Cancelled);
-            return AttemptResult::Broken("harmful-prompt");
+            return AttemptResult::Broken("harmful-request");
         }
     };
     let response = match sent {
--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -15,6 +15,7 @@
 use sesamebarrow_platform::head;
 use sesamebarrow_routing::admit::RequestSpec;
 use sesamebarrow_routing::limit;
+use sesamebarrow_routing::quarantine::Suspects;
 use sesamebarrow_routing::spill::RemoteInstance;
 use smol_str::SmolStr;
 
@@ -63,7 +64,7 @@
 pub enum RefusalKind {
     /// The request has not run and will not.
     NotRun,
-    /// The request has not run and will not: its prompt contains a part that crashes upstreams.
+    /// The request has not run and will not: it crashes upstreams.
     Harmful,
     /// The request may have run.
     Unknown,
@@ -209,10 +210,12 @@
             skips_limited: false,
             is_trial: false,
         },
+        suspects: Suspects::default(),
         last_event: envelope.last_event,
         started_at,
         response_due_at: started_at + Duration::from_millis(envelope.target),
         deadline: started_at + Duration::from_millis(envelope.left),
         reservation: Reservation::none(shared),
-    })
+    }
+    .with_suspects())
 }
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -14,8 +14,10 @@
 use sesamebarrow_routing::admit::RequestSpec;
 use sesamebarrow_routing::config::{Customer, Route, is_region_allowed};
 use sesamebarrow_routing::drain::{self, Schedule};
-use sesamebarrow_routing::fingerprint;
+use sesamebarrow_routing::fingerprint::{self, Content};
 use sesamebarrow_routing::limit;
+use sesamebarrow_routing::quarantine::Suspects;
+use sesamebarrow_routing::token as routing_token;
 use sesamebarrow_routing::{Config, RequestKind};
 use smol_str::SmolStr;
 
@@ -94,6 +96,8 @@
     /// Properties that the selection of an upstream depends on. Each attempt uses a copy whose
     /// `target_wait` is set from the time that is left.
     pub spec: RequestSpec,
+    /// What is blamed if an upstream crashes under the request. Set by [`Self::with_suspects`].
+    pub suspects: Suspects,
     /// Id of the event after which a resumed stream continues.
     pub last_event: Option<SmolStr>,
     /// Time at which the request's head was received.
@@ -112,15 +116,19 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Returns what is the same when a caller sends the request again.
-    pub fn content(&self) -> fingerprint::Content<'_> {
-        fingerprint::Content {
+    /// Returns the job with its suspects, which follow from its other fields.
+    pub fn with_suspects(mut self) -> Self {
+        let customer = self.policy.customer.as_deref().unwrap_or_default();
+        let fingerprint = fingerprint::of_request(&Content {
             method: self.method.as_str(),
             host: head::read_host(&self.headers).unwrap_or_default(),
             path_and_query: self.path_and_query.as_str(),
-            customer: self.policy.customer.as_deref().unwrap_or_default(),
+            customer,
             body: &self.body,
-        }
+        });
+        let customer = routing_token::customer_hash(customer);
+        self.suspects = Suspects::of_request(customer, fingerprint, &self.spec.prompt);
+        self
     }
 }
 
@@ -209,12 +217,14 @@
             skips_limited: false,
             is_trial: false,
         },
+        suspects: Suspects::default(),
         last_event: request_head.last_event,
         started_at,
         response_due_at: started_at + route.target_latency,
         deadline: started_at + timeout,
         reservation,
-    })
+    }
+    .with_suspects())
 }
 
 /// Returns whether this instance may accept a request that takes up to `timeout`.
--- a/crates/sesamebarrow_gateway/src/quarantine.rs
+++ b/crates/sesamebarrow_gateway/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Refuses requests whose prompts contain a quarantined part, and exchanges evidence and orders with other
+//! Refuses requests with a quarantined suspect, and exchanges evidence and orders with other
 //! instances. The decisions are in `sesamebarrow_routing::quarantine`.
 
 use std::collections::HashMap;
@@ -8,10 +8,9 @@
 use std::time::Duration;
 
 use sesamebarrow_routing::board::quarantine::{Change, Effects, Judge};
-use sesamebarrow_routing::cache::PromptPart;
 use sesamebarrow_routing::quarantine::message::{Blames, Orders, TrialGrant, TrialRequest};
-use sesamebarrow_routing::quarantine::{Admission, Order};
-use sesamebarrow_routing::token::{self, Body};
+use sesamebarrow_routing::quarantine::{Admission, Order, Suspect, Suspects};
+use sesamebarrow_routing::token::Body;
 use tokio::sync::oneshot;
 
 use crate::intake::Job;
@@ -19,16 +18,16 @@
 use crate::selection::AttemptHistory;
 use crate::shared::Shared;
 
-/// Time within which the first judge of a part must answer; more than two round trips between regions.
+/// Time within which the first judge of a suspect must answer; more than two round trips between regions.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A request for a trial that has not been answered.
 struct PendingTrial {
-    part: u64,
+    suspect: Suspect,
     tx: oneshot::Sender<bool>,
 }
 
-/// The requests for trials that have not been answered, by id. At most one for each part.
+/// The requests for trials that have not been answered, by id. At most one for each suspect.
 #[derive(Default)]
 pub struct Trials {
     next_id: AtomicU64,
@@ -42,21 +41,12 @@
     }
 }
 
-/// Returns the hash of the name of a request's customer.
-pub fn customer_hash(job: &Job) -> u64 {
-    token::customer_hash(job.policy.customer.as_deref().unwrap_or_default())
-}
-
 fn admission(shared: &Shared, job: &Job) -> Admission {
     let now = shared.now();
-    let customer = customer_hash(job);
-    shared
-        .board()
-        .quarantine
-        .admission(now, customer, &job.spec.prompt)
+    shared.board().quarantine.admission(now, &job.suspects)
 }
 
-/// Checks that `job` contains no quarantined part, unless it is granted a trial.
+/// Checks that `job` has no quarantined suspect, unless it is granted a trial.
 pub async fn admit(
     shared: &Arc<Shared>,
     job: &Job,
@@ -65,21 +55,24 @@
     if history.is_trial {
         return Ok(());
     }
-    let part = match admission(shared, job) {
+    let suspect = match admission(shared, job) {
         Admission::Allowed => return Ok(()),
-        Admission::Quarantined(part) => part,
-        Admission::TrialDue(part) => {
+        Admission::Quarantined(suspect) => suspect,
+        Admission::TrialDue(suspect) => {
             // A forwarded request is no trial: its first instance does not know that it may not repeat it.
             let may_try = history.begun == 0 && !job.policy.from_instance;
-            if may_try && ask_for_trial(shared, part).await {
-                log::info!(request = job.id.as_str(), part:% = format!("{part:x}"); "trial of a part");
+            if may_try && ask_for_trial(shared, suspect).await {
+                log::info!(
+                    request = job.id.as_str(), kind:% = suspect.kind,
+                    suspect:% = format!("{:x}", suspect.id); "trial"
+                );
                 history.is_trial = true;
                 return Ok(());
             }
-            part
+            suspect
         }
     };
-    log_refused(shared, job, part);
+    log_refused(shared, job, suspect);
     Err(Refusal::Harmful)
 }
 
@@ -90,14 +83,14 @@
     }
     match admission(shared, job) {
         Admission::Allowed => true,
-        Admission::Quarantined(part) | Admission::TrialDue(part) => {
-            log_refused(shared, job, part);
+        Admission::Quarantined(suspect) | Admission::TrialDue(suspect) => {
+            log_refused(shared, job, suspect);
             false
         }
     }
 }
 
-/// Waits until `job` contains a quarantined part. Its upstream may not have begun to answer it, and then
+/// Waits until `job` has a quarantined suspect. Its upstream may not have begun to answer it, and then
 /// drops it when the connection is closed.
 pub async fn wait_until_bound(shared: &Shared, job: &Job, history: &AttemptHistory) {
     let mut changed = shared.quarantine_changed.subscribe();
@@ -112,31 +105,29 @@
 
 /// Returns whether `job`, which met a crash, must not be repeated.
 pub fn is_suspected(shared: &Shared, job: &Job) -> bool {
-    let customer = customer_hash(job);
-    let quarantine = &shared.board().quarantine;
-    quarantine.is_suspected(customer, &job.spec.prompt)
+    shared.board().quarantine.is_suspected(&job.suspects)
 }
 
-fn log_refused(shared: &Shared, job: &Job, part: u64) {
+fn log_refused(shared: &Shared, job: &Job, suspect: Suspect) {
     if !shared.log_limiter.allow(true) {
         return;
     }
     let now = shared.now();
     let board = shared.board();
-    let order = board.quarantine.orders().find(|o| o.part == part);
+    let order = board.quarantine.orders().find(|o| o.suspect == suspect);
     let crash_age_ms = order.map_or(0, |o| now.saturating_sub(o.last_crash_at).as_millis());
     log::info!(
-        request = job.id.as_str(), part:% = format!("{part:x}"), crash_age_ms;
-        "request contains a quarantined part"
+        request = job.id.as_str(), kind:% = suspect.kind, suspect:% = format!("{:x}", suspect.id),
+        crash_age_ms; "request is quarantined"
     );
 }
 
-/// Asks the first judge of `part` for a trial. Returns whether it was granted.
-async fn ask_for_trial(shared: &Arc<Shared>, part: u64) -> bool {
-    let judge = shared.board().judges(shared.now(), part).first().copied();
-    let ip = match judge {
-        Some(Judge::Other(ip)) => ip,
-        Some(Judge::Own) => return grant_trial(shared, part),
+/// Asks the first judge of `suspect` for a trial. Returns whether it was granted.
+async fn ask_for_trial(shared: &Arc<Shared>, suspect: Suspect) -> bool {
+    let judges = shared.board().judges(shared.now(), suspect);
+    let ip = match judges.first() {
+        Some(Judge::Other(ip)) => *ip,
+        Some(Judge::Own) => return grant_trial(shared, suspect),
         None => return false,
     };
     let trials = &shared.trials;
@@ -144,13 +135,14 @@
     let (tx, rx) = oneshot::channel();
     {
         let mut pending = trials.pending();
-        if pending.values().any(|p| p.part == part) {
+        if pending.values().any(|p| p.suspect == suspect) {
             return false;
         }
-        pending.insert(id, PendingTrial { part, tx });
+        pending.insert(id, PendingTrial { suspect, tx });
     }
     let _guard = PendingGuard { trials, id };
-    send(shared, ip, Body::TrialRequest(TrialRequest { id, part }));
+    let request = TrialRequest::new(id, suspect);
+    send(shared, ip, Body::TrialRequest(request));
     let granted = tokio::time::timeout(ANSWER_TIMEOUT, rx).await;
     matches!(granted, Ok(Ok(true)))
 }
@@ -167,24 +159,23 @@
     }
 }
 
-fn grant_trial(shared: &Shared, part: u64) -> bool {
-    let (granted, effects) = shared.board().grant_trial(shared.now(), part);
+fn grant_trial(shared: &Shared, suspect: Suspect) -> bool {
+    let (granted, effects) = shared.board().grant_trial(shared.now(), suspect);
     apply(shared, effects);
     granted
 }
 
 /// Records that an upstream's `run` crashed under a request of this instance, and sends blame to the judges.
-pub fn record_crash(shared: &Shared, run: u64, customer: u64, prompt: &[PromptPart]) {
+pub fn record_crash(shared: &Shared, run: u64, suspects: &Suspects) {
     let now = shared.now();
-    let effects = shared.board().record_crash(now, run, customer, prompt);
+    let effects = shared.board().record_crash(now, run, suspects);
     apply(shared, effects);
 }
 
 /// Records that `job` was answered completely.
 pub fn record_answer(shared: &Shared, job: &Job) {
-    let (now, customer) = (shared.now(), customer_hash(job));
-    let prompt = &job.spec.prompt;
-    let effects = shared.board().record_answer(now, customer, prompt);
+    let now = shared.now();
+    let effects = shared.board().record_answer(now, &job.suspects);
     apply(shared, effects);
 }
 
@@ -200,7 +191,7 @@
     send_all(shared, messages);
 }
 
-/// Handles blame for parts that this instance judges.
+/// Handles blame for suspects that this instance judges.
 pub fn handle_blames(shared: &Shared, blames: &Blames) {
     let effects = shared.board().handle_blames(shared.now(), blames);
     apply(shared, effects);
@@ -216,7 +207,7 @@
 pub fn handle_trial_request(shared: &Shared, request: TrialRequest) -> TrialGrant {
     TrialGrant {
         id: request.id,
-        granted: grant_trial(shared, request.part),
+        granted: request.decode().is_some_and(|s| grant_trial(shared, s)),
     }
 }
 
@@ -254,9 +245,9 @@
     let change: &str = change.into();
     let crash_age = shared.now().saturating_sub(order.last_crash_at);
     log::warn!(
-        change, part:% = format!("{:x}", order.part), all_customers = order.customer.is_none(),
-        serial = order.serial, trials = order.trials, crash_age_ms = crash_age.as_millis();
-        "quarantine of a prompt part changed"
+        change, kind:% = order.suspect.kind, suspect:% = format!("{:x}", order.suspect.id),
+        all_customers = order.customer.is_none(), serial = order.serial, trials = order.trials,
+        crash_age_ms = crash_age.as_millis(); "quarantine changed"
     );
     metrics::counter!("sesamebarrow_quarantine_changes_total", "change" => change.to_owned())
         .increment(1);
--- a/crates/sesamebarrow_gateway/src/reply.rs
+++ b/crates/sesamebarrow_gateway/src/reply.rs
@@ -30,8 +30,8 @@
     /// retry.
     #[error("{0}")]
     NotRun(&'static str, Duration),
-    /// The request has not run and will not: its prompt contains a part that crashes upstreams.
-    #[error("harmful-prompt")]
+    /// The request has not run and will not: it, or a part of its prompt, crashes upstreams.
+    #[error("harmful-request")]
     Harmful,
     /// The request may have run. Contains the reason.
     #[error("{0}")]
--- a/crates/sesamebarrow_gateway/src/telemetry.rs
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -29,7 +29,7 @@
     ),
     (
         "sesamebarrow_quarantine_changes_total",
-        "Changes of the quarantine of prompt parts, by kind.",
+        "Changes of the quarantine of requests that crash upstreams, by kind.",
     ),
     (
         "sesamebarrow_upstream_changes_total",
--- a/crates/sesamebarrow_routing/src/board/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/board/quarantine.rs
@@ -1,20 +1,19 @@
-//! Selects the judges of prompt parts, and handles the messages of [`crate::quarantine`].
+//! Selects the judges of suspects, and handles the messages of [`crate::quarantine`].
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use crate::board::Board;
-use crate::cache::PromptPart;
-use crate::quarantine::Order;
 use crate::quarantine::message::{BlameEntry, Blames, MAX_ENTRIES, OrderEntry, Orders};
+use crate::quarantine::{Order, Suspect, Suspects};
 use crate::rendezvous;
 use crate::token::Body;
 
-/// Number of instances that judge a part. Two may be lost or behind a partition.
+/// Number of instances that judge a suspect. Two may be lost or behind a partition.
 const JUDGES: usize = 3;
 
-/// An instance that judges a part.
+/// An instance that judges a suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Judge {
     /// This instance.
@@ -49,9 +48,10 @@
 }
 
 impl Board {
-    /// Returns the instances that judge a part, the first one first.
-    pub fn judges(&self, now: Duration, part: u64) -> Vec<Judge> {
-        let weight = |name_hash: u32| rendezvous::weight_of_hashes(part, name_hash.into());
+    /// Returns the instances that judge a suspect, the first one first.
+    pub fn judges(&self, now: Duration, suspect: Suspect) -> Vec<Judge> {
+        let key = suspect.judge_key();
+        let weight = |name_hash: u32| rendezvous::weight_of_hashes(key, name_hash.into());
         let members = self.members.alive(now).filter(|m| m.judges_parts);
         let members = members.map(|m| (weight(m.name_hash), Judge::Other(m.ip())));
         let own = (weight(self.name_hash()), Judge::Own);
@@ -61,28 +61,17 @@
         ranked.into_iter().map(|(_, judge)| judge).collect()
     }
 
-    /// Records that an upstream's `run` crashed under a request with `prompt` of this instance.
-    pub fn record_crash(
-        &mut self,
-        now: Duration,
-        run: u64,
-        customer: u64,
-        prompt: &[PromptPart],
-    ) -> Effects {
-        let orders = self.quarantine.record_crash(now, run, customer, prompt);
+    /// Records that an upstream's `run` crashed under a request with `suspects` of this instance.
+    pub fn record_crash(&mut self, now: Duration, run: u64, suspects: &Suspects) -> Effects {
+        let orders = self.quarantine.record_crash(now, run, suspects);
         let mut effects = self.announce(now, Change::Quarantined, &orders);
         effects.messages.extend(self.take_blame_messages(now));
         effects
     }
 
-    /// Records that a request with `prompt` was answered completely.
-    pub fn record_answer(
-        &mut self,
-        now: Duration,
-        customer: u64,
-        prompt: &[PromptPart],
-    ) -> Effects {
-        let revoked = self.quarantine.record_answer(now, customer, prompt);
+    /// Records that a request with `suspects` was answered completely.
+    pub fn record_answer(&mut self, now: Duration, suspects: &Suspects) -> Effects {
+        let revoked = self.quarantine.record_answer(now, suspects);
         self.announce_revoked(now, &revoked)
     }
 
@@ -90,7 +79,7 @@
     pub fn take_blame_messages(&mut self, now: Duration) -> Vec<(Ipv4Addr, Body)> {
         let mut by_receiver: BTreeMap<Ipv4Addr, Vec<BlameEntry>> = BTreeMap::new();
         for (blame, age) in self.quarantine.take_due_reports(now) {
-            for judge in self.judges(now, blame.part) {
+            for judge in self.judges(now, blame.suspect) {
                 if let Judge::Other(ip) = judge {
                     let entry = BlameEntry::new(blame, age);
                     by_receiver.entry(ip).or_default().push(entry);
@@ -105,9 +94,9 @@
         messages
     }
 
-    /// Handles blame for parts that this instance judges.
+    /// Handles blame for suspects that this instance judges.
     pub fn handle_blames(&mut self, now: Duration, blames: &Blames) -> Effects {
-        let decoded = blames.entries.iter().map(|entry| entry.decode());
+        let decoded = blames.entries.iter().filter_map(|e| e.decode());
         let orders: Vec<Order> = decoded
             .filter_map(|(blame, age)| self.quarantine.record_blame(now, age, blame))
             .collect();
@@ -120,7 +109,9 @@
         let mut new = Vec::new();
         let mut revoked = Vec::new();
         for entry in &message.entries {
-            let order = entry.decode(now);
+            let Some(order) = entry.decode(now) else {
+                continue;
+            };
             let (is_new, revocation) = self.quarantine.merge_order(now, order);
             if is_new {
                 let change = match order.in_force {
@@ -139,9 +130,9 @@
         effects
     }
 
-    /// Grants a trial of a quarantined part if one is due. Returns whether it was granted.
-    pub fn grant_trial(&mut self, now: Duration, part: u64) -> (bool, Effects) {
-        let order = self.quarantine.grant_trial(now, part);
+    /// Grants a trial of a quarantined suspect if one is due. Returns whether it was granted.
+    pub fn grant_trial(&mut self, now: Duration, suspect: Suspect) -> (bool, Effects) {
+        let order = self.quarantine.grant_trial(now, suspect);
         let effects = self.announce(now, Change::Trial, order.as_slice());
         (order.is_some(), effects)
     }
@@ -176,7 +167,7 @@
         let mut effects = Effects::default();
         for order in orders {
             effects.changes.push((Change::Revoked, *order));
-            for judge in self.judges(now, order.part) {
+            for judge in self.judges(now, order.suspect) {
                 let orders = std::slice::from_ref(order);
                 match judge {
                     Judge::Own => effects.messages.extend(self.messages_to_all(now, orders)),
--- a/crates/sesamebarrow_routing/src/lib.rs
+++ b/crates/sesamebarrow_routing/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! A [`Board`] holds what the instance knows: the configuration ([`config`]), the other
 //! instances ([`member`]), the token buckets of customers ([`quota`], [`holder`]) and the
-//! upstreams with their load ([`upstream`]) what their answers say about them
-//! ([`availability`]), the limits that they name ([`limit`]) and about the parts of prompts ([`quarantine`]). [`admit`], [`spill`] and [`place`] decide where requests
-//! and clients go; most other modules own one part of the board. `Board` follows the
-//! blackboard pattern: all modules read and write its tables.
+//! upstreams with their load ([`upstream`]), what their answers say about them
+//! ([`availability`]), the limits that they name ([`limit`]) and the requests that crash them
+//! ([`quarantine`]). [`admit`], [`spill`] and [`place`] decide where requests and clients go;
+//! most other modules own one part of the board. `Board` follows the blackboard pattern: all
+//! modules read and write its tables.
 //!
 //! The store is the platform's key-value store, in which the configuration, the upstreams
 //! and the evacuations are published. A [`Catalog`] holds the published items.
--- a/crates/sesamebarrow_routing/src/quarantine/message.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/message.rs
@@ -1,14 +1,14 @@
-//! The messages that instances exchange about prompt parts that crash upstreams. Times are sent as ages, since
+//! The messages that instances exchange about requests that crash upstreams. Times are sent as ages, since
 //! the clocks of instances differ.
 
 use std::time::Duration;
 
-use crate::quarantine::{Blame, Order};
+use crate::quarantine::{Blame, Kind, Order, Suspect};
 
 /// Maximum number of entries in one message, so that its datagram stays below 512 bytes.
-pub const MAX_ENTRIES: usize = 12;
+pub const MAX_ENTRIES: usize = 11;
 
-/// Blame for the judges of its parts.
+/// Blame for the judges of its suspects.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Blames {
     /// At most [`MAX_ENTRIES`].
@@ -19,9 +19,9 @@
 /// One [`Blame`].
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct BlameEntry {
-    /// Id of the part.
+    /// Id of the suspect.
     #[prost(fixed64, tag = "1")]
-    pub part: u64,
+    pub suspect: u64,
     /// Hash of the run of the upstream.
     #[prost(fixed64, tag = "2")]
     pub run: u64,
@@ -31,6 +31,12 @@
     /// Milliseconds since the crash.
     #[prost(uint32, tag = "4")]
     pub age_ms: u32,
+    /// Kind of the suspect; earlier versions know only parts.
+    #[prost(enumeration = "Kind", tag = "5")]
+    pub kind: i32,
+    /// Hash of the request; 0 from earlier versions.
+    #[prost(fixed64, tag = "6")]
+    pub request: u64,
 }
 
 /// Orders, some of which may be new to the receiver.
@@ -47,9 +53,9 @@
 /// One [`Order`].
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct OrderEntry {
-    /// Id of the part.
+    /// Id of the suspect.
     #[prost(fixed64, tag = "1")]
-    pub part: u64,
+    pub suspect: u64,
     /// Hash of the name of the customer that it binds; none for all.
     #[prost(fixed64, optional, tag = "2")]
     pub customer: Option<u64>,
@@ -68,17 +74,23 @@
     /// Milliseconds since the last known crash.
     #[prost(uint64, tag = "7")]
     pub crash_age_ms: u64,
+    /// Kind of the suspect; earlier versions know only parts.
+    #[prost(enumeration = "Kind", tag = "8")]
+    pub kind: i32,
 }
 
-/// Asks the first judge of a part for a trial.
+/// Asks the first judge of a suspect for a trial.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct TrialRequest {
     /// Identifies the request among those of its sender's process.
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    /// Id of the part.
+    /// Id of the suspect.
     #[prost(fixed64, tag = "2")]
-    pub part: u64,
+    pub suspect: u64,
+    /// Kind of the suspect; earlier versions know only parts.
+    #[prost(enumeration = "Kind", tag = "3")]
+    pub kind: i32,
 }
 
 /// Answers a [`TrialRequest`].
@@ -87,7 +99,7 @@
     /// Id of the request.
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    /// Whether one request with the part may be sent.
+    /// Whether one request with the suspect may be sent.
     #[prost(bool, tag = "2")]
     pub granted: bool,
 }
@@ -97,26 +109,39 @@
     duration.as_millis() as u64
 }
 
+/// Returns the suspect; `None` if this version does not know its kind.
+fn decode_suspect(kind: i32, id: u64) -> Option<Suspect> {
+    let kind = Kind::try_from(kind).ok()?;
+    Some(Suspect { kind, id })
+}
+
 impl BlameEntry {
     /// Encodes `blame`.
     pub fn new(blame: Blame, age: Duration) -> Self {
         Self {
-            part: blame.part,
+            suspect: blame.suspect.id,
             run: blame.run,
             customer: blame.customer,
-            // CAST: blame is sent for a few seconds only.
+            // CAST: blame is sent for a few minutes only.
             age_ms: to_ms(age) as u32,
+            kind: blame.suspect.kind.into(),
+            request: blame.request,
         }
     }
 
-    /// Decodes the blame and its age.
-    pub fn decode(self) -> (Blame, Duration) {
+    /// Decodes the blame and its age; `None` if this version does not know the kind of its suspect.
+    pub fn decode(self) -> Option<(Blame, Duration)> {
         let blame = Blame {
-            part: self.part,
+            suspect: decode_suspect(self.kind, self.suspect)?,
             run: self.run,
             customer: self.customer,
+            // Earlier versions do not tell requests apart: each crash is taken for that of another one.
+            request: match self.request {
+                0 => self.run,
+                request => request,
+            },
         };
-        (blame, Duration::from_millis(self.age_ms.into()))
+        Some((blame, Duration::from_millis(self.age_ms.into())))
     }
 }
 
@@ -124,27 +149,44 @@
     /// Encodes `order`.
     pub fn new(now: Duration, order: &Order) -> Self {
         Self {
-            part: order.part,
+            suspect: order.suspect.id,
             customer: order.customer,
             serial: order.serial,
             in_force: order.in_force,
             trials: order.trials,
             age_ms: to_ms(now.saturating_sub(order.since)),
             crash_age_ms: to_ms(now.saturating_sub(order.last_crash_at)),
+            kind: order.suspect.kind.into(),
         }
     }
 
     /// Decodes the order, in the time of this process. Times before its start count as its start, which
-    /// only delays what depends on them.
-    pub fn decode(self, now: Duration) -> Order {
-        Order {
-            part: self.part,
+    /// only delays what depends on them. Returns `None` if this version does not know the kind of its suspect.
+    pub fn decode(self, now: Duration) -> Option<Order> {
+        Some(Order {
+            suspect: decode_suspect(self.kind, self.suspect)?,
             customer: self.customer,
             serial: self.serial,
             in_force: self.in_force,
             trials: self.trials,
             since: now.saturating_sub(Duration::from_millis(self.age_ms)),
             last_crash_at: now.saturating_sub(Duration::from_millis(self.crash_age_ms)),
+        })
+    }
+}
+
+impl TrialRequest {
+    /// Asks for a trial of `suspect`.
+    pub fn new(id: u64, suspect: Suspect) -> Self {
+        Self {
+            id,
+            suspect: suspect.id,
+            kind: suspect.kind.into(),
         }
     }
+
+    /// Returns the suspect; `None` if this version does not know its kind.
+    pub fn decode(self) -> Option<Suspect> {
+        decode_suspect(self.kind, self.suspect)
+    }
 }
--- a/crates/sesamebarrow_routing/src/quarantine/order.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/order.rs
@@ -1,7 +1,8 @@
-//! Orders that quarantine a prompt part, and how those of several instances are merged.
+//! Orders that quarantine a suspect, and how those of several instances are merged.
 
 use std::time::Duration;
 
+use crate::quarantine::Suspect;
 use crate::rendezvous;
 
 /// Time after an order until a request may be a trial.
@@ -22,11 +23,11 @@
 /// Number of values that [`digest`] has besides 0; they fit two bytes of a datagram.
 const DIGEST_VALUES: u64 = 16_383;
 
-/// An order to refuse requests with a prompt part, or its revocation.
+/// An order to refuse requests with a suspect, or its revocation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Order {
-    /// Id of the part.
-    pub part: u64,
+    /// What is refused.
+    pub suspect: Suspect,
     /// Hash of the name of the customer whose requests are refused; `None` for all.
     pub customer: Option<u64>,
     /// Number of times that the order was given, extended or revoked. A larger one is newer.
@@ -37,7 +38,7 @@
     pub trials: u32,
     /// When it was given or revoked, or the last trial was granted.
     pub since: Duration,
-    /// When an upstream last crashed under a request with the part.
+    /// When an upstream last crashed under a request with the suspect.
     pub last_crash_at: Duration,
 }
 
@@ -70,7 +71,7 @@
         self.since = now;
     }
 
-    /// Returns whether this order replaces `known`, which is of the same part. Of two that were changed at the
+    /// Returns whether this order replaces `known`, which is of the same suspect. Of two that were changed at the
     /// same time the stricter one counts.
     pub fn replaces(&self, known: &Self) -> bool {
         let rank = |o: &Self| (o.serial, o.in_force, o.customer.is_none(), o.trials);
@@ -91,7 +92,10 @@
 pub fn digest<'a>(orders: impl Iterator<Item = &'a Order>) -> u32 {
     let hash = |o: &Order| {
         let changes = u64::from(o.serial) << 32 | u64::from(o.trials) << 1 | u64::from(o.in_force);
-        rendezvous::weight_of_hashes(o.part ^ o.customer.unwrap_or_default(), changes)
+        rendezvous::weight_of_hashes(
+            o.suspect.judge_key() ^ o.customer.unwrap_or_default(),
+            changes,
+        )
     };
     let sum = orders.map(hash).reduce(u64::wrapping_add);
     // CAST: less than 2^14.
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -14,6 +14,8 @@
 mod cold_upstreams;
 #[path = "decisions/drain.rs"]
 mod drain;
+#[path = "decisions/fingerprint.rs"]
+mod fingerprint;
 #[path = "decisions/fleet.rs"]
 mod fleet;
 #[path = "decisions/limit_owners.rs"]
--- a/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
@@ -1,12 +1,13 @@
-//! Tests of which prompt parts are blamed for crashes of upstreams, and of the orders that quarantine them.
+//! Tests of what is blamed for crashes of upstreams, and of the orders that quarantine it.
 
 use std::time::Duration;
 
 use prost::Message as _;
 use sesamebarrow_routing::cache::PromptPart;
-use sesamebarrow_routing::quarantine::message::{OrderEntry, Orders};
+use sesamebarrow_routing::quarantine::message::{BlameEntry, OrderEntry, Orders};
 use sesamebarrow_routing::quarantine::{
-    ACQUITTAL_TIME, Admission, Blame, Order, QUARANTINE_CRASHES, Quarantine,
+    ACQUITTAL_TIME, Admission, Blame, Kind, Order, QUARANTINE_CRASHES, Quarantine, Suspect,
+    Suspects,
 };
 use sesamebarrow_routing::token;
 
@@ -29,13 +30,44 @@
     parts.iter().map(part).collect()
 }
 
-/// Records that run number `run` crashed under one request of a customer.
+fn part(id: u64) -> Suspect {
+    Suspect {
+        kind: Kind::Part,
+        id,
+    }
+}
+
+fn request(fingerprint: u64) -> Suspect {
+    Suspect {
+        kind: Kind::Request,
+        id: fingerprint,
+    }
+}
+
+/// Returns the suspects of a request with a prompt that has come only once.
+fn single(customer: u64, fingerprint: u64, parts: &[u64]) -> Suspects {
+    Suspects::of_request(customer, (1 << 40) + fingerprint, &prompt(parts))
+}
+
+/// Records that run number `run` crashed under one request of a customer, different from all others.
 fn crash(q: &mut Quarantine, now: Duration, run: u64, customer: u64, parts: &[u64]) -> Vec<Order> {
-    q.record_crash(now, run, customer, &prompt(parts))
+    q.record_crash(now, run, &single(customer, run, parts))
+}
+
+fn answer(q: &mut Quarantine, now: Duration, customer: u64, parts: &[u64]) -> Vec<Order> {
+    q.record_answer(now, &single(customer, 0xa, parts))
 }
 
 fn admission(q: &Quarantine, now: Duration, customer: u64, parts: &[u64]) -> Admission {
-    q.admission(now, customer, &prompt(parts))
+    q.admission(now, &single(customer, 0xb, parts))
+}
+
+/// Returns the blamed parts and the number of crashes that count against them.
+fn blamed_parts(q: &Quarantine) -> Vec<(u64, usize)> {
+    let parts = q.blamed().filter(|(s, _)| s.kind == Kind::Part);
+    parts
+        .map(|(suspect, crashes)| (suspect.id, crashes))
+        .collect()
 }
 
 /// Returns a quarantine with an order on [`HARMFUL`] that binds `customers`.
@@ -57,11 +89,11 @@
             for run in 0..QUARANTINE_CRASHES as u64 {
                 let now = START + ms(100 * run);
                 assert_eq!(admission(&q, now, ROSA, &$parts(OWN)), Admission::Allowed);
-                q.record_answer(now, ROSA, &prompt(&[SHARED, 2, OWN]));
+                answer(&mut q, now, ROSA, &[SHARED, 2, OWN]);
                 crash(&mut q, now, run, ROSA, &$parts(OWN + run));
             }
             let now = START + ms(400);
-            assert_eq!(admission(&q, now, ROSA, &$parts(OWN)), Admission::Quarantined(HARMFUL));
+            assert_eq!(admission(&q, now, ROSA, &$parts(OWN)), Admission::Quarantined(part(HARMFUL)));
             assert_eq!(admission(&q, now, ROSA, &[SHARED, 2, OWN]), Admission::Allowed);
         }
     )*};
@@ -80,7 +112,7 @@
         let now = START + ms(250 * run);
         crash(&mut q, now, run, ROSA, &[SHARED, HARMFUL, OWN]);
         crash(&mut q, now, run, ROSA, &[SHARED, 7, OWN]);
-        q.record_answer(now + ms(50), ROSA, &prompt(&[SHARED, 7, OWN]));
+        answer(&mut q, now + ms(50), ROSA, &[SHARED, 7, OWN]);
         assert_eq!(
             admission(&q, now, ROSA, &[SHARED, 7, OWN]),
             Admission::Allowed
@@ -91,12 +123,12 @@
 #[test]
 fn part_of_many_requests_is_not_blamed_for_upstreams_that_crash_at_once() {
     let mut q = Quarantine::default();
-    q.record_answer(START, ROSA, &prompt(&[SHARED, 7, OWN]));
+    answer(&mut q, START, ROSA, &[SHARED, 7, OWN]);
     for run in 0..50 {
         crash(&mut q, START + ms(20), run, ROSA, &[SHARED, 7, OWN]);
     }
     assert_eq!(q.orders().count(), 0);
-    assert_eq!(q.blamed().count(), 0);
+    assert_eq!(blamed_parts(&q), []);
 }
 
 #[test]
@@ -118,7 +150,7 @@
     for own in 0..30 {
         crash(&mut q, START, 1, ROSA, &[HARMFUL, own]);
     }
-    assert_eq!(q.blamed().collect::<Vec<_>>(), [(HARMFUL, 1)]);
+    assert_eq!(blamed_parts(&q), [(HARMFUL, 1)]);
 }
 
 #[test]
@@ -129,8 +161,8 @@
         crash(&mut q, START, 2 * run + 1, ROSA, &[0xbad2, OWN]);
     }
     let at = |part| admission(&q, START, ROSA, &[part, OWN]);
-    assert_eq!(at(HARMFUL), Admission::Quarantined(HARMFUL));
-    assert_eq!(at(0xbad2), Admission::Quarantined(0xbad2));
+    assert_eq!(at(HARMFUL), Admission::Quarantined(part(HARMFUL)));
+    assert_eq!(at(0xbad2), Admission::Quarantined(part(0xbad2)));
 }
 
 #[test]
@@ -144,32 +176,32 @@
     let now = START + Duration::from_secs(121);
     assert_eq!(
         admission(&q, now, ROSA, &[HARMFUL, OWN]),
-        Admission::Quarantined(HARMFUL)
+        Admission::Quarantined(part(HARMFUL))
     );
 }
 
 #[test]
 fn request_with_a_suspected_part_is_not_repeated() {
     let mut q = Quarantine::default();
-    let harmful = prompt(&[SHARED, HARMFUL, OWN]);
+    let harmful = single(ROSA, 0xc, &[SHARED, HARMFUL, OWN]);
     crash(&mut q, START, 1, ROSA, &[SHARED, HARMFUL, OWN]);
-    assert!(!q.is_suspected(ROSA, &harmful), "one crash says little");
-    q.record_answer(START, ROSA, &prompt(&[SHARED, OWN]));
+    assert!(!q.is_suspected(&harmful), "one crash says little");
+    answer(&mut q, START, ROSA, &[SHARED, OWN]);
     crash(&mut q, START, 2, ROSA, &[SHARED, HARMFUL, OWN]);
-    assert!(q.is_suspected(ROSA, &harmful));
-    assert!(!q.is_suspected(ROSA, &prompt(&[SHARED, OWN])));
+    assert!(q.is_suspected(&harmful));
+    assert!(!q.is_suspected(&single(ROSA, 0xd, &[SHARED, OWN])));
 }
 
 #[test]
 fn order_binds_other_customers_only_after_a_crash_under_their_requests() {
     let mut q = ordered(&[ROSA]);
     let at = |q: &Quarantine, customer| admission(q, START, customer, &[HARMFUL, OWN]);
-    assert_eq!(at(&q, ROSA), Admission::Quarantined(HARMFUL));
+    assert_eq!(at(&q, ROSA), Admission::Quarantined(part(HARMFUL)));
     assert_eq!(at(&q, IKER), Admission::Allowed);
     let orders = crash(&mut q, START, 50, IKER, &[HARMFUL, OWN]);
     assert_eq!(orders.len(), 1, "the extended order is sent to the others");
-    assert_eq!(at(&q, IKER), Admission::Quarantined(HARMFUL));
-    assert_eq!(at(&q, 300), Admission::Quarantined(HARMFUL));
+    assert_eq!(at(&q, IKER), Admission::Quarantined(part(HARMFUL)));
+    assert_eq!(at(&q, 300), Admission::Quarantined(part(HARMFUL)));
 }
 
 #[test]
@@ -177,14 +209,14 @@
     let q = ordered(&[ROSA, IKER]);
     assert_eq!(
         admission(&q, START, 300, &[HARMFUL, OWN]),
-        Admission::Quarantined(HARMFUL)
+        Admission::Quarantined(part(HARMFUL))
     );
 }
 
 #[test]
 fn complete_answer_revokes_an_order() {
     let mut q = ordered(&[ROSA]);
-    let revoked = q.record_answer(START + ms(500), ROSA, &prompt(&[HARMFUL, OWN]));
+    let revoked = answer(&mut q, START + ms(500), ROSA, &[HARMFUL, OWN]);
     assert_eq!(revoked.len(), 1);
     assert_eq!(
         admission(&q, START + ms(500), ROSA, &[HARMFUL, OWN]),
@@ -196,7 +228,7 @@
 fn instance_that_knows_a_recent_answer_revokes_the_order_of_another() {
     let order = *ordered(&[ROSA]).orders().next().expect("an order");
     let mut q = Quarantine::default();
-    q.record_answer(START - ms(2_000), ROSA, &prompt(&[HARMFUL, OWN]));
+    answer(&mut q, START - ms(2_000), ROSA, &[HARMFUL, OWN]);
     let (is_new, revoked) = q.merge_order(START, order);
     assert!(is_new);
     let revoked = revoked.expect("the answer acquits the part");
@@ -211,14 +243,14 @@
 #[test]
 fn part_that_becomes_harmful_after_sound_answers_is_quarantined() {
     let mut q = Quarantine::default();
-    q.record_answer(START, ROSA, &prompt(&[HARMFUL, OWN]));
+    answer(&mut q, START, ROSA, &[HARMFUL, OWN]);
     let later = START + ACQUITTAL_TIME;
     for run in 0..QUARANTINE_CRASHES as u64 {
         crash(&mut q, later, run, ROSA, &[HARMFUL, OWN]);
     }
     assert_eq!(
         admission(&q, later, ROSA, &[HARMFUL, OWN]),
-        Admission::Quarantined(HARMFUL)
+        Admission::Quarantined(part(HARMFUL))
     );
 }
 
@@ -226,7 +258,7 @@
 fn revoked_order_is_not_brought_back_by_an_instance_that_still_has_it() {
     let old = *ordered(&[ROSA]).orders().next().expect("an order");
     let mut q = ordered(&[ROSA]);
-    q.record_answer(START, ROSA, &prompt(&[HARMFUL, OWN]));
+    answer(&mut q, START, ROSA, &[HARMFUL, OWN]);
     assert!(!q.merge_order(START + ms(100), old).0);
 }
 
@@ -237,10 +269,10 @@
     let mut trials = Vec::new();
     for _ in 0..3_600 {
         now += Duration::from_secs(1);
-        if q.grant_trial(now, HARMFUL).is_some() {
+        if q.grant_trial(now, part(HARMFUL)).is_some() {
             trials.push((now - START).as_secs());
             assert_eq!(
-                q.grant_trial(now, HARMFUL),
+                q.grant_trial(now, part(HARMFUL)),
                 None,
                 "a second one at the same time"
             );
@@ -264,7 +296,7 @@
     }
     assert_eq!(
         admission(&q, START, ROSA, &[HARMFUL, OWN]),
-        Admission::Quarantined(HARMFUL)
+        Admission::Quarantined(part(HARMFUL))
     );
     assert!(q.blamed().count() <= 1_024, "memory is bounded");
 }
@@ -287,7 +319,7 @@
     let expected = merge([0, 1, 2]);
     assert_eq!(
         expected.1,
-        Admission::Quarantined(HARMFUL),
+        Admission::Quarantined(part(HARMFUL)),
         "the stricter one of the same serial"
     );
     for indices in [[0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]] {
@@ -301,7 +333,7 @@
     assert_eq!(Quarantine::default().digest(), 0);
     assert_eq!(q.digest(), ordered(&[ROSA]).digest());
     let before = q.digest();
-    q.grant_trial(START + ms(5_000), HARMFUL);
+    q.grant_trial(START + ms(5_000), part(HARMFUL));
     assert_ne!(q.digest(), before);
 }
 
@@ -311,8 +343,9 @@
     let sent_at = START + ms(7_000);
     let received_at = Duration::from_secs(500);
     let received = OrderEntry::new(sent_at, &order).decode(received_at);
+    let received = received.expect("a known kind");
     assert_eq!(received_at - received.since, ms(7_000));
-    assert_eq!(received.part, order.part);
+    assert_eq!(received.suspect, order.suspect);
     assert_eq!(received.customer, Some(ROSA));
 }
 
@@ -320,18 +353,20 @@
 fn blame_is_sent_to_the_judges_several_times() {
     let mut q = Quarantine::default();
     crash(&mut q, START, 1, ROSA, &[HARMFUL, OWN]);
-    let expected = Blame {
-        part: HARMFUL,
+    let suspects = single(ROSA, 1, &[HARMFUL, OWN]);
+    let expected = [request(suspects.fingerprint), part(HARMFUL)].map(|suspect| Blame {
+        suspect,
         run: 1,
         customer: ROSA,
-    };
+        request: suspects.request,
+    });
     let mut sent = 0;
     for step in 0..30 {
         let due = q.take_due_reports(START + ms(400 * step));
-        assert!(due.iter().all(|(blame, _)| *blame == expected));
+        assert!(due.iter().all(|(blame, _)| expected.contains(blame)));
         sent += due.len();
     }
-    assert_eq!(sent, 4);
+    assert_eq!(sent, 4 * expected.len());
 }
 
 #[test]
@@ -344,7 +379,7 @@
     for run in 0..QUARANTINE_CRASHES as u64 {
         crash(&mut q, START, run, ROSA, &long(run));
     }
-    assert_eq!(q.blamed().count(), 0, "made-up parts fill no table");
+    assert_eq!(blamed_parts(&q), [], "made-up parts fill no table");
     let of_rosa = admission(&q, START, ROSA, &long(50));
     assert!(matches!(of_rosa, Admission::Quarantined(_)));
     assert_eq!(admission(&q, START, IKER, &long(50)), Admission::Allowed);
@@ -360,16 +395,106 @@
     let later = START + ms(4_000);
     assert_eq!(
         admission(&q, later, ROSA, &[HARMFUL, OWN]),
-        Admission::TrialDue(HARMFUL)
+        Admission::TrialDue(part(HARMFUL))
     );
-    assert!(q.grant_trial(later, HARMFUL).is_some());
-    q.record_answer(later + ms(300), ROSA, &prompt(&[HARMFUL, OWN]));
+    assert!(q.grant_trial(later, part(HARMFUL)).is_some());
+    answer(&mut q, later + ms(300), ROSA, &[HARMFUL, OWN]);
     assert_eq!(
         admission(&q, later + ms(300), ROSA, &[HARMFUL, OWN]),
         Admission::Allowed
     );
 }
 
+/// Returns the suspects of a request that comes again.
+fn repeated(fingerprint: u64, parts: &[u64]) -> Suspects {
+    Suspects::of_request(ROSA, fingerprint, &prompt(parts))
+}
+
+#[test]
+fn request_that_comes_again_is_quarantined_without_its_parts() {
+    let mut q = Quarantine::default();
+    let harmful = repeated(7, &[SHARED, 2, OWN]);
+    for run in 0..QUARANTINE_CRASHES as u64 {
+        assert_eq!(q.admission(START, &harmful), Admission::Allowed);
+        q.record_crash(START + ms(2_000 * run), run, &harmful);
+    }
+    let now = START + ms(6_000);
+    assert_eq!(
+        q.admission(now, &harmful),
+        Admission::Quarantined(request(7))
+    );
+    let same_parts = repeated(8, &[SHARED, 2, OWN]);
+    assert_eq!(q.admission(now, &same_parts), Admission::Allowed);
+    assert!(!q.is_suspected(&same_parts));
+}
+
+#[test]
+fn part_of_two_requests_that_come_again_by_turns_is_quarantined() {
+    let mut q = Quarantine::default();
+    for run in 0..QUARANTINE_CRASHES as u64 {
+        q.record_crash(START, run, &repeated(run % 2, &[HARMFUL, OWN]));
+    }
+    let third = repeated(3, &[HARMFUL, OWN]);
+    assert_eq!(
+        q.admission(START, &third),
+        Admission::Quarantined(part(HARMFUL))
+    );
+}
+
+#[test]
+fn sound_request_in_the_batches_of_a_harmful_one_is_acquitted_by_its_answers() {
+    let mut q = Quarantine::default();
+    let (harmful, sound) = (repeated(7, &[]), repeated(8, &[]));
+    for run in 0..10 {
+        let now = START + ms(1_000 * run);
+        q.record_answer(now, &sound);
+        q.record_crash(now + ms(200), run, &harmful);
+        q.record_crash(now + ms(200), run, &sound);
+    }
+    let now = START + ms(10_000);
+    assert_eq!(q.admission(now, &sound), Admission::Allowed);
+    assert!(!q.is_suspected(&sound));
+    assert_ne!(q.admission(now, &harmful), Admission::Allowed);
+}
+
+#[test]
+fn instances_that_notice_one_crash_at_different_times_report_it_once() {
+    let mut q = Quarantine::default();
+    for late in 0..20 {
+        q.record_crash(START + ms(20 * late), 1, &repeated(7, &[]));
+    }
+    assert_eq!(q.blamed().collect::<Vec<_>>(), [(request(7), 1)]);
+}
+
+#[test]
+fn blame_of_the_version_before_is_taken_for_that_of_different_requests() {
+    let mut q = Quarantine::default();
+    for run in 1..=QUARANTINE_CRASHES as u64 {
+        let entry = BlameEntry {
+            suspect: HARMFUL,
+            run,
+            customer: ROSA,
+            ..BlameEntry::default()
+        };
+        let (blame, age) = entry.decode().expect("a known kind");
+        q.record_blame(START, age, blame);
+    }
+    assert_eq!(
+        admission(&q, START, ROSA, &[HARMFUL, OWN]),
+        Admission::Quarantined(part(HARMFUL))
+    );
+}
+
+#[test]
+fn kinds_of_a_later_version_are_ignored() {
+    let entry = OrderEntry {
+        kind: 99,
+        in_force: true,
+        ..OrderEntry::default()
+    };
+    assert_eq!(entry.decode(START), None);
+}
+
 /// A datagram as the version before reads it.
 #[derive(Clone, PartialEq, prost::Message)]
 struct EarlierDatagram {
--- a/crates/sesamebarrow_trial/src/containment.rs
+++ b/crates/sesamebarrow_trial/src/containment.rs
@@ -1,4 +1,4 @@
-//! Simulates prompts with a part that crashes upstreams, beside sound ones, over virtual time.
+//! Simulates requests that crash upstreams, beside sound ones, over virtual time.
 //!
 //! The instances are boards of `sesamebarrow_routing` that exchange the messages of its `quarantine` module
 //! over a network that delays, loses and cuts. Upstreams run batches of requests; a crash ends all of them.
@@ -16,10 +16,10 @@
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use sesamebarrow_routing::Board;
-use sesamebarrow_routing::cache::PromptPart;
+use sesamebarrow_routing::quarantine::{Suspect, Suspects};
 use sesamebarrow_routing::token::Body;
 
-pub use experiment::{Experiment, Policy, Report, Served};
+pub use experiment::{Experiment, Harm, Policy, Report, Served};
 
 /// Id of the harmful part.
 const HARMFUL_PART: u64 = 0xbad;
@@ -29,8 +29,12 @@
 const SUBJECTS: u64 = 10_000;
 /// Number of these parts for each instance, so that each is rare at one instance.
 const SUBJECTS_PER_INSTANCE: u64 = 20;
-/// First id of the parts that belong to one request each.
+/// First id of the parts that belong to one request each, and of the fingerprints of such requests.
 const OWN_PARTS: u64 = 1 << 40;
+/// First fingerprint of the sound requests that come again.
+const READS: u64 = 1 << 50;
+/// First fingerprint of the harmful requests that come again.
+const HARMFUL_REQUESTS: u64 = 1 << 51;
 /// Number of customers.
 const CUSTOMERS: u64 = 5;
 /// Number of regions.
@@ -41,8 +45,6 @@
 const WARM_UP: Duration = Duration::from_secs(15);
 /// The users' bound on the time in which instances learn of something.
 pub const CONTACT_TIME: Duration = Duration::from_secs(6);
-/// Number of crashes from which the users' rule counts.
-pub const COUNTED_CRASHES: u64 = 5;
 /// One-way delays within a region and between regions.
 const DELAYS: (Duration, Duration) = (Duration::from_millis(1), Duration::from_millis(80));
 /// Time between two rounds in which instances compare digests and repeat blame.
@@ -71,8 +73,7 @@
 struct Request {
     /// The instance that sends it to upstreams.
     instance: usize,
-    customer: u64,
-    prompt: Vec<PromptPart>,
+    suspects: Suspects,
     harmful: bool,
     upstream: usize,
     /// Number of runs that ended under it.
@@ -119,9 +120,10 @@
     instances: Vec<Instance>,
     upstreams: Vec<Upstream>,
     requests: HashMap<u64, Request>,
-    fifth_crash_at: Option<Duration>,
-    /// When sound parts were quarantined, while they are.
-    wrong_since: HashMap<u64, Duration>,
+    /// When the crash came from which the users' rule counts.
+    counted_crash_at: Option<Duration>,
+    /// When sound suspects were quarantined, while they are.
+    wrong_since: HashMap<Suspect, Duration>,
     sent_bytes: u64,
     report: Report,
 }
@@ -157,7 +159,7 @@
             instances: Vec::new(),
             upstreams: Vec::new(),
             requests: HashMap::new(),
-            fifth_crash_at: None,
+            counted_crash_at: None,
             wrong_since: HashMap::new(),
             sent_bytes: 0,
             report: Report::default(),
@@ -218,7 +220,7 @@
         let is_after = |at: Duration| self.now > at + CONTACT_TIME;
         if self.seconds() < 0.0 {
             Phase::Before
-        } else if self.fifth_crash_at.is_some_and(is_after) {
+        } else if self.counted_crash_at.is_some_and(is_after) {
             Phase::After
         } else {
             Phase::Meanwhile
@@ -253,8 +255,8 @@
                 if let Some(request) = self.requests.get(&id) {
                     let upstream = request.upstream;
                     self.report.crashes += 1;
-                    if self.report.crashes == COUNTED_CRASHES {
-                        self.fifth_crash_at = Some(self.now);
+                    if self.report.crashes == self.cfg.harm.counted_crashes() {
+                        self.counted_crash_at = Some(self.now);
                     }
                     self.crash(upstream);
                 }
@@ -295,10 +297,10 @@
         self.compare_digests(index);
     }
 
-    /// Cancels the requests of an instance with a part that their upstreams have not begun to answer.
-    fn cancel(&mut self, instance: usize, part: u64) {
+    /// Cancels the requests of an instance with a suspect that their upstreams have not begun to answer.
+    fn cancel(&mut self, instance: usize, suspect: Suspect) {
         let is_cancelled = |r: &Request| {
-            let contains = r.prompt.iter().any(|p| p.id == part);
+            let contains = r.suspects.all.contains(&suspect);
             r.harmful && r.instance == instance && contains && !r.is_trial
         };
         let ids: Vec<u64> = self
--- a/crates/sesamebarrow_trial/src/containment/exchange.rs
+++ b/crates/sesamebarrow_trial/src/containment/exchange.rs
@@ -3,11 +3,13 @@
 use rand::RngExt;
 use rand::seq::IteratorRandom;
 use sesamebarrow_routing::board::quarantine::Effects;
-use sesamebarrow_routing::quarantine::Order;
+use sesamebarrow_routing::quarantine::{Kind, Order, Suspect};
 use sesamebarrow_routing::token::{self, Body};
 
 use crate::containment::experiment::Policy;
-use crate::containment::{DELAYS, Event, FANOUT, HARMFUL_PART, REGIONS, ROUND, Run, instance};
+use crate::containment::{
+    DELAYS, Event, FANOUT, HARMFUL_PART, HARMFUL_REQUESTS, REGIONS, ROUND, Run, instance,
+};
 
 impl Run<'_> {
     pub(super) fn start_round(&mut self) {
@@ -52,18 +54,18 @@
     }
 
     pub(super) fn record_wrong_orders(&mut self) {
-        let mut wrong: Vec<u64> = Vec::new();
+        let mut wrong: Vec<Suspect> = Vec::new();
         for instance in &self.instances {
             let orders = instance.board.quarantine.orders();
-            let is_wrong = |o: &&Order| o.in_force && o.part != HARMFUL_PART;
-            wrong.extend(orders.filter(is_wrong).map(|o| o.part));
+            let is_wrong = |o: &&Order| o.in_force && !is_harmful(o.suspect);
+            wrong.extend(orders.filter(is_wrong).map(|o| o.suspect));
         }
-        for part in &wrong {
-            self.wrong_since.entry(*part).or_insert(self.now);
+        for suspect in &wrong {
+            self.wrong_since.entry(*suspect).or_insert(self.now);
         }
         let (now, longest) = (self.now, &mut self.report.longest_wrong);
-        self.wrong_since.retain(|part, since| {
-            let stays = wrong.contains(part);
+        self.wrong_since.retain(|suspect, since| {
+            let stays = wrong.contains(suspect);
             if !stays {
                 *longest = (*longest).max(now.saturating_sub(*since));
             }
@@ -76,7 +78,7 @@
             self.report.crashes_before_order = self.report.crashes;
         }
         for (_, order) in effects.changes.iter().filter(|(_, order)| order.in_force) {
-            self.cancel(from, order.part);
+            self.cancel(from, order.suspect);
         }
         if self.policy == Policy::Instance {
             return;
@@ -110,3 +112,11 @@
         self.apply(to, effects);
     }
 }
+
+fn is_harmful(suspect: Suspect) -> bool {
+    match suspect.kind {
+        Kind::Part => suspect.id == HARMFUL_PART,
+        Kind::Request => suspect.id >= HARMFUL_REQUESTS,
+        Kind::LongPrompt => false,
+    }
+}
--- a/crates/sesamebarrow_trial/src/containment/experiment.rs
+++ b/crates/sesamebarrow_trial/src/containment/experiment.rs
@@ -2,9 +2,36 @@
 
 use std::time::Duration;
 
+/// What harmful requests have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Harm {
+    /// A part of their prompts.
+    Part,
+    /// They are this number of requests without prompts, each of which comes again and again.
+    Requests(u64),
+    /// They are this number of requests with prompts, each of which comes again and again. Sound requests
+    /// share all but the last part of their prompts.
+    Prompts(u64),
+}
+
+impl Harm {
+    /// Returns the number of crashes from which the users' rule counts.
+    pub fn counted_crashes(self) -> u64 {
+        match self {
+            Self::Part => 5,
+            Self::Requests(requests) | Self::Prompts(requests) => 3 * requests,
+        }
+    }
+}
+
 /// What is simulated.
 #[derive(Clone, Debug)]
 pub struct Experiment {
+    /// What harmful requests have in common.
+    pub harm: Harm,
+    /// Number of different sound requests without prompts that come again and again. They are half of the
+    /// sound requests; if it is 0, all of these have prompts.
+    pub repeated_reads: u64,
     /// Number of instances.
     pub instances: usize,
     /// Number of upstreams, in all regions together.
@@ -27,7 +54,7 @@
     pub restart: Option<f64>,
     /// Whether requests may be repeated after a crash.
     pub repeatable: bool,
-    /// Position of the harmful part: 0 for the first.
+    /// Position of a harmful part: 0 for the first.
     pub position: usize,
     /// Duration in seconds after the warm-up.
     pub seconds: f64,
@@ -36,6 +63,8 @@
 impl Default for Experiment {
     fn default() -> Self {
         Self {
+            harm: Harm::Part,
+            repeated_reads: 0,
             instances: 8,
             upstreams: 18,
             batch: 16,
@@ -57,9 +86,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Policy {
-    /// Shared parts, in the whole fleet.
+    /// All suspects, in the whole fleet.
     Fleet,
-    /// Shared parts, at each instance by itself.
+    /// All suspects, at each instance by itself.
     Instance,
     /// The first part, in the whole fleet.
     FirstPart,
@@ -80,22 +109,22 @@
     pub crashes: u64,
     /// Of these, those before the first order.
     pub crashes_before_order: u64,
-    /// Harmful requests that reached upstreams later than [`CONTACT_TIME`] after crash number
-    /// [`COUNTED_CRASHES`].
+    /// Harmful requests that reached upstreams later than [`CONTACT_TIME`](super::CONTACT_TIME) after crash
+    /// number [`Harm::counted_crashes`].
     pub late: u64,
     /// Sound requests sent and served in the warm-up.
     pub before: Served,
-    /// The same from the first harmful request until [`CONTACT_TIME`] after crash number [`COUNTED_CRASHES`].
+    /// The same from the first harmful request until [`CONTACT_TIME`](super::CONTACT_TIME) after that crash.
     pub meanwhile: Served,
     /// The same after that.
     pub after: Served,
-    /// Sound requests refused because of their parts.
+    /// Sound requests refused as harmful.
     pub wrongly_refused: u64,
-    /// Longest time for which a sound part was quarantined anywhere.
+    /// Longest time for which a sound suspect was quarantined anywhere.
     pub longest_wrong: Duration,
     /// Bytes of messages sent by each instance, per second.
     pub bytes_per_s: f64,
-    /// Largest number of blamed parts and orders at an instance.
+    /// Largest number of blamed suspects and orders at an instance.
     pub max_entries: usize,
 }
 
--- a/crates/sesamebarrow_trial/src/containment/request.rs
+++ b/crates/sesamebarrow_trial/src/containment/request.rs
@@ -6,22 +6,39 @@
 use rand::seq::{IndexedRandom, IteratorRandom};
 use sesamebarrow_routing::board::quarantine::Judge;
 use sesamebarrow_routing::cache::PromptPart;
-use sesamebarrow_routing::quarantine::Admission;
+use sesamebarrow_routing::quarantine::{Admission, Suspects};
 
-use crate::containment::experiment::Policy;
+use crate::containment::experiment::{Harm, Policy};
 use crate::containment::{
-    BEGIN_TIME, COMMON_PART, CONTACT_TIME, CUSTOMERS, DOWN_TIME, Event, HARMFUL_PART, HOP_FRACTION,
-    LAST_SECONDS, OWN_PARTS, REGIONS, RUN_TIME, Request, Run, SUBJECTS, SUBJECTS_PER_INSTANCE,
-    instance,
+    BEGIN_TIME, COMMON_PART, CONTACT_TIME, CUSTOMERS, DOWN_TIME, Event, HARMFUL_PART,
+    HARMFUL_REQUESTS, HOP_FRACTION, LAST_SECONDS, OWN_PARTS, READS, REGIONS, RUN_TIME, Request,
+    Run, SUBJECTS, SUBJECTS_PER_INSTANCE, instance,
 };
 
 impl Run<'_> {
-    pub(super) fn parts(&mut self, harmful: bool) -> (u64, Vec<PromptPart>) {
+    /// Returns the suspects of a new request.
+    fn suspects(&mut self, harmful: bool) -> Suspects {
         let customer = self.rng.random_range(0..CUSTOMERS);
         // CAST: small numbers.
         let subjects = SUBJECTS_PER_INSTANCE * self.cfg.instances as u64;
         let subject = SUBJECTS + self.rng.random_range(0..subjects);
         let own = OWN_PARTS + self.new_id();
+        match (self.cfg.harm, harmful) {
+            (Harm::Requests(requests), true) => {
+                let request = self.rng.random_range(0..requests);
+                return repeated(HARMFUL_REQUESTS + request, &[]);
+            }
+            (Harm::Prompts(requests), true) => {
+                let request = self.rng.random_range(0..requests);
+                let (fingerprint, subject) = (HARMFUL_REQUESTS + request, SUBJECTS + request);
+                return repeated(fingerprint, &[COMMON_PART, subject, fingerprint]);
+            }
+            _ => {}
+        }
+        if !harmful && self.cfg.repeated_reads > 0 && self.rng.random_bool(0.5) {
+            let read = self.rng.random_range(0..self.cfg.repeated_reads);
+            return repeated(READS + read, &[]);
+        }
         let mut ids = vec![COMMON_PART, subject, own];
         if harmful {
             ids.insert(self.cfg.position, HARMFUL_PART);
@@ -31,8 +48,7 @@
             Policy::Customer => vec![customer, own],
             _ => ids,
         };
-        let parts = ids.into_iter().map(|id| PromptPart { id, tokens: 100 });
-        (customer, parts.collect())
+        Suspects::of_request(customer, own, &prompt(&ids))
     }
 
     pub(super) fn send_harmful(&mut self) {
@@ -68,11 +84,10 @@
         let Some(&entry) = up.choose(&mut self.rng) else {
             return;
         };
-        let (customer, prompt) = self.parts(harmful);
+        let suspects = self.suspects(harmful);
         let mut request = Request {
             instance: entry,
-            customer,
-            prompt,
+            suspects,
             harmful,
             upstream: 0,
             crashes: 0,
@@ -106,15 +121,12 @@
         let index = request.instance;
         let now = self.process_time(index);
         let board = &self.instances[index].board;
-        let part = match board
-            .quarantine
-            .admission(now, request.customer, &request.prompt)
-        {
+        let suspect = match board.quarantine.admission(now, &request.suspects) {
             Admission::Allowed => return true,
             Admission::Quarantined(_) => return false,
-            Admission::TrialDue(part) => part,
+            Admission::TrialDue(suspect) => suspect,
         };
-        let judge = match board.judges(now, part).first() {
+        let judge = match board.judges(now, suspect).first() {
             Some(Judge::Other(ip)) => instance::index_of(*ip),
             _ => index,
         };
@@ -123,7 +135,7 @@
             return false;
         }
         let judge_now = self.process_time(judge);
-        let (granted, effects) = self.instances[judge].board.grant_trial(judge_now, part);
+        let (granted, effects) = self.instances[judge].board.grant_trial(judge_now, suspect);
         self.apply(judge, effects);
         request.is_trial = granted;
         granted
@@ -146,7 +158,7 @@
         self.upstreams[index].requests.push(id);
         if request.harmful {
             let is_late = |at: Duration| self.now > at + CONTACT_TIME;
-            self.report.late += u64::from(self.fifth_crash_at.is_some_and(is_late));
+            self.report.late += u64::from(self.counted_crash_at.is_some_and(is_late));
             let delay = BEGIN_TIME.mul_f64(self.rng.random_range(0.2..2.0));
             self.schedule(delay, Event::Begin(id));
         } else {
@@ -170,7 +182,7 @@
             if self.policy != Policy::None {
                 let now = self.process_time(request.instance);
                 let board = &mut self.instances[request.instance].board;
-                let effects = board.record_crash(now, run, request.customer, &request.prompt);
+                let effects = board.record_crash(now, run, &request.suspects);
                 self.apply(request.instance, effects);
             }
             if self.may_repeat(&request) {
@@ -186,7 +198,7 @@
             _ => {
                 request.crashes >= 2
                     || request.is_trial
-                    || quarantine.is_suspected(request.customer, &request.prompt)
+                    || quarantine.is_suspected(&request.suspects)
             }
         };
         self.cfg.repeatable && request.crashes < 4 && !is_bound
@@ -205,7 +217,20 @@
         }
         let now = self.process_time(request.instance);
         let board = &mut self.instances[request.instance].board;
-        let effects = board.record_answer(now, request.customer, &request.prompt);
+        let effects = board.record_answer(now, &request.suspects);
         self.apply(request.instance, effects);
     }
 }
+
+fn prompt(ids: &[u64]) -> Vec<PromptPart> {
+    let part = |id: &u64| PromptPart {
+        id: *id,
+        tokens: 100,
+    };
+    ids.iter().map(part).collect()
+}
+
+/// Returns the suspects of a request that comes again. It always is the same customer's.
+fn repeated(fingerprint: u64, ids: &[u64]) -> Suspects {
+    Suspects::of_request(fingerprint % CUSTOMERS, fingerprint, &prompt(ids))
+}
