Count crashes of an upstream that restarts under its id before the store says so

A run that crashed, came back within a second with the same id and crashed again was counted once until the store published the new run, or for as long as the store was away. Crashes of one published run that are half a second or more apart are now different ones. The new test failed with only the run compared (Allowed, not Quarantined).

--- a/crates/sesamebarrow_routing/src/quarantine/case.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/case.rs
@@ -10,6 +10,10 @@
 /// Maximum number of requests that are kept for each crash.
 const MAX_REQUESTS: usize = 8;
 
+/// Maximum time between the moments at which instances notice the same crash. An upstream that restarts and
+/// crashes again needs longer, and may still be published as the run before.
+const SAME_CRASH_TIME: Duration = Duration::from_millis(500);
+
 /// A crash under requests with the suspect.
 #[derive(Clone, Debug)]
 struct Crash {
@@ -20,8 +24,8 @@
 }
 
 impl Crash {
-    fn is_of(&self, run: u64) -> bool {
-        self.run == run
+    fn is_of(&self, run: u64, at: Duration) -> bool {
+        self.run == run && self.at.abs_diff(at) < SAME_CRASH_TIME
     }
 }
 
@@ -35,7 +39,7 @@
     /// Adds blame that arose at `at`. Returns whether it was new.
     pub(super) fn add(&mut self, at: Duration, blame: &Blame) -> bool {
         let request = (blame.customer, blame.request);
-        if let Some(crash) = self.crashes.iter_mut().find(|c| c.is_of(blame.run)) {
+        if let Some(crash) = self.crashes.iter_mut().find(|c| c.is_of(blame.run, at)) {
             let is_new = !crash.requests.contains(&request) && crash.requests.len() < MAX_REQUESTS;
             if is_new {
                 crash.requests.push(request);
--- a/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
@@ -466,6 +466,19 @@
     assert_eq!(q.blamed().collect::<Vec<_>>(), [(request(7), 1)]);
 }
 
+#[test]
+fn crashes_of_a_restarted_upstream_that_is_published_as_its_earlier_run_are_counted() {
+    let mut q = Quarantine::default();
+    let harmful = repeated(7, &[]);
+    for number in 0..QUARANTINE_CRASHES as u64 {
+        q.record_crash(START + ms(1_000 * number), 1, &harmful);
+    }
+    assert_eq!(
+        q.admission(START + ms(3_000), &harmful),
+        Admission::Quarantined(request(7))
+    );
+}
+
 #[test]
 fn blame_of_the_version_before_is_taken_for_that_of_different_requests() {
     let mut q = Quarantine::default();
