Let a trial go on to the next upstream while nothing was sent

A trial that found its upstream gone was refused with `unreachable`, and the next one came a minute later, so that a sound request that had been blamed stayed refused for as long. Seen in the log of requests_at_once_that_crash_upstreams_are_contained: the first choice after a series of crashes is often one of the crashed upstreams. The new test failed twice of twice before.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -174,7 +174,8 @@
     {
         return false;
     }
-    if history.is_trial || history.crashes >= MAX_CRASHES_PER_REQUEST {
+    let has_tried = history.is_trial && history.sent > 0;
+    if has_tried || history.crashes >= MAX_CRASHES_PER_REQUEST {
         return false;
     }
     if history.crashes > 0 && quarantine::is_suspected(shared, job) {
