Acquit requests that an upstream answers with a client error

Only complete answers with a success acquitted. A read that is always answered with 404 and was blamed three times for crashes beside it stayed refused, trial after trial. Any complete answer that is no server error shows that the request ran without a crash. The new test failed before (503 in place of 404).

--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -117,7 +117,8 @@
     };
     let target = response.attempt.target_name().clone();
     response.attempt.end(outcome);
-    if status.is_success() {
+    // Something in front of a crashed upstream may answer with a server error.
+    if !status.is_server_error() {
         quarantine::record_answer(shared, job);
     }
     let end = End {
