Repeat blame to the judges for minutes, since they restart

A request that crashes an upstream every half a minute was counted from the start by judges that had restarted in between, since blame was repeated for five seconds only. It is now sent again after 20, 80 and 320 s. The new test failed before: the judge knew two of three crashes.

--- a/crates/sesamebarrow_routing/src/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/quarantine.rs
@@ -58,12 +58,15 @@
 /// Maximum number of orders on suspects of one kind.
 const MAX_ORDERS: usize = 256;
 
-/// Times after which blame is sent to the judges again, since datagrams may be lost.
-const REPORT_TIMES: [Duration; 4] = [
+/// Times after which blame is sent to the judges again, since datagrams may be lost and judges restart.
+const REPORT_TIMES: [Duration; 7] = [
     Duration::ZERO,
     Duration::from_millis(300),
     Duration::from_millis(1_500),
     Duration::from_secs(5),
+    Duration::from_secs(20),
+    Duration::from_secs(80),
+    Duration::from_secs(320),
 ];
 
 /// A suspect of a request under which an upstream has crashed.
--- a/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
@@ -479,6 +479,33 @@
     );
 }
 
+#[test]
+fn judge_that_restarts_between_rare_crashes_learns_of_the_earlier_ones() {
+    let harmful = repeated(7, &[]);
+    let mut reporters: Vec<Quarantine> = (0..QUARANTINE_CRASHES)
+        .map(|_| Quarantine::default())
+        .collect();
+    let mut judge = Quarantine::default();
+    for second in 0..120 {
+        let now = START + Duration::from_secs(second);
+        if second % 30 == 0
+            && let Some(reporter) = reporters.get_mut(second as usize / 30)
+        {
+            reporter.record_crash(now, second, &harmful);
+        }
+        if second == 45 {
+            judge = Quarantine::default();
+        }
+        for reporter in &mut reporters {
+            for (blame, age) in reporter.take_due_reports(now) {
+                judge.record_blame(now, age, blame);
+            }
+        }
+    }
+    let now = START + Duration::from_secs(120);
+    assert_ne!(judge.admission(now, &harmful), Admission::Allowed);
+}
+
 #[test]
 fn blame_of_the_version_before_is_taken_for_that_of_different_requests() {
     let mut q = Quarantine::default();
