Grant trials where they can be made, also at the last upstream of a region

A trial now takes the last upstream of a region while another region reports usable ones, and is asked for only where an upstream of the own region can run it.

--- a/crates/sesamebarrow_gateway/src/quarantine.rs
+++ b/crates/sesamebarrow_gateway/src/quarantine.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use sesamebarrow_routing::admit;
 use sesamebarrow_routing::board::quarantine::{Change, Effects, Judge};
 use sesamebarrow_routing::quarantine::message::{Blames, Orders, TrialGrant, TrialRequest};
 use sesamebarrow_routing::quarantine::{Admission, Order, Suspect, Suspects};
@@ -60,7 +61,7 @@
         Admission::Quarantined(suspect) => suspect,
         Admission::TrialDue(suspect) => {
             // A forwarded request is no trial: its first instance does not know that it may not repeat it.
-            let may_try = history.begun == 0 && !job.policy.from_instance;
+            let may_try = history.begun == 0 && !job.policy.from_instance && can_run(shared, job);
             if may_try && ask_for_trial(shared, suspect).await {
                 log::info!(
                     request = job.id.as_str(), kind:% = suspect.kind,
@@ -76,6 +77,13 @@
     Err(Refusal::Harmful)
 }
 
+/// Returns whether an upstream of this region can run `job`, so that a trial is not granted in vain.
+fn can_run(shared: &Shared, job: &Job) -> bool {
+    let board = shared.board();
+    let is_allowed = job.residency.allows(&board.identity.region);
+    is_allowed && admit::service_load(&board, shared.now(), &job.policy.service).1 > 0
+}
+
 /// Returns whether `job`, for which a target was selected, may still be sent.
 pub fn may_send(shared: &Shared, job: &Job, history: &AttemptHistory) -> bool {
     if history.is_trial {
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -17,6 +17,7 @@
 use crate::config::Engine;
 use crate::member::DISCOVERY_TIME;
 use crate::rendezvous;
+use crate::spill;
 use crate::upstream::{Key, RequestLoad, Upstream};
 
 /// The properties of a request that decide where it can be sent.
@@ -161,7 +162,7 @@
     let scored = score_all(board, now, request)?;
     let not_full: Vec<_> = scored.iter().filter(|s| !s.full).collect();
     let best = if request.is_trial {
-        select_for_trial(board, now, &not_full)
+        select_for_trial(board, now, &request.service, &not_full)
     } else {
         let by_cost = |a: &&&ScoredUpstream, b: &&&ScoredUpstream| a.cost_ms.total_cmp(&b.cost_ms);
         not_full.iter().min_by(by_cost).copied()
@@ -182,13 +183,15 @@
     })
 }
 
-/// Returns the upstream with the fewest requests for a trial, but never the last one.
+/// Returns the upstream with the fewest requests for a trial, but the last one only if another region would
+/// still serve.
 fn select_for_trial<'a>(
     board: &Board,
     now: Duration,
+    service: &str,
     not_full: &[&'a ScoredUpstream],
 ) -> Option<&'a ScoredUpstream> {
-    if not_full.len() < 2 {
+    if not_full.len() < 2 && !spill::is_served_elsewhere(board, now, service) {
         return None;
     }
     let outstanding = |s: &&&ScoredUpstream| board.upstreams.all[s.key].outstanding(now);
--- a/crates/sesamebarrow_routing/src/spill.rs
+++ b/crates/sesamebarrow_routing/src/spill.rs
@@ -35,6 +35,17 @@
 /// Wait that each forwarded request adds to a region's load until its next report.
 const WAIT_PER_FORWARDED_REQUEST: Duration = Duration::from_millis(8);
 
+/// Returns whether another region has reported usable upstreams of `service`.
+pub fn is_served_elsewhere(board: &Board, now: Duration, service: &str) -> bool {
+    let service_hash = short_hash(service);
+    let own = &board.identity.region;
+    let mut others = board.members.ready(now).filter(|m| m.region != *own);
+    others.any(|m| {
+        let load = board.members.service_load(now, &m.region, service_hash);
+        load.is_some_and(|load| load.usable_upstreams > 0)
+    })
+}
+
 /// Selects an instance in the region with the shortest wait, among the regions that `allowed`
 /// accepts and that are not in `tried_regions`. Requests with the same `affinity_key`, a hash
 /// of their shared prompt prefix, tend to go to the same regions, where the prefix is cached.
--- a/crates/sesamebarrow_routing/tests/decisions/loads.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/loads.rs
@@ -150,3 +150,28 @@
     let selected = spill::select_instance(board, now, MODEL, |_| true, &[], None);
     assert_eq!(selected, None);
 }
+
+/// Returns what is selected at the first instance for a trial in a fleet with one upstream in each region.
+fn select_for_trial(domains: &[(&str, usize)]) -> Result<(), Rejection> {
+    let mut fleet = fleet(domains, 1);
+    let now = fleet.process_time(0);
+    let trial = RequestSpec {
+        service: MODEL.into(),
+        prompt_tokens: 100,
+        output_tokens: 20,
+        target_wait: ms(800),
+        is_trial: true,
+        ..RequestSpec::default()
+    };
+    admit::select_upstream(&mut fleet.instances[0].board, now, &trial).map(|_| ())
+}
+
+#[test]
+fn trial_takes_the_last_upstream_of_a_region_while_another_region_serves() {
+    assert_eq!(select_for_trial(&[("a", 2), ("b", 2)]), Ok(()));
+}
+
+#[test]
+fn trial_does_not_take_the_last_upstream_of_a_service() {
+    assert_eq!(select_for_trial(&[("a", 2)]), Err(Rejection::Overload));
+}
