--- a/crates/sesamebarrow_standin/src/upstream.rs
+++ b/crates/sesamebarrow_standin/src/upstream.rs
@@ -16,6 +16,7 @@
 use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 
 use crate::http::{self, Body, BodyAborted};
 
@@ -68,8 +69,14 @@
     fault: Mutex<Fault>,
     seen: Mutex<Seen>,
     record: bool,
+    /// Text in the path or body of requests that crash the upstream.
+    harmful: Mutex<Option<String>>,
+    crashed: Notify,
 }
 
+/// Time after a crash in which the upstream accepts no connections.
+const CRASH_TIME: Duration = Duration::from_secs(1);
+
 /// Tokens in a response if the request does not set `max_tokens`.
 const DEFAULT_TOKENS: u32 = 16;
 
@@ -86,9 +93,16 @@
             fault: Mutex::default(),
             seen: Mutex::default(),
             record,
+            harmful: Mutex::default(),
+            crashed: Notify::new(),
         }))
     }
 
+    /// Makes later requests crash the upstream if their path or body contains `text`.
+    pub fn crash_at(&self, text: &str) {
+        *lock(&self.0.harmful) = Some(text.to_owned());
+    }
+
     /// Sets the fault that applies to later requests.
     pub fn set_fault(&self, fault: Fault) {
         *lock(&self.0.fault) = fault;
@@ -99,13 +113,27 @@
         lock(&self.0.seen).clone()
     }
 
-    /// Serves until the future is dropped.
-    pub async fn serve(self, listener: TcpListener) {
-        http::serve(listener, move |req| {
+    /// Serves until the future is dropped. After a crash it accepts connections again in a while.
+    pub async fn serve(self, mut listener: TcpListener) {
+        let Ok(address) = listener.local_addr() else {
+            return;
+        };
+        loop {
             let upstream = self.clone();
-            async move { upstream.handle(req).await }
-        })
-        .await;
+            let serving = http::serve(listener, move |req| {
+                let upstream = upstream.clone();
+                async move { upstream.handle(req).await }
+            });
+            tokio::select! {
+                () = serving => return,
+                () = self.0.crashed.notified() => {}
+            }
+            tokio::time::sleep(CRASH_TIME).await;
+            listener = match TcpListener::bind(address).await {
+                Ok(listener) => listener,
+                Err(_) => return,
+            };
+        }
     }
 
     async fn handle(&self, req: Request<Incoming>) -> Response<Body> {
@@ -145,6 +173,13 @@
         };
         let body = String::from_utf8_lossy(&body.to_bytes()).into_owned();
         self.record_request(&parts, &body);
+        let harmful = lock(&self.0.harmful).clone();
+        if harmful.is_some_and(|text| body.contains(&text) || parts.uri.path().contains(&text)) {
+            self.0.crashed.notify_one();
+            // Lets the listener close first.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            return truncated_response();
+        }
         let fault = *lock(&self.0.fault);
         match fault {
             Fault::Silent => std::future::pending().await,
--- a/crates/sesamebarrow_standin/tests/processes.rs
+++ b/crates/sesamebarrow_standin/tests/processes.rs
@@ -128,6 +128,8 @@
 
 #[path = "processes/at_most_once.rs"]
 mod at_most_once;
+#[path = "processes/harmful_requests.rs"]
+mod harmful_requests;
 #[path = "processes/input_and_responses.rs"]
 mod input_and_responses;
 #[path = "processes/lifecycle.rs"]
