Tell crashes of one run apart where they are noticed, not by the age of reports

Since judges took blame of one run for another crash if its time differed by half a second. A report that waits in the socket of a suspended judge seems younger than it is, and its repetitions do not: in the new test three crashes were counted of one, and the request was quarantined. The instance that notices crashes now counts those of a run, and blame carries the number of earlier ones. Entries are longer, so one datagram carries ten.

--- a/crates/sesamebarrow_routing/src/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/quarantine.rs
@@ -49,6 +49,13 @@
 /// Maximum number of suspects of one kind that are blamed.
 const MAX_BLAMED: usize = 512;
 
+/// Maximum number of runs whose crashes are counted.
+const MAX_RUNS: usize = 1_024;
+
+/// Time in which an instance notices that all its requests at a crashed upstream are broken. An upstream that
+/// restarts and crashes again needs longer.
+const SAME_CRASH_TIME: Duration = Duration::from_millis(500);
+
 /// Maximum number of suspects whose last answer is kept.
 const MAX_ANSWERED: usize = 8_192;
 
@@ -76,6 +83,8 @@
     pub suspect: Suspect,
     /// Hash of the run of the upstream.
     pub run: u64,
+    /// Number of crashes of what was published as this run that the reporting instance had noticed before.
+    pub earlier_crashes: u32,
     /// Hash of the name of the customer whose request it was.
     pub customer: u64,
     /// Hash that tells the request apart from others with the same suspect.
@@ -93,6 +102,14 @@
     TrialDue(Suspect),
 }
 
+/// Crashes of what is published as one run of an upstream: it may restart before the platform says so.
+#[derive(Clone, Copy, Debug)]
+struct RunCrashes {
+    last_at: Duration,
+    /// Number of crashes before the last one.
+    earlier: u32,
+}
+
 /// Blame that is sent to the judges.
 #[derive(Clone, Copy, Debug)]
 struct Report {
@@ -111,6 +128,8 @@
     answered: HashMap<Suspect, Duration>,
     /// Orders, also those that were revoked; at most [`MAX_ORDERS`] of each kind.
     orders: HashMap<Suspect, Order>,
+    /// Crashes that this instance has noticed, by run; at most [`MAX_RUNS`].
+    runs: HashMap<u64, RunCrashes>,
     /// Blame of this instance's own requests that is to be sent to the judges.
     reports: Vec<Report>,
 }
@@ -132,7 +151,9 @@
             self.make_place_for_case(suspect.kind);
         }
         let case = self.cases.entry(suspect).or_default();
-        case.add(at, &blame);
+        if !case.add(at, &blame) {
+            return None;
+        }
         if case.counted(suspect.kind) < QUARANTINE_CRASHES {
             return None;
         }
@@ -153,9 +174,24 @@
         Some(order)
     }
 
+    /// Records blame that another instance sent, and schedules reports to the next ones if it was new. Returns
+    /// the order that it leads to or changes.
+    pub fn relay_blame(&mut self, now: Duration, age: Duration, blame: Blame) -> Option<Order> {
+        let at = now.saturating_sub(age);
+        self.learn_crash(at, &blame);
+        let case = self.cases.get(&blame.suspect);
+        let is_known = case.is_some_and(|case| case.has(&blame));
+        let in_force = self.orders.get(&blame.suspect).is_some_and(|o| o.in_force);
+        if !is_known && !in_force && !self.is_acquitted(blame.suspect, at) {
+            self.add_report(at, blame);
+        }
+        self.record_blame(now, age, blame)
+    }
+
     /// Records that the `run` of an upstream crashed under a request of this instance, and schedules reports to
     /// the judges. Returns the orders that this leads to.
     pub fn record_crash(&mut self, now: Duration, run: u64, suspects: &Suspects) -> Vec<Order> {
+        let earlier_crashes = self.count_crash(now, run);
         let mut orders = Vec::new();
         for suspect in suspects.all.iter().copied() {
             if self.is_acquitted(suspect, now) {
@@ -164,6 +200,7 @@
             let blame = Blame {
                 suspect,
                 run,
+                earlier_crashes,
                 customer: suspects.customer,
                 request: suspects.request,
             };
@@ -173,6 +210,37 @@
         orders
     }
 
+    /// Records that `run` was noticed to have crashed. Returns the number of its earlier crashes.
+    fn count_crash(&mut self, now: Duration, run: u64) -> u32 {
+        if self.runs.len() >= MAX_RUNS && !self.runs.contains_key(&run) {
+            return 0;
+        }
+        let crashes = self.runs.entry(run).or_insert(RunCrashes {
+            last_at: now,
+            earlier: 0,
+        });
+        if now.saturating_sub(crashes.last_at) >= SAME_CRASH_TIME {
+            crashes.earlier = crashes.earlier.saturating_add(1);
+        }
+        crashes.last_at = now;
+        crashes.earlier
+    }
+
+    /// Learns of a crash that another instance has noticed, so that a later one is told apart from it.
+    fn learn_crash(&mut self, at: Duration, blame: &Blame) {
+        let learned = RunCrashes {
+            last_at: at,
+            earlier: blame.earlier_crashes,
+        };
+        if self.runs.len() >= MAX_RUNS && !self.runs.contains_key(&blame.run) {
+            return;
+        }
+        let known = self.runs.entry(blame.run).or_insert(learned);
+        if known.earlier < learned.earlier {
+            *known = learned;
+        }
+    }
+
     /// Schedules a report, in place of the one that was sent most often if there are too many.
     fn add_report(&mut self, now: Duration, blame: Blame) {
         if self.reports.len() >= MAX_REPORTS {
@@ -326,6 +394,7 @@
     pub fn remove_expired(&mut self, now: Duration) {
         if let Some(oldest) = now.checked_sub(BLAME_LIFETIME) {
             self.cases.retain(|_, case| case.remove_before(oldest));
+            self.runs.retain(|_, crashes| crashes.last_at > oldest);
         }
         self.orders.retain(|_, order| !order.is_expired(now));
         self.answered
--- a/crates/sesamebarrow_routing/src/quarantine/case.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/case.rs
@@ -10,22 +10,19 @@
 /// Maximum number of requests that are kept for each crash.
 const MAX_REQUESTS: usize = 8;
 
-/// Maximum time between the moments at which instances notice the same crash. An upstream that restarts and
-/// crashes again needs longer, and may still be published as the run before.
-const SAME_CRASH_TIME: Duration = Duration::from_millis(500);
-
 /// A crash under requests with the suspect.
 #[derive(Clone, Debug)]
 struct Crash {
     run: u64,
+    earlier_crashes: u32,
     at: Duration,
     /// Hashes of the customers and requests, without duplicates.
     requests: Vec<(u64, u64)>,
 }
 
 impl Crash {
-    fn is_of(&self, run: u64, at: Duration) -> bool {
-        self.run == run && self.at.abs_diff(at) < SAME_CRASH_TIME
+    fn is_of(&self, blame: &Blame) -> bool {
+        (self.run, self.earlier_crashes) == (blame.run, blame.earlier_crashes)
     }
 }
 
@@ -36,10 +33,17 @@
 }
 
 impl Case {
+    /// Returns whether `blame` was added.
+    pub(super) fn has(&self, blame: &Blame) -> bool {
+        let request = (blame.customer, blame.request);
+        let mut crashes = self.crashes.iter().filter(|c| c.is_of(blame));
+        crashes.any(|c| c.requests.contains(&request))
+    }
+
     /// Adds blame that arose at `at`. Returns whether it was new.
     pub(super) fn add(&mut self, at: Duration, blame: &Blame) -> bool {
         let request = (blame.customer, blame.request);
-        if let Some(crash) = self.crashes.iter_mut().find(|c| c.is_of(blame.run, at)) {
+        if let Some(crash) = self.crashes.iter_mut().find(|c| c.is_of(blame)) {
             let is_new = !crash.requests.contains(&request) && crash.requests.len() < MAX_REQUESTS;
             if is_new {
                 crash.requests.push(request);
@@ -50,6 +54,7 @@
         if is_new {
             self.crashes.push(Crash {
                 run: blame.run,
+                earlier_crashes: blame.earlier_crashes,
                 at,
                 requests: vec![request],
             });
--- a/crates/sesamebarrow_routing/src/quarantine/message.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/message.rs
@@ -6,7 +6,7 @@
 use crate::quarantine::{Blame, Kind, Order, Suspect};
 
 /// Maximum number of entries in one message, so that its datagram stays below 512 bytes.
-pub const MAX_ENTRIES: usize = 11;
+pub const MAX_ENTRIES: usize = 10;
 
 /// Blame for the judges of its suspects.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -37,6 +37,9 @@
     /// Hash of the request; 0 from earlier versions.
     #[prost(fixed64, tag = "6")]
     pub request: u64,
+    /// Number of earlier crashes of the run.
+    #[prost(uint32, tag = "7")]
+    pub earlier_crashes: u32,
 }
 
 /// Orders, some of which may be new to the receiver.
@@ -126,6 +129,7 @@
             age_ms: to_ms(age) as u32,
             kind: blame.suspect.kind.into(),
             request: blame.request,
+            earlier_crashes: blame.earlier_crashes,
         }
     }
 
@@ -134,6 +138,7 @@
         let blame = Blame {
             suspect: decode_suspect(self.kind, self.suspect)?,
             run: self.run,
+            earlier_crashes: self.earlier_crashes,
             customer: self.customer,
             // Earlier versions do not tell requests apart: each crash is taken for that of another one.
             request: match self.request {
--- a/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
@@ -357,6 +357,7 @@
     let expected = [request(suspects.fingerprint), part(HARMFUL)].map(|suspect| Blame {
         suspect,
         run: 1,
+        earlier_crashes: 0,
         customer: ROSA,
         request: suspects.request,
     });
@@ -466,6 +467,22 @@
     assert_eq!(q.blamed().collect::<Vec<_>>(), [(request(7), 1)]);
 }
 
+#[test]
+fn report_that_reaches_a_suspended_judge_late_is_not_another_crash() {
+    let mut reporter = Quarantine::default();
+    reporter.record_crash(START, 1, &repeated(7, &[]));
+    let mut judge = Quarantine::default();
+    for second in [0, 1, 2, 5, 20] {
+        let sent_at = START + Duration::from_secs(second);
+        for (blame, age) in reporter.take_due_reports(sent_at) {
+            // The first ones wait in the socket until the judge runs again.
+            let received_at = sent_at.max(START + Duration::from_secs(3));
+            judge.record_blame(received_at, age, blame);
+        }
+    }
+    assert_eq!(judge.blamed().collect::<Vec<_>>(), [(request(7), 1)]);
+}
+
 #[test]
 fn crashes_of_a_restarted_upstream_that_is_published_as_its_earlier_run_are_counted() {
     let mut q = Quarantine::default();
