Refuse requests that crash upstreams at the callers' interface

The decisions are those of sesamebarrow_routing::quarantine. Every instance collects blame; heartbeats pass on what is new to their sender, and orders to neighbours whose digest differs, since links form a ring of domains and a frame of an unknown kind would close the link to an instance of the version before. The listed instance with the highest weight for a suspect makes its trials, not at the only upstream of a service: with it the process test failed once, as the trial took that upstream away from sound requests.

--- a/crates/sesamebarrow_node/src/attempt.rs
+++ b/crates/sesamebarrow_node/src/attempt.rs
@@ -17,7 +17,7 @@
 use crate::peer::{self, Inbound, Stream};
 
 /// Maximum number of idle connections kept open to one upstream.
-const MAX_IDLE_CONNECTIONS: usize = 32;
+pub const MAX_IDLE_CONNECTIONS: usize = 32;
 
 /// A request as it is sent to the target. It contains no credential.
 #[derive(Clone, Debug)]
--- a/crates/sesamebarrow_node/src/driver.rs
+++ b/crates/sesamebarrow_node/src/driver.rs
@@ -268,6 +268,13 @@
                     }
                 });
             }
+            Action::LogQuarantine { change, order } => {
+                log::warn!(
+                    change:% = change, kind:% = order.suspect.kind,
+                    suspect:% = format!("{:x}", order.suspect.id), serial = order.serial,
+                    trials = order.trials; "quarantine changed"
+                );
+            }
             Action::Drained => {
                 let _ = self.setup.drained.send(true);
             }
--- a/crates/sesamebarrow_node/src/exchange.rs
+++ b/crates/sesamebarrow_node/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Runs a request from its head to its final response, as the policy decides.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -9,6 +10,7 @@
 use hyper::{HeaderMap, StatusCode};
 use sesamebarrow_policy::event::Target;
 use sesamebarrow_policy::{self as policy, Action, Event, Head, Outcome, Refusal, RequestId};
+use sesamebarrow_routing::fingerprint::{self, Content};
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
@@ -68,6 +70,7 @@
         started_at: Instant::now(),
         at_most_once: false,
         sent: false,
+        upstream: None,
     };
     tokio::spawn(exchange.run_attempts(outbound_future));
     rx.await.ok()
@@ -87,6 +90,8 @@
     at_most_once: bool,
     /// Whether bytes of the current attempt may have been sent.
     sent: bool,
+    /// Address of the upstream of the current attempt; `None` if its target is an instance.
+    upstream: Option<SocketAddr>,
 }
 
 impl Exchange {
@@ -152,9 +157,11 @@
             self.finish_attempt(Outcome::NotSent);
             return Ok(());
         };
-        self.node
-            .driver
-            .send_event(Event::ReadyToSend { id: self.id });
+        let fingerprint = self.fingerprint(outbound);
+        self.node.driver.send_event(Event::ReadyToSend {
+            id: self.id,
+            fingerprint,
+        });
         match self.handle.rx.recv().await {
             Some(Action::SendRequest { .. }) => {}
             Some(Action::Refuse { refusal, .. }) => return Err(Abort::Refused(refusal)),
@@ -165,6 +172,10 @@
             _ => return Err(Abort::Cancelled),
         }
         self.sent = true;
+        self.upstream = match target {
+            Target::Upstream { address, .. } => Some(address),
+            Target::Instance { .. } => None,
+        };
         self.send(transport, outbound).await
     }
 
@@ -192,7 +203,7 @@
                 Ok(())
             }
             SendOutcome::Interrupted => {
-                self.finish_attempt(Outcome::Interrupted { relayed: false });
+                self.finish_interrupted(false).await;
                 Ok(())
             }
         }
@@ -231,13 +242,19 @@
                     target_response.finish(&self.node.pool);
                     let tokens = tokens_used(status, &tracker);
                     let response = None;
-                    self.finish_attempt(Outcome::Completed { tokens, response });
+                    let is_server_error = status.is_server_error();
+                    self.finish_attempt(Outcome::Completed {
+                        tokens,
+                        response,
+                        is_server_error,
+                    });
                     // The caller may have disconnected.
                     let _ = tx.send(Part::End).await;
                     return Ok(());
                 }
                 BodyPart::End | BodyPart::Interrupted => {
-                    self.finish_attempt(Outcome::Interrupted { relayed: true });
+                    drop(tx);
+                    self.finish_interrupted(true).await;
                     return Ok(());
                 }
             }
@@ -253,7 +270,7 @@
             .run_unless_aborted(collect(self.node.clone(), target_response))
             .await?;
         let Some((body, tokens)) = collected else {
-            self.finish_attempt(Outcome::Interrupted { relayed: false });
+            self.finish_interrupted(false).await;
             return Ok(());
         };
         let stored = policy::StoredResponse {
@@ -264,6 +281,7 @@
         self.finish_attempt(Outcome::Completed {
             tokens,
             response: Some(Arc::new(stored)),
+            is_server_error: status.is_server_error(),
         });
         self.send_reply(complete_reply(status, fields, body));
         Ok(())
@@ -319,6 +337,32 @@
         }
     }
 
+    /// Ends an attempt that was interrupted, once it is known whether its upstream has crashed.
+    async fn finish_interrupted(&self, relayed: bool) {
+        let crashed = match self.upstream {
+            Some(address) => {
+                let pool = &self.node.pool;
+                !pool
+                    .confirm_listening(address, attempt::MAX_IDLE_CONNECTIONS)
+                    .await
+            }
+            None => false,
+        };
+        log::info!(request:% = self.id.0, relayed, crashed; "answer broke off");
+        self.finish_attempt(Outcome::Interrupted { relayed, crashed });
+    }
+
+    /// Returns the fingerprint of the request without its customer, which the policy adds.
+    fn fingerprint(&self, outbound: &OutboundRequest) -> u64 {
+        fingerprint::of_request(&Content {
+            method: outbound.method.as_str(),
+            host: &self.context.service,
+            path_and_query: &outbound.path,
+            customer: "",
+            body: &outbound.body,
+        })
+    }
+
     fn finish_attempt(&self, outcome: Outcome) {
         self.node.driver.send_event(Event::AttemptFinished {
             id: self.id,
--- a/crates/sesamebarrow_policy/src/board.rs
+++ b/crates/sesamebarrow_policy/src/board.rs
@@ -7,6 +7,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use sesamebarrow_routing::quarantine::Quarantine;
 use sesamebarrow_rules::list::State;
 use sesamebarrow_rules::{KeyDigest, List, Rules};
 use sesamebarrow_wire::control::DocumentKind;
@@ -63,6 +64,8 @@
     pub ready: bool,
     /// Requests in progress at the instance.
     pub requests_in_progress: u32,
+    /// Whether the next heartbeat contains the orders of the quarantine.
+    pub lacks_orders: bool,
 }
 
 /// Another instance.
@@ -153,6 +156,8 @@
     pub limits: Limits,
     /// Records of non-idempotent requests.
     pub records: Records,
+    /// Blame for crashes of upstreams, and the orders to which it led.
+    pub quarantine: Quarantine,
     /// Requests in progress.
     pub requests: BTreeMap<RequestId, Request>,
     /// Retry budget. Completed requests add to it, and retries consume it.
@@ -227,6 +232,7 @@
             upstreams_by_name: HashMap::new(),
             limits: Limits::default(),
             records: Records::new(ticket_key),
+            quarantine: Quarantine::default(),
             requests: BTreeMap::new(),
             retry_budget_hundredths: INITIAL_RETRY_BUDGET_HUNDREDTHS,
             counters: Counters::default(),
--- a/crates/sesamebarrow_policy/src/event.rs
+++ b/crates/sesamebarrow_policy/src/event.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use sesamebarrow_routing::quarantine::Order;
 use sesamebarrow_rules::{Document, KeyDigest};
 use sesamebarrow_wire::Payload;
 use sesamebarrow_wire::control::{self, DocumentKind};
 use smol_str::SmolStr;
 
 use crate::board::UpstreamKey;
+use crate::quarantine;
 use crate::refusal::Refusal;
 
 /// Number of a request in this process, assigned by the driver of the board.
@@ -78,6 +80,8 @@
         tokens: Option<u64>,
         /// The response to store, for a request with a ticket.
         response: Option<Arc<StoredResponse>>,
+        /// Whether its status is a server error.
+        is_server_error: bool,
     },
     /// No byte of the request can have reached the target.
     NotSent,
@@ -87,6 +91,8 @@
     Interrupted {
         /// Whether bytes of the response were sent to the caller.
         relayed: bool,
+        /// Whether the target is an upstream that accepted no connection after it.
+        crashed: bool,
     },
 }
 
@@ -198,6 +204,8 @@
     ReadyToSend {
         /// The request.
         id: RequestId,
+        /// Fingerprint of its method, service, path and body, the same when it comes again.
+        fingerprint: u64,
     },
     /// The head of the response is being sent to the caller.
     ResponseStarted {
@@ -354,6 +362,13 @@
         /// Network address.
         address: std::net::SocketAddr,
     },
+    /// Log a change of the requests that are refused because they crash upstreams.
+    LogQuarantine {
+        /// What happened.
+        change: quarantine::Change,
+        /// The order that changed.
+        order: Order,
+    },
     /// The graceful shutdown is complete and the process may exit.
     Drained,
 }
--- a/crates/sesamebarrow_policy/src/lib.rs
+++ b/crates/sesamebarrow_policy/src/lib.rs
@@ -8,7 +8,7 @@
 //! over virtual time.
 //!
 //! The controllers are the modules [`clock`], [`config`], [`member`], [`upstream`],
-//! [`limit`], [`at_most_once`], [`pipeline`] and [`placement`]. They work from two documents
+//! [`limit`], [`at_most_once`], [`quarantine`], [`pipeline`] and [`placement`]. They work from two documents
 //! that the platform, the fleet's control plane, publishes: the *rules* (regions, failure
 //! domains, services, customers, keys) and the *list* (the instances and upstreams that
 //! exist).
@@ -40,6 +40,7 @@
 pub mod member;
 pub mod pipeline;
 pub mod placement;
+pub mod quarantine;
 pub mod refusal;
 pub mod schedule;
 pub mod settings;
--- a/crates/sesamebarrow_policy/src/member/heartbeat.rs
+++ b/crates/sesamebarrow_policy/src/member/heartbeat.rs
@@ -8,7 +8,7 @@
 use super::find;
 use crate::board::{Board, Instance};
 use crate::event::Message;
-use crate::{config, upstream};
+use crate::{config, quarantine, upstream};
 
 /// Sends heartbeats even if the interval since the last ones is not over.
 pub(crate) fn send_heartbeats_now(board: &mut Board) {
@@ -33,6 +33,7 @@
     board.heartbeat_sent_at = Some(now);
     board.heartbeat_sequence += 1;
     let loads = upstream::loads_to_share(board);
+    let blames = quarantine::take_due_blames(board);
     let receivers: Vec<(SmolStr, bool)> = board
         .instances
         .values()
@@ -45,7 +46,9 @@
         } else {
             Vec::new()
         };
-        let heartbeat = build(board, loads);
+        let mut heartbeat = build(board, loads);
+        heartbeat.blames = blames.clone();
+        heartbeat.orders = quarantine::take_orders_for(board, &name);
         board.send_message(name, Message::Heartbeat(heartbeat));
     }
 }
@@ -67,6 +70,9 @@
         draining: board.draining,
         loads,
         refused_documents: config::faulty_revisions(board),
+        blames: Vec::new(),
+        orders: Vec::new(),
+        orders_digest: Some(board.quarantine.digest()),
     }
 }
 
@@ -93,6 +99,7 @@
     link.list_revision = heartbeat.list_revision;
     link.ready = heartbeat.ready && !heartbeat.draining;
     link.requests_in_progress = heartbeat.running;
+    quarantine::handle_heartbeat(board, from, heartbeat);
     handle_revisions(board, from, heartbeat);
     for report in &heartbeat.refused_documents {
         config::handle_faulty_revision(board, report);
--- a/crates/sesamebarrow_policy/src/member/links.rs
+++ b/crates/sesamebarrow_policy/src/member/links.rs
@@ -42,6 +42,7 @@
         list_revision: 0,
         ready: false,
         requests_in_progress: 0,
+        lacks_orders: true,
     });
     super::update_regions(board);
     if previous_incarnation.is_some_and(|old| old != incarnation) {
--- a/crates/sesamebarrow_policy/src/pipeline.rs
+++ b/crates/sesamebarrow_policy/src/pipeline.rs
@@ -10,6 +10,7 @@
 
 use std::time::Duration;
 
+use sesamebarrow_routing::quarantine::Suspects;
 use sesamebarrow_rules::{KeyDigest, RequestClass};
 use smol_str::SmolStr;
 
@@ -17,6 +18,7 @@
 use crate::board::{Board, InstanceKey, UpstreamKey};
 use crate::event::{Action, Head, Origin, Outcome, RequestId};
 use crate::limit::{self, Reservation};
+use crate::quarantine;
 use crate::refusal::{Reason, Refusal};
 
 /// Stage of a request in the pipeline.
@@ -75,6 +77,12 @@
     pub attempts: u32,
     /// Upstreams that were tried.
     pub tried_upstreams: Vec<UpstreamKey>,
+    /// What is blamed if an upstream crashes; empty before the body was read.
+    pub suspects: Suspects,
+    /// Number of attempts under which an upstream crashed.
+    pub crashes: u32,
+    /// Whether it may be sent once although it is quarantined.
+    pub is_trial: bool,
     /// Whether an earlier attempt was interrupted after bytes of the request were sent.
     /// The request may then have run, whatever the result of the current attempt.
     pub may_have_run: bool,
@@ -133,6 +141,9 @@
         target: None,
         attempts: 0,
         tried_upstreams: Vec::new(),
+        suspects: Suspects::default(),
+        crashes: 0,
+        is_trial: false,
         may_have_run: false,
         detached: false,
     };
@@ -193,7 +204,8 @@
 }
 
 /// Checks a request again immediately before it is sent, then sends it if it still may be.
-pub(crate) fn handle_ready_to_send(board: &mut Board, id: RequestId) {
+pub(crate) fn handle_ready_to_send(board: &mut Board, id: RequestId, fingerprint: u64) {
+    quarantine::identify(board, id, fingerprint);
     dispatch::confirm_send(board, id);
 }
 
--- a/crates/sesamebarrow_policy/src/pipeline/dispatch.rs
+++ b/crates/sesamebarrow_policy/src/pipeline/dispatch.rs
@@ -4,7 +4,7 @@
 use crate::board::Board;
 use crate::event::{Action, RequestId, Target};
 use crate::refusal::{Reason, Refusal};
-use crate::{at_most_once, member};
+use crate::{at_most_once, member, quarantine};
 
 use sesamebarrow_rules::list::State;
 
@@ -66,6 +66,10 @@
         refuse(board, id, refusal);
         return;
     }
+    if let Err(refusal) = quarantine::admit(board, id) {
+        refuse(board, id, refusal);
+        return;
+    }
     if !is_target_valid(board, id) {
         settle::release_target(board, id);
         choose::choose(board, id);
--- a/crates/sesamebarrow_policy/src/pipeline/settle.rs
+++ b/crates/sesamebarrow_policy/src/pipeline/settle.rs
@@ -6,7 +6,7 @@
 use crate::board::{Board, UpstreamKey};
 use crate::event::{Outcome, RequestId, StoredResponse};
 use crate::refusal::{Execution, Reason, Refusal};
-use crate::{at_most_once, limit, upstream};
+use crate::{at_most_once, limit, quarantine, upstream};
 
 /// Retry budget that one retry consumes, in hundredths of a retry.
 const RETRY_COST_HUNDREDTHS: u32 = 100;
@@ -20,10 +20,24 @@
         return;
     }
     match outcome {
-        Outcome::Completed { tokens, response } => handle_completion(board, id, tokens, response),
+        Outcome::Completed {
+            tokens,
+            response,
+            is_server_error,
+        } => {
+            if !is_server_error {
+                quarantine::record_answer(board, id);
+            }
+            handle_completion(board, id, tokens, response);
+        }
         Outcome::NotSent => handle_unsent(board, id),
         Outcome::Refused(refusal) => handle_refusal(board, id, refusal),
-        Outcome::Interrupted { relayed } => handle_interruption(board, id, relayed),
+        Outcome::Interrupted { relayed, crashed } => {
+            if crashed {
+                quarantine::record_crash(board, id);
+            }
+            handle_interruption(board, id, relayed);
+        }
     }
 }
 
@@ -127,6 +141,7 @@
         && board.now() < request.deadline
         && board.retry_budget_hundredths >= RETRY_COST_HUNDREDTHS
         && !request.is_forwarded()
+        && quarantine::may_repeat(board, request)
 }
 
 fn retry(board: &mut Board, id: RequestId) {
--- a/crates/sesamebarrow_policy/src/refusal.rs
+++ b/crates/sesamebarrow_policy/src/refusal.rs
@@ -77,6 +77,8 @@
     DeadlinePassed,
     /// The upstream failed.
     UpstreamFailed,
+    /// The request crashes upstreams.
+    Harmful,
     /// The rules of this instance are older than those of the instance that owns the ticket.
     OutOfDate,
     /// The request was forwarded by an instance and would have to be forwarded again, or
@@ -103,6 +105,7 @@
             | Self::Draining
             | Self::Overloaded
             | Self::NoUpstream
+            | Self::Harmful
             | Self::OutOfDate => 503,
             Self::DeadlinePassed => 504,
             Self::Loop => 508,
@@ -131,6 +134,7 @@
             Self::NoUpstream => "No upstream of the service is known here.",
             Self::DeadlinePassed => "The deadline has passed.",
             Self::UpstreamFailed => "The upstream failed.",
+            Self::Harmful => "The request crashes upstreams.",
             Self::OutOfDate => "This instance's rules are out of date.",
             Self::Loop => "A request passes between instances once at most.",
         }
--- a/crates/sesamebarrow_policy/src/schedule.rs
+++ b/crates/sesamebarrow_policy/src/schedule.rs
@@ -4,7 +4,9 @@
 
 use crate::board::Board;
 use crate::event::{Action, Event};
-use crate::{at_most_once, clock, config, limit, member, pipeline, placement, upstream};
+use crate::{
+    at_most_once, clock, config, limit, member, pipeline, placement, quarantine, upstream,
+};
 
 /// Passes `event`, which happened at `now`, to its controller and returns the actions that
 /// the driver has to carry out.
@@ -53,7 +55,9 @@
             queued,
         } => upstream::record_load(board, &upstream, running, queued, Duration::ZERO),
         Event::RequestArrived { id, head } => pipeline::handle_arrival(board, id, head),
-        Event::ReadyToSend { id } => pipeline::handle_ready_to_send(board, id),
+        Event::ReadyToSend { id, fingerprint } => {
+            pipeline::handle_ready_to_send(board, id, fingerprint);
+        }
         Event::ResponseStarted { id } => pipeline::handle_response_started(board, id),
         Event::AttemptFinished { id, outcome } => pipeline::handle_attempt_end(board, id, outcome),
         Event::CallerDisconnected { id } => pipeline::handle_caller_disconnected(board, id),
@@ -75,5 +79,6 @@
     limit::tick(board);
     at_most_once::expire(board);
     pipeline::expire(board);
+    quarantine::remove_expired(board);
     member::finish_drain(board);
 }
--- a/crates/sesamebarrow_policy/src/snapshot.rs
+++ b/crates/sesamebarrow_policy/src/snapshot.rs
@@ -44,6 +44,8 @@
     pub customers: Vec<Customer>,
     /// Requests in progress.
     pub requests: Vec<Request>,
+    /// Requests that are refused since they crash upstreams.
+    pub quarantine: Vec<Quarantined>,
     /// Number of ticket records.
     pub tickets: usize,
     /// Monotonic counters.
@@ -66,6 +68,19 @@
     pub read_fault: Option<SmolStr>,
 }
 
+/// Requests that are refused since they crash upstreams.
+#[derive(Clone, Debug, Serialize)]
+pub struct Quarantined {
+    /// Kind of what they have in common.
+    pub kind: String,
+    /// Its id, in hexadecimal digits.
+    pub suspect: String,
+    /// Number of trials so far.
+    pub trials: u32,
+    /// Time since the last known crash.
+    pub crash_age_ms: u64,
+}
+
 /// Another instance.
 #[derive(Clone, Debug, Serialize)]
 pub struct Instance {
@@ -163,6 +178,7 @@
         upstreams: upstreams(board),
         customers: customers(board),
         requests: requests(board),
+        quarantine: quarantined(board),
         tickets: board.records.by_number.len(),
         counters: board.counters,
     }
@@ -172,6 +188,17 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
+fn quarantined(board: &Board) -> Vec<Quarantined> {
+    let in_force = board.quarantine.orders().filter(|o| o.in_force);
+    let quarantined = in_force.map(|o| Quarantined {
+        kind: o.suspect.kind.to_string(),
+        suspect: format!("{:x}", o.suspect.id),
+        trials: o.trials,
+        crash_age_ms: millis(board.now().saturating_sub(o.last_crash_at)),
+    });
+    quarantined.collect()
+}
+
 fn document(board: &Board, kind: DocumentKind) -> Document {
     let document = &board.documents[&kind];
     Document {
--- a/crates/sesamebarrow_policy/tests/board.rs
+++ b/crates/sesamebarrow_policy/tests/board.rs
@@ -9,6 +9,9 @@
     Action, Board, Event, Execution, Head, Identity, Message, Origin, Outcome, Reason, RequestId,
     Settings, handle,
 };
+use sesamebarrow_routing::quarantine::message::BlameEntry;
+use sesamebarrow_routing::quarantine::{Blame, Suspects};
+use sesamebarrow_routing::{rendezvous, token};
 use sesamebarrow_rules::{Document, KeyDigest};
 use sesamebarrow_wire::control::{DocumentKind, Heartbeat, LoanRequest};
 
@@ -70,11 +73,21 @@
 }
 
 fn receive_heartbeat(board: &mut Board, sequence: u64, rules_revision: u64) -> Vec<Action> {
+    receive_blames(board, sequence, rules_revision, Vec::new())
+}
+
+fn receive_blames(
+    board: &mut Board,
+    sequence: u64,
+    rules_revision: u64,
+    blames: Vec<BlameEntry>,
+) -> Vec<Action> {
     let heartbeat = Heartbeat {
         sequence,
         rules_revision,
         list_revision: 1,
         ready: true,
+        blames,
         ..Heartbeat::default()
     };
     let event = Event::MessageReceived {
@@ -119,7 +132,10 @@
     assert!(was_forwarded, "{actions:?}");
     // The owner reports newer rules, so nothing may be sent to it at present.
     receive_heartbeat(&mut board, 2, 2);
-    let ready_to_send = Event::ReadyToSend { id: RequestId(1) };
+    let ready_to_send = Event::ReadyToSend {
+        id: RequestId(1),
+        fingerprint: 1,
+    };
     let actions = handle(&mut board, Duration::from_millis(30), ready_to_send);
     let [Action::Refuse { refusal, .. }] = actions.as_slice() else {
         panic!("expected a refusal alone, got {actions:?}");
@@ -128,6 +144,60 @@
     assert_eq!(refusal.execution, Execution::Unknown);
 }
 
+/// Returns the entry of a heartbeat that blames the request of [`submit_status_request`] for the crash of a run.
+fn blame_for_crash(run: u64) -> BlameEntry {
+    let customer = token::customer_hash("rosa");
+    let fingerprint = rendezvous::weight_of_hashes(1, customer);
+    let suspects = Suspects::of_request(customer, fingerprint, &[]);
+    let blame = Blame {
+        suspect: suspects.all[0],
+        run,
+        earlier_crashes: 0,
+        customer,
+        request: suspects.request,
+    };
+    BlameEntry::new(blame, Duration::ZERO)
+}
+
+fn sent_heartbeats(actions: &[Action]) -> Vec<&Heartbeat> {
+    let heartbeat = |action| match action {
+        &Action::SendMessage {
+            message: Message::Heartbeat(ref heartbeat),
+            ..
+        } => Some(heartbeat),
+        _ => None,
+    };
+    actions.iter().filter_map(heartbeat).collect()
+}
+
+#[test]
+fn blame_of_a_neighbour_is_passed_on_and_leads_to_an_order() {
+    let mut board = new_board();
+    let now = Duration::from_secs(2);
+    let blames: Vec<BlameEntry> = (1..=3).map(blame_for_crash).collect();
+    receive_blames(&mut board, 2, 1, blames[..2].to_vec());
+    let actions = handle(&mut board, now, Event::Tick);
+    assert_eq!(sent_heartbeats(&actions)[0].blames.len(), 2);
+    // The neighbour repeats what it has, with the third crash.
+    receive_blames(&mut board, 3, 1, blames);
+    let actions = handle(&mut board, now, Event::Tick);
+    let heartbeats = sent_heartbeats(&actions);
+    assert!(heartbeats[0].blames.iter().any(|b| b.run == 3));
+    assert_eq!(heartbeats[0].orders.len(), 1, "{heartbeats:?}");
+    assert!(submit_status_request(&mut board, now, 1));
+    let ready_to_send = Event::ReadyToSend {
+        id: RequestId(1),
+        fingerprint: 1,
+    };
+    let actions = handle(&mut board, now, ready_to_send);
+    let [Action::Refuse { refusal, .. }] = actions.as_slice() else {
+        panic!("expected a refusal alone, got {actions:?}");
+    };
+    assert_eq!(refusal.reason, Reason::Harmful);
+    assert_eq!(refusal.execution, Execution::NotRun);
+    assert_eq!(refusal.retry_after, None);
+}
+
 /// Delivers a complete list document to the board in a message from a neighbour.
 fn receive_list(board: &mut Board, now: Duration, revision: u64, text: &str) {
     let document = Document::new(revision, text);
@@ -252,10 +322,15 @@
     let outcome = Outcome::Completed {
         tokens: Some(500),
         response: None,
+        is_server_error: false,
     };
     assert!(submit_status_request(&mut board, seconds(1), 1));
     let id = RequestId(1);
-    handle(&mut board, seconds(1), Event::ReadyToSend { id });
+    handle(
+        &mut board,
+        seconds(1),
+        Event::ReadyToSend { id, fingerprint: 1 },
+    );
     handle(
         &mut board,
         seconds(1),
--- a/crates/sesamebarrow_trial/src/simulation/request.rs
+++ b/crates/sesamebarrow_trial/src/simulation/request.rs
@@ -246,7 +246,10 @@
             None => false,
         };
         let event = if is_open {
-            Event::ReadyToSend { id }
+            Event::ReadyToSend {
+                id,
+                fingerprint: id.0,
+            }
         } else {
             Event::AttemptFinished {
                 id,
@@ -304,8 +307,12 @@
         let completed = Outcome::Completed {
             tokens,
             response: request.at_most_once.then(|| stored_response(&work_id)),
+            is_server_error: false,
+        };
+        let interrupted = Outcome::Interrupted {
+            relayed: false,
+            crashed: false,
         };
-        let interrupted = Outcome::Interrupted { relayed: false };
         let (outcome, time) = match upstream.behaviour {
             Behaviour::Healthy => (completed, upstream.response_time),
             Behaviour::Silent => (interrupted, STALL_TIMEOUT),
@@ -356,7 +363,10 @@
             node,
             incarnation,
             id,
-            outcome: Outcome::Interrupted { relayed: false },
+            outcome: Outcome::Interrupted {
+                relayed: false,
+                crashed: false,
+            },
             work_id,
             upstream: None,
         };
@@ -436,9 +446,13 @@
                     Completion::Answered(_) => Outcome::Completed {
                         tokens: Some(request.call.actual_tokens),
                         response: None,
+                        is_server_error: false,
                     },
                     Completion::Refused(refusal) => Outcome::Refused(refusal),
-                    Completion::Broken => Outcome::Interrupted { relayed: false },
+                    Completion::Broken => Outcome::Interrupted {
+                        relayed: false,
+                        crashed: false,
+                    },
                 };
                 let delay = self.network.delay(&mut self.rng);
                 let step = Step::AttemptEnded {
--- a/crates/sesamebarrow_wire/src/control.rs
+++ b/crates/sesamebarrow_wire/src/control.rs
@@ -1,6 +1,7 @@
 //! Control messages between linked instances.
 
 use prost::Message;
+use sesamebarrow_routing::quarantine::message;
 
 /// Reports that the sender is alive, its state and the revisions that it has.
 #[derive(Clone, PartialEq, Message)]
@@ -36,6 +37,15 @@
     /// it, found invalid.
     #[prost(message, repeated, tag = "10")]
     pub refused_documents: Vec<RefusedDocument>,
+    /// Blame for crashes of upstreams that is new to the sender.
+    #[prost(message, repeated, tag = "11")]
+    pub blames: Vec<message::BlameEntry>,
+    /// The sender's orders, if they seem to differ from the receiver's.
+    #[prost(message, repeated, tag = "12")]
+    pub orders: Vec<message::OrderEntry>,
+    /// Digest of the sender's orders; `None` from instances of earlier versions.
+    #[prost(uint32, optional, tag = "13")]
+    pub orders_digest: Option<u32>,
 }
 
 /// A published revision that an instance found invalid.
