Bound what an instance sends about crashes over a longer time

Reports have a rate now, with a burst for the crash of a large batch; those sent least often go first and the others wait. Orders go to an instance that knows others as a sample at a rate; one that knows none gets all. A first try allowed one message with orders in each gossip interval, without a burst: in two tests a sound request was refused, as a revocation came later.

--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -19,6 +19,7 @@
 use crate::limit::Limits;
 use crate::member::{Member, Members};
 use crate::quarantine::Quarantine;
+use crate::quarantine::allowance::Allowance;
 use crate::quota::{self, Quota};
 use crate::rendezvous;
 use crate::token;
@@ -106,8 +107,10 @@
     pub upstreams: Upstreams,
     /// Limits that upstreams of this region have named.
     pub limits: Limits,
-    /// Prompt parts that crash upstreams.
+    /// Requests that crash upstreams.
     pub quarantine: Quarantine,
+    /// For orders of the quarantine that are sent to instances whose digest differs.
+    order_allowance: Allowance,
     /// The other instances.
     pub members: Members,
     /// The token buckets of customers that this instance keeps.
@@ -164,6 +167,7 @@
             upstreams: Upstreams::default(),
             limits: Limits::default(),
             quarantine: Quarantine::default(),
+            order_allowance: Allowance::default(),
             members: Members::default(),
             quota,
             discovery_done: false,
--- a/crates/sesamebarrow_routing/src/board/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/board/quarantine.rs
@@ -4,7 +4,10 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
+
 use crate::board::Board;
+use crate::quarantine::allowance::Rate;
 use crate::quarantine::message::{BlameEntry, Blames, MAX_ENTRIES, OrderEntry, Orders};
 use crate::quarantine::{Order, Suspect, Suspects};
 use crate::rendezvous;
@@ -13,6 +16,12 @@
 /// Number of instances that judge a suspect. Two may be lost or behind a partition.
 const JUDGES: usize = 3;
 
+/// Rate of messages with orders to instances whose digest differs; each has about 400 bytes.
+const ORDER_MESSAGE_RATE: Rate = Rate {
+    burst: 32.0,
+    per_s: 2.0,
+};
+
 /// An instance that judges a suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Judge {
@@ -138,9 +147,10 @@
     }
 
     /// Returns messages with all orders for the instance at `ip`, if `digest`, that of its orders,
-    /// differs. Instances of earlier versions send none.
+    /// differs; a sample if there are more than [`ORDER_MESSAGE_RATE`] allows. Instances of earlier versions
+    /// send none.
     pub fn order_messages(
-        &self,
+        &mut self,
         now: Duration,
         ip: Ipv4Addr,
         digest: Option<u32>,
@@ -148,7 +158,15 @@
         if digest.is_none_or(|digest| digest == self.quarantine.digest()) {
             return Vec::new();
         }
-        let orders: Vec<Order> = self.quarantine.orders().copied().collect();
+        let mut orders: Vec<Order> = self.quarantine.orders().copied().collect();
+        // An instance without any needs all of them, before it is ready.
+        if digest != Some(0) {
+            let wanted = orders.len().div_ceil(MAX_ENTRIES);
+            let allowed = self.order_allowance.take(now, ORDER_MESSAGE_RATE, wanted);
+            orders = orders
+                .into_iter()
+                .sample(&mut self.rng, allowed * MAX_ENTRIES);
+        }
         let messages = encode_orders(now, &orders, false);
         messages.map(|body| (ip, body)).collect()
     }
--- a/crates/sesamebarrow_routing/src/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/quarantine.rs
@@ -20,8 +20,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::quarantine::allowance::{Allowance, Rate};
 use crate::quarantine::case::Case;
 
+pub mod allowance;
 mod case;
 pub mod message;
 mod order;
@@ -65,6 +67,12 @@
 /// Maximum number of orders on suspects of one kind.
 const MAX_ORDERS: usize = 256;
 
+/// Rate of reports. The burst is that of a crash with a large batch; each takes about 140 bytes at three judges.
+const REPORT_RATE: Rate = Rate {
+    burst: 512.0,
+    per_s: 12.0,
+};
+
 /// Times after which blame is sent to the judges again, since datagrams may be lost and judges restart.
 const REPORT_TIMES: [Duration; 7] = [
     Duration::ZERO,
@@ -130,8 +138,9 @@
     orders: HashMap<Suspect, Order>,
     /// Crashes that this instance has noticed, by run; at most [`MAX_RUNS`].
     runs: HashMap<u64, RunCrashes>,
-    /// Blame of this instance's own requests that is to be sent to the judges.
+    /// Blame of this instance's own requests that is to be sent to the judges; at most [`MAX_REPORTS`].
     reports: Vec<Report>,
+    report_allowance: Allowance,
 }
 
 impl Quarantine {
@@ -373,21 +382,24 @@
         order::digest(self.orders.values())
     }
 
-    /// Returns the blame that is due to be sent to the judges, and its age.
+    /// Returns the blame that is due to be sent to the judges, and its age. What was sent least often comes
+    /// first; the rest of it has to wait if there is too much.
     pub fn take_due_reports(&mut self, now: Duration) -> Vec<(Blame, Duration)> {
-        let mut due = Vec::new();
-        for report in &mut self.reports {
-            let age = now.saturating_sub(report.at);
-            if REPORT_TIMES
-                .get(report.sent)
-                .is_some_and(|time| age >= *time)
-            {
-                report.sent += 1;
-                due.push((report.blame, age));
-            }
+        let is_due = |report: &&mut Report| {
+            let time = REPORT_TIMES.get(report.sent);
+            time.is_some_and(|time| now.saturating_sub(report.at) >= *time)
+        };
+        let mut due: Vec<&mut Report> = self.reports.iter_mut().filter(is_due).collect();
+        due.sort_by_key(|report| report.sent);
+        let allowed = self.report_allowance.take(now, REPORT_RATE, due.len());
+        due.truncate(allowed);
+        let mut taken = Vec::with_capacity(due.len());
+        for report in due {
+            report.sent += 1;
+            taken.push((report.blame, now.saturating_sub(report.at)));
         }
         self.reports.retain(|r| r.sent < REPORT_TIMES.len());
-        due
+        taken
     }
 
     /// Removes what is too old.
--- /dev/null
+++ b/crates/sesamebarrow_routing/src/quarantine/allowance.rs
@@ -0,0 +1,34 @@
+//! Bounds how much is sent over a longer time without delaying a burst.
+
+use std::time::Duration;
+
+/// How much may be sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Rate {
+    /// At once.
+    pub burst: f64,
+    /// Per second, over a longer time.
+    pub per_s: f64,
+}
+
+/// What was sent beyond the rate.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Allowance {
+    /// At most the burst, as of `since`.
+    debt: f64,
+    since: Duration,
+}
+
+impl Allowance {
+    /// Returns how many of `wanted` may be sent now, and counts these as sent.
+    pub fn take(&mut self, now: Duration, rate: Rate, wanted: usize) -> usize {
+        let repaid = now.saturating_sub(self.since).as_secs_f64() * rate.per_s;
+        self.debt = (self.debt - repaid).max(0.0);
+        self.since = now;
+        // CAST: between 0 and the burst.
+        let allowed = wanted.min((rate.burst - self.debt).max(0.0) as usize);
+        // CAST: at most the burst.
+        self.debt += allowed as f64;
+        allowed
+    }
+}
--- a/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
@@ -523,6 +523,23 @@
     assert_ne!(judge.admission(now, &harmful), Admission::Allowed);
 }
 
+#[test]
+fn reports_of_many_crashes_wait_but_none_is_lost() {
+    let mut q = Quarantine::default();
+    for run in 0..1_000 {
+        q.record_crash(START, run, &repeated(run, &[]));
+    }
+    let mut first_sent = std::collections::HashSet::new();
+    let mut sent = 0;
+    for second in 0..60 {
+        let due = q.take_due_reports(START + Duration::from_secs(second));
+        sent += due.len();
+        first_sent.extend(due.iter().map(|(blame, _)| blame.suspect.id));
+    }
+    assert_eq!(first_sent.len(), 1_000);
+    assert!(sent < 512 + 60 * 13, "{sent} reports in a minute");
+}
+
 #[test]
 fn blame_of_the_version_before_is_taken_for_that_of_different_requests() {
     let mut q = Quarantine::default();
--- a/crates/sesamebarrow_trial/src/containment/exchange.rs
+++ b/crates/sesamebarrow_trial/src/containment/exchange.rs
@@ -43,7 +43,7 @@
                 continue;
             }
             let now = self.process_time(to);
-            let board = &self.instances[to].board;
+            let board = &mut self.instances[to].board;
             let messages = board.order_messages(now, instance::ip_of(index), Some(digest));
             let effects = Effects {
                 messages,
--- a/crates/sesamebarrow_trial/tests/containment.rs
+++ b/crates/sesamebarrow_trial/tests/containment.rs
@@ -9,6 +9,9 @@
 /// Fraction of the sound requests served before that must be served once the part is contained.
 const MIN_SERVED: f64 = 0.95;
 
+/// The users' bound on what control sends, for each instance.
+const MAX_BYTES_PER_S: f64 = 6_000.0;
+
 /// Aim for the fraction of sound requests that are refused while several harmful ones come.
 const MAX_WRONGLY_REFUSED: f64 = 0.001;
 
@@ -149,6 +152,22 @@
     }
 }
 
+#[test]
+fn hundred_repeated_requests_cost_no_more_bytes_than_control_may() {
+    let cfg = Experiment {
+        harm: Harm::Requests(100),
+        harmful_per_s: 5.0,
+        ..repeated()
+    };
+    for seed in 0..3 {
+        let report = containment::run(&cfg, Policy::Fleet, seed);
+        assert!(
+            report.bytes_per_s < MAX_BYTES_PER_S,
+            "seed {seed}: {report:?}"
+        );
+    }
+}
+
 #[test]
 fn repeated_request_is_contained_at_three_upstreams() {
     for (seed, report) in reports(&few_upstreams(), Policy::Fleet).iter().enumerate() {
