Try more upstreams while connections are refused

Six upstreams had crashed within a moment and were still published; a sound request at an instance that had not met the crashes was refused with `unreachable` after four refused connections, though eight others would have served it. A refused connection takes no time, so up to 16 are tried beside the four attempts that may take some.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -32,10 +32,14 @@
 /// Maximum time to connect to an instance of another region; more than two round trips.
 const HOP_CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Maximum number of attempts for one request, including those that cannot connect. The route's
-/// `max_attempts` limits only the attempts that may have run.
+/// Maximum number of attempts for one request, including those that cannot connect but not those whose
+/// connection is refused. The route's `max_attempts` limits only the attempts that may have run.
 const MAX_ATTEMPTS_BEGUN: u32 = 4;
 
+/// Maximum number of attempts for one request whose connection is refused, which takes no time. As many crashed
+/// upstreams may still be published.
+const MAX_REFUSED_CONNECTIONS: u32 = 16;
+
 /// Maximum number of upstreams that may crash under one request.
 const MAX_CRASHES_PER_REQUEST: u32 = 2;
 
@@ -166,7 +170,9 @@
 
 /// Returns whether another attempt may be made. A retry is taken from the retry budget.
 fn try_spend_retry(shared: &Shared, job: &Job, history: &AttemptHistory) -> bool {
-    if job.time_left() < MIN_TIME_LEFT || history.begun >= MAX_ATTEMPTS_BEGUN {
+    let refused = history.refused_connections;
+    let has_many = history.begun - refused >= MAX_ATTEMPTS_BEGUN;
+    if job.time_left() < MIN_TIME_LEFT || has_many || refused >= MAX_REFUSED_CONNECTIONS {
         return false;
     }
     if history.possible_runs > 0
@@ -225,6 +231,8 @@
                 request = job.id.as_str(), target = target.name().as_str(), error:% = error;
                 "not connected"
             );
+            let is_refused = error.kind() == std::io::ErrorKind::ConnectionRefused;
+            history.refused_connections += u32::from(is_refused);
             attempt.end(AttemptOutcome::Unreachable);
             return AttemptResult::NotRun("unreachable", MIN_RETRY_AFTER);
         }
--- a/crates/sesamebarrow_gateway/src/selection.rs
+++ b/crates/sesamebarrow_gateway/src/selection.rs
@@ -40,6 +40,8 @@
     pub tried_remote_upstreams: Vec<SmolStr>,
     /// Number of attempts begun, including those that could not connect.
     pub begun: u32,
+    /// Number of these whose connection was refused.
+    pub refused_connections: u32,
     /// Number of attempts that were sent to a target, including those that did not run.
     pub sent: u32,
     /// Number of attempts that may have run.
