Ignore blame that is repeated after what acquitted it may be forgotten

Since blame is repeated for minutes, a judge that had acquitted a request and forgotten the answer after 30 s took the repetitions for new blame: in the new test an order came 100 s after three crashes that had each been followed by an answer. A judge now takes blame older than 25 s only if it is older than its process.

--- a/crates/sesamebarrow_routing/src/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/quarantine.rs
@@ -45,7 +45,11 @@
 /// Time for which blame is kept. A request that comes once a minute must not go unnoticed.
 const BLAME_LIFETIME: Duration = Duration::from_secs(600);
 
-/// Time for which an answer is kept, to object to orders that arrive late.
+/// Maximum age of blame, unless it is older than this process. What this process knew of answers since then may
+/// be gone, and it has had the earlier reports.
+const MAX_BLAME_AGE: Duration = Duration::from_secs(25);
+
+/// Time for which an answer is kept, longer than [`MAX_BLAME_AGE`]; also to object to orders that arrive late.
 const ANSWER_LIFETIME: Duration = Duration::from_secs(30);
 
 /// Maximum number of suspects of one kind that are blamed.
@@ -147,7 +151,8 @@
     /// Records blame that arose `age` ago. Returns the order that it leads to or changes.
     pub fn record_blame(&mut self, now: Duration, age: Duration, blame: Blame) -> Option<Order> {
         let (at, suspect) = (now.saturating_sub(age), blame.suspect);
-        if self.is_acquitted(suspect, at) {
+        let is_late = MAX_BLAME_AGE <= age && age <= now;
+        if is_late || self.is_acquitted(suspect, at) {
             return None;
         }
         if let Some(order) = self.orders.get_mut(&suspect)
