Keep answers of the directory short while only another region is left

Six instances are stopped 2 s apart and take 7.7 s each, so at 11.5 s five were draining: the last draining one of the homes was past its 2.5 s, the first restarted one was not ready yet, and the directory named the only ready instance, in another region, for 1 s, which some clients keep three times as long. Such an answer is now valid for 0.3 s, as one with draining instances is. The new test failed before (1 s).

--- a/crates/sesamebarrow_routing/src/place.rs
+++ b/crates/sesamebarrow_routing/src/place.rs
@@ -16,12 +16,13 @@
 const MAX_INSTANCES: usize = 64;
 
 /// Time for which a draining instance may still be returned if no other instance may
-/// receive the clients. Together with [`DRAINING_TTL`] it must not exceed the time for
+/// receive the clients. Together with [`STOPGAP_TTL`] it must not exceed the time for
 /// which the instance still accepts requests.
 const DRAINING_RETURN_PERIOD: Duration = Duration::from_millis(2_500);
 
-/// How long an answer that contains draining instances is valid.
-const DRAINING_TTL: Duration = Duration::from_millis(300);
+/// How long an answer is valid that contains draining instances, or instances outside the preferred regions:
+/// better ones are expected to start soon.
+const STOPGAP_TTL: Duration = Duration::from_millis(300);
 
 /// Fraction of the requests allowed in the most widely allowed region that must also be
 /// allowed in another region before clients are sent there. Below 1, so that a few requests
@@ -62,7 +63,7 @@
             .filter(|c| c.ready == ready && region_matches(&c.region));
         Placement {
             instances: matching.map(|c| c.ip).take(MAX_INSTANCES).collect(),
-            ttl: if ready { READY_TTL } else { DRAINING_TTL },
+            ttl: if ready { READY_TTL } else { STOPGAP_TTL },
         }
     };
     let same_region = |r: &str| r == region;
@@ -82,6 +83,7 @@
     }
     if found.instances.is_empty() && board.config.is_some() {
         found = matching_placement(true, &|_| true);
+        found.ttl = STOPGAP_TTL;
     }
     found
 }
--- a/crates/sesamebarrow_routing/tests/decisions/placement.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/placement.rs
@@ -95,6 +95,19 @@
     assert!(placement.ttl <= ms(2_900 - 2_300), "{:?}", placement.ttl);
 }
 
+/// Regression test (run trouble-2, seed 1087045285754): for half a second no instance of the preferred regions
+/// could be returned, and clients kept the answer for up to three seconds.
+#[test]
+fn clients_soon_ask_again_when_only_another_region_is_left() {
+    let mut fleet = fleet();
+    (0..3).for_each(|index| drain(&mut fleet, index));
+    fleet.advance(ms(3_000));
+    assert_eq!(placed_instances(&fleet, 3, "b"), [3, 4]);
+    let board = &fleet.instances[3].board;
+    let placement = place::place(board, fleet.process_time(3), "host.example", "b");
+    assert!(placement.ttl <= ms(300), "{:?}", placement.ttl);
+}
+
 #[test]
 fn dead_instances_are_not_returned() {
     let mut fleet = fleet();
