--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -171,8 +171,11 @@
 /// Returns whether another attempt may be made. A retry is taken from the retry budget.
 fn try_spend_retry(shared: &Shared, job: &Job, history: &AttemptHistory) -> bool {
     let refused = history.refused_connections;
-    let has_many = history.begun - refused >= MAX_ATTEMPTS_BEGUN;
-    if job.time_left() < MIN_TIME_LEFT || has_many || refused >= MAX_REFUSED_CONNECTIONS {
+    let others = history.begun - refused;
+    if job.time_left() < MIN_TIME_LEFT
+        || others >= MAX_ATTEMPTS_BEGUN
+        || refused >= MAX_REFUSED_CONNECTIONS
+    {
         return false;
     }
     if history.possible_runs > 0
@@ -180,8 +183,8 @@
     {
         return false;
     }
-    let has_tried = history.is_trial && history.sent > 0;
-    if has_tried || history.crashes >= MAX_CRASHES_PER_REQUEST {
+    let is_trial_over = history.is_trial && history.sent > 0;
+    if is_trial_over || history.crashes >= MAX_CRASHES_PER_REQUEST {
         return false;
     }
     if history.crashes > 0 && quarantine::is_suspected(shared, job) {
--- a/crates/sesamebarrow_policy/src/event.rs
+++ b/crates/sesamebarrow_policy/src/event.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use sesamebarrow_routing::board::quarantine::Change;
 use sesamebarrow_routing::quarantine::Order;
 use sesamebarrow_rules::{Document, KeyDigest};
 use sesamebarrow_wire::Payload;
@@ -11,7 +12,6 @@
 use smol_str::SmolStr;
 
 use crate::board::UpstreamKey;
-use crate::quarantine;
 use crate::refusal::Refusal;
 
 /// Number of a request in this process, assigned by the driver of the board.
@@ -365,7 +365,7 @@
     /// Log a change of the requests that are refused because they crash upstreams.
     LogQuarantine {
         /// What happened.
-        change: quarantine::Change,
+        change: Change,
         /// The order that changed.
         order: Order,
     },
--- a/crates/sesamebarrow_policy/src/quarantine.rs
+++ b/crates/sesamebarrow_policy/src/quarantine.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use sesamebarrow_routing::board::quarantine::Change;
 use sesamebarrow_routing::quarantine::message::{BlameEntry, OrderEntry};
 use sesamebarrow_routing::quarantine::{Admission, Order, Suspect, Suspects};
 use sesamebarrow_routing::{rendezvous, token};
@@ -26,22 +27,6 @@
 /// Maximum number of blame entries in a heartbeat.
 const MAX_BLAMES: usize = 64;
 
-/// A change of the orders that this instance knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-pub enum Change {
-    /// Blame that this instance collected led to the order, or extended it.
-    Quarantined,
-    /// Another instance gave, extended or changed the order.
-    Learned,
-    /// This instance makes a trial.
-    Trial,
-    /// A complete answer at this instance revoked the order.
-    Revoked,
-    /// Another instance revoked the order.
-    Unlearned,
-}
-
 /// Sets the suspects of a request, whose body was read.
 pub(crate) fn identify(board: &mut Board, id: RequestId, fingerprint: u64) {
     let Some(request) = board.requests.get_mut(&id) else {
@@ -91,7 +76,7 @@
 fn makes_trials(board: &Board, suspect: Suspect) -> bool {
     let weight = |name: &SmolStr| {
         let name_hash = token::customer_hash(name);
-        rendezvous::weight_of_hashes(suspect.judge_key(), name_hash)
+        rendezvous::weight_of_hashes(suspect.key(), name_hash)
     };
     let own = weight(&board.identity.name);
     board.list.instances.keys().all(|name| weight(name) <= own)
--- a/crates/sesamebarrow_routing/src/board/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/board/quarantine.rs
@@ -59,9 +59,9 @@
 impl Board {
     /// Returns the instances that judge a suspect, the first one first.
     pub fn judges(&self, now: Duration, suspect: Suspect) -> Vec<Judge> {
-        let key = suspect.judge_key();
+        let key = suspect.key();
         let weight = |name_hash: u32| rendezvous::weight_of_hashes(key, name_hash.into());
-        let members = self.members.alive(now).filter(|m| m.judges_parts);
+        let members = self.members.alive(now).filter(|m| m.judges_suspects);
         let members = members.map(|m| (weight(m.name_hash), Judge::Other(m.ip())));
         let own = (weight(self.name_hash()), Judge::Own);
         let mut ranked: Vec<_> = members.chain([own]).collect();
@@ -203,7 +203,7 @@
         if orders.is_empty() {
             return Vec::new();
         }
-        let receivers = self.members.alive(now).filter(|m| m.judges_parts);
+        let receivers = self.members.alive(now).filter(|m| m.judges_suspects);
         let messages = |ip| encode_orders(now, orders, false).map(move |body| (ip, body));
         receivers.flat_map(|m| messages(m.ip())).collect()
     }
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -139,7 +139,7 @@
     pub keeps_limits: bool,
     /// Whether it takes part in [`crate::quarantine`]; instances of earlier versions do not. Unknown ones
     /// count as of this version.
-    pub judges_parts: bool,
+    pub judges_suspects: bool,
 }
 
 impl Member {
@@ -269,7 +269,7 @@
         };
         member.revision = datagram.revision;
         member.config_version = datagram.config_version;
-        member.judges_parts = datagram.quarantine_digest.is_some();
+        member.judges_suspects = datagram.quarantine_digest.is_some();
         member.keeps_limits = datagram.limits_digest.is_some();
         let upstream_loads = datagram
             .upstream_loads
@@ -313,7 +313,7 @@
                 forwarded_in_progress: 0,
                 revision: 0,
                 config_version: 0,
-                judges_parts: true,
+                judges_suspects: true,
                 silent_owner_until: Duration::ZERO,
                 keeps_limits: true,
             };
--- a/crates/sesamebarrow_routing/src/quarantine/order.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/order.rs
@@ -92,10 +92,7 @@
 pub fn digest<'a>(orders: impl Iterator<Item = &'a Order>) -> u32 {
     let hash = |o: &Order| {
         let changes = u64::from(o.serial) << 32 | u64::from(o.trials) << 1 | u64::from(o.in_force);
-        rendezvous::weight_of_hashes(
-            o.suspect.judge_key() ^ o.customer.unwrap_or_default(),
-            changes,
-        )
+        rendezvous::weight_of_hashes(o.suspect.key() ^ o.customer.unwrap_or_default(), changes)
     };
     let sum = orders.map(hash).reduce(u64::wrapping_add);
     // CAST: less than 2^14.
--- a/crates/sesamebarrow_routing/src/quarantine/suspect.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/suspect.rs
@@ -56,8 +56,8 @@
 }
 
 impl Suspect {
-    /// Returns the key by which the judges of the suspect are ranked.
-    pub fn judge_key(self) -> u64 {
+    /// Returns the number that stands for the suspect where judges are ranked and in digests of orders.
+    pub fn key(self) -> u64 {
         // CAST: a small number. It is 0 for parts, which all versions must rank in the same way.
         self.id ^ self.kind as u64
     }
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -32,3 +32,5 @@
 mod quarantine;
 #[path = "decisions/refills.rs"]
 mod refills;
+#[path = "decisions/repeated_requests.rs"]
+mod repeated_requests;
