Number the bytes of streams between instances, and resume after a gap

Cause: at the end of a cut, an instance received bytes of a forwarded stream after others that were lost when the sender reset its connection.

A record that does not follow the one before breaks the stream, which is then resumed or cut off. Instances of earlier versions neither ask for numbers nor send them.

--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::header::HeaderName;
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
 use serde::{Deserialize, Serialize};
 use sesamebarrow_platform::head;
@@ -27,6 +27,8 @@
 use crate::shared::Shared;
 use crate::token::Reservation;
 
+pub mod numbering;
+
 /// Header that contains the envelope.
 const ENVELOPE_HEADER: &str = "sesamebarrow-envelope";
 
@@ -37,6 +39,9 @@
 /// Header of a response that names the upstream that the second instance selected.
 const UPSTREAM_HEADER: &str = "sesamebarrow-upstream";
 
+/// Header of a streamed response whose bytes are numbered ([`numbering`]).
+const NUMBERED_HEADER: &str = "sesamebarrow-numbered";
+
 /// The decisions of the first instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Envelope {
@@ -56,6 +61,9 @@
     /// Ids of upstreams of the second instance's region that have already run the request.
     #[serde(default)]
     tried_upstreams: Vec<SmolStr>,
+    /// Whether the first instance reads numbered streams; those of earlier versions do not.
+    #[serde(default)]
+    reads_numbered: bool,
 }
 
 /// Whether a request that the second instance refused may have run.
@@ -110,9 +118,10 @@
         target: to_millis(time_to_target.saturating_sub(return_delay)),
         last_event: last_event.cloned(),
         tried_upstreams: tried_upstreams.to_vec(),
+        reads_numbered: true,
     };
     let text = serde_json::to_string(&envelope).unwrap_or_default();
-    if let Ok(value) = hyper::header::HeaderValue::from_str(&text) {
+    if let Ok(value) = HeaderValue::from_str(&text) {
         req.headers_mut().insert(ENVELOPE_HEADER, value);
     }
     req
@@ -135,14 +144,33 @@
 
 /// Writes for the first instance which upstream this one selected.
 pub fn write_upstream(headers: &mut HeaderMap, id: &str) {
-    if let Ok(value) = hyper::header::HeaderValue::from_str(id) {
+    if let Ok(value) = HeaderValue::from_str(id) {
         headers.insert(UPSTREAM_HEADER, value);
     }
 }
 
+/// Reads whether the bytes of a streamed response are numbered.
+pub fn is_numbered(headers: &HeaderMap) -> bool {
+    headers.contains_key(NUMBERED_HEADER)
+}
+
+/// Writes for the first instance that the bytes of a streamed response are numbered.
+pub fn write_numbered(headers: &mut HeaderMap) {
+    headers.insert(
+        HeaderName::from_static(NUMBERED_HEADER),
+        HeaderValue::from_static("1"),
+    );
+}
+
 /// Returns whether a header belongs to the protocol between instances.
 pub fn is_between_instances(name: &HeaderName) -> bool {
-    [ENVELOPE_HEADER, RESULT_HEADER, UPSTREAM_HEADER].contains(&name.as_str())
+    let names = [
+        ENVELOPE_HEADER,
+        RESULT_HEADER,
+        UPSTREAM_HEADER,
+        NUMBERED_HEADER,
+    ];
+    names.contains(&name.as_str())
 }
 
 /// Writes for the first instance whether the refused request may have run.
@@ -153,7 +181,7 @@
         Refusal::Harmful => RefusalKind::Harmful,
         _ => RefusalKind::NotRun,
     };
-    if let Ok(value) = hyper::header::HeaderValue::from_str(&refusal_kind.to_string()) {
+    if let Ok(value) = HeaderValue::from_str(&refusal_kind.to_string()) {
         response.headers_mut().insert(RESULT_HEADER, value);
     }
 }
@@ -194,6 +222,7 @@
             max_attempts: envelope.max_attempts,
             priority: envelope.priority,
             from_instance: true,
+            numbers_stream: envelope.reads_numbered,
         },
         // The first instance forwards only to regions that the data may enter.
         residency: Residency::default(),
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -61,6 +61,8 @@
     pub priority: u8,
     /// Whether another instance forwarded it to this one.
     pub from_instance: bool,
+    /// Whether the bytes of a streamed response are numbered for the instance that forwarded it.
+    pub numbers_stream: bool,
 }
 
 /// Regions that a request's data may enter: those that both its route and its customer allow.
@@ -201,6 +203,7 @@
             max_attempts: route.max_attempts,
             priority,
             from_instance: false,
+            numbers_stream: false,
         },
         residency: Residency {
             route: route.allowed_regions.clone(),
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -21,6 +21,8 @@
 use crate::event_stream::{self, BYTE_ORDER_MARK, Parser, ResumePoint};
 use crate::exchange::{self, UpstreamResponse};
 use crate::framing::{self, Framing};
+use crate::hop;
+use crate::hop::numbering::{Decoder, Encoder};
 use crate::intake::Job;
 use crate::meter::MeteredBody;
 use crate::quarantine;
@@ -39,10 +41,15 @@
     response: UpstreamResponse,
 ) -> Response<Body> {
     let (mut parts, ()) = response.head.into_parts();
+    let decoder = hop::is_numbered(&parts.headers).then(Decoder::default);
     let target = response.attempt.target_name().clone();
     relay::replace_internal_headers(&mut parts.headers, &job, &target);
     // A stream that breaks off or is resumed has another length than its first target announced.
     parts.headers.remove(CONTENT_LENGTH);
+    let encoder = job.policy.numbers_stream.then(Encoder::default);
+    if encoder.is_some() {
+        hop::write_numbered(&mut parts.headers);
+    }
     shared.active_requests.fetch_add(1, Ordering::Relaxed);
     let body = StreamBody {
         shared: shared.clone(),
@@ -54,6 +61,8 @@
         history: Some(history),
         status: parts.status.as_u16(),
         framing: response.framing,
+        decoder,
+        encoder,
         timing: StreamTiming::default(),
     };
     Response::from_parts(parts, body.boxed_unsync())
@@ -159,6 +168,10 @@
     status: u16,
     /// What ends the body that is being received.
     framing: Framing,
+    /// Checks the bytes that are received, if they are numbered.
+    decoder: Option<Decoder>,
+    /// Numbers the bytes that are relayed, if another instance checks them.
+    encoder: Option<Encoder>,
     /// Name of the upstream or instance that sends the stream.
     target: SmolStr,
     timing: StreamTiming,
@@ -301,6 +314,8 @@
                         this.history = Some(history);
                         this.target = response.attempt.target_name().clone();
                         this.framing = response.framing;
+                        this.decoder =
+                            hop::is_numbered(response.head.headers()).then(Decoder::default);
                         log::info!(
                             request = this.job.id.as_str(), target = this.target.as_str();
                             "stream resumed"
@@ -332,6 +347,14 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    let data = match &mut this.decoder {
+                        None => data,
+                        Some(decoder) => match decoder.decode(&data) {
+                            Ok(data) => data,
+                            Err(gap) if this.recover(&gap.to_string()) => continue,
+                            Err(_) => return this.fail(cx, "broken"),
+                        },
+                    };
                     let events_before = this.events.parser.events();
                     let Ok(data) = this.events.push(data) else {
                         this.end_attempt(AttemptOutcome::Broken);
@@ -341,13 +364,18 @@
                         this.record_event();
                     }
                     if !data.is_empty() {
+                        let data = match &mut this.encoder {
+                            None => data,
+                            Some(encoder) => encoder.encode(data),
+                        };
                         return Poll::Ready(Some(Ok(Frame::data(data))));
                     }
                 }
-                None if framing::is_stream_complete(
-                    this.framing,
-                    this.events.parser.position(),
-                ) =>
+                None if this
+                    .decoder
+                    .as_ref()
+                    .is_none_or(Decoder::is_between_records)
+                    && framing::is_stream_complete(this.framing, this.events.parser.position()) =>
                 {
                     if this.framing != Framing::Connection {
                         return this.complete();
