--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use sesamebarrow_routing::upstream::{AttemptOutcome, RequestLoad};
 use smol_str::SmolStr;
 
+use crate::dispatch::{self, Place};
 use crate::intake::Job;
 use crate::notice;
 use crate::pool::Connection;
@@ -64,11 +65,19 @@
     pub sent_at: Duration,
     request_id: SmolStr,
     ended: bool,
+    /// The place at the upstream that its dispatcher knows.
+    place: Option<Place>,
+    /// How long work takes at the upstream at the moment, in percent; 0 if it does not say.
+    pub slowness_percent: u32,
 }
 
 impl Attempt {
-    /// Starts an attempt at `target` and adds its load to the board.
-    pub fn begin(shared: &Arc<Shared>, target: &Target, job: &Job) -> Self {
+    /// Starts an attempt at `target` and adds its load to the board. `place` is what a dispatcher granted.
+    pub fn begin(shared: &Arc<Shared>, target: &Target, job: &Job, place: Option<Place>) -> Self {
+        let place = match target {
+            Target::Upstream(selected) => place.or_else(|| dispatch::hold(shared, job, selected)),
+            Target::Instance(_) => None,
+        };
         let mut board = shared.board();
         let mut request_load = RequestLoad::default();
         match target {
@@ -101,6 +110,8 @@
             sent_at: shared.now(),
             request_id: job.id.clone(),
             ended: false,
+            place,
+            slowness_percent: 0,
         }
     }
 
@@ -131,6 +142,9 @@
     /// Records at the first call that an event of the stream was received, so that the prompt has been
     /// prefilled. Later calls have no effect.
     pub fn record_first_event(&mut self) {
+        if let Some(place) = &mut self.place {
+            place.record_started(self.slowness_percent);
+        }
         if let Target::Upstream(selected) = &self.target
             && self.request_load.prefill_tokens > 0
         {
@@ -196,6 +210,9 @@
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
+        if let Some(mut place) = self.place.take() {
+            place.set_outcome(outcome);
+        }
         let reusable = matches!(
             outcome,
             AttemptOutcome::Whole | AttemptOutcome::Refused | AttemptOutcome::Failed
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -13,6 +13,7 @@
 
 use crate::attempt::{Attempt, Target};
 use crate::crash;
+use crate::dispatch;
 use crate::framing::Framing;
 use crate::hop;
 use crate::intake::Job;
@@ -212,7 +213,7 @@
     last_event: Option<&SmolStr>,
 ) -> AttemptResult {
     history.begun += 1;
-    let mut attempt = Attempt::begin(shared, target, job);
+    let mut attempt = Attempt::begin(shared, target, job, history.place.take());
     let (address, timeout) = match target {
         Target::Upstream(selected) => {
             history.tried_upstreams.push(selected.key);
@@ -254,7 +255,7 @@
         return AttemptResult::Harmful;
     }
     let req = match target {
-        Target::Upstream(selected) => build_upstream_request(job, selected, last_event),
+        Target::Upstream(selected) => build_upstream_request(shared, job, selected, last_event),
         Target::Instance(remote) => {
             let delay = shared.board().parameters.region_delay;
             hop::build_request(
@@ -313,6 +314,7 @@
 }
 
 fn build_upstream_request(
+    shared: &Shared,
     job: &Job,
     selected: &SelectedUpstream,
     last_event: Option<&SmolStr>,
@@ -322,7 +324,7 @@
         time_left: job.time_left(),
         upstream_id: &selected.id,
         customer: job.policy.customer.as_deref(),
-        priority: job.policy.priority,
+        priority: dispatch::engine_priority(shared, job),
         last_event: last_event.map(SmolStr::as_str),
     };
     head::write_upstream_headers(req.headers_mut(), &headers);
@@ -356,6 +358,7 @@
         (target, head::read_reported_load(&parts.headers))
     {
         let now = shared.now();
+        attempt.slowness_percent = load.slowness_percent;
         shared
             .board()
             .upstreams
--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::shared::Shared;
-use crate::{limit, notice, quarantine};
+use crate::{dispatch, limit, notice, quarantine};
 
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -69,6 +69,8 @@
     // Not related to gossip; done here because rounds are regular.
     shared.pool.remove_expired();
     quarantine::send_blame(shared);
+    dispatch::renew_holds(shared);
+    dispatch::log_summaries(shared);
 }
 
 /// Announces a newer revision to the region's other instances without waiting for the next
--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -61,6 +61,9 @@
     /// Ids of upstreams of the second instance's region that have already run the request.
     #[serde(default)]
     tried_upstreams: Vec<SmolStr>,
+    /// Order in which it gives way.
+    #[serde(default)]
+    rank: u8,
     /// Whether the first instance reads numbered streams; those of earlier versions do not.
     #[serde(default)]
     reads_numbered: bool,
@@ -118,6 +121,7 @@
         target: to_millis(time_to_target.saturating_sub(return_delay)),
         last_event: last_event.cloned(),
         tried_upstreams: tried_upstreams.to_vec(),
+        rank: job.spec.rank,
         reads_numbered: true,
     };
     let text = serde_json::to_string(&envelope).unwrap_or_default();
@@ -235,6 +239,7 @@
                 .map_or(output_tokens, |h| h.min(output_tokens)),
             target_wait: Duration::from_millis(envelope.target),
             tried_upstreams,
+            rank: envelope.rank,
             urgency: limit::urgency(envelope.priority, envelope.may_repeat),
             skips_limited: false,
             is_trial: false,
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -13,6 +13,7 @@
 use sesamebarrow_platform::head;
 use sesamebarrow_routing::admit::RequestSpec;
 use sesamebarrow_routing::config::{Customer, Route, is_region_allowed};
+use sesamebarrow_routing::dispatch;
 use sesamebarrow_routing::drain::{self, Schedule};
 use sesamebarrow_routing::fingerprint::{self, Content};
 use sesamebarrow_routing::limit;
@@ -216,6 +217,7 @@
             output_tokens,
             target_wait: route.target_latency,
             tried_upstreams: Vec::new(),
+            rank: dispatch::rank(priority, route.target_latency),
             urgency: limit::urgency(priority, route.may_repeat()),
             skips_limited: false,
             is_trial: false,
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod attempt;
 pub mod crash;
 pub mod directory;
+pub mod dispatch;
 pub mod event_stream;
 pub mod exchange;
 pub mod framing;
--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -18,7 +18,7 @@
 use crate::shared::Shared;
 use crate::telemetry;
 use crate::token::{self, Tokens};
-use crate::{admin, directory, gossip, server, store, supervise, sync};
+use crate::{admin, directory, dispatch, gossip, server, store, supervise, sync};
 
 /// Interval at which a draining process checks whether all requests have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -54,6 +54,8 @@
     supervise(&shared, "store", store::follow);
     supervise(&shared, "sync", sync::follow);
     supervise(&shared, "tokens", token::run);
+    supervise(&shared, "dispatch-queue", dispatch::serve_queue);
+    supervise(&shared, "dispatch-notices", dispatch::send_notices);
     supervise(&shared, "log-limit", reset_log_limiter);
     let gossip_socket = Arc::new(gossip_socket);
     supervise(&shared, "gossip", move |shared| {
--- a/crates/sesamebarrow_gateway/src/selection.rs
+++ b/crates/sesamebarrow_gateway/src/selection.rs
@@ -1,5 +1,6 @@
 //! Selects the target of an attempt: an upstream of this region, or an instance of another.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
@@ -11,6 +12,7 @@
 use tokio::task::JoinHandle;
 
 use crate::attempt::Target;
+use crate::dispatch::{self, Place};
 use crate::intake::Job;
 use crate::limit;
 use crate::reply::Refusal;
@@ -30,7 +32,7 @@
 const MAX_PERMIT_REQUESTS: u32 = 4;
 
 /// The attempts made so far for a job.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct AttemptHistory {
     /// Upstreams of this region that were tried.
     pub tried_upstreams: Vec<Key>,
@@ -54,6 +56,8 @@
     pub skips_limited: bool,
     /// Whether a permit was taken for the next attempt, since its upstream has a limit.
     pub has_permit: bool,
+    /// The place that a dispatcher gave to the next attempt.
+    pub place: Option<Place>,
     /// Finds out whether the upstream of the last attempt, which broke off, has crashed.
     pub examination: Option<JoinHandle<bool>>,
 }
@@ -85,10 +89,15 @@
 
 /// Selects the target of the next attempt of `job`, and takes a permit if that is an upstream with a limit.
 pub async fn select_permitted(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     job: &Job,
     history: &mut AttemptHistory,
 ) -> Result<Target, Refusal> {
+    history.has_permit = false;
+    history.skips_limited = false;
+    if let Some(dispatched) = dispatch::select(shared, job, history).await {
+        return dispatched;
+    }
     let mut soonest = None;
     for request in 0..=MAX_PERMIT_REQUESTS {
         // Limited upstreams whose owners were not asked are left to other requests.
--- a/crates/sesamebarrow_gateway/src/settings.rs
+++ b/crates/sesamebarrow_gateway/src/settings.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use sesamebarrow_routing::board::Parameters;
-use sesamebarrow_routing::{budget, cold, quota};
+use sesamebarrow_routing::{budget, cold, dispatch, quota};
 use smol_str::SmolStr;
 
 /// The settings cannot be loaded.
@@ -65,6 +65,9 @@
     /// Graceful shutdown.
     #[serde(default)]
     pub shutdown: Shutdown,
+    /// Services whose requests one instance of each region dispatches.
+    #[serde(default)]
+    pub dispatch: Dispatch,
     /// Logging.
     #[serde(default)]
     pub log: Log,
@@ -166,6 +169,35 @@
     }
 }
 
+/// Services whose requests one instance of each region dispatches.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Dispatch {
+    /// A service is dispatched if one of its routes declares a longest pause between events of at least this; if
+    /// not set, none is.
+    #[serde(with = "humantime_serde::option")]
+    pub min_pause: Option<Duration>,
+    /// Processor time of this instance, in cores. Instances with more are preferred as dispatchers.
+    pub capacity: f64,
+    /// Prompt tokens that an engine is assumed to read per millisecond until that is measured.
+    pub first_guess_per_ms: f64,
+}
+
+impl Default for Dispatch {
+    fn default() -> Self {
+        let dispatch::Parameters {
+            min_pause,
+            capacity,
+            first_guess_per_ms,
+        } = dispatch::Parameters::default();
+        Self {
+            min_pause,
+            capacity,
+            first_guess_per_ms,
+        }
+    }
+}
+
 /// Logging.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -201,6 +233,9 @@
     })
 }
 
+/// Largest processor time of an instance, in cores.
+const MAX_CAPACITY: f64 = 1024.0;
+
 impl Settings {
     /// Reads and validates the settings file at `path`.
     pub fn load(path: &Path) -> Result<Self, Error> {
@@ -247,6 +282,17 @@
                 limits.prefill_per_ms > 0.0,
                 "expected a number above zero",
             ),
+            (
+                "dispatch.capacity",
+                self.dispatch.capacity > 0.0 && self.dispatch.capacity <= MAX_CAPACITY,
+                "expected a number of cores, above zero and at most 1024",
+            ),
+            (
+                "dispatch.first_guess_per_ms",
+                self.dispatch.first_guess_per_ms.is_finite()
+                    && self.dispatch.first_guess_per_ms > 0.0,
+                "expected a number above zero",
+            ),
             (
                 "limits.quota_window",
                 !limits.quota_window.is_zero(),
@@ -301,6 +347,11 @@
                 rate_factor: limits.cold_ratio,
                 slack: limits.cold_slack,
             },
+            dispatch: dispatch::Parameters {
+                min_pause: self.dispatch.min_pause,
+                capacity: self.dispatch.capacity,
+                first_guess_per_ms: self.dispatch.first_guess_per_ms,
+            },
             prefill_per_ms: limits.prefill_per_ms,
             region_delay: limits.region_delay,
             expects_others: self.seeds.iter().any(|seed| *seed != self.listen.sync),
--- a/crates/sesamebarrow_gateway/src/shared.rs
+++ b/crates/sesamebarrow_gateway/src/shared.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::dispatch::Dispatches;
 use crate::limit::Permits;
 use crate::log_limit::Limiter;
 use crate::pool::Pool;
@@ -34,6 +35,8 @@
     pub tokens: Tokens,
     /// Permits for requests to upstreams that have named a limit.
     pub permits: Permits,
+    /// Requests that dispatchers know.
+    pub dispatches: Dispatches,
     /// Requests for trials of quarantined prompt parts.
     pub trials: Trials,
     /// Sent when the quarantine of prompt parts has changed.
@@ -75,6 +78,7 @@
             pool: Pool::default(),
             tokens,
             permits: Permits::default(),
+            dispatches: Dispatches::default(),
             trials: Trials::default(),
             quarantine_changed: watch::Sender::default(),
             log_limiter: Limiter::default(),
--- a/crates/sesamebarrow_gateway/src/token.rs
+++ b/crates/sesamebarrow_gateway/src/token.rs
@@ -18,6 +18,7 @@
 use tokio::sync::oneshot;
 use tokio::time::MissedTickBehavior;
 
+use crate::dispatch;
 use crate::limit;
 use crate::quarantine;
 use crate::reply::Refusal;
@@ -26,7 +27,7 @@
 use crate::telemetry;
 
 /// Maximum size of a received datagram.
-const MAX_DATAGRAM_BYTES: usize = 512;
+const MAX_DATAGRAM_BYTES: usize = 2_048;
 
 /// Time between two checks whether buckets need loans.
 const LOAN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -350,6 +351,18 @@
         Ok(Some(Body::PermitAnswer(answer))) => limit::handle_permit_answer(shared, answer),
         Ok(Some(Body::LimitObserved(observed))) => limit::handle_observed(shared, &observed),
         Ok(Some(Body::LimitStates(states))) => limit::handle_states(shared, &states),
+        Ok(Some(Body::Ask(ask))) => {
+            if let IpAddr::V4(ip) = from.ip() {
+                let answer = dispatch::handle_ask(shared, ip, &ask);
+                shared.tokens.send(from, Body::Answer(answer));
+            }
+        }
+        Ok(Some(Body::Answer(answer))) => dispatch::handle_answer(shared, answer),
+        Ok(Some(Body::Notices(notices))) => {
+            if let IpAddr::V4(ip) = from.ip() {
+                dispatch::handle_notices(shared, ip, &notices);
+            }
+        }
         Ok(None) => log::debug!(from:% = from; "unknown kind of token datagram"),
         Err(error) => log::warn!(from:% = from, error:% = error; "cannot decode token datagram"),
     }
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -37,6 +37,8 @@
     pub target_wait: Duration,
     /// Upstreams that have already been tried.
     pub tried_upstreams: Vec<Key>,
+    /// Order in which requests give way ([`crate::dispatch::rank`]).
+    pub rank: u8,
     /// Order in which requests get permits of limited upstreams; 0 is the most urgent.
     pub urgency: u8,
     /// Whether upstreams that have named a limit are left out, since some have refused it.
@@ -249,7 +251,7 @@
     if usable.iter().any(not_ejected) {
         usable.retain(not_ejected);
     }
-    let Some(engine) = service_engine(board, &request.service) else {
+    let Some(engine) = engine_of(board, &request.service) else {
         let without_engine = usable.iter();
         let scored =
             without_engine.map(|&key| score_without_engine(now, key, &board.upstreams.all[key]));
@@ -264,7 +266,25 @@
     Ok(scored.collect())
 }
 
-fn service_engine(board: &Board, service: &str) -> Option<Engine> {
+/// Returns the upstreams of `service` whose requests a dispatcher may place: those that accept requests, fail
+/// few, are not cold and have no limit. Cold and limited ones have owners of their own.
+pub fn dispatchable(board: &Board, now: Duration, service: &str) -> Vec<Key> {
+    let cold_rate = board.config.as_ref().and_then(|c| c.services.get(service));
+    let limits_cold = cold_rate.is_some_and(|s| s.cold_rate > 0.0);
+    let is_placed = |key: &&Key| {
+        let upstream = &board.upstreams.all[**key];
+        let verdict = upstream.availability.verdict(now, upstream.in_progress);
+        accepts_requests(board, upstream)
+            && verdict == Verdict::Available
+            && !(limits_cold && upstream.is_cold(now))
+            && board.is_unlimited(**key)
+    };
+    let keys = board.upstreams.of_service(service).iter();
+    keys.filter(is_placed).copied().collect()
+}
+
+/// Returns the engine of `service`; `None` if it has none.
+pub fn engine_of(board: &Board, service: &str) -> Option<Engine> {
     board.config.as_ref()?.services.get(service)?.engine
 }
 
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -25,6 +25,7 @@
 use crate::token;
 use crate::upstream::{Entry, Key, Upstream, Upstreams};
 
+pub mod dispatch;
 mod gossip;
 pub mod limit;
 pub mod quarantine;
@@ -54,7 +55,9 @@
     pub quota: quota::Tolerance,
     /// Limit on requests to cold upstreams.
     pub cold: cold::Limit,
-    /// Prompt tokens that an engine prefills per millisecond.
+    /// When and by whom services are dispatched.
+    pub dispatch: crate::dispatch::Parameters,
+    /// Prompt tokens that an engine prefills per millisecond, until that is measured.
     pub prefill_per_ms: f64,
     /// One-way delay between regions.
     pub region_delay: Duration,
@@ -107,6 +110,8 @@
     pub upstreams: Upstreams,
     /// Limits that upstreams of this region have named.
     pub limits: Limits,
+    /// Services whose requests are dispatched.
+    dispatch: dispatch::Dispatch,
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
     /// For orders of the quarantine that are sent to instances whose digest differs.
@@ -166,6 +171,7 @@
             evacuations_ending: HashMap::new(),
             upstreams: Upstreams::default(),
             limits: Limits::default(),
+            dispatch: dispatch::Dispatch::default(),
             quarantine: Quarantine::default(),
             order_allowance: Allowance::default(),
             members: Members::default(),
@@ -190,6 +196,7 @@
         self.parameters = parameters;
         self.quota.set_tolerance(parameters.quota);
         self.budget.set_limit(parameters.budget);
+        self.update_dispatched();
     }
 
     /// Returns whether clients should be sent to this instance: it has a configuration, knows
@@ -222,6 +229,7 @@
         self.quota.set_limits(now, &limits.collect::<Vec<_>>());
         holder::update_buckets(self, now);
         self.config = Some(Arc::new(config));
+        self.update_dispatched();
         true
     }
 
--- /dev/null
+++ b/crates/sesamebarrow_routing/src/board/dispatch.rs
@@ -0,0 +1,426 @@
+//! Selects the dispatcher of a service, and connects [`crate::dispatch`] with the other tables of the board.
+
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::admit::{self, RequestSpec};
+use crate::board::Board;
+use crate::board::limit::Owner;
+use crate::config::Config;
+use crate::dispatch::message::{Answer, Ask, Decision, Event, Notice, Notices};
+use crate::dispatch::room::{Remote, Room};
+use crate::dispatch::speed::Speed;
+use crate::dispatch::{Candidate, Circumstances, Outcome, Service};
+use crate::gossip::short_hash;
+use crate::member::Member;
+use crate::rendezvous;
+use crate::upstream::{AttemptOutcome, Key};
+
+/// Time for which an instance that did not answer is not asked to dispatch.
+const SILENT_TIME: Duration = Duration::from_secs(1);
+
+/// Time for which the room that an answer states is passed on.
+const ROOM_LIFETIME: Duration = Duration::from_secs(1);
+
+/// What this instance knows about dispatched services.
+#[derive(Debug, Default)]
+pub struct Dispatch {
+    /// The longest allowed pause between events of each dispatched service, by name.
+    pauses: HashMap<SmolStr, Duration>,
+    /// Their names by hash.
+    names: HashMap<u32, SmolStr>,
+    /// State of the services that this instance dispatches, by hash of the name.
+    services: HashMap<u32, Service>,
+    /// Room that answers of dispatchers stated, by hash of the service's name, and when.
+    rooms: HashMap<u32, (Duration, Room)>,
+}
+
+/// An answer and the address of the instance that asked.
+pub type Addressed = (Ipv4Addr, Answer);
+
+/// Returns the longest allowed pause of each service that is dispatched: those with an engine and a streaming
+/// route that declares a pause of at least `min_pause`.
+fn dispatched_pauses(config: &Config, min_pause: Option<Duration>) -> HashMap<SmolStr, Duration> {
+    let mut pauses: HashMap<SmolStr, Duration> = HashMap::new();
+    let Some(min_pause) = min_pause else {
+        return pauses;
+    };
+    for route in &config.routes {
+        let Some(pause) = route.max_pause.filter(|pause| *pause >= min_pause) else {
+            continue;
+        };
+        for backend in &route.backends {
+            let service = config.services.get(&backend.service);
+            if service.is_some_and(|s| s.engine.is_some()) {
+                let known = pauses.entry(backend.service.clone()).or_insert(pause);
+                *known = pause.min(*known);
+            }
+        }
+    }
+    pauses
+}
+
+impl Board {
+    /// Updates which services are dispatched, after a change of the configuration or the parameters.
+    pub(crate) fn update_dispatched(&mut self) {
+        let min_pause = self.parameters.dispatch.min_pause;
+        let config = self.config.as_deref();
+        let pauses = config.map(|c| dispatched_pauses(c, min_pause));
+        let dispatch = &mut self.dispatch;
+        dispatch.pauses = pauses.unwrap_or_default();
+        let names = dispatch.pauses.keys();
+        dispatch.names = names.map(|n| (short_hash(n), n.clone())).collect();
+        let names = &dispatch.names;
+        dispatch.services.retain(|hash, _| names.contains_key(hash));
+    }
+
+    /// Returns whether requests for `service` are dispatched.
+    pub fn is_dispatched(&self, service: &str) -> bool {
+        self.dispatch.pauses.contains_key(service)
+    }
+
+    /// Returns the instance of this region that dispatches `service`; `None` if no instance is ready.
+    ///
+    /// Instances with more processor time are preferred, since the dispatcher handles some datagrams for each
+    /// request.
+    pub fn dispatcher(&self, now: Duration, service: &str) -> Option<Owner> {
+        let key = u64::from(short_hash(service));
+        let score = |name_hash: u32, capacity: f64| {
+            // CAST: only the order matters.
+            let uniform = (rendezvous::weight_of_hashes(key, name_hash.into()) as f64 + 1.0)
+                / u64::MAX as f64;
+            -uniform.ln() / (capacity * capacity).max(f64::MIN_POSITIVE)
+        };
+        let region = &self.identity.region;
+        let is_asked = |m: &&Member| {
+            m.region == *region && m.record.dispatches && now >= m.silent_dispatcher_until
+        };
+        let members = self.members.ready(now).filter(is_asked);
+        let scored = members.map(|m| {
+            let capacity = f64::from(m.record.capacity_percent) / 100.0;
+            (score(m.name_hash, capacity), Owner::Other(m.ip()))
+        });
+        let own = self.is_ready().then(|| {
+            let capacity = self.parameters.dispatch.capacity;
+            (score(self.name_hash(), capacity), Owner::Own)
+        });
+        let best = scored.chain(own).min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, owner)| owner)
+    }
+
+    /// Records that the instance at `ip` did not answer as a dispatcher.
+    pub fn record_silent_dispatcher(&mut self, now: Duration, ip: Ipv4Addr) {
+        if let Some(member) = self.members.all.values_mut().find(|m| m.ip() == ip) {
+            member.silent_dispatcher_until = now + SILENT_TIME;
+        }
+    }
+
+    /// Builds the ask for a request, without its id. `avoided` are upstreams that must not be selected, and
+    /// `open_regions` those that the request may be forwarded to.
+    pub fn build_ask(
+        &self,
+        spec: &RequestSpec,
+        target: Duration,
+        time_left: Duration,
+        avoided: &[Key],
+        open_regions: impl Iterator<Item = SmolStr>,
+    ) -> Ask {
+        // CAST: times of a request are far below 2^32 ms, and prompts far below 2^32 tokens.
+        let millis = |d: Duration| d.as_millis() as u32;
+        let run = |key: &Key| self.upstreams.all.get(*key).map(|u| u.run_hash);
+        Ask {
+            id: 0,
+            service_hash: short_hash(&spec.service),
+            part_ids: spec.prompt.iter().map(|p| p.id).collect(),
+            part_tokens: spec.prompt.iter().map(|p| p.tokens).collect(),
+            prompt_tokens: spec.prompt_tokens as u32,
+            output_tokens: spec.output_tokens as u32,
+            rank: spec.rank.into(),
+            target_ms: millis(target),
+            time_left_ms: millis(time_left),
+            avoided_runs: avoided.iter().filter_map(run).collect(),
+            open_regions: open_regions.map(|r| short_hash(&r)).collect(),
+        }
+    }
+
+    /// Decides about a request of the instance at `from`.
+    pub fn handle_ask(&mut self, now: Duration, from: Ipv4Addr, ask: &Ask) -> Answer {
+        let unknown = Answer {
+            id: ask.id,
+            ..Answer::default()
+        };
+        let Some(name) = self.dispatch.names.get(&ask.service_hash).cloned() else {
+            return unknown;
+        };
+        let Some(candidates) = self.dispatch_candidates(now, &name, ask) else {
+            return unknown;
+        };
+        let remotes = self.remote_rooms(now, ask);
+        let cx = Circumstances {
+            candidates: &candidates,
+            remotes: &remotes,
+            round_trip: self.parameters.region_delay * 2,
+            max_pause: self.dispatch.pauses[&name],
+        };
+        let service = self.dispatch.services.entry(ask.service_hash);
+        let service = service.or_insert_with(|| {
+            Service::new(Speed::assumed(self.parameters.dispatch.first_guess_per_ms))
+        });
+        let outcome = service.decide(now, (from.to_bits(), ask.id), ask, &cx);
+        let room = service.room(now, &candidates);
+        self.apply_outcome(now, ask, outcome);
+        self.dispatch.rooms.insert(ask.service_hash, (now, room));
+        answer(ask.id, outcome, room)
+    }
+
+    /// Offers places to the requests that wait at this instance. Returns the answers, and whether others wait
+    /// on.
+    pub fn serve_waiting(&mut self, now: Duration) -> (Vec<Addressed>, bool) {
+        let mut answers = Vec::new();
+        let mut services = std::mem::take(&mut self.dispatch.services);
+        for (hash, service) in &mut services {
+            let Some(name) = self.dispatch.names.get(hash).cloned() else {
+                continue;
+            };
+            if service.waiting() == 0 {
+                continue;
+            }
+            let cx = Circumstances {
+                candidates: &[],
+                remotes: &[],
+                round_trip: self.parameters.region_delay * 2,
+                max_pause: self.dispatch.pauses[&name],
+            };
+            let candidates = |ask: &Ask| {
+                self.dispatch_candidates(now, &name, ask)
+                    .unwrap_or_default()
+            };
+            let remotes = |ask: &Ask| self.remote_rooms(now, ask);
+            for (waiting, outcome) in service.serve(now, &cx, candidates, remotes) {
+                let room = Room::default();
+                let ip = Ipv4Addr::from_bits(waiting.id.0);
+                answers.push((
+                    ip,
+                    waiting.ask.clone(),
+                    answer(waiting.id.1, outcome, room),
+                    outcome,
+                ));
+            }
+        }
+        let waits = services.values().any(|s| s.waiting() > 0);
+        self.dispatch.services = services;
+        let mut addressed = Vec::new();
+        for (ip, ask, answer, outcome) in answers {
+            self.apply_outcome(now, &ask, outcome);
+            addressed.push((ip, answer));
+        }
+        (addressed, waits)
+    }
+
+    /// Returns whether requests wait at this instance.
+    pub fn has_waiting(&self) -> bool {
+        self.dispatch.services.values().any(|s| s.waiting() > 0)
+    }
+
+    /// Records what follows from a decision besides its answer.
+    fn apply_outcome(&mut self, now: Duration, ask: &Ask, outcome: Outcome) {
+        match outcome {
+            Outcome::Granted { run, .. } => {
+                let Some(key) = self.upstreams.key_of_run(run) else {
+                    return;
+                };
+                let service = &self.upstreams.all[key].entry.service;
+                let kv_capacity =
+                    admit::engine_of(self, service).map_or(0, |e| e.kv_capacity_tokens);
+                self.upstreams
+                    .record_prompt_sent(now, key, &ask.prompt(), kv_capacity);
+            }
+            Outcome::Forward(region_hash) => self.members.take_room(region_hash, ask.service_hash),
+            Outcome::Waiting(_) | Outcome::Refused(_) => {}
+        }
+    }
+
+    /// Returns the engines that a request may be sent to; `None` if there are none.
+    fn dispatch_candidates(
+        &self,
+        now: Duration,
+        service: &str,
+        ask: &Ask,
+    ) -> Option<Vec<Candidate>> {
+        let engine = admit::engine_of(self, service)?;
+        let prompt = ask.prompt();
+        let prompt_tokens = u64::from(ask.prompt_tokens);
+        let last = prompt.last().map_or(0, |p| u64::from(p.tokens));
+        let keys = admit::dispatchable(self, now, service);
+        let mut candidates: Vec<Candidate> = keys
+            .into_iter()
+            .map(|key| &self.upstreams.all[key])
+            .filter(|u| !ask.avoided_runs.contains(&u.run_hash))
+            .map(|u| {
+                let cached = u.cache.cached_tokens(&prompt).min(prompt_tokens);
+                Candidate {
+                    run: u.run_hash,
+                    slots: engine.slots,
+                    kv_capacity_tokens: engine.kv_capacity_tokens,
+                    prefill_tokens: prompt_tokens - cached,
+                    repeated_tokens: 0,
+                    failure_ratio: u.availability.failure_ratio,
+                }
+            })
+            .collect();
+        let least = candidates.iter().map(|c| c.prefill_tokens).min()?;
+        for candidate in &mut candidates {
+            let repeated = candidate.prefill_tokens - least;
+            candidate.repeated_tokens = repeated.min(prompt_tokens.saturating_sub(last));
+        }
+        Some(candidates)
+    }
+
+    /// Returns the room of the regions that a request may be forwarded to.
+    fn remote_rooms(&self, now: Duration, ask: &Ask) -> Vec<Remote> {
+        let mut regions: Vec<&SmolStr> = self.regions.values().collect();
+        regions.sort();
+        regions.dedup();
+        let open =
+            |r: &&SmolStr| **r != self.identity.region && ask.open_regions.contains(&short_hash(r));
+        let rooms = regions.into_iter().filter(open).filter_map(|region| {
+            let load = self.members.service_load(now, region, ask.service_hash)?;
+            Some(Remote {
+                region_hash: short_hash(region),
+                room: load.room?,
+            })
+        });
+        rooms.collect()
+    }
+
+    /// Handles events and holds that the instance at `from` reports.
+    pub fn handle_notices(&mut self, now: Duration, from: Ipv4Addr, notices: &Notices) {
+        for notice in &notices.notices {
+            self.handle_notice(now, from, notice);
+        }
+        for hold in &notices.holds {
+            let Some(key) = self.upstreams.key_of_run(hold.run) else {
+                continue;
+            };
+            let service = &self.upstreams.all[key].entry.service;
+            let Some(pause) = self.dispatch.pauses.get(service).copied() else {
+                continue;
+            };
+            let speed = Speed::assumed(self.parameters.dispatch.first_guess_per_ms);
+            let state = self.dispatch.services.entry(short_hash(service));
+            let state = state.or_insert_with(|| Service::new(speed));
+            state.handle_hold(now, from.to_bits(), hold, pause);
+        }
+    }
+
+    fn handle_notice(&mut self, now: Duration, from: Ipv4Addr, notice: &Notice) {
+        let services = self.dispatch.services.values_mut();
+        let mut runs = services.filter_map(|s| s.handle_notice(now, from.to_bits(), notice));
+        let Some(run) = runs.next() else {
+            return;
+        };
+        drop(runs);
+        let outcome = match notice.event() {
+            Event::Failed => AttemptOutcome::Failed,
+            Event::Unreachable => AttemptOutcome::Unreachable,
+            Event::Refused => AttemptOutcome::Refused,
+            Event::Other | Event::Started | Event::Ended => return,
+        };
+        if from != self.identity.ip
+            && let Some(key) = self.upstreams.key_of_run(run)
+            && let Some(upstream) = self.upstreams.all.get_mut(key)
+        {
+            upstream.availability.observe_outcome(now, outcome);
+            if outcome == AttemptOutcome::Unreachable {
+                upstream.cache.clear();
+            }
+        }
+    }
+
+    /// Forgets places of requests that have expired or whose instances have ended; called in each gossip round.
+    pub(crate) fn forget_places(&mut self, now: Duration) {
+        let own = self.identity.ip.to_bits();
+        let alive: Vec<u32> = self.members.alive(now).map(|m| m.record.ip).collect();
+        let runs: Vec<u64> = self.upstreams.all.values().map(|u| u.run_hash).collect();
+        for service in self.dispatch.services.values_mut() {
+            service.forget(
+                now,
+                |ip| ip != own && !alive.contains(&ip),
+                |run| runs.contains(&run),
+            );
+        }
+    }
+
+    /// Records the room that a dispatcher's answer states.
+    pub fn record_room(&mut self, now: Duration, service: &str, answer: &Answer) {
+        // Answers to requests that have waited state no room.
+        let states_room = answer.load_percent > 0 || answer.free_slots > 0;
+        if answer.decision() == Decision::Unknown || !states_room {
+            return;
+        }
+        let room = Room {
+            load: f64::from(answer.load_percent) / 100.0,
+            urgent_load: f64::from(answer.urgent_load_percent) / 100.0,
+            free_slots: answer.free_slots.into(),
+        };
+        let hash = short_hash(service);
+        self.dispatch.rooms.insert(hash, (now, room));
+    }
+
+    /// Returns the room of a dispatched service, as last stated by its dispatcher, and its age.
+    pub(crate) fn own_room(&self, now: Duration, service_hash: u32) -> Option<(Room, Duration)> {
+        let (at, room) = self.dispatch.rooms.get(&service_hash)?;
+        let age = now.saturating_sub(*at);
+        (age < ROOM_LIFETIME).then_some((*room, age))
+    }
+
+    /// Returns the states of the services that this instance dispatches, by name.
+    pub fn dispatched_services(&self) -> impl Iterator<Item = (&SmolStr, &Service)> {
+        let services = self.dispatch.services.iter();
+        services.filter_map(|(hash, service)| Some((self.dispatch.names.get(hash)?, service)))
+    }
+}
+
+fn answer(id: u64, outcome: Outcome, room: Room) -> Answer {
+    // CAST: times are far below 2^32 ms, and the room is bounded by the number of slots.
+    let millis = |d: Duration| d.as_millis() as u32;
+    let answer = Answer {
+        id,
+        load_percent: (room.load * 100.0) as u32,
+        urgent_load_percent: (room.urgent_load * 100.0) as u32,
+        free_slots: room.free_slots as u32,
+        ..Answer::default()
+    };
+    match outcome {
+        Outcome::Granted {
+            run,
+            prefill_tokens,
+            wait,
+        } => Answer {
+            decision: Decision::Granted.into(),
+            run,
+            // CAST: prompts are far below 2^32 tokens.
+            prefill_tokens: prefill_tokens as u32,
+            wait_ms: millis(wait),
+            ..answer
+        },
+        Outcome::Waiting(wait) => Answer {
+            decision: Decision::Waiting.into(),
+            wait_ms: millis(wait),
+            ..answer
+        },
+        Outcome::Forward(region_hash) => Answer {
+            decision: Decision::Forward.into(),
+            region_hash,
+            ..answer
+        },
+        Outcome::Refused(after) => Answer {
+            decision: Decision::Refused.into(),
+            wait_ms: millis(after),
+            ..answer
+        },
+    }
+}
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -32,6 +32,7 @@
         self.quarantine.remove_expired(now);
         self.end_due_evacuations(now);
         self.update_limits(now);
+        self.forget_places(now);
         self.sum_other_loads(now);
         holder::update_buckets(self, now);
         Datagram {
@@ -93,6 +94,9 @@
             draining_time_ms: draining.map_or(0, |d| d.as_millis().max(1) as u32),
             store_answers: self.store_answers,
             keeps_buckets: true,
+            dispatches: true,
+            // CAST: a processor share is a small number.
+            capacity_percent: (self.parameters.dispatch.capacity * 100.0) as u32,
             ..Record::default()
         }
     }
@@ -148,6 +152,7 @@
             let load = ReportedLoad {
                 running: *running,
                 queued: *queued,
+                slowness_percent: 0,
             };
             (*hash, (now.saturating_sub(age), load))
         });
@@ -184,11 +189,17 @@
         };
         let loads = config.services.values().map(|service| {
             let (wait, usable) = crate::admit::service_load(self, now, &service.name);
-            // CAST: waits are at most minutes, and upstreams at most thousands.
+            let service_hash = short_hash(&service.name);
+            let room = self.own_room(now, service_hash);
+            // CAST: waits are at most minutes, and upstreams and slots at most thousands.
             ServiceLoad {
-                service_hash: short_hash(&service.name),
+                service_hash,
                 wait_ms: wait.as_millis() as u32,
                 usable_upstreams: usable as u32,
+                load_percent: room.map(|(room, _)| (room.load * 100.0) as u32),
+                free_slots: room.map_or(0, |(room, _)| room.free_slots as u32),
+                urgent_load_percent: room.map_or(0, |(r, _)| (r.urgent_load * 100.0) as u32),
+                room_age_ms: room.map_or(0, |(_, age)| age.as_millis() as u32),
             }
         });
         loads.collect()
--- a/crates/sesamebarrow_routing/src/config.rs
+++ b/crates/sesamebarrow_routing/src/config.rs
@@ -54,6 +54,8 @@
     pub timeout: Duration,
     /// Time within which an answer should begin.
     pub target_latency: Duration,
+    /// Longest pause between two events of a stream for which it is still on time, if the route declares one.
+    pub max_pause: Option<Duration>,
     /// Maximum number of attempts that may have run one request. Attempts that are known not
     /// to have run it, such as those at unreachable upstreams, do not count.
     pub max_attempts: u32,
--- /dev/null
+++ b/crates/sesamebarrow_routing/src/dispatch/message.rs
@@ -0,0 +1,168 @@
+//! The datagrams of [`crate::dispatch`].
+
+use crate::cache::PromptPart;
+
+/// Asks the dispatcher of a service for an upstream.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Ask {
+    /// Identifies the request among those of its sender's process. An ask that is sent again has the same id.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Hash of the service's name.
+    #[prost(fixed32, tag = "2")]
+    pub service_hash: u32,
+    /// Ids of the prompt's parts, in order.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub part_ids: Vec<u64>,
+    /// Tokens of the prompt's parts, in the order of `part_ids`.
+    #[prost(uint32, repeated, tag = "4")]
+    pub part_tokens: Vec<u32>,
+    /// Number of prompt tokens.
+    #[prost(uint32, tag = "5")]
+    pub prompt_tokens: u32,
+    /// Number of output tokens to expect.
+    #[prost(uint32, tag = "6")]
+    pub output_tokens: u32,
+    /// Order in which requests give way ([`crate::dispatch::rank`]).
+    #[prost(uint32, tag = "7")]
+    pub rank: u32,
+    /// Milliseconds within which the answer should begin.
+    #[prost(uint32, tag = "8")]
+    pub target_ms: u32,
+    /// Milliseconds for which the caller still waits for the whole answer.
+    #[prost(uint32, tag = "9")]
+    pub time_left_ms: u32,
+    /// Runs of upstreams that must not be selected.
+    #[prost(fixed64, repeated, tag = "10")]
+    pub avoided_runs: Vec<u64>,
+    /// Hashes of the regions that the request may be forwarded to.
+    #[prost(fixed32, repeated, tag = "11")]
+    pub open_regions: Vec<u32>,
+}
+
+impl Ask {
+    /// Returns the parts of the prompt.
+    pub fn prompt(&self) -> Vec<PromptPart> {
+        let parts = self.part_ids.iter().zip(&self.part_tokens);
+        let part = |(&id, &tokens): (&u64, &u32)| PromptPart { id, tokens };
+        parts.map(part).collect()
+    }
+}
+
+/// Decision about an [`Ask`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Decision {
+    /// The receiver does not dispatch the service, or knows no upstream that it may select.
+    Unknown = 0,
+    /// The request may be sent to the upstream.
+    Granted = 1,
+    /// The request waits for an upstream. Another answer follows.
+    Waiting = 2,
+    /// The request should be forwarded to the region.
+    Forward = 3,
+    /// The request cannot be served now.
+    Refused = 4,
+}
+
+/// Answers an [`Ask`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Answer {
+    /// Id of the ask.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The decision.
+    #[prost(enumeration = "Decision", tag = "2")]
+    pub decision: i32,
+    /// Run of the upstream, if granted.
+    #[prost(fixed64, tag = "3")]
+    pub run: u64,
+    /// Prompt tokens that the upstream has to prefill, if granted.
+    #[prost(uint32, tag = "4")]
+    pub prefill_tokens: u32,
+    /// Estimated milliseconds until the first event, if granted; until the caller may come back, if refused;
+    /// until the request leaves the queue, if it waits.
+    #[prost(uint32, tag = "5")]
+    pub wait_ms: u32,
+    /// Hash of the region to forward to.
+    #[prost(fixed32, tag = "6")]
+    pub region_hash: u32,
+    /// How full the service is in this region; see [`crate::dispatch::room::Room`].
+    #[prost(uint32, tag = "7")]
+    pub load_percent: u32,
+    /// Requests that the region could run besides.
+    #[prost(uint32, tag = "8")]
+    pub free_slots: u32,
+    /// How full the service is for all but the least urgent requests.
+    #[prost(uint32, tag = "9")]
+    pub urgent_load_percent: u32,
+}
+
+/// What happened to a request that holds a place at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Event {
+    /// Unknown to this version.
+    Other = 0,
+    /// Its first event arrived.
+    Started = 1,
+    /// It ended, or was never sent.
+    Ended = 2,
+    /// The upstream failed it.
+    Failed = 3,
+    /// The upstream could not be reached.
+    Unreachable = 4,
+    /// The upstream refused it.
+    Refused = 5,
+}
+
+/// An event of a request that holds a place.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Notice {
+    /// Id of the ask or hold.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The event.
+    #[prost(enumeration = "Event", tag = "2")]
+    pub event: i32,
+    /// Milliseconds since the event.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    /// How long work takes at the upstream at the moment, in percent of the usual; 0 if it does not say.
+    #[prost(uint32, tag = "4")]
+    pub slowness_percent: u32,
+}
+
+/// A request that holds a place that this dispatcher did not grant.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hold {
+    /// Identifies the request among those of its sender's process.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Run of the upstream.
+    #[prost(fixed64, tag = "2")]
+    pub run: u64,
+    /// Prompt tokens that the upstream still has to prefill.
+    #[prost(uint32, tag = "3")]
+    pub prefill_tokens: u32,
+    /// KV cache tokens that it takes.
+    #[prost(uint32, tag = "4")]
+    pub kv_tokens: u32,
+    /// Order in which requests give way ([`crate::dispatch::rank`]).
+    #[prost(uint32, tag = "5")]
+    pub rank: u32,
+    /// Milliseconds for which the caller still waits.
+    #[prost(uint32, tag = "6")]
+    pub time_left_ms: u32,
+}
+
+/// Events and holds, several at a time.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Notices {
+    /// Events.
+    #[prost(message, repeated, tag = "1")]
+    pub notices: Vec<Notice>,
+    /// Holds.
+    #[prost(message, repeated, tag = "2")]
+    pub holds: Vec<Hold>,
+}
--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -18,6 +18,18 @@
     /// Number of upstreams that accept requests and are not full.
     #[prost(uint32, tag = "3")]
     pub usable_upstreams: u32,
+    /// How full the service is, in percent, if it is dispatched ([`crate::dispatch::room::Room`]).
+    #[prost(uint32, optional, tag = "4")]
+    pub load_percent: Option<u32>,
+    /// Requests that it could run besides, if it is dispatched.
+    #[prost(uint32, tag = "5")]
+    pub free_slots: u32,
+    /// Milliseconds since the dispatcher stated these two.
+    #[prost(uint32, tag = "6")]
+    pub room_age_ms: u32,
+    /// How full it is for all but the least urgent requests, in percent, if it is dispatched.
+    #[prost(uint32, tag = "7")]
+    pub urgent_load_percent: u32,
 }
 
 /// Load that the sender has put on one upstream of its region.
@@ -69,6 +81,12 @@
     /// do not.
     #[prost(bool, tag = "10")]
     pub keeps_buckets: bool,
+    /// Whether it can dispatch ([`crate::dispatch`]); instances of earlier versions cannot.
+    #[prost(bool, tag = "11")]
+    pub dispatches: bool,
+    /// Its processor time in percent of a core.
+    #[prost(uint32, tag = "12")]
+    pub capacity_percent: u32,
 }
 
 /// How long ago instances were last heard from, directly or through other instances; in
--- a/crates/sesamebarrow_routing/src/lib.rs
+++ b/crates/sesamebarrow_routing/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod cold;
 pub mod config;
 pub mod correction;
+pub mod dispatch;
 pub mod drain;
 pub mod fingerprint;
 pub mod gossip;
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, RngExt};
 use smol_str::SmolStr;
 
+use crate::dispatch::room::Room;
 use crate::gossip::{Datagram, HeardAges, Record, UpstreamLoad, short_hash};
 
 /// Time between two gossip rounds.
@@ -108,6 +109,9 @@
 /// Time for which the reported load of a service remains valid.
 const SERVICE_LOAD_LIFETIME: Duration = Duration::from_secs(3);
 
+/// Time for which the room of a service in another region is believed, unless a newer one is heard of.
+const ROOM_LIFETIME: Duration = Duration::from_secs(2);
+
 /// Another instance.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -134,6 +138,8 @@
     pub config_version: u64,
     /// Time until which it is not asked for permits, because it did not answer.
     pub silent_owner_until: Duration,
+    /// Time until which it is not asked as a dispatcher, because it did not answer.
+    pub silent_dispatcher_until: Duration,
     /// Whether it keeps the limits of upstreams ([`crate::limit`]); instances of earlier versions do not. Unknown
     /// ones count as of this version.
     pub keeps_limits: bool,
@@ -150,7 +156,7 @@
 }
 
 /// Load of a service in a region, as last reported.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReceivedServiceLoad {
     /// When it was reported.
     pub reported_at: Duration,
@@ -158,6 +164,10 @@
     pub wait: Duration,
     /// Number of upstreams that accept requests and are not full.
     pub usable_upstreams: u32,
+    /// The room that its dispatcher stated, if it is dispatched.
+    pub room: Option<Room>,
+    /// When its dispatcher stated the room.
+    room_at: Duration,
 }
 
 /// A member that fell silent and was removed.
@@ -242,6 +252,16 @@
         }
     }
 
+    /// Counts a request that is forwarded to the region with this hash, until its next report.
+    pub fn take_room(&mut self, region_hash: u32, service_hash: u32) {
+        let loads = self.service_loads.iter_mut();
+        let mut of_region =
+            loads.filter(|((r, s), _)| *s == service_hash && short_hash(r) == region_hash);
+        if let Some(room) = of_region.next().and_then(|(_, load)| load.room.as_mut()) {
+            room.take_slot();
+        }
+    }
+
     /// Records the revision of the newest change in the store that a member knows.
     pub fn record_revision(&mut self, name: &str, revision: u64) {
         if let Some(member) = self.all.get_mut(name) {
@@ -277,13 +297,29 @@
             .map(|load| (load.upstream_hash, load.clone()));
         member.upstream_loads = (now, upstream_loads.collect());
         for load in &datagram.service_loads {
+            let key = (member.region.clone(), load.service_hash);
+            let room = load.load_percent.map(|percent| Room {
+                load: f64::from(percent) / 100.0,
+                urgent_load: f64::from(load.urgent_load_percent) / 100.0,
+                free_slots: load.free_slots.into(),
+            });
+            let age = Duration::from_millis(load.room_age_ms.into());
+            let mut room = (room, now.saturating_sub(age));
+            if let Some(known) = self.service_loads.get(&key)
+                && known.room.is_some()
+                && (room.0.is_none() || known.room_at > room.1)
+                && now.saturating_sub(known.room_at) < ROOM_LIFETIME
+            {
+                room = (known.room, known.room_at);
+            }
             let service_load = ReceivedServiceLoad {
                 reported_at: now,
                 wait: Duration::from_millis(load.wait_ms.into()),
                 usable_upstreams: load.usable_upstreams,
+                room: room.0,
+                room_at: room.1,
             };
-            self.service_loads
-                .insert((member.region.clone(), load.service_hash), service_load);
+            self.service_loads.insert(key, service_load);
         }
     }
 
@@ -315,6 +351,7 @@
                 config_version: 0,
                 judges_suspects: true,
                 silent_owner_until: Duration::ZERO,
+                silent_dispatcher_until: Duration::ZERO,
                 keeps_limits: true,
             };
             self.all.insert(SmolStr::new(&record.name), member);
--- a/crates/sesamebarrow_routing/src/spill.rs
+++ b/crates/sesamebarrow_routing/src/spill.rs
@@ -9,6 +9,7 @@
 
 use crate::board::Board;
 use crate::gossip::short_hash;
+use crate::member::Member;
 use crate::rendezvous;
 
 /// An instance of another region that can run a request.
@@ -46,6 +47,22 @@
     })
 }
 
+/// Selects an instance of the region with this hash; `None` if none is ready.
+pub fn instance_of(board: &mut Board, now: Duration, region_hash: u32) -> Option<RemoteInstance> {
+    let in_region = |m: &&Member| short_hash(&m.region) == region_hash;
+    let candidates = board.members.ready(now).filter(in_region);
+    let sampled = candidates.sample(&mut board.rng, 2);
+    let member = sampled
+        .into_iter()
+        .min_by_key(|m| m.forwarded_in_progress)?;
+    Some(RemoteInstance {
+        name: SmolStr::new(&member.record.name),
+        ip: member.ip(),
+        region: member.region.clone(),
+        estimated_wait: board.parameters.region_delay * 2,
+    })
+}
+
 /// Selects an instance in the region with the shortest wait, among the regions that `allowed`
 /// accepts and that are not in `tried_regions`. Requests with the same `affinity_key`, a hash
 /// of their shared prompt prefix, tend to go to the same regions, where the prefix is cached.
--- a/crates/sesamebarrow_routing/src/token.rs
+++ b/crates/sesamebarrow_routing/src/token.rs
@@ -3,6 +3,7 @@
 
 use prost::Message as _;
 
+use crate::dispatch::message::{Answer, Ask, Notices};
 use crate::limit::message::{Observed, PermitAnswer, PermitRequest, States};
 use crate::quarantine::message::{Blames, Orders, TrialGrant, TrialRequest};
 
@@ -10,7 +11,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Datagram {
     /// Content; `None` for kinds that this version does not know.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub body: Option<Body>,
 }
 
@@ -50,6 +51,15 @@
     /// What the sender knows about limits.
     #[prost(message, tag = "11")]
     LimitStates(States),
+    /// Asks a dispatcher for an upstream.
+    #[prost(message, tag = "12")]
+    Ask(Ask),
+    /// Answers an ask.
+    #[prost(message, tag = "13")]
+    Answer(Answer),
+    /// Reports what happened to dispatched requests.
+    #[prost(message, tag = "14")]
+    Notices(Notices),
 }
 
 /// Asks the holder of a bucket for tokens.
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -46,6 +46,8 @@
     pub running: u32,
     /// Queued requests.
     pub queued: u32,
+    /// How long work takes at the moment, in percent of the usual; 0 if the upstream does not say.
+    pub slowness_percent: u32,
 }
 
 /// The load that one request puts on an upstream.
@@ -208,6 +210,12 @@
         self.keys_by_id.get(id).copied()
     }
 
+    /// Returns the key of the upstream with this hash of its run.
+    pub fn key_of_run(&self, run: u64) -> Option<Key> {
+        let mut all = self.all.iter();
+        all.find(|(_, u)| u.run_hash == run).map(|(key, _)| key)
+    }
+
     /// Returns the upstreams of `service`.
     pub fn of_service(&self, service: &str) -> &[Key] {
         self.keys_by_service.get(service).map_or(&[], Vec::as_slice)
--- a/crates/sesamebarrow_routing/tests/decisions/admission.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/admission.rs
@@ -34,6 +34,7 @@
         output_tokens: 60,
         target_wait: ms(800),
         tried_upstreams: Vec::new(),
+        rank: 0,
         urgency: 0,
         skips_limited: false,
         is_trial: false,
@@ -264,6 +265,7 @@
     let load = ReportedLoad {
         running: u32::MAX,
         queued: u32::MAX,
+        slowness_percent: 0,
     };
     board
         .upstreams
--- a/crates/sesamebarrow_routing/tests/decisions/loads.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/loads.rs
@@ -14,6 +14,7 @@
 const BUSY: ReportedLoad = ReportedLoad {
     running: 128,
     queued: 90,
+    slowness_percent: 0,
 };
 
 /// Returns a fleet with `upstreams` upstreams in each region.
--- a/crates/sesamebarrow_trial/src/containment/instance.rs
+++ b/crates/sesamebarrow_trial/src/containment/instance.rs
@@ -49,6 +49,7 @@
             rate_factor: 1.5,
             slack: 3.0,
         },
+        dispatch: Default::default(),
         prefill_per_ms: 90.0,
         region_delay: DELAYS.1,
         expects_others: true,
--- a/crates/sesamebarrow_trial/src/placement.rs
+++ b/crates/sesamebarrow_trial/src/placement.rs
@@ -287,6 +287,7 @@
             output_tokens: answer_tokens,
             target_wait: Duration::from_secs_f64(self.cfg.target_ms / 1_000.0),
             tried_upstreams: Vec::new(),
+            rank: 0,
             urgency: 0,
             skips_limited: false,
             is_trial: false,
@@ -423,7 +424,11 @@
                     .record_prefill_done(request.key, request.request_load);
                 request.request_load.prefill_tokens = 0;
                 let (running, queued) = self.engines[engine_index].load();
-                let reported = ReportedLoad { running, queued };
+                let reported = ReportedLoad {
+                    running,
+                    queued,
+                    slowness_percent: 0,
+                };
                 board
                     .upstreams
                     .record_reported_load(self.now, request.key, reported);
@@ -553,6 +558,7 @@
             rate_factor: 1.5,
             slack: 3.0,
         },
+        dispatch: Default::default(),
         prefill_per_ms: cfg.engine.prefill_per_ms,
         region_delay: Duration::from_millis(80),
         expects_others: true,
