Plan reading by events, measure engines, and report room by urgency

Cause of what was late: the plan added up reading without the gaps in which engines make events, the speed included prompts that were sent later, answers that completed were not reported, so that upstreams stayed ejected at the dispatcher, and forwarding counted reading as if none was done meanwhile.

Change: engine::event_begin walks back over the planned reading; speed follows first events after which nothing was sent; pace follows the pauses of streams; rooms by slots, urgent slots and reading; refused callers keep the aim of their first attempt; a dispatcher that was replaced is told to release.

Tried: means of first events as speed (inflated by later prompts); the soonest ones (no difference between engines seen); a longer reading time for every stream without a long pause (paused streams rose above a third of before).

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -166,6 +166,13 @@
         }
     }
 
+    /// Records the longest time between two events of the stream, before the attempt ends.
+    pub fn record_longest_pause(&mut self, pause: Duration) {
+        if let Some(place) = &mut self.place {
+            place.set_longest_pause(pause);
+        }
+    }
+
     /// Returns whether the end of the connection was the end of the answer, which has no other
     /// framing. It was not if the upstream has crashed: it accepts no connections although it neither
     /// leaves nor is gone from the store. An upstream that leaves may end with its last answer.
--- a/crates/sesamebarrow_gateway/src/dispatch.rs
+++ b/crates/sesamebarrow_gateway/src/dispatch.rs
@@ -106,6 +106,8 @@
     id: u64,
     started: bool,
     end: Event,
+    /// Longest time between two events of the stream.
+    longest_pause: Duration,
 }
 
 impl Place {
@@ -116,9 +118,15 @@
             id,
             started: false,
             end: Event::Ended,
+            longest_pause: Duration::ZERO,
         }
     }
 
+    /// Sets the longest time between two events of the stream.
+    pub fn set_longest_pause(&mut self, pause: Duration) {
+        self.longest_pause = pause;
+    }
+
     /// Reports that the first event was received. `slowness_percent` is how long work takes at the upstream at
     /// the moment, as far as it says.
     pub fn record_started(&mut self, slowness_percent: u32) {
@@ -134,12 +142,12 @@
     /// Sets how the request ends.
     pub fn set_outcome(&mut self, outcome: AttemptOutcome) {
         self.end = match outcome {
-            AttemptOutcome::Failed | AttemptOutcome::Broken => Event::Failed,
+            AttemptOutcome::Failed => Event::Failed,
+            AttemptOutcome::Broken => Event::Broken,
             AttemptOutcome::Unreachable => Event::Unreachable,
             AttemptOutcome::Refused => Event::Refused,
-            AttemptOutcome::Whole | AttemptOutcome::Silent | AttemptOutcome::Cancelled => {
-                Event::Ended
-            }
+            AttemptOutcome::Whole => Event::Completed,
+            AttemptOutcome::Silent | AttemptOutcome::Cancelled => Event::Ended,
         };
     }
 
@@ -155,6 +163,10 @@
             event: event.into(),
             age_ms: 0,
             slowness_percent,
+            pause_ms: match event {
+                Event::Started => 0,
+                _ => millis(self.longest_pause),
+            },
         };
         post(&self.shared, dispatcher, Posted::Notice(notice));
     }
@@ -539,15 +551,22 @@
         let Some(dispatcher) = dispatcher.filter(|d| *d != held.dispatcher) else {
             continue;
         };
-        held.dispatcher = dispatcher;
+        let former = std::mem::replace(&mut held.dispatcher, dispatcher);
         held.hold.time_left_ms = millis(held.deadline.saturating_duration_since(Instant::now()));
-        moved.push((dispatcher, held.hold.clone()));
+        moved.push((former, dispatcher, held.hold.clone()));
     }
     drop(held);
     if !moved.is_empty() {
         log::info!(places = moved.len(); "dispatcher has changed");
     }
-    for (dispatcher, hold) in moved {
+    for (former, dispatcher, hold) in moved {
+        // The former one may be asked again, and is not told of the request's end.
+        let released = Notice {
+            id: hold.id,
+            event: Event::Ended.into(),
+            ..Notice::default()
+        };
+        post(shared, former, Posted::Notice(released));
         post(shared, dispatcher, Posted::Hold(hold));
     }
 }
@@ -573,7 +592,8 @@
                 busy_engines = s.busy_engines, most_backlog_ms = s.most_backlog_ms.round(),
                 most_slowness = s.most_slowness, rate = s.rate_per_s.round(), granted = s.counts[0], forwarded = s.counts[1],
                 refused = s.counts[2],
-                tokens_per_ms = 1.0 / s.speed.ms_per_token, first_ms = s.speed.first_ms.round(), busy_first_ms = s.speed.busy_first_ms.round();
+                tokens_per_ms = 1.0 / s.speed.ms_per_token, first_ms = s.speed.first_ms.round(), busy_first_ms = s.speed.busy_first_ms.round(),
+                reading_ms = s.pace.max_reading(Duration::from_secs(1)).as_millis();
                 "dispatching"
             );
         }
@@ -584,7 +604,7 @@
     if shared.log_limiter.allow(true) {
         log::info!(
             request = job.id.as_str(), service = job.policy.service.as_str(), rank = ask.rank,
-            tokens = ask.prompt_tokens, target_ms = ask.target_ms, load_percent = answer.load_percent,
+            tokens = ask.prompt_tokens, target_ms = ask.target_ms, held_percent = answer.room.map_or(0, |r| r.held_percent),
             retry_ms = answer.wait_ms; "dispatcher refuses"
         );
     }
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -204,9 +204,10 @@
     /// Ends the current attempt.
     fn end_attempt(&mut self, outcome: AttemptOutcome) {
         let state = std::mem::replace(&mut self.state, StreamState::Done);
-        if let StreamState::Receiving(_, Some(attempt))
-        | StreamState::Confirming(_, Some(attempt)) = state
+        if let StreamState::Receiving(_, Some(mut attempt))
+        | StreamState::Confirming(_, Some(mut attempt)) = state
         {
+            attempt.record_longest_pause(self.timing.longest_pause);
             attempt.end(outcome);
         }
     }
--- a/crates/sesamebarrow_routing/src/board/dispatch.rs
+++ b/crates/sesamebarrow_routing/src/board/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::board::Board;
 use crate::board::limit::Owner;
 use crate::config::Config;
-use crate::dispatch::message::{Answer, Ask, Decision, Event, Notice, Notices};
+use crate::dispatch::message::{Answer, Ask, Decision, Event, Notice, Notices, StatedRoom};
 use crate::dispatch::room::{Remote, Room};
 use crate::dispatch::speed::Speed;
 use crate::dispatch::{Candidate, Circumstances, Outcome, Service};
@@ -173,7 +173,7 @@
         let room = service.room(now, &candidates);
         self.apply_outcome(now, ask, outcome);
         self.dispatch.rooms.insert(ask.service_hash, (now, room));
-        answer(ask.id, outcome, room)
+        answer(ask.id, outcome, Some(room))
     }
 
     /// Offers places to the requests that wait at this instance. Returns the answers, and whether others wait
@@ -200,12 +200,11 @@
             };
             let remotes = |ask: &Ask| self.remote_rooms(now, ask);
             for (waiting, outcome) in service.serve(now, &cx, candidates, remotes) {
-                let room = Room::default();
                 let ip = Ipv4Addr::from_bits(waiting.id.0);
                 answers.push((
                     ip,
                     waiting.ask.clone(),
-                    answer(waiting.id.1, outcome, room),
+                    answer(waiting.id.1, outcome, None),
                     outcome,
                 ));
             }
@@ -238,7 +237,12 @@
                 self.upstreams
                     .record_prompt_sent(now, key, &ask.prompt(), kv_capacity);
             }
-            Outcome::Forward(region_hash) => self.members.take_room(region_hash, ask.service_hash),
+            Outcome::Forward(region_hash) => {
+                let service = self.dispatch.services.get(&ask.service_hash);
+                let read_ms = service.map_or(0.0, |s| s.read_ms(ask));
+                self.members
+                    .take_room(region_hash, ask.service_hash, read_ms);
+            }
             Outcome::Waiting(_) | Outcome::Refused(_) => {}
         }
     }
@@ -317,16 +321,24 @@
     }
 
     fn handle_notice(&mut self, now: Duration, from: Ipv4Addr, notice: &Notice) {
-        let services = self.dispatch.services.values_mut();
-        let mut runs = services.filter_map(|s| s.handle_notice(now, from.to_bits(), notice));
-        let Some(run) = runs.next() else {
+        let dispatch = &mut self.dispatch;
+        let mut run = None;
+        for (hash, service) in &mut dispatch.services {
+            let name = dispatch.names.get(hash);
+            let Some(pause) = name.and_then(|name| dispatch.pauses.get(name)) else {
+                continue;
+            };
+            run = run.or(service.handle_notice(now, from.to_bits(), notice, *pause));
+        }
+        let Some(run) = run else {
             return;
         };
-        drop(runs);
         let outcome = match notice.event() {
             Event::Failed => AttemptOutcome::Failed,
             Event::Unreachable => AttemptOutcome::Unreachable,
             Event::Refused => AttemptOutcome::Refused,
+            Event::Completed => AttemptOutcome::Whole,
+            Event::Broken => AttemptOutcome::Broken,
             Event::Other | Event::Started | Event::Ended => return,
         };
         if from != self.identity.ip
@@ -356,15 +368,9 @@
 
     /// Records the room that a dispatcher's answer states.
     pub fn record_room(&mut self, now: Duration, service: &str, answer: &Answer) {
-        // Answers to requests that have waited state no room.
-        let states_room = answer.load_percent > 0 || answer.free_slots > 0;
-        if answer.decision() == Decision::Unknown || !states_room {
+        let room = answer.room.as_ref().map(Room::from);
+        let Some(room) = room else {
             return;
-        }
-        let room = Room {
-            load: f64::from(answer.load_percent) / 100.0,
-            urgent_load: f64::from(answer.urgent_load_percent) / 100.0,
-            free_slots: answer.free_slots.into(),
         };
         let hash = short_hash(service);
         self.dispatch.rooms.insert(hash, (now, room));
@@ -384,14 +390,12 @@
     }
 }
 
-fn answer(id: u64, outcome: Outcome, room: Room) -> Answer {
+fn answer(id: u64, outcome: Outcome, room: Option<Room>) -> Answer {
     // CAST: times are far below 2^32 ms, and the room is bounded by the number of slots.
     let millis = |d: Duration| d.as_millis() as u32;
     let answer = Answer {
         id,
-        load_percent: (room.load * 100.0) as u32,
-        urgent_load_percent: (room.urgent_load * 100.0) as u32,
-        free_slots: room.free_slots as u32,
+        room: room.map(StatedRoom::from),
         ..Answer::default()
     };
     match outcome {
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -196,9 +196,7 @@
                 service_hash,
                 wait_ms: wait.as_millis() as u32,
                 usable_upstreams: usable as u32,
-                load_percent: room.map(|(room, _)| (room.load * 100.0) as u32),
-                free_slots: room.map_or(0, |(room, _)| room.free_slots as u32),
-                urgent_load_percent: room.map_or(0, |(r, _)| (r.urgent_load * 100.0) as u32),
+                room: room.map(|(room, _)| room.into()),
                 room_age_ms: room.map_or(0, |(_, age)| age.as_millis() as u32),
             }
         });
--- a/crates/sesamebarrow_routing/src/dispatch.rs
+++ b/crates/sesamebarrow_routing/src/dispatch.rs
@@ -4,8 +4,8 @@
 //! prompts than it can read between two events of the streams that run there. For a service whose routes
 //! declare a longest pause between events, one instance of each region is the *dispatcher*, selected by
 //! rendezvous hashing. The others ask it for a place before they send a request, and report its first event
-//! and its end. It keeps the places of all requests ([`engine`]) and the measured speed of the engines
-//! ([`speed`]), lets requests wait in order ([`queue`]), sends them to regions with room ([`room`]) and tells
+//! and its end. It keeps the places of all requests ([`engine`]), the measured speed of the engines ([`speed`])
+//! and how much they may read at a time ([`pace`]), lets requests wait in order ([`queue`]), sends them to regions with room ([`room`]) and tells
 //! refused callers when to come back ([`comeback`]).
 //!
 //! Nothing depends on the dispatcher: an instance that gets no answer decides by itself ([`crate::admit`]).
@@ -13,6 +13,7 @@
 pub mod comeback;
 pub mod engine;
 pub mod message;
+pub mod pace;
 pub mod queue;
 pub mod room;
 pub mod speed;
@@ -21,10 +22,11 @@
 use std::time::Duration;
 
 use crate::dispatch::comeback::{Caller, Comebacks};
-use crate::dispatch::engine::{Engine, HolderId, Plan, Work};
+use crate::dispatch::engine::{Engine, HolderId, Limits, Plan, Work};
 use crate::dispatch::message::{Ask, Event, Hold, Notice};
+use crate::dispatch::pace::Pace;
 use crate::dispatch::queue::{Offer, Queue, Waiting};
-use crate::dispatch::room::{Remote, Room};
+use crate::dispatch::room::{Need, Remote, Room};
 use crate::dispatch::speed::Speed;
 
 /// When and by whom services are dispatched.
@@ -86,7 +88,11 @@
 const TARGET_FRACTION: f64 = 0.92;
 
 /// Part of the time that a caller waits that it may wait for a place once its target is missed.
-const LATE_FRACTION: f64 = 0.3;
+const LATE_FRACTION: f64 = 0.4;
+
+/// Longest time that a request waits for a place once its target is missed. Callers give up streams that do not
+/// begin.
+const MAX_LATE: Duration = Duration::from_millis(1_500);
 
 /// Weight of reading a shared part again that another engine has cached, besides the reading itself: it holds up
 /// all streams of the engine and evicts other parts.
@@ -115,12 +121,15 @@
 /// Places given per second that are assumed at least.
 const MIN_RATE: f64 = 2.0;
 
+/// Part of all places that requests of one rank are assumed to get at least.
+const MIN_RATE_FRACTION: f64 = 0.1;
+
 /// Part of the time until a request must begin that it is expected to wait at most. The rest is for more urgent
 /// ones that come after it.
-const WAIT_FRACTION: f64 = 0.5;
+const WAIT_FRACTION: f64 = 0.8;
 
 /// Longest time that a request is expected to wait. Callers that can wait longer come back instead.
-const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(1);
+const MAX_EXPECTED_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Part of the time for reading that counts as a full load of a region.
 const FULL_BACKLOG: Duration = Duration::from_millis(450);
@@ -189,20 +198,6 @@
     pub max_pause: Duration,
 }
 
-impl Circumstances<'_> {
-    /// Returns the remote rooms as a request of this rank sees them. All but the least urgent see only what is
-    /// as urgent as they are.
-    fn remotes_for(&self, rank: u32, least_urgent: u32) -> Vec<Remote> {
-        let mut remotes = self.remotes.to_vec();
-        if rank < least_urgent {
-            for remote in &mut remotes {
-                remote.room.load = remote.room.urgent_load;
-            }
-        }
-        remotes
-    }
-}
-
 /// Number of places given per second, averaged over [`RATE_TIME`].
 #[derive(Clone, Copy, Debug, Default)]
 struct Rate {
@@ -241,6 +236,8 @@
     pub counts: [u64; 3],
     /// Measured speed.
     pub speed: Speed,
+    /// Time that engines may read without a gap, as a multiple of the longest allowed pause.
+    pub pace: Pace,
 }
 
 /// State of a service that this instance dispatches.
@@ -248,6 +245,7 @@
 pub struct Service {
     /// Measured speed of its engines.
     pub speed: Speed,
+    pace: Pace,
     engines: HashMap<u64, Engine>,
     /// Runs of the engines at which requests hold places.
     runs: HashMap<HolderId, u64>,
@@ -266,6 +264,7 @@
     pub fn new(speed: Speed) -> Self {
         Self {
             speed,
+            pace: Pace::default(),
             engines: HashMap::new(),
             runs: HashMap::new(),
             queue: Queue::default(),
@@ -294,12 +293,18 @@
             held: engines.map(Engine::held).sum(),
             most_backlog_ms: backlogs.fold(0.0, f64::max),
             most_slowness: slowness.fold(0.0, f64::max),
-            rate_per_s: self.rate(now, u32::MAX),
+            rate_per_s: self.rates.values().map(|r| r.decayed(now)).sum(),
             counts: self.counts,
             speed: self.speed,
+            pace: self.pace,
         }
     }
 
+    /// Returns the milliseconds in which an engine that has cached nothing of a request reads its prompt.
+    pub fn read_ms(&self, ask: &Ask) -> f64 {
+        weighted_tokens(ask, ask.prompt_tokens.into()) * self.speed.ms_per_token
+    }
+
     /// Returns the state of an engine.
     pub fn engine(&self, run: u64) -> Option<&Engine> {
         self.engines.get(&run)
@@ -319,11 +324,8 @@
         self.last_asked.insert(ask.rank, now);
         let first_aim = self.comebacks.take(now, request_key(ask));
         let waiting = self.waiting_of(now, id, ask, first_aim);
-        let target = Duration::from_millis(ask.target_ms.into());
-        let remotes = cx.remotes_for(ask.rank, self.least_urgent(now));
-        if room::is_patient(target, cx.round_trip)
-            && let Some(region) = room::less_loaded(self.room(now, cx.candidates), &remotes)
-        {
+        let need = self.need(now, ask, cx);
+        if let Some(region) = room::less_loaded(self.room(now, cx.candidates), cx.remotes, &need) {
             self.counts[1] += 1;
             return Outcome::Forward(region);
         }
@@ -332,15 +334,14 @@
         {
             return granted;
         }
-        let ahead = self.queue.ahead_of(now, &waiting);
-        let room_in = self.time_to_serve(now, ahead, ask.rank);
+        let room_in = self.time_to_serve(now, ask.rank);
         let max_wait = |until: Duration| {
             let slack = until.saturating_sub(now).mul_f64(WAIT_FRACTION);
             slack.min(MAX_EXPECTED_WAIT)
         };
         let can_wait = room_in <= max_wait(waiting.aim);
         if (!can_wait || room_in > cx.round_trip)
-            && let Some(region) = room::instead(target, cx.round_trip, &remotes)
+            && let Some(region) = room::instead(cx.remotes, &need)
         {
             self.counts[1] += 1;
             return Outcome::Forward(region);
@@ -360,17 +361,41 @@
         recent.map(|(rank, _)| *rank).max().unwrap_or_default()
     }
 
-    /// Returns the places given per second to requests of this rank and more urgent ones.
+    /// Returns what a request needs of another region.
+    fn need(&self, now: Duration, ask: &Ask, cx: &Circumstances<'_>) -> Need {
+        Need {
+            target: Duration::from_millis(ask.target_ms.into()),
+            round_trip: cx.round_trip,
+            is_least_urgent: ask.rank >= self.least_urgent(now),
+            shared_prompt: ask
+                .part_ids
+                .iter()
+                .rev()
+                .nth(1)
+                .copied()
+                .unwrap_or_default(),
+        }
+    }
+
+    /// Returns the places given per second to requests of a rank.
     fn rate(&self, now: Duration, rank: u32) -> f64 {
-        let rates = self.rates.iter().filter(|(r, _)| **r <= rank);
-        rates.map(|(_, rate)| rate.decayed(now)).sum()
+        let of_rank = self.rates.get(&rank).map_or(0.0, |r| r.decayed(now));
+        let all: f64 = self.rates.values().map(|r| r.decayed(now)).sum();
+        of_rank.max(all * MIN_RATE_FRACTION).max(MIN_RATE)
+    }
+
+    fn limits(&self, max_pause: Duration) -> Limits {
+        Limits {
+            max_pause,
+            max_reading: self.pace.max_reading(max_pause),
+        }
     }
 
-    /// Returns the time in which a request gets its place if `ahead` requests get theirs before.
-    fn time_to_serve(&self, now: Duration, ahead: usize, rank: u32) -> Duration {
+    /// Returns the time in which one more request of a rank would get its place.
+    fn time_to_serve(&self, now: Duration, rank: u32) -> Duration {
         // CAST: the number of waiting requests is small.
-        let places = ahead as f64 + 1.0;
-        Duration::from_secs_f64(places / self.rate(now, rank).max(MIN_RATE))
+        let places = self.queue.waiting_of(rank) as f64 + 1.0;
+        Duration::from_secs_f64(places / self.rate(now, rank))
     }
 
     fn refuse(&mut self, now: Duration, waiting: &Waiting, room_in: Duration) -> Outcome {
@@ -402,7 +427,7 @@
             id,
             ask: ask.clone(),
             aim,
-            leave_at: aim.max(now + time_left.mul_f64(LATE_FRACTION)),
+            leave_at: aim.max((now + time_left.mul_f64(LATE_FRACTION)).min(aim + MAX_LATE)),
             returned: first_aim.is_some(),
             arrived_at: now,
             asked_at: now,
@@ -428,6 +453,7 @@
         let first = Duration::from_secs_f64(self.speed.busy_first_ms / 1_000.0);
         let latest = (waiting.aim + self.shortest(&waiting.ask)).saturating_sub(first);
         let is_late = now >= waiting.aim;
+        let limits = self.limits(cx.max_pause);
         let mut best: Option<(Bid, Candidate, Work)> = None;
         let mut best_later_ms = f64::INFINITY;
         let mut failure = Offer::Full;
@@ -435,7 +461,15 @@
             let engine = self.engines.entry(candidate.run).or_default();
             let work = work_of(&waiting.ask, candidate);
             let has_slot = has_slot(now, engine, candidate, &waiting.ask, &self.last_asked);
-            let bid = bid(now, engine, candidate, &work, &self.speed, cx, has_slot);
+            let bid = bid(
+                now,
+                engine,
+                candidate,
+                &work,
+                &self.speed,
+                &limits,
+                has_slot,
+            );
             if !is_late && bid.plan.read_end + bid.later > latest {
                 failure = failure_of(failure, Offer::NoPlace);
             } else if !bid.later.is_zero() {
@@ -495,19 +529,12 @@
             }
         });
         let mut decided: Vec<_> = served.into_iter().zip(outcomes).collect();
-        let least_urgent = self.least_urgent(now);
         let forwarded = queue.take_forwarded(now, cx.round_trip / 2, |waiting| {
-            let rooms = remotes(&waiting.ask);
-            let cx = Circumstances {
-                remotes: &rooms,
-                ..cx.clone()
+            let need = Need {
+                target: waiting.aim.saturating_sub(now),
+                ..self.need(now, &waiting.ask, cx)
             };
-            let target = waiting.aim.saturating_sub(now);
-            room::instead(
-                target,
-                cx.round_trip,
-                &cx.remotes_for(waiting.ask.rank, least_urgent),
-            )
+            room::instead(&remotes(&waiting.ask), &need)
         });
         for (waiting, region) in forwarded {
             self.counts[1] += 1;
@@ -537,26 +564,39 @@
         // CAST: the numbers of engines and requests are small.
         let count = candidates.len().max(1) as f64;
         let reading = backlog.as_secs_f64() / (FULL_BACKLOG.as_secs_f64() * count);
-        let load = |held: usize, waiting: usize| match slots > 0.0 {
-            true => ((held + waiting) as f64 / slots).max(reading).min(1.0),
+        let part = |count: usize| match slots > 0.0 {
+            true => (count as f64 / slots).min(1.0),
             false => 1.0,
         };
         let waiting = self.queue.len();
+        let waiting_urgent = self.queue.waiting_before(least_urgent);
         Room {
-            load: load(held, waiting),
-            urgent_load: load(held_urgent, self.queue.waiting_before(least_urgent)),
+            held: part(held + waiting),
+            held_urgent: part(held_urgent + waiting_urgent),
+            reading,
             free_slots: (slots - (held + waiting) as f64).max(0.0),
+            free_reading_ms: (FULL_BACKLOG.as_secs_f64() * count - backlog.as_secs_f64()) * 1_000.0,
         }
     }
 
     /// Handles what happened to a request. Returns the run of the engine at which it held a place.
-    pub fn handle_notice(&mut self, now: Duration, from: u32, notice: &Notice) -> Option<u64> {
+    pub fn handle_notice(
+        &mut self,
+        now: Duration,
+        from: u32,
+        notice: &Notice,
+        max_pause: Duration,
+    ) -> Option<u64> {
         let id = (from, notice.id);
         let at = now.saturating_sub(Duration::from_millis(notice.age_ms.into()));
         self.queue.remove(id);
         let run = *self.runs.get(&id)?;
         let engine = self.engines.get_mut(&run)?;
         engine.slowness.state(at, notice.slowness_percent);
+        if notice.pause_ms > 0 {
+            let pause = Duration::from_millis(notice.pause_ms.into());
+            self.pace.observe(pause, max_pause);
+        }
         if notice.event() == Event::Started {
             engine.start(id, at, &mut self.speed);
         } else {
@@ -577,8 +617,9 @@
             rank: hold.rank,
             time_left: Duration::from_millis(hold.time_left_ms.into()),
         };
+        let limits = self.limits(max_pause);
         let engine = self.engines.entry(hold.run).or_default();
-        let plan = engine.plan(now, &work, &self.speed, max_pause);
+        let plan = engine.plan(now, &work, &self.speed, &limits);
         engine.hold(now, id, &work, &plan, max_pause);
         self.runs.insert(id, hold.run);
     }
@@ -592,6 +633,7 @@
         is_known: impl Fn(u64) -> bool,
     ) {
         self.engines.retain(|run, _| is_known(*run));
+        self.queue.forget(&is_gone);
         for engine in self.engines.values_mut() {
             engine.release_expired(now, &is_gone);
         }
@@ -662,15 +704,15 @@
     candidate: &Candidate,
     work: &Work,
     speed: &Speed,
-    cx: &Circumstances<'_>,
+    limits: &Limits,
     has_slot: bool,
 ) -> Bid {
-    let plan = engine.plan(now, work, speed, cx.max_pause);
-    let is_large = plan.read_ms + speed.first_ms > cx.max_pause.as_secs_f64() * 1_000.0;
+    let plan = engine.plan(now, work, speed, limits);
+    let is_large = plan.read_ms > limits.max_reading.as_secs_f64() * 1_000.0;
     let max_paused = if is_large { MAX_PAUSED_BY_LARGE } else { 0 };
     let mut later = Duration::ZERO;
     if plan.paused_streams > max_paused {
-        later = engine.time_to_gap(now, cx.max_pause);
+        later = engine.time_to_gap(now, limits.max_pause);
     }
     if !has_slot || !fits_memory(engine, candidate, work) {
         later = later.max(PLACE_RELEASE_TIME);
--- a/crates/sesamebarrow_routing/src/dispatch/comeback.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/comeback.rs
@@ -6,6 +6,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::rendezvous;
+
 /// Smallest time that a refusal names.
 const MIN_DELAY: Duration = Duration::from_millis(200);
 
@@ -72,7 +74,8 @@
         if due > latest {
             // No place is expected in time, so it comes back at a time that others were not told.
             // CAST: at most 1,023.
-            let spread = (caller.request % 1_024) as f64 / 1_024.0;
+            let hash = rendezvous::weight_of_hashes(caller.request, caller.rank.into());
+            let spread = (hash % 1_024) as f64 / 1_024.0;
             let range = latest.saturating_sub(soonest);
             due = soonest.min(latest) + range.mul_f64(spread);
         } else {
--- a/crates/sesamebarrow_routing/src/dispatch/engine.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/engine.rs
@@ -1,7 +1,7 @@
 //! What the dispatcher knows about one engine: the requests that hold a place there, and when it will have
 //! read their prompts.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use crate::cache::PromptPart;
@@ -10,13 +10,13 @@
 /// Identifies a request: the address of the instance that sends it, and its id there.
 pub type HolderId = (u32, u64);
 
-/// Fraction of the longest allowed pause between two events that reading may fill.
-const READING_FRACTION: f64 = 0.8;
-
 /// Fraction of the longest allowed pause in which an engine that reads nothing makes an event. After reading for
 /// as long as allowed, it must not read for so long.
 const EVENT_FRACTION: f64 = 0.1;
 
+/// Time after the planned end of reading after which a first event should have been received.
+const BEHIND_AFTER: Duration = Duration::from_millis(100);
+
 /// Time for which a place is held after its caller has stopped waiting, if its end is not heard of.
 const EXPIRY_MARGIN: Duration = Duration::from_millis(500);
 
@@ -55,6 +55,15 @@
     pub time_left: Duration,
 }
 
+/// What the streams of an engine bear.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Longest pause between two events.
+    pub max_pause: Duration,
+    /// Longest time of reading prompts without a gap for an event ([`crate::dispatch::pace`]).
+    pub max_reading: Duration,
+}
+
 /// When an engine would read a prompt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Plan {
@@ -74,8 +83,8 @@
     places: HashMap<HolderId, Place>,
     /// Planned end of all reading.
     read_until: Duration,
-    /// Since when it reads without a gap in which an event of each stream is made.
-    reading_since: Duration,
+    /// Recent times of reading, the latest last. Their ends do not overlap the next begin.
+    readings: VecDeque<(Duration, Duration)>,
     /// KV cache tokens of all places, shared parts counted once.
     kv_tokens: u64,
     /// Tokens of the shared parts of the places, and how many places have them, by id.
@@ -127,16 +136,16 @@
         self.read_until.saturating_sub(now)
     }
 
-    /// Plans when `work` would be read, and whose events would pause for longer than `max_pause`.
-    pub fn plan(&self, now: Duration, work: &Work, speed: &Speed, max_pause: Duration) -> Plan {
+    /// Plans when `work` would be read, and whose events would pause for too long.
+    pub fn plan(&self, now: Duration, work: &Work, speed: &Speed, limits: &Limits) -> Plan {
         let usual_ms = work.weighted_tokens * speed.ms_per_token;
         let read_ms = usual_ms * self.slowness.factor(now, usual_ms);
         let start = self.read_until.max(now);
         let read_end = start + from_ms(read_ms);
-        let since = self.reading_since(start, max_pause);
-        let max_reading = max_pause.mul_f64(READING_FRACTION);
+        let since = self.event_begin(now, start, limits.max_pause);
         // A stream pauses from the later of the end of its own prompt and the begin of the reading.
-        let pauses = |p: &&Place| read_end.saturating_sub(since.max(p.read_end)) > max_reading;
+        let pauses =
+            |p: &&Place| read_end.saturating_sub(since.max(p.read_end)) > limits.max_reading;
         Plan {
             read_end,
             read_ms,
@@ -151,13 +160,31 @@
         gap_end.saturating_sub(now).max(Duration::from_millis(1))
     }
 
-    /// Returns since when the engine would read without a gap if it reads on at `start`.
-    fn reading_since(&self, start: Duration, max_pause: Duration) -> Duration {
-        if start >= self.read_until + max_pause.mul_f64(EVENT_FRACTION) {
-            start
-        } else {
-            self.reading_since
+    /// Returns when the event begins at the latest that is not made yet when the engine reads on at `start`. The
+    /// engine makes an event in the gaps between reading, which add up.
+    fn event_begin(&self, now: Duration, start: Duration, max_pause: Duration) -> Duration {
+        let mut missing = max_pause.mul_f64(EVENT_FRACTION);
+        let mut begin = start;
+        for (index, (from, until)) in self.readings.iter().rev().enumerate() {
+            // An engine that is behind its plan has not paused yet.
+            let until = match index == 0 && self.is_behind(now) {
+                true => now.max(*until),
+                false => *until,
+            };
+            let gap = begin.saturating_sub(until);
+            if gap >= missing {
+                return begin.saturating_sub(missing);
+            }
+            missing -= gap;
+            begin = (*from).min(begin);
         }
+        begin.saturating_sub(missing)
+    }
+
+    /// Returns whether a first event should have been received a while ago.
+    fn is_behind(&self, now: Duration) -> bool {
+        let unread = self.places.values().filter(|p| !p.started);
+        unread.clone().any(|p| p.read_end + BEHIND_AFTER < now)
     }
 
     /// Gives a place to a request, as planned.
@@ -170,8 +197,16 @@
         max_pause: Duration,
     ) {
         self.release(id);
-        self.reading_since = self.reading_since(self.read_until.max(now), max_pause);
+        let start = self.read_until.max(now);
         self.read_until = self.read_until.max(plan.read_end);
+        match self.readings.back_mut() {
+            Some(last) if last.1 >= start => last.1 = self.read_until,
+            _ => self.readings.push_back((start, self.read_until)),
+        }
+        let is_old = |r: &(Duration, Duration)| r.1 + max_pause * 2 < now;
+        while self.readings.front().is_some_and(is_old) {
+            self.readings.pop_front();
+        }
         let kv_tokens = self.additional_kv_tokens(work);
         self.kv_tokens += kv_tokens;
         for part in &work.shared {
@@ -198,6 +233,10 @@
     /// Records that the first event of a request was received at `at`, and learns the speed from it. Returns
     /// whether the request holds a place.
     pub fn start(&mut self, id: HolderId, at: Duration, speed: &mut Speed) -> bool {
+        let Some(granted_at) = self.places.get(&id).map(|p| p.granted_at) else {
+            return false;
+        };
+        let is_last = self.places.values().all(|p| p.granted_at <= granted_at);
         let Some(place) = self.places.get_mut(&id) else {
             return false;
         };
@@ -209,23 +248,35 @@
             tokens: place.planned_tokens,
             took_ms: to_ms(at.saturating_sub(place.granted_at)),
             is_sure: place.is_sure,
+            is_last,
         };
         let early = place.read_end.saturating_sub(at);
         place.read_end = at;
         speed.observe(&mut self.slowness, measurement);
         let unread = self.places.values().filter(|p| !p.started);
         let unread_ms: f64 = unread.map(|p| p.read_ms).sum();
+        let planned_until = self.read_until;
         if unread_ms <= 0.0 {
-            self.read_until = self.read_until.min(at);
+            self.read_until = at.saturating_sub(from_ms(speed.first_ms));
         } else if at > self.read_until {
             // It reads more slowly than planned.
             self.read_until = at + from_ms(unread_ms);
         } else {
             self.read_until = self.read_until.saturating_sub(early).max(at);
         }
+        if self.read_until != planned_until {
+            self.correct_readings();
+        }
         true
     }
 
+    /// Ends the latest reading when all reading is planned to end.
+    fn correct_readings(&mut self) {
+        if let Some(last) = self.readings.back_mut() {
+            last.1 = self.read_until.max(last.0);
+        }
+    }
+
     /// Releases the place of a request. Returns whether it held one.
     pub fn release(&mut self, id: HolderId) -> bool {
         let Some(place) = self.places.remove(&id) else {
@@ -243,6 +294,7 @@
         }
         if !place.started {
             self.read_until = self.read_until.saturating_sub(from_ms(place.read_ms));
+            self.correct_readings();
         }
         true
     }
--- a/crates/sesamebarrow_routing/src/dispatch/message.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/message.rs
@@ -1,6 +1,7 @@
 //! The datagrams of [`crate::dispatch`].
 
 use crate::cache::PromptPart;
+use crate::dispatch::room::Room;
 
 /// Asks the dispatcher of a service for an upstream.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -87,15 +88,55 @@
     /// Hash of the region to forward to.
     #[prost(fixed32, tag = "6")]
     pub region_hash: u32,
-    /// How full the service is in this region; see [`crate::dispatch::room::Room`].
-    #[prost(uint32, tag = "7")]
-    pub load_percent: u32,
-    /// Requests that the region could run besides.
-    #[prost(uint32, tag = "8")]
+    /// Room of the service in this region; `None` if the request has waited.
+    #[prost(message, optional, tag = "7")]
+    pub room: Option<StatedRoom>,
+}
+
+/// A [`Room`] as it is sent.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct StatedRoom {
+    /// [`Room::held`] in percent.
+    #[prost(uint32, tag = "1")]
+    pub held_percent: u32,
+    /// [`Room::held_urgent`] in percent.
+    #[prost(uint32, tag = "2")]
+    pub held_urgent_percent: u32,
+    /// [`Room::reading`] in percent.
+    #[prost(uint32, tag = "3")]
+    pub reading_percent: u32,
+    /// [`Room::free_slots`].
+    #[prost(uint32, tag = "4")]
     pub free_slots: u32,
-    /// How full the service is for all but the least urgent requests.
-    #[prost(uint32, tag = "9")]
-    pub urgent_load_percent: u32,
+    /// [`Room::free_reading_ms`].
+    #[prost(uint32, tag = "5")]
+    pub free_reading_ms: u32,
+}
+
+impl From<Room> for StatedRoom {
+    fn from(room: Room) -> Self {
+        // CAST: parts are at most 1, and the others bounded by the number of engines.
+        Self {
+            held_percent: (room.held * 100.0) as u32,
+            held_urgent_percent: (room.held_urgent * 100.0) as u32,
+            reading_percent: (room.reading * 100.0) as u32,
+            free_slots: room.free_slots as u32,
+            free_reading_ms: room.free_reading_ms as u32,
+        }
+    }
+}
+
+impl From<&StatedRoom> for Room {
+    fn from(stated: &StatedRoom) -> Self {
+        let part = |percent: u32| (f64::from(percent) / 100.0).min(1.0);
+        Self {
+            held: part(stated.held_percent),
+            held_urgent: part(stated.held_urgent_percent),
+            reading: part(stated.reading_percent),
+            free_slots: stated.free_slots.into(),
+            free_reading_ms: stated.free_reading_ms.into(),
+        }
+    }
 }
 
 /// What happened to a request that holds a place at an upstream.
@@ -106,7 +147,7 @@
     Other = 0,
     /// Its first event arrived.
     Started = 1,
-    /// It ended, or was never sent.
+    /// It ended without showing anything about the upstream, or was never sent.
     Ended = 2,
     /// The upstream failed it.
     Failed = 3,
@@ -114,6 +155,10 @@
     Unreachable = 4,
     /// The upstream refused it.
     Refused = 5,
+    /// Its answer was complete.
+    Completed = 6,
+    /// Its connection ended before its answer was complete.
+    Broken = 7,
 }
 
 /// An event of a request that holds a place.
@@ -131,6 +176,9 @@
     /// How long work takes at the upstream at the moment, in percent of the usual; 0 if it does not say.
     #[prost(uint32, tag = "4")]
     pub slowness_percent: u32,
+    /// Longest time in milliseconds between two events of its stream, at its end; 0 if there were none.
+    #[prost(uint32, tag = "5")]
+    pub pause_ms: u32,
 }
 
 /// A request that holds a place that this dispatcher did not grant.
--- a/crates/sesamebarrow_routing/src/dispatch/queue.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/queue.rs
@@ -39,7 +39,7 @@
 /// Largest number of prompt tokens that less urgent requests may save up.
 const MAX_CREDIT: f64 = 8_000.0;
 
-/// Number of requests without a place after which no further ones are offered any in the same round.
+/// Number of requests of a rank without a place after which no further ones are offered any in the same round.
 const MAX_FAILED_OFFERS: u32 = 8;
 
 /// Time after which a request that its instance has not asked for again is dropped.
@@ -75,11 +75,9 @@
         self.waiting.is_empty()
     }
 
-    /// Returns the number of waiting requests that would be served before `other`.
-    pub fn ahead_of(&self, now: Duration, other: &Waiting) -> usize {
-        let order = other.order(now);
-        let ahead = self.waiting.iter().filter(|w| w.order(now) <= order);
-        ahead.count()
+    /// Returns the number of waiting requests of a rank.
+    pub fn waiting_of(&self, rank: u32) -> usize {
+        self.waiting.iter().filter(|w| w.ask.rank == rank).count()
     }
 
     /// Returns the number of waiting requests that are more urgent than `rank`.
@@ -114,7 +112,8 @@
 
     /// Returns whether a request must wait because a more urgent or equal one does.
     pub fn goes_before(&self, now: Duration, other: &Waiting) -> bool {
-        self.ahead_of(now, other) > 0
+        let order = other.order(now);
+        self.waiting.iter().any(|w| w.order(now) <= order)
     }
 
     /// Adds a request, or updates it if it waits already.
@@ -137,6 +136,11 @@
         self.waiting.len() < before
     }
 
+    /// Drops the requests of instances that `is_gone` names.
+    pub fn forget(&mut self, is_gone: impl Fn(u32) -> bool) {
+        self.waiting.retain(|w| !is_gone(w.id.0));
+    }
+
     /// Takes the requests that leave now: those that waited for too long, and separately those whose instance
     /// has not asked for them again.
     pub fn take_leaving(&mut self, now: Duration) -> Vec<Waiting> {
@@ -157,13 +161,15 @@
         let least_urgent = self.waiting.iter().map(|w| w.ask.rank).max();
         let mut blocked: Option<u32> = None;
         let mut full = false;
-        let mut failed = 0;
+        // Rank of the last requests without a place, and their number.
+        let mut failed = (0, 0);
         let mut served = Vec::new();
         let mut kept = Vec::with_capacity(self.waiting.len());
         for waiting in std::mem::take(&mut self.waiting) {
             let rank = waiting.ask.rank;
             let gives_way = blocked.is_some_and(|b| rank > b);
-            if full || (gives_way && self.credit <= 0.0) {
+            let is_skipped = failed.0 == rank && failed.1 >= MAX_FAILED_OFFERS;
+            if full || is_skipped || (gives_way && self.credit <= 0.0) {
                 kept.push(waiting);
                 continue;
             }
@@ -180,8 +186,10 @@
                 }
                 Offer::NoPlace => {
                     blocked = Some(blocked.map_or(rank, |b| b.min(rank)));
-                    failed += 1;
-                    full = failed >= MAX_FAILED_OFFERS;
+                    failed = match failed.0 == rank {
+                        true => (rank, failed.1 + 1),
+                        false => (rank, 1),
+                    };
                     kept.push(waiting);
                 }
                 Offer::Later => kept.push(waiting),
--- a/crates/sesamebarrow_routing/src/dispatch/room.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/room.rs
@@ -5,15 +5,46 @@
 
 use std::time::Duration;
 
+use crate::rendezvous;
+
 /// Room of a service in a region.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Room {
-    /// Part of the places, or of the time for reading prompts, that is in use, whichever is larger.
-    pub load: f64,
-    /// The same for all but the least urgent requests, which give way to them.
-    pub urgent_load: f64,
+    /// Part of the slots that is held or waited for.
+    pub held: f64,
+    /// The same without the least urgent requests, which give way to others.
+    pub held_urgent: f64,
+    /// Part of the time for reading prompts that is planned.
+    pub reading: f64,
     /// Requests that the region could run besides.
     pub free_slots: f64,
+    /// Milliseconds of reading that the region could plan besides, summed over its engines.
+    pub free_reading_ms: f64,
+}
+
+impl Room {
+    /// Returns how full the region is for a request, which may be one of the least urgent.
+    pub fn load(&self, is_least_urgent: bool) -> f64 {
+        let held = match is_least_urgent {
+            true => self.held,
+            false => self.held_urgent,
+        };
+        held.max(self.reading)
+    }
+
+    /// Counts a request that is forwarded to the region and reads for `read_ms` there, until the region's next
+    /// report.
+    pub fn take(&mut self, read_ms: f64) {
+        let slots = self.free_slots / (1.0 - self.held).max(0.01);
+        let reading_ms = self.free_reading_ms / (1.0 - self.reading).max(0.01);
+        let slot = 1.0 / slots.max(1.0);
+        self.held = (self.held + slot).min(1.0);
+        self.held_urgent = (self.held_urgent + slot).min(1.0);
+        self.free_slots = (self.free_slots - 1.0).max(0.0);
+        let read_ms = read_ms * UNREAD_FRACTION;
+        self.reading = (self.reading + read_ms / reading_ms.max(1.0)).min(1.0);
+        self.free_reading_ms = (self.free_reading_ms - read_ms).max(0.0);
+    }
 }
 
 /// Room of another region.
@@ -45,34 +76,57 @@
     target >= round_trip * PATIENT_ROUND_TRIPS
 }
 
-/// Returns the region that should run a request although this one could, because it has much more room.
-pub fn less_loaded(local: Room, remotes: &[Remote]) -> Option<u32> {
-    if local.load < BUSY_LOAD {
-        return None;
+/// Part of the reading of forwarded requests that a region has not done by its next report.
+const UNREAD_FRACTION: f64 = 0.25;
+
+/// Difference of load up to which the region is selected that other requests with the same shared prompt are
+/// sent to.
+const AFFINITY_DIFFERENCE: f64 = 0.15;
+
+/// What a request looks for in another region.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// Time until the answer should begin.
+    pub target: Duration,
+    /// Time to another region and back.
+    pub round_trip: Duration,
+    /// Whether the request is one of the least urgent.
+    pub is_least_urgent: bool,
+    /// Hash of the shared part of its prompt; 0 if there is none.
+    pub shared_prompt: u64,
+}
+
+impl Need {
+    /// Returns whether the way to another region costs the request next to nothing.
+    pub fn is_patient(&self) -> bool {
+        self.target >= self.round_trip * PATIENT_ROUND_TRIPS
     }
-    let best = with_most_room(remotes)?;
-    (best.room.load + MIN_DIFFERENCE <= local.load).then_some(best.region_hash)
 }
 
-/// Returns the region that should run a request that finds no place here.
-pub fn instead(target: Duration, round_trip: Duration, remotes: &[Remote]) -> Option<u32> {
-    let max_way = target.mul_f64(MAX_WAY_FRACTION);
-    let best = with_most_room(remotes)?;
-    (round_trip <= max_way).then_some(best.region_hash)
+/// Returns the region that should run a patient request although this one could, because it has much more room.
+pub fn less_loaded(local: Room, remotes: &[Remote], need: &Need) -> Option<u32> {
+    let load = local.load(need.is_least_urgent);
+    if load < BUSY_LOAD || !need.is_patient() {
+        return None;
+    }
+    let best = with_most_room(remotes, need)?;
+    let is_much_less = best.room.load(need.is_least_urgent) + MIN_DIFFERENCE <= load;
+    is_much_less.then_some(best.region_hash)
 }
 
-fn with_most_room(remotes: &[Remote]) -> Option<Remote> {
-    let has_room = |r: &&Remote| r.room.load <= MAX_REMOTE_LOAD;
-    let by_load = |a: &&Remote, b: &&Remote| a.room.load.total_cmp(&b.room.load);
-    remotes.iter().filter(has_room).min_by(by_load).copied()
+/// Returns the region that should run a request that finds no place here.
+pub fn instead(remotes: &[Remote], need: &Need) -> Option<u32> {
+    let max_way = need.target.mul_f64(MAX_WAY_FRACTION);
+    let best = with_most_room(remotes, need)?;
+    (need.round_trip <= max_way).then_some(best.region_hash)
 }
 
-impl Room {
-    /// Counts a request that is forwarded to the region, until its next report.
-    pub fn take_slot(&mut self) {
-        let all = self.free_slots / (1.0 - self.load).max(0.01);
-        self.free_slots = (self.free_slots - 1.0).max(0.0);
-        self.load = (self.load + 1.0 / all.max(1.0)).min(1.0);
-        self.urgent_load = (self.urgent_load + 1.0 / all.max(1.0)).min(1.0);
-    }
+fn with_most_room(remotes: &[Remote], need: &Need) -> Option<Remote> {
+    let load = |r: &Remote| r.room.load(need.is_least_urgent);
+    let least = remotes.iter().map(load).min_by(f64::total_cmp)?;
+    let max = (least + AFFINITY_DIFFERENCE).min(MAX_REMOTE_LOAD);
+    let weight =
+        |r: &&Remote| rendezvous::weight_of_hashes(need.shared_prompt, r.region_hash.into());
+    let with_room = remotes.iter().filter(|r| load(r) <= max);
+    with_room.max_by_key(weight).copied()
 }
--- a/crates/sesamebarrow_routing/src/dispatch/speed.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/speed.rs
@@ -4,9 +4,8 @@
 //! while: an estimate that takes them for equal sends most work to the slow ones.
 //!
 //! The first event of a request comes after the engine has read its prompt and then made the event, between
-//! whose steps it reads other prompts. So under load most first events are late for reasons other than the
-//! speed, and the speed follows the soonest ones. What is particular to an engine is its mean error relative to
-//! that of all engines, so that what delays all alike cancels out.
+//! whose steps it reads the prompts that were sent meanwhile. So only first events of requests after which
+//! none was sent to the engine say how fast it reads.
 
 use std::time::Duration;
 
@@ -16,17 +15,15 @@
 /// Planned reading time in milliseconds up to which a first event says how long one takes besides.
 const MAX_UNREAD_MS: f64 = 30.0;
 
-/// Weight of a first event that is sooner than the speed says.
-const SOONER_GAIN: f64 = 0.1;
-
-/// Relative change by a first event that is later than the speed says.
-const LATER_STEP: f64 = 0.01;
-
-/// Weight of one first event in means over a service.
-const SERVICE_GAIN: f64 = 0.03;
+/// Weight of one first event in what is measured of a service, to which all its engines contribute.
+const SERVICE_GAIN: f64 = 0.05;
 
 /// Weight of one first event in what is particular to an engine.
-const ENGINE_GAIN: f64 = 0.06;
+const ENGINE_GAIN: f64 = 0.2;
+
+/// Part of what is particular to an engine that is kept at each measurement, so that it does not drift together
+/// with what the engines have in common.
+const ENGINE_KEPT: f64 = 0.99;
 
 /// Part of the planned time below which a prompt was rather cached without the dispatcher's knowledge.
 const MIN_UNSURE_RATIO: f64 = 0.6;
@@ -57,6 +54,8 @@
     pub took_ms: f64,
     /// Whether all that was planned was surely read. Prompts may be cached without the dispatcher's knowledge.
     pub is_sure: bool,
+    /// Whether no request was sent to the engine after it.
+    pub is_last: bool,
 }
 
 /// How fast the engines of a service work.
@@ -69,8 +68,6 @@
     pub first_ms: f64,
     /// The same at engines as busy as they are, on average.
     pub busy_first_ms: f64,
-    /// Mean logarithm of how much later first events are than planned.
-    mean_log: f64,
 }
 
 impl Speed {
@@ -80,7 +77,6 @@
             ms_per_token: 1.0 / prefill_per_ms,
             first_ms: 60.0,
             busy_first_ms: 60.0,
-            mean_log: 0.0,
         }
     }
 
@@ -91,51 +87,53 @@
             tokens,
             took_ms,
             is_sure,
+            is_last,
         } = measured;
         let besides_ms = (took_ms - planned_ms).clamp(FIRST_RANGE_MS.0, FIRST_RANGE_MS.1);
         self.busy_first_ms += SERVICE_GAIN * (besides_ms - self.busy_first_ms);
+        if !is_last {
+            return;
+        }
         if planned_ms <= MAX_UNREAD_MS {
-            follow_soonest(&mut self.first_ms, besides_ms);
+            self.first_ms += SERVICE_GAIN * (besides_ms - self.first_ms);
         }
         if planned_ms < MIN_MEASURED_MS {
             return;
         }
         let ratio = (took_ms - self.first_ms) / (tokens * self.ms_per_token);
         let ratio = ratio.clamp(MEASURED_RANGE.0, MEASURED_RANGE.1);
-        if ratio > MIN_UNSURE_RATIO || is_sure {
-            let measured = self.ms_per_token * ratio;
-            follow_soonest(&mut self.ms_per_token, measured);
-        }
-        if is_sure {
-            let log = ratio.ln();
-            self.mean_log += SERVICE_GAIN * (log - self.mean_log);
-            slowness.observe(log - self.mean_log);
+        if is_sure || ratio > MIN_UNSURE_RATIO {
+            self.ms_per_token *= ratio.powf(SERVICE_GAIN);
+            slowness.observe(ratio);
         }
     }
 }
 
-/// Moves `value` to a sooner measurement quickly, and to a later one slowly.
-fn follow_soonest(value: &mut f64, measured: f64) {
-    if measured < *value {
-        *value += SOONER_GAIN * (measured - *value);
-    } else {
-        *value = (*value * (1.0 + LATER_STEP)).min(measured);
-    }
-}
-
 /// What is particular to one engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Slowness {
-    /// Logarithm of the time that its work takes, relative to the service's speed.
-    log: f64,
+    /// Time that its work takes, relative to the service's speed.
+    measured: f64,
     /// What it stated last, relative to its usual speed, and when.
     stated: Option<(Duration, f64)>,
 }
 
+impl Default for Slowness {
+    fn default() -> Self {
+        Self {
+            measured: 1.0,
+            stated: None,
+        }
+    }
+}
+
 impl Slowness {
-    fn observe(&mut self, log: f64) {
-        self.log += ENGINE_GAIN * (log - self.log);
-        self.log = self.log.clamp(SLOWNESS_RANGE.0.ln(), SLOWNESS_RANGE.1.ln());
+    /// Records how much longer a first event took than planned.
+    fn observe(&mut self, ratio: f64) {
+        let measured = self.measured * ratio.powf(ENGINE_GAIN);
+        self.measured = measured
+            .powf(ENGINE_KEPT)
+            .clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
     }
 
     /// Records what the upstream states, in percent of its usual time. Zero means that it states nothing.
@@ -159,6 +157,6 @@
 
     /// Returns the measured slowness.
     pub fn measured(&self) -> f64 {
-        self.log.exp()
+        self.measured
     }
 }
--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -6,6 +6,8 @@
 
 use prost::Message as _;
 
+use crate::dispatch::message::StatedRoom;
+
 /// Load of one service in the sender's region.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ServiceLoad {
@@ -18,18 +20,12 @@
     /// Number of upstreams that accept requests and are not full.
     #[prost(uint32, tag = "3")]
     pub usable_upstreams: u32,
-    /// How full the service is, in percent, if it is dispatched ([`crate::dispatch::room::Room`]).
-    #[prost(uint32, optional, tag = "4")]
-    pub load_percent: Option<u32>,
-    /// Requests that it could run besides, if it is dispatched.
+    /// Room of the service, if it is dispatched.
+    #[prost(message, optional, tag = "4")]
+    pub room: Option<StatedRoom>,
+    /// Milliseconds since the dispatcher stated it.
     #[prost(uint32, tag = "5")]
-    pub free_slots: u32,
-    /// Milliseconds since the dispatcher stated these two.
-    #[prost(uint32, tag = "6")]
     pub room_age_ms: u32,
-    /// How full it is for all but the least urgent requests, in percent, if it is dispatched.
-    #[prost(uint32, tag = "7")]
-    pub urgent_load_percent: u32,
 }
 
 /// Load that the sender has put on one upstream of its region.
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -252,13 +252,14 @@
         }
     }
 
-    /// Counts a request that is forwarded to the region with this hash, until its next report.
-    pub fn take_room(&mut self, region_hash: u32, service_hash: u32) {
+    /// Counts a request that is forwarded to the region with this hash and reads for `read_ms` there, until its
+    /// next report.
+    pub fn take_room(&mut self, region_hash: u32, service_hash: u32, read_ms: f64) {
         let loads = self.service_loads.iter_mut();
         let mut of_region =
             loads.filter(|((r, s), _)| *s == service_hash && short_hash(r) == region_hash);
         if let Some(room) = of_region.next().and_then(|(_, load)| load.room.as_mut()) {
-            room.take_slot();
+            room.take(read_ms);
         }
     }
 
@@ -298,11 +299,7 @@
         member.upstream_loads = (now, upstream_loads.collect());
         for load in &datagram.service_loads {
             let key = (member.region.clone(), load.service_hash);
-            let room = load.load_percent.map(|percent| Room {
-                load: f64::from(percent) / 100.0,
-                urgent_load: f64::from(load.urgent_load_percent) / 100.0,
-                free_slots: load.free_slots.into(),
-            });
+            let room = load.room.as_ref().map(Room::from);
             let age = Duration::from_millis(load.room_age_ms.into());
             let mut room = (room, now.saturating_sub(age));
             if let Some(known) = self.service_loads.get(&key)
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -12,6 +12,8 @@
 mod catalogs;
 #[path = "decisions/cold_upstreams.rs"]
 mod cold_upstreams;
+#[path = "decisions/dispatch.rs"]
+mod dispatch;
 #[path = "decisions/drain.rs"]
 mod drain;
 #[path = "decisions/fingerprint.rs"]
