--- a/crates/sesamebarrow_gateway/src/admin.rs
+++ b/crates/sesamebarrow_gateway/src/admin.rs
@@ -116,7 +116,32 @@
             json!({ "kind": kind, "suspect": id, "crashes": crashes })
         })
         .collect();
+    let dispatched: Vec<_> = board
+        .dispatched()
+        .map(|service| {
+            let dispatcher = match board.dispatcher(now, service) {
+                Some(Owner::Own) => "own".to_owned(),
+                Some(Owner::Other(ip)) => ip.to_string(),
+                None => "none".to_owned(),
+            };
+            json!({ "service": service, "dispatcher": dispatcher })
+        })
+        .collect();
+    let dispatching: Vec<_> = board
+        .dispatched_services()
+        .map(|(service, state)| {
+            let s = state.summary(now);
+            json!({
+                "service": service, "waiting": s.waiting, "held": s.held,
+                "busy_engines": s.busy_engines, "most_backlog_ms": s.most_backlog_ms,
+                "most_slowness": s.most_slowness, "places_per_s": s.rate_per_s,
+                "granted": s.counts[0], "forwarded": s.counts[1], "refused": s.counts[2],
+                "tokens_per_ms": 1.0 / s.speed.ms_per_token,
+            })
+        })
+        .collect();
     json!({
+        "dispatched": dispatched, "dispatching": dispatching,
         "limits": limits, "quarantine": orders, "blamed": blamed,
         "name": board.identity.name, "region": board.identity.region, "ready": board.is_ready(),
         "refuses_streams": shared.refuses_streams.load(Ordering::Relaxed),
--- a/crates/sesamebarrow_routing/src/board/dispatch.rs
+++ b/crates/sesamebarrow_routing/src/board/dispatch.rs
@@ -77,6 +77,11 @@
         dispatch.services.retain(|hash, _| names.contains_key(hash));
     }
 
+    /// Returns the services whose requests are dispatched.
+    pub fn dispatched(&self) -> impl Iterator<Item = &SmolStr> {
+        self.dispatch.pauses.keys()
+    }
+
     /// Returns whether requests for `service` are dispatched.
     pub fn is_dispatched(&self, service: &str) -> bool {
         self.dispatch.pauses.contains_key(service)
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -14,6 +14,8 @@
 mod cold_upstreams;
 #[path = "decisions/dispatch.rs"]
 mod dispatch;
+#[path = "decisions/dispatchers.rs"]
+mod dispatchers;
 #[path = "decisions/drain.rs"]
 mod drain;
 #[path = "decisions/fingerprint.rs"]
--- a/crates/sesamebarrow_routing/tests/decisions/dispatch.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/dispatch.rs
@@ -170,13 +170,13 @@
     while is_granted(&decide(
         &mut service,
         ms(0),
-        &ask(ids.next().unwrap(), 0, 4_000, 1_000),
+        &ask(ids.next().expect("endless"), 0, 4_000, 1_000),
         1,
     )) {}
     let mut waiting = Vec::new();
     for rank in [4, 0] {
         for _ in 0..4 {
-            let id = ids.next().unwrap();
+            let id = ids.next().expect("endless");
             decide(&mut service, ms(1), &ask(id, rank, 1_000, 2_500), 1);
             waiting.push((id, rank));
         }
