Use ejected upstreams while most are, and let urgent requests see the room that others give way for

Cause: the dispatcher hears of the failures of all instances, so that a few seconds in which all upstreams failed half of their requests ejected most of them, and everything went to the rest. A region whose reading was planned for patient requests looked full to urgent ones of others.

Change: ejected upstreams are left out only while seven tenths are not; room states reading as urgent requests see it.

--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -145,6 +145,9 @@
 /// Age above which the queue length that an upstream reported is ignored.
 const QUEUE_REPORT_LIFETIME: Duration = Duration::from_millis(300);
 
+/// Part of the upstreams that must not be ejected for a dispatcher to leave out those that are.
+const MIN_AVAILABLE_FRACTION: f64 = 0.7;
+
 struct ScoredUpstream {
     key: Key,
     /// Estimated milliseconds until the first event.
@@ -266,21 +269,32 @@
     Ok(scored.collect())
 }
 
-/// Returns the upstreams of `service` whose requests a dispatcher may place: those that accept requests, fail
-/// few, are not cold and have no limit. Cold and limited ones have owners of their own.
+/// Returns the upstreams of `service` whose requests a dispatcher may place: those that accept requests, are not
+/// cold and have no limit. Cold and limited ones have owners of their own. Ejected ones are left out only while
+/// most others are not: failures that nearly all have are not cured by sending everything to the rest.
 pub fn dispatchable(board: &Board, now: Duration, service: &str) -> Vec<Key> {
-    let cold_rate = board.config.as_ref().and_then(|c| c.services.get(service));
-    let limits_cold = cold_rate.is_some_and(|s| s.cold_rate > 0.0);
+    let config = board.config.as_ref().and_then(|c| c.services.get(service));
+    let limits_cold = config.is_some_and(|s| s.cold_rate > 0.0);
+    let verdict = |key: &Key| {
+        let upstream = &board.upstreams.all[*key];
+        upstream.availability.verdict(now, upstream.in_progress)
+    };
     let is_placed = |key: &&Key| {
         let upstream = &board.upstreams.all[**key];
-        let verdict = upstream.availability.verdict(now, upstream.in_progress);
         accepts_requests(board, upstream)
-            && verdict == Verdict::Available
+            && !matches!(verdict(key), Verdict::Resting(_) | Verdict::Ramping)
             && !(limits_cold && upstream.is_cold(now))
             && board.is_unlimited(**key)
     };
     let keys = board.upstreams.of_service(service).iter();
-    keys.filter(is_placed).copied().collect()
+    let placed: Vec<Key> = keys.filter(is_placed).copied().collect();
+    let is_available = |key: &&Key| verdict(key) == Verdict::Available;
+    let available: Vec<Key> = placed.iter().filter(is_available).copied().collect();
+    // CAST: the number of upstreams is small.
+    match available.len() as f64 >= placed.len() as f64 * MIN_AVAILABLE_FRACTION {
+        true => available,
+        false => placed,
+    }
 }
 
 /// Returns the engine of `service`; `None` if it has none.
--- a/crates/sesamebarrow_routing/src/dispatch.rs
+++ b/crates/sesamebarrow_routing/src/dispatch.rs
@@ -131,6 +131,9 @@
 /// Longest time that a request is expected to wait. Callers that can wait longer come back instead.
 const MAX_EXPECTED_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Part of the planned reading that delays an urgent request where no other one waits.
+const UNCLAIMED_FRACTION: f64 = 0.5;
+
 /// Part of the time for reading that counts as a full load of a region.
 const FULL_BACKLOG: Duration = Duration::from_millis(450);
 
@@ -574,6 +577,10 @@
             held: part(held + waiting),
             held_urgent: part(held_urgent + waiting_urgent),
             reading,
+            reading_urgent: match waiting_urgent {
+                0 => reading * UNCLAIMED_FRACTION,
+                _ => reading,
+            },
             free_slots: (slots - (held + waiting) as f64).max(0.0),
             free_reading_ms: (FULL_BACKLOG.as_secs_f64() * count - backlog.as_secs_f64()) * 1_000.0,
         }
--- a/crates/sesamebarrow_routing/src/dispatch/message.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/message.rs
@@ -111,6 +111,9 @@
     /// [`Room::free_reading_ms`].
     #[prost(uint32, tag = "5")]
     pub free_reading_ms: u32,
+    /// [`Room::reading_urgent`] in percent.
+    #[prost(uint32, tag = "6")]
+    pub reading_urgent_percent: u32,
 }
 
 impl From<Room> for StatedRoom {
@@ -120,6 +123,7 @@
             held_percent: (room.held * 100.0) as u32,
             held_urgent_percent: (room.held_urgent * 100.0) as u32,
             reading_percent: (room.reading * 100.0) as u32,
+            reading_urgent_percent: (room.reading_urgent * 100.0) as u32,
             free_slots: room.free_slots as u32,
             free_reading_ms: room.free_reading_ms as u32,
         }
@@ -133,6 +137,7 @@
             held: part(stated.held_percent),
             held_urgent: part(stated.held_urgent_percent),
             reading: part(stated.reading_percent),
+            reading_urgent: part(stated.reading_urgent_percent),
             free_slots: stated.free_slots.into(),
             free_reading_ms: stated.free_reading_ms.into(),
         }
--- a/crates/sesamebarrow_routing/src/dispatch/room.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/room.rs
@@ -16,6 +16,8 @@
     pub held_urgent: f64,
     /// Part of the time for reading prompts that is planned.
     pub reading: f64,
+    /// The same as more urgent requests see it: where none of them waits, the next places are theirs.
+    pub reading_urgent: f64,
     /// Requests that the region could run besides.
     pub free_slots: f64,
     /// Milliseconds of reading that the region could plan besides, summed over its engines.
@@ -25,11 +27,10 @@
 impl Room {
     /// Returns how full the region is for a request, which may be one of the least urgent.
     pub fn load(&self, is_least_urgent: bool) -> f64 {
-        let held = match is_least_urgent {
-            true => self.held,
-            false => self.held_urgent,
-        };
-        held.max(self.reading)
+        match is_least_urgent {
+            true => self.held.max(self.reading),
+            false => self.held_urgent.max(self.reading_urgent),
+        }
     }
 
     /// Counts a request that is forwarded to the region and reads for `read_ms` there, until the region's next
@@ -42,7 +43,9 @@
         self.held_urgent = (self.held_urgent + slot).min(1.0);
         self.free_slots = (self.free_slots - 1.0).max(0.0);
         let read_ms = read_ms * UNREAD_FRACTION;
-        self.reading = (self.reading + read_ms / reading_ms.max(1.0)).min(1.0);
+        let part = read_ms / reading_ms.max(1.0);
+        self.reading = (self.reading + part).min(1.0);
+        self.reading_urgent = (self.reading_urgent + part).min(1.0);
         self.free_reading_ms = (self.free_reading_ms - read_ms).max(0.0);
     }
 }
--- a/crates/sesamebarrow_routing/tests/decisions/dispatch.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/dispatch.rs
@@ -322,6 +322,7 @@
         held,
         held_urgent: held / 2.0,
         reading,
+        reading_urgent: reading / 2.0,
         free_slots: (1.0 - held) * 600.0,
         free_reading_ms: (1.0 - reading) * 10_000.0,
     }
--- a/crates/sesamebarrow_trial/tests/dispatch/play.rs
+++ b/crates/sesamebarrow_trial/tests/dispatch/play.rs
@@ -207,8 +207,8 @@
                 let session = self.rng.random_range(0..k.sessions);
                 let ids = [
                     kind as u64 + 1,
-                    (kind as u64 + 1) << 32 | session + 1,
-                    1 << 60 | id,
+                    ((kind as u64 + 1) << 32) | (session + 1),
+                    (1 << 60) | id,
                 ];
                 let parts = ids.into_iter().zip(k.parts);
                 let request = Request {
@@ -242,12 +242,6 @@
             self.serve_queue(now_ms);
             self.run_engines(now_ms);
         }
-        for run in 0..self.engines.len() {
-            if let Some(e) = self.service.engine(run as u64) {
-                print!("{:.2} ", e.slowness.measured());
-            }
-        }
-        println!("{:?}", self.service.speed);
         self.served
     }
 
@@ -281,7 +275,7 @@
         let rank = dispatch::rank(kind.priority, at(kind.target_ms));
         let left_ms = kind.timeout_ms - (now_ms - request.first_asked_ms);
         Ask {
-            id: id << 2 | u64::from(request.retries),
+            id: (id << 2) | u64::from(request.retries),
             part_ids: request.prompt.iter().map(|p| p.id).collect(),
             part_tokens: request.prompt.iter().map(|p| p.tokens).collect(),
             prompt_tokens: request.prompt.iter().map(|p| p.tokens).sum(),
@@ -407,7 +401,7 @@
     fn report(&mut self, now_ms: f64, id: u64, event: Reported, pause_ms: f64) {
         let retries = self.requests.get(&id).map_or(0, |r| r.retries);
         let notice = Notice {
-            id: id << 2 | u64::from(retries),
+            id: (id << 2) | u64::from(retries),
             event: event.into(),
             pause_ms: pause_ms as u32,
             ..Notice::default()
