--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 use sesamebarrow_routing::upstream::{AttemptOutcome, RequestLoad};
 use smol_str::SmolStr;
 
-use crate::dispatch::{self, Place};
+use crate::dispatch::place::{self, Place};
 use crate::intake::Job;
 use crate::notice;
 use crate::pool::Connection;
@@ -75,7 +75,7 @@
     /// Starts an attempt at `target` and adds its load to the board. `place` is what a dispatcher granted.
     pub fn begin(shared: &Arc<Shared>, target: &Target, job: &Job, place: Option<Place>) -> Self {
         let place = match target {
-            Target::Upstream(selected) => place.or_else(|| dispatch::hold(shared, job, selected)),
+            Target::Upstream(selected) => place.or_else(|| place::hold(shared, job, selected)),
             Target::Instance(_) => None,
         };
         let mut board = shared.board();
--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -69,7 +69,7 @@
     // Not related to gossip; done here because rounds are regular.
     shared.pool.remove_expired();
     quarantine::send_blame(shared);
-    dispatch::renew_holds(shared);
+    dispatch::place::renew_holds(shared);
     dispatch::log_summaries(shared);
 }
 
--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -54,8 +54,8 @@
     supervise(&shared, "store", store::follow);
     supervise(&shared, "sync", sync::follow);
     supervise(&shared, "tokens", token::run);
-    supervise(&shared, "dispatch-queue", dispatch::serve_queue);
-    supervise(&shared, "dispatch-notices", dispatch::send_notices);
+    supervise(&shared, "dispatch-queue", dispatch::ask::serve_queue);
+    supervise(&shared, "dispatch-notices", dispatch::place::send_notices);
     supervise(&shared, "log-limit", reset_log_limiter);
     let gossip_socket = Arc::new(gossip_socket);
     supervise(&shared, "gossip", move |shared| {
--- a/crates/sesamebarrow_gateway/src/selection.rs
+++ b/crates/sesamebarrow_gateway/src/selection.rs
@@ -12,7 +12,8 @@
 use tokio::task::JoinHandle;
 
 use crate::attempt::Target;
-use crate::dispatch::{self, Place};
+use crate::dispatch;
+use crate::dispatch::place::Place;
 use crate::intake::Job;
 use crate::limit;
 use crate::reply::Refusal;
--- a/crates/sesamebarrow_gateway/src/settings.rs
+++ b/crates/sesamebarrow_gateway/src/settings.rs
@@ -233,6 +233,9 @@
     })
 }
 
+/// Prompt tokens per millisecond that an engine may be assumed to read.
+const FIRST_GUESS_RANGE: std::ops::RangeInclusive<f64> = 0.01..=100_000.0;
+
 /// Largest processor time of an instance, in cores.
 const MAX_CAPACITY: f64 = 1024.0;
 
@@ -289,9 +292,8 @@
             ),
             (
                 "dispatch.first_guess_per_ms",
-                self.dispatch.first_guess_per_ms.is_finite()
-                    && self.dispatch.first_guess_per_ms > 0.0,
-                "expected a number above zero",
+                FIRST_GUESS_RANGE.contains(&self.dispatch.first_guess_per_ms),
+                "expected a number of tokens from 0.01 to 100000",
             ),
             (
                 "limits.quota_window",
--- a/crates/sesamebarrow_gateway/src/token.rs
+++ b/crates/sesamebarrow_gateway/src/token.rs
@@ -18,7 +18,7 @@
 use tokio::sync::oneshot;
 use tokio::time::MissedTickBehavior;
 
-use crate::dispatch;
+use crate::dispatch::ask;
 use crate::limit;
 use crate::quarantine;
 use crate::reply::Refusal;
@@ -353,14 +353,14 @@
         Ok(Some(Body::LimitStates(states))) => limit::handle_states(shared, &states),
         Ok(Some(Body::Ask(ask))) => {
             if let IpAddr::V4(ip) = from.ip() {
-                let answer = dispatch::handle_ask(shared, ip, &ask);
+                let answer = ask::handle_ask(shared, ip, &ask);
                 shared.tokens.send(from, Body::Answer(answer));
             }
         }
-        Ok(Some(Body::Answer(answer))) => dispatch::handle_answer(shared, answer),
+        Ok(Some(Body::Answer(answer))) => ask::handle_answer(shared, answer),
         Ok(Some(Body::Notices(notices))) => {
             if let IpAddr::V4(ip) = from.ip() {
-                dispatch::handle_notices(shared, ip, &notices);
+                ask::handle_notices(shared, ip, &notices);
             }
         }
         Ok(None) => log::debug!(from:% = from; "unknown kind of token datagram"),
--- a/crates/sesamebarrow_gateway/tests/settings.rs
+++ b/crates/sesamebarrow_gateway/tests/settings.rs
@@ -27,6 +27,14 @@
 #[case::cold_ratio("cold_ratio = 1.5", "cold_ratio = -1.5", "limits")]
 #[case::cold_slack("cold_slack = 3", "cold_slack = inf", "limits")]
 #[case::retry_slack("retry_slack = 50", "retry_slack = nan", "limits")]
+#[case::dispatch_capacity("capacity = 0.5", "capacity = 0.0", "dispatch.capacity")]
+#[case::dispatch_capacity_nan("capacity = 0.5", "capacity = nan", "dispatch.capacity")]
+#[case::first_guess(
+    "first_guess_per_ms = 30.0",
+    "first_guess_per_ms = 1e-300",
+    "dispatch.first_guess_per_ms"
+)]
+#[case::min_pause("min_pause = \"500ms\"", "min_pause = \"500\"", "min_pause")]
 fn error_names_the_limit_that_is_invalid(
     #[case] old: &str,
     #[case] new: &str,
@@ -39,6 +47,7 @@
 
 #[rstest]
 #[case::limits("retry_slack = 50", "retry_slack = 60", &[])]
+#[case::dispatch("min_pause = \"500ms\"", "", &[])]
 #[case::store("127.0.0.1:7", "127.0.0.1:8", &["store"])]
 #[case::seeds("seeds = []", "seeds = [\"127.0.0.2:4\"]", &["seeds"])]
 #[case::ip("ip = \"127.0.0.1\"", "ip = \"127.0.0.9\"", &["ip"])]
--- a/crates/sesamebarrow_routing/tests/decisions/dispatch.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/dispatch.rs
@@ -435,6 +435,21 @@
     assert_eq!(comebacks.take(ms(10), 11), None, "came back at once");
 }
 
+#[test]
+fn a_request_that_is_asked_for_again_holds_one_place() {
+    let mut service = service();
+    let first = ask(1, 0, 2_000, 1_000);
+    let run = |outcome: &Outcome| match outcome {
+        Outcome::Granted { run, .. } => Some(*run),
+        _ => None,
+    };
+    let granted = decide(&mut service, ms(0), &first, 4);
+    // The answer was lost, and the engine that was selected looks busy now.
+    let again = decide(&mut service, ms(40), &first, 4);
+    assert_eq!(run(&granted), run(&again));
+    assert_eq!(service.summary(ms(40)).held, 1);
+}
+
 #[test]
 fn places_of_lost_reports_and_of_ended_instances_are_released() {
     let mut service = service();
