--- a/crates/sesamebarrow_routing/tests/decisions/dispatchers.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/dispatchers.rs
@@ -255,3 +255,51 @@
     let services = fleet.instances[of_a].board.dispatched_services();
     assert_eq!(services.map(|(_, s)| s.summary(now).held).sum::<usize>(), 0);
 }
+
+#[test]
+fn a_request_that_waits_is_not_sent_to_an_upstream_that_leaves_meanwhile() {
+    let mut fleet = dispatched(&[("a", 1)]);
+    let now = fleet.process_time(0);
+    let ip = fleet.instances[0].board.identity.ip;
+    let (mut waiting, mut granted) = (0, Vec::new());
+    for id in 1..200 {
+        let asked = ask(&fleet, 0, id, &[]);
+        let board = &mut fleet.instances[0].board;
+        let answer = board.handle_ask(now, ip, &asked);
+        match answer.decision() {
+            Decision::Waiting => waiting += 1,
+            Decision::Granted => granted.push(id),
+            _ => {}
+        }
+    }
+    assert!(waiting > 0, "the engines have room for all");
+    let board = &mut fleet.instances[0].board;
+    let keys: Vec<_> = board.upstreams.of_service(MODEL).to_vec();
+    let leaving = &keys[1..];
+    for key in leaving {
+        let upstream = board.upstreams.all.get_mut(*key).expect("known");
+        upstream.availability.leaving = true;
+    }
+    let left = board.upstreams.all[keys[0]].run_hash;
+    // All places are released, so that those who wait get theirs.
+    let ended = |id: u64| Notice {
+        id,
+        event: Event::Completed.into(),
+        ..Notice::default()
+    };
+    let notices = Notices {
+        notices: granted.into_iter().map(ended).collect(),
+        ..Notices::default()
+    };
+    board.handle_notices(now, ip, &notices);
+    let (answers, _) = board.serve_waiting(now + ms(400));
+    let granted = answers
+        .iter()
+        .filter(|(_, a)| a.decision() == Decision::Granted);
+    let runs: Vec<u64> = granted.map(|(_, a)| a.run).collect();
+    assert!(!runs.is_empty());
+    assert!(
+        runs.iter().all(|run| *run == left),
+        "sent to one that leaves"
+    );
+}
