--- a/crates/sesamebarrow_routing/tests/decisions/dispatchers.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/dispatchers.rs
@@ -7,8 +7,10 @@
 use rstest::rstest;
 use sesamebarrow_routing::admit::{self, RequestSpec};
 use sesamebarrow_routing::board::limit::Owner;
+use sesamebarrow_routing::cache::PromptPart;
 use sesamebarrow_routing::dispatch::message::{Ask, Decision, Event, Hold, Notice, Notices};
 use sesamebarrow_routing::gossip;
+use sesamebarrow_routing::token::{self, Body};
 use smol_str::SmolStr;
 
 use crate::fleet::{Fleet, MODEL, config, entry, ms, route};
@@ -303,3 +305,49 @@
         "sent to one that leaves"
     );
 }
+
+/// The bounds are those of docs/design/dispatch.md, on which docs/CAPACITY.md is reckoned.
+#[test]
+fn messages_of_a_request_are_small() {
+    let mut fleet = dispatched(&[("a", 1)]);
+    let prompt = (1..=4).map(|n| PromptPart {
+        id: u64::MAX / n,
+        tokens: 2_500,
+    });
+    let spec = RequestSpec {
+        prompt: prompt.collect(),
+        prompt_tokens: 10_000,
+        ..spec()
+    };
+    let now = fleet.process_time(0);
+    let board = &mut fleet.instances[0].board;
+    let regions = ["b", "c"].map(SmolStr::new);
+    let ask = board.build_ask(&spec, ms(1_000), ms(5_000), &[], regions.into_iter());
+    let ask = Ask {
+        id: u64::from(u32::MAX) << 8,
+        ..ask
+    };
+    let answer = board.handle_ask(now, Ipv4Addr::new(10, 0, 0, 99), &ask);
+    assert_eq!(answer.decision(), Decision::Granted);
+    let notice = Notice {
+        id: ask.id,
+        event: Event::Completed.into(),
+        pause_ms: 500,
+        ..Notice::default()
+    };
+    let notices = Notices {
+        notices: vec![notice],
+        ..Notices::default()
+    };
+    let size = |body: Body| token::encode(body).len();
+    let sizes = (
+        size(Body::Ask(ask)),
+        size(Body::Answer(answer)),
+        size(Body::Notices(notices)),
+    );
+    println!("ask, answer, notice: {sizes:?} bytes");
+    assert!(
+        sizes.0 <= 120 && sizes.1 <= 60 && sizes.2 <= 30,
+        "{sizes:?}"
+    );
+}
--- a/crates/sesamebarrow_trial/tests/dispatch.rs
+++ b/crates/sesamebarrow_trial/tests/dispatch.rs
@@ -18,12 +18,12 @@
 
 /// Defines a test of a load, for several seeds.
 macro_rules! load_test {
-    ($name:ident, $load:expr, |$dispatched:ident, $soonest:ident| $check:block) => {
+    ($name:ident, $load:expr, |$played:ident, $dispatched:ident, $soonest:ident| $check:block) => {
         #[test]
         fn $name() {
             for seed in 1..=3 {
-                let load: Load = Load { seed, ..$load };
-                let ($dispatched, $soonest) = both(&load);
+                let $played: Load = Load { seed, ..$load };
+                let ($dispatched, $soonest) = both(&$played);
                 $check
             }
         }
@@ -41,7 +41,7 @@
 load_test!(
     prompts_that_keep_arriving_do_not_hold_up_running_streams,
     Load::default(),
-    |dispatched, soonest| {
+    |_load, dispatched, soonest| {
         assert!(paused(&dispatched) * 3 <= paused(&soonest));
         assert!(in_time(&dispatched) >= in_time(&soonest));
     }
@@ -59,7 +59,7 @@
         ],
         ..Load::default()
     },
-    |dispatched, soonest| {
+    |_load, dispatched, soonest| {
         let (urgent, patient) = (dispatched[0], dispatched[1]);
         assert!(urgent.in_time_ratio() > soonest[0].in_time_ratio());
         assert!(
@@ -79,7 +79,7 @@
         slowness: vec![1.0, 1.0, 1.3, 1.0, 1.0, 2.0, 1.0, 1.0],
         ..Load::default()
     },
-    |dispatched, soonest| {
+    |_load, dispatched, soonest| {
         assert!(in_time(&dispatched) > in_time(&soonest));
         assert!(paused(&dispatched) * 3 <= paused(&soonest));
     }
@@ -98,19 +98,10 @@
         seconds: 4.0,
         ..Load::default()
     },
-    |dispatched, _soonest| {
+    |load, dispatched, _soonest| {
         let load = Load {
-            kinds: vec![
-                DIGEST,
-                Kind {
-                    rate: 160.0,
-                    ..QUERY
-                },
-            ],
-            seconds: 4.0,
-            seed: 1,
             comeback_ms: Some(200.0),
-            ..Load::default()
+            ..load
         };
         let at_once = play(load, Decider::Dispatcher);
         println!("all back after 200 ms: {at_once:?}");
