--- a/crates/sesamebarrow_gateway/src/dispatch.rs
+++ b/crates/sesamebarrow_gateway/src/dispatch.rs
@@ -10,7 +10,7 @@
 use sesamebarrow_routing::admit::{self, SelectedUpstream};
 use sesamebarrow_routing::board::limit::Owner;
 use sesamebarrow_routing::dispatch;
-use sesamebarrow_routing::dispatch::message::{Answer, Ask, Decision, Notices};
+use sesamebarrow_routing::dispatch::message::{Answer, Decision, Notices, PlaceRequest};
 use sesamebarrow_routing::spill;
 use sesamebarrow_routing::upstream::{Key, RequestLoad};
 use smol_str::SmolStr;
@@ -23,13 +23,13 @@
 use crate::selection::AttemptHistory;
 use crate::shared::Shared;
 
-pub mod ask;
+pub mod client;
 pub mod place;
 
 /// Number of asks for one selection. An instance may know more about an upstream than the dispatcher.
-const MAX_ASKS: u32 = 3;
+const MAX_REQUESTS: u32 = 3;
 
-/// Maximum number of prompt parts of an ask, so that it fits into a datagram.
+/// Maximum number of prompt parts of a request, so that it fits into a datagram.
 const MAX_PARTS: usize = 64;
 
 /// Time after which a client may retry if a request that waited got no answer.
@@ -85,10 +85,10 @@
     let mut avoided: Vec<Key> = history.tried_upstreams.clone();
     avoided.extend(&job.spec.tried_upstreams);
     let mut may_forward = !job.policy.from_instance;
-    for _ in 0..MAX_ASKS {
-        let (dispatcher, ask) = prepare(shared, job, history, &avoided, may_forward)?;
-        let id = ask.id;
-        let answer = ask::send(shared, dispatcher, &ask).await;
+    for _ in 0..MAX_REQUESTS {
+        let (dispatcher, req) = prepare(shared, job, history, &avoided, may_forward)?;
+        let id = req.id;
+        let answer = client::send(shared, dispatcher, &req).await;
         let decision = answer.as_ref().map_or(Decision::Unknown, Answer::decision);
         metrics::counter!(
             "sesamebarrow_dispatched_total", "decision" => format!("{decision:?}").to_lowercase()
@@ -97,7 +97,7 @@
         let answer = answer?;
         shared
             .board()
-            .record_room(shared.now(), &job.policy.service, &answer);
+            .record_capacity(shared.now(), &job.policy.service, &answer);
         match decision {
             Decision::Granted => match accept(shared, job, dispatcher, id, &answer) {
                 Ok((selected, place)) => {
@@ -117,9 +117,9 @@
             }
             Decision::Refused => {
                 let after = Duration::from_millis(answer.wait_ms.into());
-                log_refusal(shared, job, &ask, &answer);
+                log_refusal(shared, job, &req, &answer);
                 let after = after.max(MIN_REFUSAL_DELAY);
-                return Some(Err(Refusal::NotRun("no-room", after)));
+                return Some(Err(Refusal::NotRun("no-capacity", after)));
             }
             Decision::Unknown | Decision::Waiting => return None,
         }
@@ -135,14 +135,14 @@
     }
 }
 
-/// Returns the dispatcher to ask and the ask; `None` if the request is not dispatched.
+/// Returns the dispatcher to ask and the request; `None` if the request is not dispatched.
 fn prepare(
     shared: &Shared,
     job: &Job,
     history: &AttemptHistory,
     avoided: &[Key],
     may_forward: bool,
-) -> Option<(Ipv4Addr, Ask)> {
+) -> Option<(Ipv4Addr, PlaceRequest)> {
     let now = shared.now();
     let board = shared.board();
     let own_region = &board.identity.region;
@@ -164,7 +164,7 @@
     let target = job
         .response_due_at
         .saturating_duration_since(Instant::now());
-    let ask = board.build_ask(
+    let req = board.build_place_request(
         &job.spec,
         target,
         job.time_left(),
@@ -172,7 +172,7 @@
         open_regions.into_iter(),
     );
     let id = shared.dispatches.next_id.fetch_add(1, Ordering::Relaxed);
-    Some((dispatcher, Ask { id, ..ask }))
+    Some((dispatcher, PlaceRequest { id, ..req }))
 }
 
 /// Takes the place that was granted.
@@ -245,11 +245,11 @@
     }
 }
 
-fn log_refusal(shared: &Shared, job: &Job, ask: &Ask, answer: &Answer) {
+fn log_refusal(shared: &Shared, job: &Job, req: &PlaceRequest, answer: &Answer) {
     if shared.log_limiter.allow(true) {
         log::info!(
-            request = job.id.as_str(), service = job.policy.service.as_str(), rank = ask.rank,
-            tokens = ask.prompt_tokens, target_ms = ask.target_ms, held_percent = answer.room.map_or(0, |r| r.held_percent),
+            request = job.id.as_str(), service = job.policy.service.as_str(), rank = req.rank,
+            tokens = req.prompt_tokens, target_ms = req.target_ms, held_percent = answer.capacity.map_or(0, |r| r.held_percent),
             retry_ms = answer.wait_ms; "dispatcher refuses"
         );
     }
--- a/crates/sesamebarrow_gateway/src/dispatch/ask.rs
+++ b/crates/sesamebarrow_gateway/src/dispatch/client.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sesamebarrow_routing::dispatch::message::{Answer, Ask, Decision, Event, Notice, Notices};
+use sesamebarrow_routing::dispatch::message::{
+    Answer, Decision, Event, Notice, Notices, PlaceRequest,
+};
 use sesamebarrow_routing::token::Body;
 use tokio::sync::mpsc;
 
@@ -12,10 +14,10 @@
 use crate::dispatch::place::{self, Posted};
 use crate::shared::Shared;
 
-/// Time after which an ask is sent again; datagrams may be lost.
+/// Time after which a request is sent again; datagrams may be lost.
 const RESEND_AFTER: Duration = Duration::from_millis(40);
 
-/// Number of times that an ask is sent until the dispatcher counts as silent. Together they take longer than the
+/// Number of times that a request is sent until the dispatcher counts as silent. Together they take longer than the
 /// pause of an instance whose processor time is granted in slices of a tenth of a second.
 const MAX_SENDS: u32 = 3;
 
@@ -25,16 +27,16 @@
 /// Time between two offers of places to waiting requests.
 const SERVE_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Forgets an ask when it is decided, times out, or its client leaves. The dispatcher is then told, unless it
+/// Forgets a request when it is decided, times out, or its client leaves. The dispatcher is then told, unless it
 /// has decided.
-struct PendingAsk<'a> {
+struct PendingRequest<'a> {
     shared: &'a Shared,
     dispatcher: Ipv4Addr,
     id: u64,
     decided: bool,
 }
 
-impl Drop for PendingAsk<'_> {
+impl Drop for PendingRequest<'_> {
     fn drop(&mut self) {
         lock(&self.shared.dispatches.pending).remove(&self.id);
         if !self.decided {
@@ -48,19 +50,19 @@
     }
 }
 
-/// Sends an ask and waits for the decision. Returns `None` if the dispatcher does not answer.
-pub async fn send(shared: &Shared, dispatcher: Ipv4Addr, ask: &Ask) -> Option<Answer> {
+/// Sends a request and waits for the decision. Returns `None` if the dispatcher does not answer.
+pub async fn send(shared: &Shared, dispatcher: Ipv4Addr, req: &PlaceRequest) -> Option<Answer> {
     let (tx, mut rx) = mpsc::unbounded_channel();
-    lock(&shared.dispatches.pending).insert(ask.id, tx);
-    let mut pending = PendingAsk {
+    lock(&shared.dispatches.pending).insert(req.id, tx);
+    let mut pending = PendingRequest {
         shared,
         dispatcher,
-        id: ask.id,
+        id: req.id,
         decided: false,
     };
     let mut unanswered = 0;
     loop {
-        deliver(shared, dispatcher, Body::Ask(ask.clone()));
+        deliver(shared, dispatcher, Body::PlaceRequest(req.clone()));
         unanswered += 1;
         let mut wait = RESEND_AFTER;
         while let Ok(answer) = tokio::time::timeout(wait, rx.recv()).await {
@@ -91,8 +93,8 @@
         return;
     }
     match body {
-        Body::Ask(ask) => {
-            let answer = shared.board().handle_ask(shared.now(), to, &ask);
+        Body::PlaceRequest(req) => {
+            let answer = shared.board().handle_place_request(shared.now(), to, &req);
             notify_of_waiting(shared, &answer);
             handle_answer(shared, answer);
         }
@@ -107,14 +109,14 @@
     }
 }
 
-/// Handles an ask of the instance at `from`, and returns the answer.
-pub fn handle_ask(shared: &Shared, from: Ipv4Addr, ask: &Ask) -> Answer {
-    let answer = shared.board().handle_ask(shared.now(), from, ask);
+/// Handles a request of the instance at `from`, and returns the answer.
+pub fn handle_place_request(shared: &Shared, from: Ipv4Addr, req: &PlaceRequest) -> Answer {
+    let answer = shared.board().handle_place_request(shared.now(), from, req);
     notify_of_waiting(shared, &answer);
     answer
 }
 
-/// Handles the answer to an ask.
+/// Handles the answer to a request.
 pub fn handle_answer(shared: &Shared, answer: Answer) {
     let pending = lock(&shared.dispatches.pending);
     if let Some(tx) = pending.get(&answer.id) {
--- a/crates/sesamebarrow_gateway/src/dispatch/place.rs
+++ b/crates/sesamebarrow_gateway/src/dispatch/place.rs
@@ -13,7 +13,7 @@
 use sesamebarrow_routing::upstream::{AttemptOutcome, RequestLoad};
 use smol_str::SmolStr;
 
-use crate::dispatch::{ask, lock, millis};
+use crate::dispatch::{client, lock, millis};
 use crate::intake::Job;
 use crate::shared::Shared;
 
@@ -138,7 +138,7 @@
     }
     drop(outbox);
     if is_own {
-        ask::handle_notices(shared, dispatcher, &notices);
+        client::handle_notices(shared, dispatcher, &notices);
     } else {
         shared.dispatches.outbox_filled.notify_one();
     }
@@ -191,7 +191,7 @@
         let outbox = std::mem::take(&mut *lock(&shared.dispatches.outbox));
         for (dispatcher, notices) in outbox {
             for part in split(notices) {
-                ask::deliver(&shared, dispatcher, Body::Notices(part));
+                client::deliver(&shared, dispatcher, Body::Notices(part));
             }
         }
     }
--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -1,4 +1,4 @@
-//! Starts the tasks of the process and stops them gracefully.
+//! Starts the trequests to the process and stops them gracefully.
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -54,7 +54,7 @@
     supervise(&shared, "store", store::follow);
     supervise(&shared, "sync", sync::follow);
     supervise(&shared, "tokens", token::run);
-    supervise(&shared, "dispatch-queue", dispatch::ask::serve_queue);
+    supervise(&shared, "dispatch-queue", dispatch::client::serve_queue);
     supervise(&shared, "dispatch-notices", dispatch::place::send_notices);
     supervise(&shared, "log-limit", reset_log_limiter);
     let gossip_socket = Arc::new(gossip_socket);
--- a/crates/sesamebarrow_gateway/src/settings.rs
+++ b/crates/sesamebarrow_gateway/src/settings.rs
@@ -178,7 +178,7 @@
     #[serde(with = "humantime_serde::option")]
     pub min_pause: Option<Duration>,
     /// Processor time of this instance, in cores. Instances with more are preferred as dispatchers.
-    pub capacity: f64,
+    pub processor_share: f64,
     /// Prompt tokens that an engine is assumed to read per millisecond until that is measured.
     pub first_guess_per_ms: f64,
 }
@@ -187,12 +187,12 @@
     fn default() -> Self {
         let dispatch::Parameters {
             min_pause,
-            capacity,
+            processor_share,
             first_guess_per_ms,
         } = dispatch::Parameters::default();
         Self {
             min_pause,
-            capacity,
+            processor_share,
             first_guess_per_ms,
         }
     }
@@ -237,7 +237,7 @@
 const FIRST_GUESS_RANGE: std::ops::RangeInclusive<f64> = 0.01..=100_000.0;
 
 /// Largest processor time of an instance, in cores.
-const MAX_CAPACITY: f64 = 1024.0;
+const MAX_PROCESSOR_SHARE: f64 = 1024.0;
 
 impl Settings {
     /// Reads and validates the settings file at `path`.
@@ -286,8 +286,9 @@
                 "expected a number above zero",
             ),
             (
-                "dispatch.capacity",
-                self.dispatch.capacity > 0.0 && self.dispatch.capacity <= MAX_CAPACITY,
+                "dispatch.processor_share",
+                self.dispatch.processor_share > 0.0
+                    && self.dispatch.processor_share <= MAX_PROCESSOR_SHARE,
                 "expected a number of cores, above zero and at most 1024",
             ),
             (
@@ -351,7 +352,7 @@
             },
             dispatch: dispatch::Parameters {
                 min_pause: self.dispatch.min_pause,
-                capacity: self.dispatch.capacity,
+                processor_share: self.dispatch.processor_share,
                 first_guess_per_ms: self.dispatch.first_guess_per_ms,
             },
             prefill_per_ms: limits.prefill_per_ms,
--- a/crates/sesamebarrow_gateway/src/token.rs
+++ b/crates/sesamebarrow_gateway/src/token.rs
@@ -18,7 +18,7 @@
 use tokio::sync::oneshot;
 use tokio::time::MissedTickBehavior;
 
-use crate::dispatch::ask;
+use crate::dispatch::client;
 use crate::limit;
 use crate::quarantine;
 use crate::reply::Refusal;
@@ -246,7 +246,7 @@
         Holder::Other(ip) => ip,
     };
     let id = shared.tokens.next_id();
-    let grant = ask(shared, ip, id, (customer, cost)).await;
+    let grant = req(shared, ip, id, (customer, cost)).await;
     telemetry::count_token_request(grant.is_some());
     match grant {
         Some(grant) if grant.granted => Ok(Ok(Some((ip, id)))),
@@ -258,7 +258,7 @@
     }
 }
 
-async fn ask(
+async fn req(
     shared: &Shared,
     ip: Ipv4Addr,
     id: u64,
@@ -351,16 +351,16 @@
         Ok(Some(Body::PermitAnswer(answer))) => limit::handle_permit_answer(shared, answer),
         Ok(Some(Body::LimitObserved(observed))) => limit::handle_observed(shared, &observed),
         Ok(Some(Body::LimitStates(states))) => limit::handle_states(shared, &states),
-        Ok(Some(Body::Ask(ask))) => {
+        Ok(Some(Body::PlaceRequest(req))) => {
             if let IpAddr::V4(ip) = from.ip() {
-                let answer = ask::handle_ask(shared, ip, &ask);
+                let answer = client::handle_place_request(shared, ip, &req);
                 shared.tokens.send(from, Body::Answer(answer));
             }
         }
-        Ok(Some(Body::Answer(answer))) => ask::handle_answer(shared, answer),
+        Ok(Some(Body::Answer(answer))) => client::handle_answer(shared, answer),
         Ok(Some(Body::Notices(notices))) => {
             if let IpAddr::V4(ip) = from.ip() {
-                ask::handle_notices(shared, ip, &notices);
+                client::handle_notices(shared, ip, &notices);
             }
         }
         Ok(None) => log::debug!(from:% = from; "unknown kind of token datagram"),
--- a/crates/sesamebarrow_gateway/tests/settings.rs
+++ b/crates/sesamebarrow_gateway/tests/settings.rs
@@ -27,8 +27,16 @@
 #[case::cold_ratio("cold_ratio = 1.5", "cold_ratio = -1.5", "limits")]
 #[case::cold_slack("cold_slack = 3", "cold_slack = inf", "limits")]
 #[case::retry_slack("retry_slack = 50", "retry_slack = nan", "limits")]
-#[case::dispatch_capacity("capacity = 0.5", "capacity = 0.0", "dispatch.capacity")]
-#[case::dispatch_capacity_nan("capacity = 0.5", "capacity = nan", "dispatch.capacity")]
+#[case::dispatch_capacity(
+    "processor_share = 0.5",
+    "processor_share = 0.0",
+    "dispatch.processor_share"
+)]
+#[case::dispatch_capacity_nan(
+    "processor_share = 0.5",
+    "processor_share = nan",
+    "dispatch.processor_share"
+)]
 #[case::first_guess(
     "first_guess_per_ms = 30.0",
     "first_guess_per_ms = 1e-300",
--- a/crates/sesamebarrow_routing/src/board/dispatch.rs
+++ b/crates/sesamebarrow_routing/src/board/dispatch.rs
@@ -10,8 +10,10 @@
 use crate::board::Board;
 use crate::board::limit::Owner;
 use crate::config::Config;
-use crate::dispatch::message::{Answer, Ask, Decision, Event, Notice, Notices, StatedRoom};
-use crate::dispatch::room::{Remote, Room};
+use crate::dispatch::capacity::{Capacity, Remote};
+use crate::dispatch::message::{
+    Answer, Decision, Event, Notice, Notices, PlaceRequest, StatedCapacity,
+};
 use crate::dispatch::speed::Speed;
 use crate::dispatch::{Candidate, Circumstances, Outcome, Service};
 use crate::gossip::short_hash;
@@ -22,8 +24,8 @@
 /// Time for which an instance that did not answer is not asked to dispatch.
 const SILENT_TIME: Duration = Duration::from_secs(1);
 
-/// Time for which the room that an answer states is passed on.
-const ROOM_LIFETIME: Duration = Duration::from_secs(1);
+/// Time for which the capacity that an answer states is passed on.
+const CAPACITY_LIFETIME: Duration = Duration::from_secs(1);
 
 /// What this instance knows about dispatched services.
 #[derive(Debug, Default)]
@@ -34,8 +36,8 @@
     names: HashMap<u32, SmolStr>,
     /// State of the services that this instance dispatches, by hash of the name.
     services: HashMap<u32, Service>,
-    /// Room that answers of dispatchers stated, by hash of the service's name, and when.
-    rooms: HashMap<u32, (Duration, Room)>,
+    /// Capacity that answers of dispatchers stated, by hash of the service's name, and when.
+    capacities: HashMap<u32, (Duration, Capacity)>,
 }
 
 /// An answer and the address of the instance that asked.
@@ -93,11 +95,12 @@
     /// request.
     pub fn dispatcher(&self, now: Duration, service: &str) -> Option<Owner> {
         let key = u64::from(short_hash(service));
-        let score = |name_hash: u32, capacity: f64| {
+        let score = |name_hash: u32, processor_percent: u32| {
             // CAST: only the order matters.
-            let uniform = (rendezvous::weight_of_hashes(key, name_hash.into()) as f64 + 1.0)
-                / u64::MAX as f64;
-            -uniform.ln() / (capacity * capacity).max(f64::MIN_POSITIVE)
+            let weight = rendezvous::weight_of_hashes(key, name_hash.into()) as f64;
+            let uniform = (weight + 1.0) / u64::MAX as f64;
+            let share = f64::from(processor_percent.max(1));
+            -uniform.ln() / (share * share)
         };
         let region = &self.identity.region;
         let is_asked = |m: &&Member| {
@@ -105,17 +108,24 @@
         };
         let members = self.members.ready(now).filter(is_asked);
         let scored = members.map(|m| {
-            let capacity = f64::from(m.record.capacity_percent) / 100.0;
-            (score(m.name_hash, capacity), Owner::Other(m.ip()))
+            let score = score(m.name_hash, m.record.processor_percent);
+            (score, Owner::Other(m.ip()))
         });
         let own = self.is_ready().then(|| {
-            let capacity = self.parameters.dispatch.capacity;
-            (score(self.name_hash(), capacity), Owner::Own)
+            // The others know it in percent, too.
+            let percent = self.processor_percent();
+            (score(self.name_hash(), percent), Owner::Own)
         });
         let best = scored.chain(own).min_by(|a, b| a.0.total_cmp(&b.0));
         best.map(|(_, owner)| owner)
     }
 
+    /// Returns this instance's processor time in percent of a core, as its record states it.
+    pub(crate) fn processor_percent(&self) -> u32 {
+        // CAST: the settings bound it.
+        (self.parameters.dispatch.processor_share * 100.0) as u32
+    }
+
     /// Records that the instance at `ip` did not answer as a dispatcher.
     pub fn record_silent_dispatcher(&mut self, now: Duration, ip: Ipv4Addr) {
         if let Some(member) = self.members.all.values_mut().find(|m| m.ip() == ip) {
@@ -123,20 +133,20 @@
         }
     }
 
-    /// Builds the ask for a request, without its id. `avoided` are upstreams that must not be selected, and
+    /// Builds the request for a request, without its id. `avoided` are upstreams that must not be selected, and
     /// `open_regions` those that the request may be forwarded to.
-    pub fn build_ask(
+    pub fn build_place_request(
         &self,
         spec: &RequestSpec,
         target: Duration,
         time_left: Duration,
         avoided: &[Key],
         open_regions: impl Iterator<Item = SmolStr>,
-    ) -> Ask {
+    ) -> PlaceRequest {
         // CAST: times of a request are far below 2^32 ms, and prompts far below 2^32 tokens.
         let millis = |d: Duration| d.as_millis() as u32;
         let run = |key: &Key| self.upstreams.all.get(*key).map(|u| u.run_hash);
-        Ask {
+        PlaceRequest {
             id: 0,
             service_hash: short_hash(&spec.service),
             part_ids: spec.prompt.iter().map(|p| p.id).collect(),
@@ -152,33 +162,40 @@
     }
 
     /// Decides about a request of the instance at `from`.
-    pub fn handle_ask(&mut self, now: Duration, from: Ipv4Addr, ask: &Ask) -> Answer {
+    pub fn handle_place_request(
+        &mut self,
+        now: Duration,
+        from: Ipv4Addr,
+        req: &PlaceRequest,
+    ) -> Answer {
         let unknown = Answer {
-            id: ask.id,
+            id: req.id,
             ..Answer::default()
         };
-        let Some(name) = self.dispatch.names.get(&ask.service_hash).cloned() else {
+        let Some(name) = self.dispatch.names.get(&req.service_hash).cloned() else {
             return unknown;
         };
-        let Some(candidates) = self.dispatch_candidates(now, &name, ask) else {
+        let Some(candidates) = self.dispatch_candidates(now, &name, req) else {
             return unknown;
         };
-        let remotes = self.remote_rooms(now, ask);
+        let remotes = self.remote_capacities(now, req);
         let cx = Circumstances {
             candidates: &candidates,
             remotes: &remotes,
             round_trip: self.parameters.region_delay * 2,
             max_pause: self.dispatch.pauses[&name],
         };
-        let service = self.dispatch.services.entry(ask.service_hash);
+        let service = self.dispatch.services.entry(req.service_hash);
         let service = service.or_insert_with(|| {
             Service::new(Speed::assumed(self.parameters.dispatch.first_guess_per_ms))
         });
-        let outcome = service.decide(now, (from.to_bits(), ask.id), ask, &cx);
-        let room = service.room(now, &candidates);
-        self.apply_outcome(now, ask, outcome);
-        self.dispatch.rooms.insert(ask.service_hash, (now, room));
-        answer(ask.id, outcome, Some(room))
+        let outcome = service.decide(now, (from.to_bits(), req.id), req, &cx);
+        let capacity = service.capacity(now, &candidates);
+        self.apply_outcome(now, req, outcome);
+        self.dispatch
+            .capacities
+            .insert(req.service_hash, (now, capacity));
+        answer(req.id, outcome, Some(capacity))
     }
 
     /// Offers places to the requests that wait at this instance. Returns the answers, and whether others wait
@@ -199,16 +216,16 @@
                 round_trip: self.parameters.region_delay * 2,
                 max_pause: self.dispatch.pauses[&name],
             };
-            let candidates = |ask: &Ask| {
-                self.dispatch_candidates(now, &name, ask)
+            let candidates = |req: &PlaceRequest| {
+                self.dispatch_candidates(now, &name, req)
                     .unwrap_or_default()
             };
-            let remotes = |ask: &Ask| self.remote_rooms(now, ask);
+            let remotes = |req: &PlaceRequest| self.remote_capacities(now, req);
             for (waiting, outcome) in service.serve(now, &cx, candidates, remotes) {
                 let ip = Ipv4Addr::from_bits(waiting.id.0);
                 answers.push((
                     ip,
-                    waiting.ask.clone(),
+                    waiting.req.clone(),
                     answer(waiting.id.1, outcome, None),
                     outcome,
                 ));
@@ -217,8 +234,8 @@
         let waits = services.values().any(|s| s.waiting() > 0);
         self.dispatch.services = services;
         let mut addressed = Vec::new();
-        for (ip, ask, answer, outcome) in answers {
-            self.apply_outcome(now, &ask, outcome);
+        for (ip, req, answer, outcome) in answers {
+            self.apply_outcome(now, &req, outcome);
             addressed.push((ip, answer));
         }
         (addressed, waits)
@@ -230,7 +247,7 @@
     }
 
     /// Records what follows from a decision besides its answer.
-    fn apply_outcome(&mut self, now: Duration, ask: &Ask, outcome: Outcome) {
+    fn apply_outcome(&mut self, now: Duration, req: &PlaceRequest, outcome: Outcome) {
         match outcome {
             Outcome::Granted { run, .. } => {
                 let Some(key) = self.upstreams.key_of_run(run) else {
@@ -240,13 +257,13 @@
                 let kv_capacity =
                     admit::engine_of(self, service).map_or(0, |e| e.kv_capacity_tokens);
                 self.upstreams
-                    .record_prompt_sent(now, key, &ask.prompt(), kv_capacity);
+                    .record_prompt_sent(now, key, &req.prompt(), kv_capacity);
             }
             Outcome::Forward(region_hash) => {
-                let service = self.dispatch.services.get(&ask.service_hash);
-                let read_ms = service.map_or(0.0, |s| s.read_ms(ask));
+                let service = self.dispatch.services.get(&req.service_hash);
+                let read_ms = service.map_or(0.0, |s| s.read_ms(req));
                 self.members
-                    .take_room(region_hash, ask.service_hash, read_ms);
+                    .take_capacity(region_hash, req.service_hash, read_ms);
             }
             Outcome::Waiting(_) | Outcome::Refused(_) => {}
         }
@@ -257,17 +274,17 @@
         &self,
         now: Duration,
         service: &str,
-        ask: &Ask,
+        req: &PlaceRequest,
     ) -> Option<Vec<Candidate>> {
         let engine = admit::engine_of(self, service)?;
-        let prompt = ask.prompt();
-        let prompt_tokens = u64::from(ask.prompt_tokens);
+        let prompt = req.prompt();
+        let prompt_tokens = u64::from(req.prompt_tokens);
         let last = prompt.last().map_or(0, |p| u64::from(p.tokens));
         let keys = admit::dispatchable(self, now, service);
         let mut candidates: Vec<Candidate> = keys
             .into_iter()
             .map(|key| &self.upstreams.all[key])
-            .filter(|u| !ask.avoided_runs.contains(&u.run_hash))
+            .filter(|u| !req.avoided_runs.contains(&u.run_hash))
             .map(|u| {
                 let cached = u.cache.cached_tokens(&prompt).min(prompt_tokens);
                 Candidate {
@@ -288,21 +305,21 @@
         Some(candidates)
     }
 
-    /// Returns the room of the regions that a request may be forwarded to.
-    fn remote_rooms(&self, now: Duration, ask: &Ask) -> Vec<Remote> {
+    /// Returns the capacity of the regions that a request may be forwarded to.
+    fn remote_capacities(&self, now: Duration, req: &PlaceRequest) -> Vec<Remote> {
         let mut regions: Vec<&SmolStr> = self.regions.values().collect();
         regions.sort();
         regions.dedup();
         let open =
-            |r: &&SmolStr| **r != self.identity.region && ask.open_regions.contains(&short_hash(r));
-        let rooms = regions.into_iter().filter(open).filter_map(|region| {
-            let load = self.members.service_load(now, region, ask.service_hash)?;
+            |r: &&SmolStr| **r != self.identity.region && req.open_regions.contains(&short_hash(r));
+        let capacities = regions.into_iter().filter(open).filter_map(|region| {
+            let load = self.members.service_load(now, region, req.service_hash)?;
             Some(Remote {
                 region_hash: short_hash(region),
-                room: load.room?,
+                capacity: load.capacity?,
             })
         });
-        rooms.collect()
+        capacities.collect()
     }
 
     /// Handles events and holds that the instance at `from` reports.
@@ -371,21 +388,25 @@
         }
     }
 
-    /// Records the room that a dispatcher's answer states.
-    pub fn record_room(&mut self, now: Duration, service: &str, answer: &Answer) {
-        let room = answer.room.as_ref().map(Room::from);
-        let Some(room) = room else {
+    /// Records the capacity that a dispatcher's answer states.
+    pub fn record_capacity(&mut self, now: Duration, service: &str, answer: &Answer) {
+        let capacity = answer.capacity.as_ref().map(Capacity::from);
+        let Some(capacity) = capacity else {
             return;
         };
         let hash = short_hash(service);
-        self.dispatch.rooms.insert(hash, (now, room));
+        self.dispatch.capacities.insert(hash, (now, capacity));
     }
 
-    /// Returns the room of a dispatched service, as last stated by its dispatcher, and its age.
-    pub(crate) fn own_room(&self, now: Duration, service_hash: u32) -> Option<(Room, Duration)> {
-        let (at, room) = self.dispatch.rooms.get(&service_hash)?;
+    /// Returns the capacity of a dispatched service, as last stated by its dispatcher, and its age.
+    pub(crate) fn own_capacity(
+        &self,
+        now: Duration,
+        service_hash: u32,
+    ) -> Option<(Capacity, Duration)> {
+        let (at, capacity) = self.dispatch.capacities.get(&service_hash)?;
         let age = now.saturating_sub(*at);
-        (age < ROOM_LIFETIME).then_some((*room, age))
+        (age < CAPACITY_LIFETIME).then_some((*capacity, age))
     }
 
     /// Returns the states of the services that this instance dispatches, by name.
@@ -395,12 +416,12 @@
     }
 }
 
-fn answer(id: u64, outcome: Outcome, room: Option<Room>) -> Answer {
-    // CAST: times are far below 2^32 ms, and the room is bounded by the number of slots.
+fn answer(id: u64, outcome: Outcome, capacity: Option<Capacity>) -> Answer {
+    // CAST: times are far below 2^32 ms, and the capacity is bounded by the number of slots.
     let millis = |d: Duration| d.as_millis() as u32;
     let answer = Answer {
         id,
-        room: room.map(StatedRoom::from),
+        capacity: capacity.map(StatedCapacity::from),
         ..Answer::default()
     };
     match outcome {
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -95,8 +95,7 @@
             store_answers: self.store_answers,
             keeps_buckets: true,
             dispatches: true,
-            // CAST: a processor share is a small number.
-            capacity_percent: (self.parameters.dispatch.capacity * 100.0) as u32,
+            processor_percent: self.processor_percent(),
             ..Record::default()
         }
     }
@@ -190,14 +189,14 @@
         let loads = config.services.values().map(|service| {
             let (wait, usable) = crate::admit::service_load(self, now, &service.name);
             let service_hash = short_hash(&service.name);
-            let room = self.own_room(now, service_hash);
+            let capacity = self.own_capacity(now, service_hash);
             // CAST: waits are at most minutes, and upstreams and slots at most thousands.
             ServiceLoad {
                 service_hash,
                 wait_ms: wait.as_millis() as u32,
                 usable_upstreams: usable as u32,
-                room: room.map(|(room, _)| room.into()),
-                room_age_ms: room.map_or(0, |(_, age)| age.as_millis() as u32),
+                capacity: capacity.map(|(capacity, _)| capacity.into()),
+                capacity_age_ms: capacity.map_or(0, |(_, age)| age.as_millis() as u32),
             }
         });
         loads.collect()
--- a/crates/sesamebarrow_routing/src/dispatch.rs
+++ b/crates/sesamebarrow_routing/src/dispatch.rs
@@ -5,24 +5,24 @@
 //! declare a longest pause between events, one instance of each region is the *dispatcher*, selected by
 //! rendezvous hashing. The others ask it for a place before they send a request, and report its first event
 //! and its end. It keeps the places of all requests ([`engine`]), the measured speed of the engines ([`speed`])
-//! and how much they may read at a time ([`pace`]), lets requests wait in order ([`queue`]), sends them to regions with room ([`room`]) and tells
+//! and how much they may read at a time ([`pace`]), lets requests wait in order ([`queue`]), sends them to regions with capacity ([`capacity`]) and tells
 //! refused callers when to come back ([`comeback`]).
 //!
 //! Nothing depends on the dispatcher: an instance that gets no answer decides by itself ([`crate::admit`]).
 
 mod bid;
+pub mod capacity;
 pub mod comeback;
 pub mod engine;
 pub mod message;
 pub mod pace;
 pub mod queue;
-pub mod room;
 pub mod service;
 pub mod speed;
 
 use std::time::Duration;
 
-use crate::dispatch::room::Remote;
+use crate::dispatch::capacity::Remote;
 
 pub use service::{Service, Summary};
 
@@ -34,7 +34,7 @@
     /// prompts do not hold up streams.
     pub min_pause: Option<Duration>,
     /// Processor time of this instance, in cores.
-    pub capacity: f64,
+    pub processor_share: f64,
     /// Prompt tokens that an engine is assumed to read per millisecond until that is measured. A guess that is too
     /// slow is corrected by the first prompts; one that is too fast holds up every stream until then.
     pub first_guess_per_ms: f64,
@@ -44,7 +44,7 @@
     fn default() -> Self {
         Self {
             min_pause: None,
-            capacity: 1.0,
+            processor_share: 1.0,
             first_guess_per_ms: 30.0,
         }
     }
@@ -114,7 +114,7 @@
 pub struct Circumstances<'a> {
     /// The engines that it may be sent to.
     pub candidates: &'a [Candidate],
-    /// The regions that it may be forwarded to and their room.
+    /// The regions that it may be forwarded to and their capacity.
     pub remotes: &'a [Remote],
     /// Time to another region and back.
     pub round_trip: Duration,
--- a/crates/sesamebarrow_routing/src/dispatch/bid.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/bid.rs
@@ -4,7 +4,7 @@
 
 use crate::dispatch::Candidate;
 use crate::dispatch::engine::{Engine, Limits, Plan, Work};
-use crate::dispatch::message::Ask;
+use crate::dispatch::message::PlaceRequest;
 use crate::dispatch::queue::Offer;
 use crate::dispatch::speed::Speed;
 
@@ -44,37 +44,37 @@
 }
 
 /// Returns the parts of a prompt that other requests share: all but the last.
-pub fn shared_parts(ask: &Ask) -> impl Iterator<Item = (u64, u32)> {
-    let count = ask.part_ids.len().saturating_sub(1);
-    let parts = ask.part_ids.iter().zip(&ask.part_tokens).take(count);
+pub fn shared_parts(req: &PlaceRequest) -> impl Iterator<Item = (u64, u32)> {
+    let count = req.part_ids.len().saturating_sub(1);
+    let parts = req.part_ids.iter().zip(&req.part_tokens).take(count);
     parts.map(|(id, tokens)| (*id, *tokens))
 }
 
 /// Returns what a request of a caller that comes back has in common with its first one: its last part.
-pub fn request_key(ask: &Ask) -> u64 {
-    ask.part_ids.last().copied().unwrap_or_default()
+pub fn request_key(req: &PlaceRequest) -> u64 {
+    req.part_ids.last().copied().unwrap_or_default()
 }
 
 /// Returns the tokens of a short prompt that take as long to read as `prefill_tokens` at the end of this one.
-pub fn weighted_tokens(ask: &Ask, prefill_tokens: u64) -> f64 {
+pub fn weighted_tokens(req: &PlaceRequest, prefill_tokens: u64) -> f64 {
     // CAST: token counts are far below 2^53.
     let tokens = prefill_tokens as f64;
-    let mean_context = f64::from(ask.prompt_tokens) - tokens / 2.0;
+    let mean_context = f64::from(req.prompt_tokens) - tokens / 2.0;
     tokens * (1.0 + mean_context.max(0.0) / DOUBLING_CONTEXT)
 }
 
-pub fn work_of(ask: &Ask, candidate: &Candidate) -> Work {
-    let mut prompt = ask.prompt();
+pub fn work_of(req: &PlaceRequest, candidate: &Candidate) -> Work {
+    let mut prompt = req.prompt();
     prompt.pop();
     let shared: u64 = prompt.iter().map(|p| u64::from(p.tokens)).sum();
-    let tokens = u64::from(ask.prompt_tokens) + u64::from(ask.output_tokens);
+    let tokens = u64::from(req.prompt_tokens) + u64::from(req.output_tokens);
     Work {
         own_kv_tokens: tokens.saturating_sub(shared),
         shared: prompt,
-        weighted_tokens: weighted_tokens(ask, candidate.prefill_tokens),
-        is_sure: u64::from(ask.prompt_tokens) >= candidate.prefill_tokens + shared,
-        rank: ask.rank,
-        time_left: Duration::from_millis(ask.time_left_ms.into()),
+        weighted_tokens: weighted_tokens(req, candidate.prefill_tokens),
+        is_sure: u64::from(req.prompt_tokens) >= candidate.prefill_tokens + shared,
+        rank: req.rank,
+        time_left: Duration::from_millis(req.time_left_ms.into()),
     }
 }
 
@@ -129,7 +129,7 @@
     engine.held() + reserved < candidate.slots as usize
 }
 
-/// Returns whether an engine's memory has room. A request that is larger than the limit may run alone.
+/// Returns whether an engine's memory has capacity. A request that is larger than the limit may run alone.
 pub fn fits_memory(engine: &Engine, candidate: &Candidate, work: &Work) -> bool {
     // CAST: token counts are far below 2^53.
     let max_tokens = candidate.kv_capacity_tokens as f64 * MAX_KV_FRACTION;
--- a/crates/sesamebarrow_routing/src/dispatch/room.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/capacity.rs
@@ -1,4 +1,4 @@
-//! Decides whether another region runs a request, by the room that both regions have.
+//! Decides whether another region runs a request, by the capacity that both regions have.
 //!
 //! Meant for regions whose load is out of phase: one is at its peak while another is nearly idle, and both
 //! change within seconds.
@@ -7,9 +7,9 @@
 
 use crate::rendezvous;
 
-/// Room of a service in a region.
+/// Capacity of a service in a region.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Room {
+pub struct Capacity {
     /// Part of the slots that is held or waited for.
     pub held: f64,
     /// The same without the least urgent requests, which give way to others.
@@ -24,7 +24,7 @@
     pub free_reading_ms: f64,
 }
 
-impl Room {
+impl Capacity {
     /// Returns how full the region is for a request, which may be one of the least urgent.
     pub fn load(&self, is_least_urgent: bool) -> f64 {
         match is_least_urgent {
@@ -50,13 +50,13 @@
     }
 }
 
-/// Room of another region.
+/// Capacity of another region.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Remote {
     /// Hash of the region's name.
     pub region_hash: u32,
-    /// Its room.
-    pub room: Room,
+    /// Its capacity.
+    pub capacity: Capacity,
 }
 
 /// Load from which a region gives patient requests away. Below it, they begin at once here.
@@ -106,30 +106,30 @@
     }
 }
 
-/// Returns the region that should run a patient request although this one could, because it has much more room.
-pub fn less_loaded(local: Room, remotes: &[Remote], need: &Need) -> Option<u32> {
+/// Returns the region that should run a patient request although this one could, because it has much more capacity.
+pub fn less_loaded(local: Capacity, remotes: &[Remote], need: &Need) -> Option<u32> {
     let load = local.load(need.is_least_urgent);
     if load < BUSY_LOAD || !need.is_patient() {
         return None;
     }
-    let best = with_most_room(remotes, need)?;
-    let is_much_less = best.room.load(need.is_least_urgent) + MIN_DIFFERENCE <= load;
+    let best = with_most_capacity(remotes, need)?;
+    let is_much_less = best.capacity.load(need.is_least_urgent) + MIN_DIFFERENCE <= load;
     is_much_less.then_some(best.region_hash)
 }
 
 /// Returns the region that should run a request that finds no place here.
 pub fn instead(remotes: &[Remote], need: &Need) -> Option<u32> {
     let max_way = need.target.mul_f64(MAX_WAY_FRACTION);
-    let best = with_most_room(remotes, need)?;
+    let best = with_most_capacity(remotes, need)?;
     (need.round_trip <= max_way).then_some(best.region_hash)
 }
 
-fn with_most_room(remotes: &[Remote], need: &Need) -> Option<Remote> {
-    let load = |r: &Remote| r.room.load(need.is_least_urgent);
+fn with_most_capacity(remotes: &[Remote], need: &Need) -> Option<Remote> {
+    let load = |r: &Remote| r.capacity.load(need.is_least_urgent);
     let least = remotes.iter().map(load).min_by(f64::total_cmp)?;
     let max = (least + AFFINITY_DIFFERENCE).min(MAX_REMOTE_LOAD);
     let weight =
         |r: &&Remote| rendezvous::weight_of_hashes(need.shared_prompt, r.region_hash.into());
-    let with_room = remotes.iter().filter(|r| load(r) <= max);
-    with_room.max_by_key(weight).copied()
+    let with_capacity = remotes.iter().filter(|r| load(r) <= max);
+    with_capacity.max_by_key(weight).copied()
 }
--- a/crates/sesamebarrow_routing/src/dispatch/comeback.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/comeback.rs
@@ -52,17 +52,17 @@
 }
 
 impl Comebacks {
-    /// Returns after which time a refused caller should come back, and expects it then. `room_in` is the
-    /// expected time until there is room for its rank, and `rate` the places given per second.
+    /// Returns after which time a refused caller should come back, and expects it then. `place_in` is the
+    /// expected time until there is capacity for its rank, and `rate` the places given per second.
     pub fn schedule(
         &mut self,
         now: Duration,
         caller: &Caller,
-        room_in: Duration,
+        place_in: Duration,
         rate: f64,
     ) -> Duration {
         let interval = Duration::from_secs_f64(1.0 / (rate.max(MIN_RATE) * RETURN_FRACTION));
-        let soonest = now + room_in.max(MIN_DELAY);
+        let soonest = now + place_in.max(MIN_DELAY);
         let last = self.last_due.get(&caller.rank).copied().unwrap_or_default();
         let mut latest = caller.time_left.mul_f64(MAX_TIME_FRACTION);
         let until_aim = caller.aim.saturating_sub(now);
--- a/crates/sesamebarrow_routing/src/dispatch/message.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/message.rs
@@ -1,12 +1,12 @@
 //! The datagrams of [`crate::dispatch`].
 
 use crate::cache::PromptPart;
-use crate::dispatch::room::Room;
+use crate::dispatch::capacity::Capacity;
 
 /// Asks the dispatcher of a service for an upstream.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Ask {
-    /// Identifies the request among those of its sender's process. An ask that is sent again has the same id.
+pub struct PlaceRequest {
+    /// Identifies the request among those of its sender's process. A request that is sent again has the same id.
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// Hash of the service's name.
@@ -41,7 +41,7 @@
     pub open_regions: Vec<u32>,
 }
 
-impl Ask {
+impl PlaceRequest {
     /// Returns the parts of the prompt.
     pub fn prompt(&self) -> Vec<PromptPart> {
         let parts = self.part_ids.iter().zip(&self.part_tokens);
@@ -50,7 +50,7 @@
     }
 }
 
-/// Decision about an [`Ask`].
+/// Decision about an [`PlaceRequest`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
 pub enum Decision {
@@ -66,10 +66,10 @@
     Refused = 4,
 }
 
-/// Answers an [`Ask`].
+/// Answers an [`PlaceRequest`].
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Answer {
-    /// Id of the ask.
+    /// Id of the request.
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// The decision.
@@ -88,50 +88,50 @@
     /// Hash of the region to forward to.
     #[prost(fixed32, tag = "6")]
     pub region_hash: u32,
-    /// Room of the service in this region; `None` if the request has waited.
+    /// Capacity of the service in this region; `None` if the request has waited.
     #[prost(message, optional, tag = "7")]
-    pub room: Option<StatedRoom>,
+    pub capacity: Option<StatedCapacity>,
 }
 
-/// A [`Room`] as it is sent.
+/// A [`Capacity`] as it is sent.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct StatedRoom {
-    /// [`Room::held`] in percent.
+pub struct StatedCapacity {
+    /// [`Capacity::held`] in percent.
     #[prost(uint32, tag = "1")]
     pub held_percent: u32,
-    /// [`Room::held_urgent`] in percent.
+    /// [`Capacity::held_urgent`] in percent.
     #[prost(uint32, tag = "2")]
     pub held_urgent_percent: u32,
-    /// [`Room::reading`] in percent.
+    /// [`Capacity::reading`] in percent.
     #[prost(uint32, tag = "3")]
     pub reading_percent: u32,
-    /// [`Room::free_slots`].
+    /// [`Capacity::free_slots`].
     #[prost(uint32, tag = "4")]
     pub free_slots: u32,
-    /// [`Room::free_reading_ms`].
+    /// [`Capacity::free_reading_ms`].
     #[prost(uint32, tag = "5")]
     pub free_reading_ms: u32,
-    /// [`Room::reading_urgent`] in percent.
+    /// [`Capacity::reading_urgent`] in percent.
     #[prost(uint32, tag = "6")]
     pub reading_urgent_percent: u32,
 }
 
-impl From<Room> for StatedRoom {
-    fn from(room: Room) -> Self {
+impl From<Capacity> for StatedCapacity {
+    fn from(capacity: Capacity) -> Self {
         // CAST: parts are at most 1, and the others bounded by the number of engines.
         Self {
-            held_percent: (room.held * 100.0) as u32,
-            held_urgent_percent: (room.held_urgent * 100.0) as u32,
-            reading_percent: (room.reading * 100.0) as u32,
-            reading_urgent_percent: (room.reading_urgent * 100.0) as u32,
-            free_slots: room.free_slots as u32,
-            free_reading_ms: room.free_reading_ms as u32,
+            held_percent: (capacity.held * 100.0) as u32,
+            held_urgent_percent: (capacity.held_urgent * 100.0) as u32,
+            reading_percent: (capacity.reading * 100.0) as u32,
+            reading_urgent_percent: (capacity.reading_urgent * 100.0) as u32,
+            free_slots: capacity.free_slots as u32,
+            free_reading_ms: capacity.free_reading_ms as u32,
         }
     }
 }
 
-impl From<&StatedRoom> for Room {
-    fn from(stated: &StatedRoom) -> Self {
+impl From<&StatedCapacity> for Capacity {
+    fn from(stated: &StatedCapacity) -> Self {
         let part = |percent: u32| (f64::from(percent) / 100.0).min(1.0);
         Self {
             held: part(stated.held_percent),
@@ -169,7 +169,7 @@
 /// An event of a request that holds a place.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Notice {
-    /// Id of the ask or hold.
+    /// Id of the request or hold.
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// The event.
--- a/crates/sesamebarrow_routing/src/dispatch/queue.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/queue.rs
@@ -1,6 +1,6 @@
 //! The requests that wait for a place, and who gives way.
 //!
-//! Meant for more work than room. Requests are served in this order: those that can still meet their target
+//! Meant for more work than capacity. Requests are served in this order: those that can still meet their target
 //! before those that cannot, the more urgent first, those that come back as they were told before new ones,
 //! and then by the time until which they can wait. While a request waits, less urgent ones get
 //! [`LESS_URGENT_SHARE`] of the work that the more urgent get, so that they are never starved; small ones get
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crate::dispatch::engine::HolderId;
-use crate::dispatch::message::Ask;
+use crate::dispatch::message::PlaceRequest;
 
 /// A request that waits for a place.
 #[derive(Clone, Debug)]
@@ -17,7 +17,7 @@
     /// Identifies it.
     pub id: HolderId,
     /// What it asks for.
-    pub ask: Ask,
+    pub req: PlaceRequest,
     /// Until when reading of its prompt must end so that it meets its target.
     pub aim: Duration,
     /// When it leaves the queue.
@@ -49,7 +49,7 @@
     fn order(&self, now: Duration) -> Order {
         (
             now >= self.aim,
-            self.ask.rank,
+            self.req.rank,
             !self.returned,
             self.leave_at,
         )
@@ -77,12 +77,12 @@
 
     /// Returns the number of waiting requests of a rank.
     pub fn waiting_of(&self, rank: u32) -> usize {
-        self.waiting.iter().filter(|w| w.ask.rank == rank).count()
+        self.waiting.iter().filter(|w| w.req.rank == rank).count()
     }
 
     /// Returns the number of waiting requests that are more urgent than `rank`.
     pub fn waiting_before(&self, rank: u32) -> usize {
-        self.waiting.iter().filter(|w| w.ask.rank < rank).count()
+        self.waiting.iter().filter(|w| w.req.rank < rank).count()
     }
 
     /// Takes the requests that have waited for `min_wait` and that `region` sends to another region.
@@ -103,7 +103,7 @@
                 return true;
             };
             forwarded.push((w.clone(), region));
-            // The room of the region is counted again before the next round.
+            // The capacity of the region is counted again before the next round.
             tried = MAX_FAILED_OFFERS;
             false
         });
@@ -158,7 +158,7 @@
         mut place: impl FnMut(&Waiting) -> Offer,
     ) -> Vec<Waiting> {
         self.waiting.sort_by_key(|w| w.order(now));
-        let least_urgent = self.waiting.iter().map(|w| w.ask.rank).max();
+        let least_urgent = self.waiting.iter().map(|w| w.req.rank).max();
         let mut blocked: Option<u32> = None;
         let mut full = false;
         // Rank of the last requests without a place, and their number.
@@ -166,7 +166,7 @@
         let mut served = Vec::new();
         let mut kept = Vec::with_capacity(self.waiting.len());
         for waiting in std::mem::take(&mut self.waiting) {
-            let rank = waiting.ask.rank;
+            let rank = waiting.req.rank;
             let gives_way = blocked.is_some_and(|b| rank > b);
             let is_skipped = failed.0 == rank && failed.1 >= MAX_FAILED_OFFERS;
             if full || is_skipped || (gives_way && self.credit <= 0.0) {
--- a/crates/sesamebarrow_routing/src/dispatch/service.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/service.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use crate::dispatch::bid::{self, Bid};
+use crate::dispatch::capacity::{self, Capacity, Need, Remote};
 use crate::dispatch::comeback::{Caller, Comebacks};
 use crate::dispatch::engine::{Engine, HolderId, Limits, Work};
-use crate::dispatch::message::{Ask, Event, Hold, Notice};
+use crate::dispatch::message::{Event, Hold, Notice, PlaceRequest};
 use crate::dispatch::pace::Pace;
 use crate::dispatch::queue::{Offer, Queue, Waiting};
-use crate::dispatch::room::{self, Need, Remote, Room};
 use crate::dispatch::speed::Speed;
 use crate::dispatch::{Candidate, Circumstances, Outcome};
 
@@ -151,8 +151,8 @@
     }
 
     /// Returns the milliseconds in which an engine that has cached nothing of a request reads its prompt.
-    pub fn read_ms(&self, ask: &Ask) -> f64 {
-        bid::weighted_tokens(ask, ask.prompt_tokens.into()) * self.speed.ms_per_token
+    pub fn read_ms(&self, req: &PlaceRequest) -> f64 {
+        bid::weighted_tokens(req, req.prompt_tokens.into()) * self.speed.ms_per_token
     }
 
     /// Returns the state of an engine.
@@ -165,7 +165,7 @@
         &mut self,
         now: Duration,
         id: HolderId,
-        ask: &Ask,
+        req: &PlaceRequest,
         cx: &Circumstances<'_>,
     ) -> Outcome {
         if let Some(leave_at) = self.queue.touch(now, id) {
@@ -174,11 +174,13 @@
         if let Some(granted) = self.granted_before(id, cx.candidates) {
             return granted;
         }
-        self.last_asked.insert(ask.rank, now);
-        let first_aim = self.comebacks.take(now, bid::request_key(ask));
-        let waiting = self.waiting_of(now, id, ask, first_aim);
-        let need = self.need(now, ask, cx);
-        if let Some(region) = room::less_loaded(self.room(now, cx.candidates), cx.remotes, &need) {
+        self.last_asked.insert(req.rank, now);
+        let first_aim = self.comebacks.take(now, bid::request_key(req));
+        let waiting = self.waiting_of(now, id, req, first_aim);
+        let need = self.need(now, req, cx);
+        if let Some(region) =
+            capacity::less_loaded(self.capacity(now, cx.candidates), cx.remotes, &need)
+        {
             self.counts[1] += 1;
             return Outcome::Forward(region);
         }
@@ -187,24 +189,24 @@
         {
             return granted;
         }
-        let room_in = self.time_to_serve(now, ask.rank);
+        let place_in = self.time_to_serve(now, req.rank);
         let max_wait = |until: Duration| {
             let slack = until.saturating_sub(now).mul_f64(WAIT_FRACTION);
             slack.min(MAX_EXPECTED_WAIT)
         };
-        let can_wait = room_in <= max_wait(waiting.aim);
-        if (!can_wait || room_in > cx.round_trip)
-            && let Some(region) = room::instead(cx.remotes, &need)
+        let can_wait = place_in <= max_wait(waiting.aim);
+        if (!can_wait || place_in > cx.round_trip)
+            && let Some(region) = capacity::instead(cx.remotes, &need)
         {
             self.counts[1] += 1;
             return Outcome::Forward(region);
         }
-        if can_wait || room_in <= max_wait(waiting.leave_at) {
+        if can_wait || place_in <= max_wait(waiting.leave_at) {
             let wait = waiting.leave_at.saturating_sub(now);
             self.queue.push(waiting);
             return Outcome::Waiting(wait);
         }
-        self.refuse(now, &waiting, room_in)
+        self.refuse(now, &waiting, place_in)
     }
 
     /// Returns the place that a request holds already, if its ask was sent again because the answer was lost.
@@ -233,12 +235,12 @@
     }
 
     /// Returns what a request needs of another region.
-    fn need(&self, now: Duration, ask: &Ask, cx: &Circumstances<'_>) -> Need {
+    fn need(&self, now: Duration, req: &PlaceRequest, cx: &Circumstances<'_>) -> Need {
         Need {
-            target: Duration::from_millis(ask.target_ms.into()),
+            target: Duration::from_millis(req.target_ms.into()),
             round_trip: cx.round_trip,
-            is_least_urgent: ask.rank >= self.least_urgent(now),
-            shared_prompt: ask
+            is_least_urgent: req.rank >= self.least_urgent(now),
+            shared_prompt: req
                 .part_ids
                 .iter()
                 .rev()
@@ -269,17 +271,17 @@
         Duration::from_secs_f64(places / self.rate(now, rank))
     }
 
-    fn refuse(&mut self, now: Duration, waiting: &Waiting, room_in: Duration) -> Outcome {
+    fn refuse(&mut self, now: Duration, waiting: &Waiting, place_in: Duration) -> Outcome {
         self.counts[2] += 1;
-        let ask = &waiting.ask;
+        let req = &waiting.req;
         let caller = Caller {
-            rank: ask.rank,
-            request: bid::request_key(ask),
+            rank: req.rank,
+            request: bid::request_key(req),
             aim: waiting.aim,
-            time_left: Duration::from_millis(ask.time_left_ms.into()),
+            time_left: Duration::from_millis(req.time_left_ms.into()),
         };
-        let rate = self.rate(now, ask.rank);
-        Outcome::Refused(self.comebacks.schedule(now, &caller, room_in, rate))
+        let rate = self.rate(now, req.rank);
+        Outcome::Refused(self.comebacks.schedule(now, &caller, place_in, rate))
     }
 
     /// Returns the entry of a request in the queue. `first_aim` is the aim of its first attempt, if it has come
@@ -288,15 +290,15 @@
         &self,
         now: Duration,
         id: HolderId,
-        ask: &Ask,
+        req: &PlaceRequest,
         first_aim: Option<Duration>,
     ) -> Waiting {
-        let target = Duration::from_millis(ask.target_ms.into()).mul_f64(TARGET_FRACTION);
-        let time_left = Duration::from_millis(ask.time_left_ms.into());
-        let aim = first_aim.unwrap_or(now + target.saturating_sub(self.shortest(ask)));
+        let target = Duration::from_millis(req.target_ms.into()).mul_f64(TARGET_FRACTION);
+        let time_left = Duration::from_millis(req.time_left_ms.into());
+        let aim = first_aim.unwrap_or(now + target.saturating_sub(self.shortest(req)));
         Waiting {
             id,
-            ask: ask.clone(),
+            req: req.clone(),
             aim,
             leave_at: aim.max((now + time_left.mul_f64(LATE_FRACTION)).min(aim + MAX_LATE)),
             returned: first_aim.is_some(),
@@ -307,12 +309,12 @@
 
     /// Returns the shortest time until the first event of a request that no engine has cached anything of but
     /// what it shares.
-    fn shortest(&self, ask: &Ask) -> Duration {
-        let shared: u64 = bid::shared_parts(ask)
+    fn shortest(&self, req: &PlaceRequest) -> Duration {
+        let shared: u64 = bid::shared_parts(req)
             .map(|(_, tokens)| u64::from(tokens))
             .sum();
-        let own = u64::from(ask.prompt_tokens).saturating_sub(shared);
-        let read_ms = bid::weighted_tokens(ask, own) * self.speed.ms_per_token;
+        let own = u64::from(req.prompt_tokens).saturating_sub(shared);
+        let read_ms = bid::weighted_tokens(req, own) * self.speed.ms_per_token;
         Duration::from_secs_f64((read_ms + self.speed.busy_first_ms) / 1_000.0)
     }
 
@@ -324,16 +326,16 @@
         cx: &Circumstances<'_>,
     ) -> Result<Outcome, Offer> {
         let first = Duration::from_secs_f64(self.speed.busy_first_ms / 1_000.0);
-        let latest = (waiting.aim + self.shortest(&waiting.ask)).saturating_sub(first);
+        let latest = (waiting.aim + self.shortest(&waiting.req)).saturating_sub(first);
         let is_late = now >= waiting.aim;
         let limits = self.limits(cx.max_pause);
-        let has_more_urgent = self.has_more_urgent(now, waiting.ask.rank);
+        let has_more_urgent = self.has_more_urgent(now, waiting.req.rank);
         let mut best: Option<(Bid, Candidate, Work)> = None;
         let mut best_later_ms = f64::INFINITY;
         let mut failure = Offer::Full;
         for candidate in cx.candidates {
             let engine = self.engines.entry(candidate.run).or_default();
-            let work = bid::work_of(&waiting.ask, candidate);
+            let work = bid::work_of(&waiting.req, candidate);
             let has_slot = bid::has_slot(engine, candidate, has_more_urgent);
             let bid = bid::of_engine(
                 now,
@@ -366,7 +368,7 @@
         engine.hold(now, waiting.id, &work, &plan, cx.max_pause);
         self.runs.insert(waiting.id, candidate.run);
         self.counts[0] += 1;
-        self.rates.entry(waiting.ask.rank).or_default().count(now);
+        self.rates.entry(waiting.req.rank).or_default().count(now);
         Ok(Outcome::Granted {
             run: candidate.run,
             prefill_tokens: candidate.prefill_tokens,
@@ -375,18 +377,18 @@
     }
 
     /// Offers places to the waiting requests. `candidates` and `remotes` return the engines that one may be
-    /// sent to and the rooms of the regions that it may be forwarded to. Returns the decisions.
+    /// sent to and the capacities of the regions that it may be forwarded to. Returns the decisions.
     pub fn serve(
         &mut self,
         now: Duration,
         cx: &Circumstances<'_>,
-        candidates: impl Fn(&Ask) -> Vec<Candidate>,
-        remotes: impl Fn(&Ask) -> Vec<Remote>,
+        candidates: impl Fn(&PlaceRequest) -> Vec<Candidate>,
+        remotes: impl Fn(&PlaceRequest) -> Vec<Remote>,
     ) -> Vec<(Waiting, Outcome)> {
         let mut queue = std::mem::take(&mut self.queue);
         let mut outcomes = Vec::new();
         let served = queue.serve(now, |waiting| {
-            let candidates = candidates(&waiting.ask);
+            let candidates = candidates(&waiting.req);
             let cx = Circumstances {
                 candidates: &candidates,
                 ..cx.clone()
@@ -406,9 +408,9 @@
         let forwarded = queue.take_forwarded(now, cx.round_trip / 2, |waiting| {
             let need = Need {
                 target: waiting.aim.saturating_sub(now),
-                ..self.need(now, &waiting.ask, cx)
+                ..self.need(now, &waiting.req, cx)
             };
-            room::instead(&remotes(&waiting.ask), &need)
+            capacity::instead(&remotes(&waiting.req), &need)
         });
         for (waiting, region) in forwarded {
             self.counts[1] += 1;
@@ -422,8 +424,8 @@
         decided
     }
 
-    /// Returns the room that the service has in this region.
-    pub fn room(&self, now: Duration, candidates: &[Candidate]) -> Room {
+    /// Returns the capacity that the service has in this region.
+    pub fn capacity(&self, now: Duration, candidates: &[Candidate]) -> Capacity {
         let least_urgent = self.least_urgent(now);
         let (mut held, mut held_urgent, mut slots) = (0, 0, 0.0);
         let mut backlog = Duration::ZERO;
@@ -444,7 +446,7 @@
         };
         let waiting = self.queue.len();
         let waiting_urgent = self.queue.waiting_before(least_urgent);
-        Room {
+        Capacity {
             held: part(held + waiting),
             held_urgent: part(held_urgent + waiting_urgent),
             reading,
--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -6,7 +6,7 @@
 
 use prost::Message as _;
 
-use crate::dispatch::message::StatedRoom;
+use crate::dispatch::message::StatedCapacity;
 
 /// Load of one service in the sender's region.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -20,12 +20,12 @@
     /// Number of upstreams that accept requests and are not full.
     #[prost(uint32, tag = "3")]
     pub usable_upstreams: u32,
-    /// Room of the service, if it is dispatched.
+    /// Capacity of the service, if it is dispatched.
     #[prost(message, optional, tag = "4")]
-    pub room: Option<StatedRoom>,
+    pub capacity: Option<StatedCapacity>,
     /// Milliseconds since the dispatcher stated it.
     #[prost(uint32, tag = "5")]
-    pub room_age_ms: u32,
+    pub capacity_age_ms: u32,
 }
 
 /// Load that the sender has put on one upstream of its region.
@@ -82,7 +82,7 @@
     pub dispatches: bool,
     /// Its processor time in percent of a core.
     #[prost(uint32, tag = "12")]
-    pub capacity_percent: u32,
+    pub processor_percent: u32,
 }
 
 /// How long ago instances were last heard from, directly or through other instances; in
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, RngExt};
 use smol_str::SmolStr;
 
-use crate::dispatch::room::Room;
+use crate::dispatch::capacity::Capacity;
 use crate::gossip::{Datagram, HeardAges, Record, UpstreamLoad, short_hash};
 
 /// Time between two gossip rounds.
@@ -109,8 +109,8 @@
 /// Time for which the reported load of a service remains valid.
 const SERVICE_LOAD_LIFETIME: Duration = Duration::from_secs(3);
 
-/// Time for which the room of a service in another region is believed, unless a newer one is heard of.
-const ROOM_LIFETIME: Duration = Duration::from_secs(2);
+/// Time for which the capacity of a service in another region is believed, unless a newer one is heard of.
+const CAPACITY_LIFETIME: Duration = Duration::from_secs(2);
 
 /// Another instance.
 #[derive(Clone, Debug)]
@@ -164,10 +164,10 @@
     pub wait: Duration,
     /// Number of upstreams that accept requests and are not full.
     pub usable_upstreams: u32,
-    /// The room that its dispatcher stated, if it is dispatched.
-    pub room: Option<Room>,
-    /// When its dispatcher stated the room.
-    room_at: Duration,
+    /// The capacity that its dispatcher stated, if it is dispatched.
+    pub capacity: Option<Capacity>,
+    /// When its dispatcher stated the capacity.
+    capacity_at: Duration,
 }
 
 /// A member that fell silent and was removed.
@@ -254,12 +254,15 @@
 
     /// Counts a request that is forwarded to the region with this hash and reads for `read_ms` there, until its
     /// next report.
-    pub fn take_room(&mut self, region_hash: u32, service_hash: u32, read_ms: f64) {
+    pub fn take_capacity(&mut self, region_hash: u32, service_hash: u32, read_ms: f64) {
         let loads = self.service_loads.iter_mut();
         let mut of_region =
             loads.filter(|((r, s), _)| *s == service_hash && short_hash(r) == region_hash);
-        if let Some(room) = of_region.next().and_then(|(_, load)| load.room.as_mut()) {
-            room.take(read_ms);
+        if let Some(capacity) = of_region
+            .next()
+            .and_then(|(_, load)| load.capacity.as_mut())
+        {
+            capacity.take(read_ms);
         }
     }
 
@@ -299,22 +302,22 @@
         member.upstream_loads = (now, upstream_loads.collect());
         for load in &datagram.service_loads {
             let key = (member.region.clone(), load.service_hash);
-            let room = load.room.as_ref().map(Room::from);
-            let age = Duration::from_millis(load.room_age_ms.into());
-            let mut room = (room, now.saturating_sub(age));
+            let capacity = load.capacity.as_ref().map(Capacity::from);
+            let age = Duration::from_millis(load.capacity_age_ms.into());
+            let mut capacity = (capacity, now.saturating_sub(age));
             if let Some(known) = self.service_loads.get(&key)
-                && known.room.is_some()
-                && (room.0.is_none() || known.room_at > room.1)
-                && now.saturating_sub(known.room_at) < ROOM_LIFETIME
+                && known.capacity.is_some()
+                && (capacity.0.is_none() || known.capacity_at > capacity.1)
+                && now.saturating_sub(known.capacity_at) < CAPACITY_LIFETIME
             {
-                room = (known.room, known.room_at);
+                capacity = (known.capacity, known.capacity_at);
             }
             let service_load = ReceivedServiceLoad {
                 reported_at: now,
                 wait: Duration::from_millis(load.wait_ms.into()),
                 usable_upstreams: load.usable_upstreams,
-                room: room.0,
-                room_at: room.1,
+                capacity: capacity.0,
+                capacity_at: capacity.1,
             };
             self.service_loads.insert(key, service_load);
         }
--- a/crates/sesamebarrow_routing/src/token.rs
+++ b/crates/sesamebarrow_routing/src/token.rs
@@ -3,7 +3,7 @@
 
 use prost::Message as _;
 
-use crate::dispatch::message::{Answer, Ask, Notices};
+use crate::dispatch::message::{Answer, Notices, PlaceRequest};
 use crate::limit::message::{Observed, PermitAnswer, PermitRequest, States};
 use crate::quarantine::message::{Blames, Orders, TrialGrant, TrialRequest};
 
@@ -53,8 +53,8 @@
     LimitStates(States),
     /// Asks a dispatcher for an upstream.
     #[prost(message, tag = "12")]
-    Ask(Ask),
-    /// Answers an ask.
+    PlaceRequest(PlaceRequest),
+    /// Answers a request.
     #[prost(message, tag = "13")]
     Answer(Answer),
     /// Reports what happened to dispatched requests.
--- a/crates/sesamebarrow_routing/tests/decisions/dispatch.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/dispatch.rs
@@ -6,11 +6,11 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
+use sesamebarrow_routing::dispatch::capacity::{self, Capacity, Need, Remote};
 use sesamebarrow_routing::dispatch::comeback::{Caller, Comebacks};
 use sesamebarrow_routing::dispatch::engine::{Engine, Limits, Work};
-use sesamebarrow_routing::dispatch::message::{Ask, Event, Notice};
+use sesamebarrow_routing::dispatch::message::{Event, Notice, PlaceRequest};
 use sesamebarrow_routing::dispatch::pace::Pace;
-use sesamebarrow_routing::dispatch::room::{self, Need, Remote, Room};
 use sesamebarrow_routing::dispatch::speed::{Slowness, Speed};
 use sesamebarrow_routing::dispatch::{self, Candidate, Circumstances, Outcome, Service};
 
@@ -50,8 +50,8 @@
     }
 }
 
-fn ask(id: u64, rank: u32, tokens: u32, target_ms: u32) -> Ask {
-    Ask {
+fn ask(id: u64, rank: u32, tokens: u32, target_ms: u32) -> PlaceRequest {
+    PlaceRequest {
         id,
         part_ids: vec![id],
         part_tokens: vec![tokens],
@@ -60,20 +60,20 @@
         rank,
         target_ms,
         time_left_ms: 5_000,
-        ..Ask::default()
+        ..PlaceRequest::default()
     }
 }
 
-fn decide(service: &mut Service, now: Duration, ask: &Ask, engines: u64) -> Outcome {
+fn decide(service: &mut Service, now: Duration, ask: &PlaceRequest, engines: u64) -> Outcome {
     let candidates = candidates(engines, ask.prompt_tokens.into());
     service.decide(now, (1, ask.id), ask, &circumstances(&candidates, &[]))
 }
 
 fn serve(service: &mut Service, now: Duration, engines: u64) -> Vec<(u64, Outcome)> {
     let cx = circumstances(&[], &[]);
-    let of = |ask: &Ask| candidates(engines, ask.prompt_tokens.into());
+    let of = |ask: &PlaceRequest| candidates(engines, ask.prompt_tokens.into());
     let decided = service.serve(now, &cx, of, |_| Vec::new());
-    decided.into_iter().map(|(w, o)| (w.ask.id, o)).collect()
+    decided.into_iter().map(|(w, o)| (w.req.id, o)).collect()
 }
 
 fn notify(service: &mut Service, now: Duration, id: u64, event: Event) {
@@ -317,8 +317,8 @@
     assert!((plan.read_ms - 100.0).abs() < 1e-6);
 }
 
-fn room(held: f64, reading: f64) -> Room {
-    Room {
+fn capacity(held: f64, reading: f64) -> Capacity {
+    Capacity {
         held,
         held_urgent: held / 2.0,
         reading,
@@ -331,7 +331,7 @@
 fn remote(region_hash: u32, held: f64, reading: f64) -> Remote {
     Remote {
         region_hash,
-        room: room(held, reading),
+        capacity: capacity(held, reading),
     }
 }
 
@@ -347,17 +347,17 @@
 #[rstest]
 #[case::peak_here_and_idle_there(0.9, 0.2, 4_000, Some(1))]
 #[case::nearly_the_same(0.6, 0.5, 4_000, None)]
-#[case::room_here(0.4, 0.0, 4_000, None)]
+#[case::capacity_here(0.4, 0.0, 4_000, None)]
 #[case::full_there(1.0, 0.9, 4_000, None)]
 #[case::target_is_short(0.9, 0.2, 1_000, None)]
-fn patient_requests_go_to_a_region_with_much_more_room(
+fn patient_requests_go_to_a_region_with_much_more_capacity(
     #[case] here: f64,
     #[case] there: f64,
     #[case] target_ms: u64,
     #[case] expected: Option<u32>,
 ) {
     let remotes = [remote(1, there, 0.1)];
-    let selected = room::less_loaded(room(here, 0.1), &remotes, &need(target_ms));
+    let selected = capacity::less_loaded(capacity(here, 0.1), &remotes, &need(target_ms));
     assert_eq!(selected, expected);
 }
 
@@ -371,15 +371,15 @@
     #[case] expected: Option<u32>,
 ) {
     let remotes = [remote(1, there, 0.1)];
-    assert_eq!(room::instead(&remotes, &need(target_ms)), expected);
+    assert_eq!(capacity::instead(&remotes, &need(target_ms)), expected);
 }
 
 #[test]
 fn forwarded_requests_use_up_the_room_until_the_next_report() {
     let mut remotes = [remote(1, 0.5, 0.5)];
     let mut forwarded = 0;
-    while room::instead(&remotes, &need(4_000)).is_some() {
-        remotes[0].room.take(200.0);
+    while capacity::instead(&remotes, &need(4_000)).is_some() {
+        remotes[0].capacity.take(200.0);
         forwarded += 1;
     }
     // Between half and three quarters of 10 s of reading are 2.5 s, and three quarters of what is forwarded are
@@ -394,8 +394,8 @@
         is_least_urgent: false,
         ..need(1_000)
     };
-    assert_eq!(room::instead(&remotes, &urgent), Some(1));
-    assert_eq!(room::instead(&remotes, &need(1_000)), None);
+    assert_eq!(capacity::instead(&remotes, &urgent), Some(1));
+    assert_eq!(capacity::instead(&remotes, &need(1_000)), None);
 }
 
 fn caller(request: u64) -> Caller {
--- a/crates/sesamebarrow_routing/tests/decisions/dispatchers.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/dispatchers.rs
@@ -8,7 +8,9 @@
 use sesamebarrow_routing::admit::{self, RequestSpec};
 use sesamebarrow_routing::board::limit::Owner;
 use sesamebarrow_routing::cache::PromptPart;
-use sesamebarrow_routing::dispatch::message::{Ask, Decision, Event, Hold, Notice, Notices};
+use sesamebarrow_routing::dispatch::message::{
+    Decision, Event, Hold, Notice, Notices, PlaceRequest,
+};
 use sesamebarrow_routing::gossip;
 use sesamebarrow_routing::token::{self, Body};
 use smol_str::SmolStr;
@@ -72,19 +74,19 @@
     }
 }
 
-fn ask(fleet: &Fleet, index: usize, id: u64, regions: &[&str]) -> Ask {
+fn ask(fleet: &Fleet, index: usize, id: u64, regions: &[&str]) -> PlaceRequest {
     let board = &fleet.instances[index].board;
     let regions = regions.iter().map(|r| SmolStr::new(*r));
-    let ask = board.build_ask(&spec(), ms(1_000), ms(5_000), &[], regions);
-    Ask { id, ..ask }
+    let ask = board.build_place_request(&spec(), ms(1_000), ms(5_000), &[], regions);
+    PlaceRequest { id, ..ask }
 }
 
-fn decide(fleet: &mut Fleet, index: usize, ask: &Ask) -> Decision {
+fn decide(fleet: &mut Fleet, index: usize, ask: &PlaceRequest) -> Decision {
     let now = fleet.process_time(index);
     let from = Ipv4Addr::new(10, 0, 0, 99);
     fleet.instances[index]
         .board
-        .handle_ask(now, from, ask)
+        .handle_place_request(now, from, ask)
         .decision()
 }
 
@@ -103,7 +105,7 @@
     let mut fleet = dispatched(&[("a", 20)]);
     for (index, instance) in fleet.instances.iter_mut().enumerate() {
         let mut parameters = instance.board.parameters;
-        parameters.dispatch.capacity = if index < 2 { 0.5 } else { 0.05 };
+        parameters.dispatch.processor_share = if index < 2 { 0.5 } else { 0.05 };
         instance.board.set_parameters(parameters);
     }
     fleet.advance(ms(6_000));
@@ -158,7 +160,7 @@
 fn a_service_or_configuration_that_is_not_known_leaves_the_decision_to_the_instance() {
     let mut fleet = dispatched(&[("a", 1)]);
     let known = ask(&fleet, 0, 1, &[]);
-    let unknown = Ask {
+    let unknown = PlaceRequest {
         service_hash: gossip::short_hash("other"),
         ..known.clone()
     };
@@ -226,17 +228,17 @@
     let asked = ask(&fleet, of_b, 1, &[]);
     decide(&mut fleet, of_b, &asked);
     fleet.advance(ms(1_000));
-    let room = |fleet: &Fleet| {
+    let capacity = |fleet: &Fleet| {
         let now = fleet.process_time(0);
         let members = &fleet.instances[0].board.members;
         let load = members.service_load(now, &"b".into(), gossip::short_hash(MODEL));
-        load.and_then(|l| l.room)
+        load.and_then(|l| l.capacity)
     };
-    let known = room(&fleet).expect("the room of b");
+    let known = capacity(&fleet).expect("the capacity of b");
     assert!(known.held < 0.1 && known.free_slots > 100.0, "{known:?}");
     // Nobody asks the dispatcher of b any more.
     fleet.advance(ms(4_000));
-    assert_eq!(room(&fleet), None);
+    assert_eq!(capacity(&fleet), None);
 }
 
 #[test]
@@ -247,7 +249,9 @@
     let ip = fleet.instances[other].board.identity.ip;
     let asked = ask(&fleet, of_a, 7, &[]);
     let now = fleet.process_time(of_a);
-    let answer = fleet.instances[of_a].board.handle_ask(now, ip, &asked);
+    let answer = fleet.instances[of_a]
+        .board
+        .handle_place_request(now, ip, &asked);
     assert_eq!(answer.decision(), Decision::Granted);
     // Nothing is heard of the instance, nor of the request's end.
     for _ in 0..900 {
@@ -267,14 +271,14 @@
     for id in 1..200 {
         let asked = ask(&fleet, 0, id, &[]);
         let board = &mut fleet.instances[0].board;
-        let answer = board.handle_ask(now, ip, &asked);
+        let answer = board.handle_place_request(now, ip, &asked);
         match answer.decision() {
             Decision::Waiting => waiting += 1,
             Decision::Granted => granted.push(id),
             _ => {}
         }
     }
-    assert!(waiting > 0, "the engines have room for all");
+    assert!(waiting > 0, "the engines have capacity for all");
     let board = &mut fleet.instances[0].board;
     let keys: Vec<_> = board.upstreams.of_service(MODEL).to_vec();
     let leaving = &keys[1..];
@@ -322,12 +326,12 @@
     let now = fleet.process_time(0);
     let board = &mut fleet.instances[0].board;
     let regions = ["b", "c"].map(SmolStr::new);
-    let ask = board.build_ask(&spec, ms(1_000), ms(5_000), &[], regions.into_iter());
-    let ask = Ask {
+    let ask = board.build_place_request(&spec, ms(1_000), ms(5_000), &[], regions.into_iter());
+    let ask = PlaceRequest {
         id: u64::from(u32::MAX) << 8,
         ..ask
     };
-    let answer = board.handle_ask(now, Ipv4Addr::new(10, 0, 0, 99), &ask);
+    let answer = board.handle_place_request(now, Ipv4Addr::new(10, 0, 0, 99), &ask);
     assert_eq!(answer.decision(), Decision::Granted);
     let notice = Notice {
         id: ask.id,
@@ -341,7 +345,7 @@
     };
     let size = |body: Body| token::encode(body).len();
     let sizes = (
-        size(Body::Ask(ask)),
+        size(Body::PlaceRequest(ask)),
         size(Body::Answer(answer)),
         size(Body::Notices(notices)),
     );
--- a/crates/sesamebarrow_trial/tests/dispatch/play.rs
+++ b/crates/sesamebarrow_trial/tests/dispatch/play.rs
@@ -6,7 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sesamebarrow_routing::cache::{PrefixCache, PromptPart};
-use sesamebarrow_routing::dispatch::message::{Ask, Event as Reported, Notice};
+use sesamebarrow_routing::dispatch::message::{Event as Reported, Notice, PlaceRequest};
 use sesamebarrow_routing::dispatch::speed::Speed;
 use sesamebarrow_routing::dispatch::{self, Candidate, Circumstances, Outcome, Service};
 use sesamebarrow_trial::engine::{Engine, Event, Settings};
@@ -268,13 +268,13 @@
         candidates
     }
 
-    fn build_ask(&self, now_ms: f64, id: u64) -> Ask {
+    fn build_place_request(&self, now_ms: f64, id: u64) -> PlaceRequest {
         let request = &self.requests[&id];
         let kind = &self.load.kinds[request.kind];
         // A caller that comes back asks anew, as to an instance that does not know it.
         let rank = dispatch::rank(kind.priority, at(kind.target_ms));
         let left_ms = kind.timeout_ms - (now_ms - request.first_asked_ms);
-        Ask {
+        PlaceRequest {
             id: (id << 2) | u64::from(request.retries),
             part_ids: request.prompt.iter().map(|p| p.id).collect(),
             part_tokens: request.prompt.iter().map(|p| p.tokens).collect(),
@@ -283,7 +283,7 @@
             rank: rank.into(),
             target_ms: kind.target_ms as u32,
             time_left_ms: left_ms.max(0.0) as u32,
-            ..Ask::default()
+            ..PlaceRequest::default()
         }
     }
 
@@ -292,7 +292,7 @@
         if self.decider == Decider::Soonest {
             return self.send_to_soonest(now_ms, id, &candidates);
         }
-        let ask = self.build_ask(now_ms, id);
+        let ask = self.build_place_request(now_ms, id);
         let cx = circumstances(&candidates);
         let outcome = self.service.decide(at(now_ms), (0, ask.id), &ask, &cx);
         self.apply(now_ms, id, outcome);
@@ -304,10 +304,10 @@
             let exact = self.exact[c.run as usize];
             60.0 + (exact.unread + c.prefill_tokens as f64) / 38.1 + f64::from(exact.running) * 1.2
         };
-        let has_room = |c: &&Candidate| self.exact[c.run as usize].running < 48;
+        let has_capacity = |c: &&Candidate| self.exact[c.run as usize].running < 48;
         let soonest = candidates
             .iter()
-            .filter(has_room)
+            .filter(has_capacity)
             .min_by(|a, b| wait_ms(a).total_cmp(&wait_ms(b)));
         let outcome = match soonest {
             Some(c) if wait_ms(c) <= kind.target_ms * 0.85 => Outcome::Granted {
@@ -378,7 +378,7 @@
     fn serve_queue(&mut self, now_ms: f64) {
         for id in self.waiting.clone() {
             // An instance asks again for a request that waits.
-            let ask = self.build_ask(now_ms, id);
+            let ask = self.build_place_request(now_ms, id);
             self.service
                 .decide(at(now_ms), (0, ask.id), &ask, &circumstances(&[]));
         }
@@ -388,13 +388,13 @@
             .filter(|(_, r)| r.first_asked_ms <= now_ms)
             .map(|(id, r)| (*id, self.candidates(&r.prompt)))
             .collect();
-        let candidates = |ask: &Ask| asks.get(&(ask.id >> 2)).cloned().unwrap_or_default();
+        let candidates = |ask: &PlaceRequest| asks.get(&(ask.id >> 2)).cloned().unwrap_or_default();
         let cx = circumstances(&[]);
         let decided = self
             .service
             .serve(at(now_ms), &cx, candidates, |_| Vec::new());
         for (waiting, outcome) in decided {
-            self.apply(now_ms, waiting.ask.id >> 2, outcome);
+            self.apply(now_ms, waiting.req.id >> 2, outcome);
         }
     }
 
