--- a/crates/sesamebarrow_gateway/src/dispatch.rs
+++ b/crates/sesamebarrow_gateway/src/dispatch.rs
@@ -26,19 +26,20 @@
 pub mod client;
 pub mod place;
 
-/// Number of asks for one selection. An instance may know more about an upstream than the dispatcher.
+/// Number of requests for a place in one selection. An instance may know more about an upstream than the
+/// dispatcher.
 const MAX_REQUESTS: u32 = 3;
 
 /// Maximum number of prompt parts of a request, so that it fits into a datagram.
 const MAX_PARTS: usize = 64;
 
-/// Time after which a client may retry if a request that waited got no answer.
+/// Minimum time after which a client that the dispatcher refuses may retry.
 const MIN_REFUSAL_DELAY: Duration = Duration::from_millis(100);
 
 /// The requests of this instance that dispatchers know, and what is to be sent to them.
 pub struct Dispatches {
     next_id: AtomicU64,
-    /// Asks that have not been decided, by id.
+    /// Requests for places that have not been decided, by id.
     pending: Mutex<HashMap<u64, mpsc::UnboundedSender<Answer>>>,
     /// Places held, by id.
     held: Mutex<HashMap<u64, Held>>,
--- a/crates/sesamebarrow_routing/src/board/dispatch.rs
+++ b/crates/sesamebarrow_routing/src/board/dispatch.rs
@@ -133,7 +133,7 @@
         }
     }
 
-    /// Builds the request for a request, without its id. `avoided` are upstreams that must not be selected, and
+    /// Builds the message that asks for a place for a request, without its id. `avoided` are upstreams that must not be selected, and
     /// `open_regions` those that the request may be forwarded to.
     pub fn build_place_request(
         &self,
@@ -241,11 +241,6 @@
         (addressed, waits)
     }
 
-    /// Returns whether requests wait at this instance.
-    pub fn has_waiting(&self) -> bool {
-        self.dispatch.services.values().any(|s| s.waiting() > 0)
-    }
-
     /// Records what follows from a decision besides its answer.
     fn apply_outcome(&mut self, now: Duration, req: &PlaceRequest, outcome: Outcome) {
         match outcome {
--- a/crates/sesamebarrow_routing/src/dispatch/message.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/message.rs
@@ -50,7 +50,7 @@
     }
 }
 
-/// Decision about an [`PlaceRequest`].
+/// Decision about a [`PlaceRequest`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
 pub enum Decision {
@@ -66,7 +66,7 @@
     Refused = 4,
 }
 
-/// Answers an [`PlaceRequest`].
+/// Answers a [`PlaceRequest`].
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Answer {
     /// Id of the request.
