Let requests pass one that no engine may run, and release a place whose engine is not to be used any more

Found by reading. A waiting request whose engines had all failed it counted as no place for anything, so that all behind it waited until it left: a_request_that_no_engine_may_run_does_not_hold_up_those_behind_it failed before (nothing granted). A request that is asked for again after its engine leaves kept its former place until it expired; by reading, the test covers it.

--- a/crates/sesamebarrow_routing/src/dispatch/service.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/service.rs
@@ -174,6 +174,12 @@
         if let Some(granted) = self.granted_before(id, cx.candidates) {
             return granted;
         }
+        // The engine that it held a place at is not to be used any more.
+        if let Some(run) = self.runs.remove(&id)
+            && let Some(engine) = self.engines.get_mut(&run)
+        {
+            engine.release(id);
+        }
         self.last_asked.insert(req.rank, now);
         let first_aim = self.comebacks.take(now, bid::request_key(req));
         let waiting = self.waiting_of(now, id, req, first_aim);
@@ -389,6 +395,10 @@
         let mut outcomes = Vec::new();
         let served = queue.serve(now, |waiting| {
             let candidates = candidates(&waiting.req);
+            if candidates.is_empty() {
+                // Others may still be sent to engines that this one must avoid.
+                return Offer::Later;
+            }
             let cx = Circumstances {
                 candidates: &candidates,
                 ..cx.clone()
--- a/crates/sesamebarrow_routing/tests/decisions/dispatch.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/dispatch.rs
@@ -448,6 +448,37 @@
     let again = decide(&mut service, ms(40), &first, 4);
     assert_eq!(run(&granted), run(&again));
     assert_eq!(service.summary(ms(40)).held, 1);
+    // Its engine leaves before it is asked for once more.
+    let mut others = candidates(4, 2_000);
+    others.retain(|c| Some(c.run) != run(&granted));
+    let moved = service.decide(ms(80), (1, 1), &first, &circumstances(&others, &[]));
+    assert!(is_granted(&moved) && run(&moved) != run(&granted));
+    assert_eq!(service.summary(ms(80)).held, 1);
+}
+
+#[test]
+fn a_request_that_no_engine_may_run_does_not_hold_up_those_behind_it() {
+    let mut service = service();
+    let mut id = 0;
+    let mut outcome = Outcome::Forward(0);
+    // Fills the engine, so that two requests wait.
+    while !matches!(outcome, Outcome::Waiting(_)) {
+        id += 1;
+        outcome = decide(&mut service, ms(0), &ask(id, 0, 4_000, 3_000), 1);
+    }
+    decide(&mut service, ms(1), &ask(id + 1, 4, 1_000, 3_000), 1);
+    for held in 1..id {
+        notify(&mut service, ms(300), held, Event::Ended);
+    }
+    // All engines have failed the first one meanwhile.
+    let of = |req: &PlaceRequest| match req.id == id {
+        true => Vec::new(),
+        false => candidates(1, req.prompt_tokens.into()),
+    };
+    let decided = service.serve(ms(900), &circumstances(&[], &[]), of, |_| Vec::new());
+    let granted = decided.iter().filter(|(_, o)| is_granted(o));
+    let ids: Vec<u64> = granted.map(|(w, _)| w.req.id).collect();
+    assert_eq!(ids, [id + 1]);
 }
 
 #[test]
