Review: show an instance that stands still while its log is not read

Each log line is written to standard output at once, on the only thread. When the pipe is full, all requests, the gossip and the readiness check wait until somebody reads it.

--- a/review/kit/src/cases.rs
+++ b/review/kit/src/cases.rs
@@ -1,10 +1,12 @@
 //! The cases. Each returns what broke its rule, or an empty text if it held.
 
+use crate::deploy::Collector;
 use crate::record::Record;
 
 mod forged;
 mod keepalive;
 mod leave;
+mod logs;
 mod restored;
 mod stop;
 mod traffic;
@@ -16,6 +18,8 @@
         "forged" => forged::play(record, trouble),
         "keepalive" => keepalive::play(record, trouble),
         "leave" => leave::play(record, trouble),
+        "logs" => logs::play(record, trouble, Collector::Stalled),
+        "logs-closed" => logs::play(record, trouble, Collector::Closed),
         "restored" => restored::play(record, trouble),
         "stop" => stop::play(record, trouble),
         "uploads" => uploads::play(record, trouble),
--- a/review/kit/src/cases/forged.rs
+++ b/review/kit/src/cases/forged.rs
@@ -28,14 +28,20 @@
         max_attempts: 1,
         can_resume: false,
     }];
-    deployment.store.put("op/config", &deploy::config(1, &routes));
-    let mut leaving = deployment.start_server("i-leaves", &["work_ms=300"]).map_err(error)?;
+    deployment
+        .store
+        .put("op/config", &deploy::config(1, &routes));
+    let mut leaving = deployment
+        .start_server("i-leaves", &["work_ms=300"])
+        .map_err(error)?;
     let store = deployment.store.clone();
     store.put("servers/i-leaves", &leaving.entry("ready", 1, ""));
     let mut others = Vec::new();
     for n in 1..SERVERS {
         let id = format!("i-{n}");
-        let server = deployment.start_server(&id, &["work_ms=300"]).map_err(error)?;
+        let server = deployment
+            .start_server(&id, &["work_ms=300"])
+            .map_err(error)?;
         store.put(&format!("servers/{id}"), &server.entry("ready", 1, ""));
         others.push(server);
     }
@@ -51,7 +57,10 @@
     record.sleep_until(at(5_500));
     if trouble {
         record.line("platform: another writer writes the entry, without born");
-        store.put("servers/i-leaves", &leaving.entry_without_born("ready", 3, ""));
+        store.put(
+            "servers/i-leaves",
+            &leaving.entry_without_born("ready", 3, ""),
+        );
     }
     record.sleep_until(at(5_500) + CHECK_IN);
     record.line("platform: i-leaves checks in");
@@ -83,6 +92,9 @@
     ));
     Ok(match late.len() {
         0 => String::new(),
-        n => format!("{n} orders reached a draining server later than drainMs, {} were lost", lost.len()),
+        n => format!(
+            "{n} orders reached a draining server later than drainMs, {} were lost",
+            lost.len()
+        ),
     })
 }
--- a/review/kit/src/cases/keepalive.rs
+++ b/review/kit/src/cases/keepalive.rs
@@ -20,11 +20,15 @@
         max_attempts: 1,
         can_resume: false,
     }];
-    deployment.store.put("op/config", &deploy::config(1, &routes));
+    deployment
+        .store
+        .put("op/config", &deploy::config(1, &routes));
     let seconds = if trouble { i64::MAX } else { 60 };
     let header = format!("header=Keep-Alive: timeout={seconds}");
     let server = deployment.start_server("i-1", &[&header]).map_err(error)?;
-    deployment.store.put("servers/i-1", &server.entry("ready", 1, ""));
+    deployment
+        .store
+        .put("servers/i-1", &server.entry("ready", 1, ""));
     deployment.start_instances(2)?;
     let fronts: Vec<_> = deployment.instances.iter().map(|i| i.front).collect();
     let traffic = Traffic::start(record, &fronts, 4, Duration::from_millis(100));
@@ -32,13 +36,19 @@
     let orders = traffic.stop()?;
     deployment.record_logs(&["panicked", "overflow"]);
     let runs = deployment.runs.lock().expect("not poisoned").clone();
-    let lost = orders.iter().filter(|(id, _, seen)| {
-        runs.contains_key(id) && matches!(seen.end, End::NoAnswer(_))
-    });
+    let lost = orders
+        .iter()
+        .filter(|(id, _, seen)| runs.contains_key(id) && matches!(seen.end, End::NoAnswer(_)));
     let lost = lost.count();
-    record.line(format!("result: {lost} of {} orders were run and not answered", orders.len()));
+    record.line(format!(
+        "result: {lost} of {} orders were run and not answered",
+        orders.len()
+    ));
     Ok(match lost > ALLOWED {
-        true => format!("{lost} of {} orders were run and their channels closed without an answer", orders.len()),
+        true => format!(
+            "{lost} of {} orders were run and their channels closed without an answer",
+            orders.len()
+        ),
         false => String::new(),
     })
 }
--- a/review/kit/src/cases/restored.rs
+++ b/review/kit/src/cases/restored.rs
@@ -28,14 +28,20 @@
         max_attempts: 1,
         can_resume: false,
     }];
-    deployment.store.put("op/config", &deploy::config(1, &routes));
-    let mut leaving = deployment.start_server("i-leaves", &["work_ms=300"]).map_err(error)?;
+    deployment
+        .store
+        .put("op/config", &deploy::config(1, &routes));
+    let mut leaving = deployment
+        .start_server("i-leaves", &["work_ms=300"])
+        .map_err(error)?;
     let store = deployment.store.clone();
     store.put("servers/i-leaves", &leaving.entry("ready", 1, ""));
     let mut others = Vec::new();
     for n in 1..SERVERS {
         let id = format!("i-{n}");
-        let server = deployment.start_server(&id, &["work_ms=300"]).map_err(error)?;
+        let server = deployment
+            .start_server(&id, &["work_ms=300"])
+            .map_err(error)?;
         store.put(&format!("servers/{id}"), &server.entry("ready", 1, ""));
         others.push(server);
     }
@@ -66,7 +72,10 @@
     // What the operator and the servers wrote is written again at the next check-in.
     record.sleep_until(restored_at + CHECK_IN);
     for server in &others {
-        store.put(&format!("servers/{}", server.id), &server.entry("ready", 2, ""));
+        store.put(
+            &format!("servers/{}", server.id),
+            &server.entry("ready", 2, ""),
+        );
     }
     if trouble {
         record.line("platform: the entry of i-leaves is removed again");
@@ -98,6 +107,9 @@
     ));
     Ok(match late.len() {
         0 => String::new(),
-        n => format!("{n} orders reached a server later than drainMs after it was gone, {} were lost", lost.len()),
+        n => format!(
+            "{n} orders reached a server later than drainMs after it was gone, {} were lost",
+            lost.len()
+        ),
     })
 }
--- a/review/kit/src/cases/stop.rs
+++ b/review/kit/src/cases/stop.rs
@@ -31,17 +31,27 @@
         max_attempts: 1,
         can_resume: false,
     }];
-    deployment.store.put("op/config", &deploy::config(1, &routes));
+    deployment
+        .store
+        .put("op/config", &deploy::config(1, &routes));
     let work = format!("work_ms={WORK_MS}");
     let server = deployment.start_server("i-1", &[&work]).map_err(error)?;
-    deployment.store.put("servers/i-1", &server.entry("ready", 1, ""));
+    deployment
+        .store
+        .put("servers/i-1", &server.entry("ready", 1, ""));
     deployment.start_instances(2)?;
     let front = deployment.instances[0].front;
     // Kept channels, which carried a request before. 404 needs no server.
     let mut kept = Vec::new();
     for n in 0..CLIENTS {
         let mut client = Client::connect(front).map_err(error)?;
-        let request = deploy::request("GET", "/none/go", &format!("{:016x}", 0xd000 + n), 6_000, b"");
+        let request = deploy::request(
+            "GET",
+            "/none/go",
+            &format!("{:016x}", 0xd000 + n),
+            6_000,
+            b"",
+        );
         let seen = client.exchange(&request);
         if seen.status != 404 {
             return Err(format!("a channel cannot be kept: {seen:?}"));
@@ -65,7 +75,10 @@
                 record.line(format!("client: sends order {id}"));
                 let request = deploy::request("POST", "/order/go", &id, 6_000, b"{}");
                 let seen = client.exchange(&request);
-                record.line(format!("client: order {id} gets {}, {:?}", seen.status, seen.end));
+                record.line(format!(
+                    "client: order {id} gets {}, {:?}",
+                    seen.status, seen.end
+                ));
                 if seen.end != End::Complete {
                     lost.lock().expect("not poisoned").push(id);
                 }
@@ -84,7 +97,10 @@
     let lost = lost.lock().expect("not poisoned").clone();
     let passed = lost.iter().filter(|id| runs.contains_key(*id)).count();
     deployment.record_logs(&["draining", "stopped"]);
-    record.line(format!("result: {} lost, {passed} of which a server ran", lost.len()));
+    record.line(format!(
+        "result: {} lost, {passed} of which a server ran",
+        lost.len()
+    ));
     Ok(match passed {
         0 => String::new(),
         n => format!("{n} orders that a server had got ended without an answer"),
--- a/review/kit/src/deploy.rs
+++ b/review/kit/src/deploy.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -140,6 +140,17 @@
 /// What a server says that it ran: by id of the attempt, the times at which it arrived.
 pub type Runs = Arc<Mutex<BTreeMap<String, Vec<(String, Duration)>>>>;
 
+/// What happens to the output of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Collector {
+    /// It is read at once.
+    Read,
+    /// Its pipes stay open and are not read.
+    Stalled,
+    /// Its pipes are closed at the next output.
+    Closed,
+}
+
 /// The deployment. Dropping it ends all its processes and removes its folder.
 pub struct Deployment {
     pub store: Store,
@@ -147,6 +158,7 @@
     pub instances: Vec<Instance>,
     pub runs: Runs,
     pub record: Record,
+    collector: Arc<Mutex<(usize, Collector)>>,
     folder: PathBuf,
     ports: Vec<u16>,
 }
@@ -182,6 +194,7 @@
             instances: Vec::new(),
             runs: Runs::default(),
             record: record.clone(),
+            collector: Arc::new(Mutex::new((0, Collector::Read))),
             folder,
             ports,
         })
@@ -198,7 +211,9 @@
             .stdout(Stdio::piped())
             .spawn()?;
         let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
-        let first = lines.next().unwrap_or_else(|| Err(std::io::ErrorKind::UnexpectedEof.into()))?;
+        let first = lines
+            .next()
+            .unwrap_or_else(|| Err(std::io::ErrorKind::UnexpectedEof.into()))?;
         let address = first.parse().map_err(std::io::Error::other)?;
         let (record, runs, name) = (self.record.clone(), self.runs.clone(), id.to_owned());
         std::thread::spawn(move || {
@@ -215,7 +230,8 @@
         let since_epoch = std::time::SystemTime::now()
             .duration_since(std::time::UNIX_EPOCH)
             .unwrap_or_default();
-        self.record.line(format!("platform: server {id} at {address}"));
+        self.record
+            .line(format!("platform: server {id} at {address}"));
         Ok(Server {
             id: id.to_owned(),
             address,
@@ -246,9 +262,11 @@
 
     /// Asks an instance whether it is ready.
     pub fn is_ready(&self, index: usize) -> bool {
-        let asked = Client::connect(self.instances[index].ready);
         let request = b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-        asked.is_ok_and(|mut client| client.exchange(request).status == 200)
+        Client::connect(self.instances[index].ready).is_ok_and(|mut client| {
+            let waits = client.wait_for(Duration::from_secs(1));
+            waits.is_ok() && client.exchange(request).status == 200
+        })
     }
 
     fn start_instance(&self, number: usize) -> std::io::Result<Instance> {
@@ -274,16 +292,29 @@
         );
         let path = self.folder.join(format!("{name}.toml"));
         fs::write(&path, settings)?;
-        let log = fs::File::create(self.folder.join(format!("{name}.log")))?;
-        let child = Command::new(Path::new("target/release/sesamebarrow"))
+        let log_path = self.folder.join(format!("{name}.log"));
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(log_path)?;
+        let mut child = Command::new(Path::new("target/release/sesamebarrow"))
             .args(["routed", "--settings"])
             .arg(&path)
             .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
             .spawn()?;
-        let address = |port: u16| format!("{ip}:{port}").parse().map_err(std::io::Error::other);
-        self.record.line(format!("platform: {name} starts, pid {}", child.id()));
+        let output = child.stdout.take().expect("piped");
+        let errors = child.stderr.take().expect("piped");
+        self.collect(number, output, log.try_clone()?);
+        self.collect(number, errors, log);
+        let address = |port: u16| {
+            format!("{ip}:{port}")
+                .parse()
+                .map_err(std::io::Error::other)
+        };
+        self.record
+            .line(format!("platform: {name} starts, pid {}", child.id()));
         Ok(Instance {
             name,
             front: address(callers)?,
@@ -292,13 +323,47 @@
         })
     }
 
+    /// Collects what an instance writes, as [`Self::set_collector`] says.
+    fn collect(&self, number: usize, mut output: impl Read + Send + 'static, mut log: fs::File) {
+        let disturbed = self.collector.clone();
+        std::thread::spawn(move || {
+            let mut buf = [0; 16 * 1024];
+            loop {
+                let (index, state) = *disturbed.lock().expect("not poisoned");
+                if index == number && state == Collector::Closed {
+                    return;
+                }
+                if index == number && state == Collector::Stalled {
+                    std::thread::sleep(Duration::from_millis(10));
+                    continue;
+                }
+                match output.read(&mut buf) {
+                    Ok(count) if count > 0 => {
+                        let _ = log.write_all(&buf[..count]);
+                    }
+                    _ => return,
+                }
+            }
+        });
+    }
+
+    /// Sets how the log of the instance at `index` is collected; those of all others are read.
+    pub fn set_collector(&self, index: usize, state: Collector) {
+        self.record.line(format!(
+            "platform: the log of {} is {state:?} from now on",
+            self.instances[index].name
+        ));
+        *self.collector.lock().expect("not poisoned") = (index, state);
+    }
+
     /// Adds the lines of the instances' logs that contain one of `words` to the record.
     pub fn record_logs(&self, words: &[&str]) {
         for instance in &self.instances {
             let path = self.folder.join(format!("{}.log", instance.name));
             let text = fs::read_to_string(path).unwrap_or_default();
             for line in text.lines().filter(|l| words.iter().any(|w| l.contains(w))) {
-                self.record.line(format!("log of {}: {line}", instance.name));
+                self.record
+                    .line(format!("log of {}: {line}", instance.name));
             }
         }
     }
--- a/review/kit/src/http.rs
+++ b/review/kit/src/http.rs
@@ -56,7 +56,10 @@
         return Ok(None);
     };
     let mut body = Vec::new();
-    if head.field("transfer-encoding").eq_ignore_ascii_case("chunked") {
+    if head
+        .field("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
+    {
         read_chunks(reader, &mut body)?;
     } else {
         body.resize(head.field("content-length").parse().unwrap_or(0), 0);
@@ -128,6 +131,11 @@
         Ok(Self { stream, reader })
     }
 
+    /// Sets how long the client waits for bytes.
+    pub fn wait_for(&self, time: Duration) -> io::Result<()> {
+        self.stream.set_read_timeout(Some(time))
+    }
+
     pub fn stream(&mut self) -> &mut TcpStream {
         &mut self.stream
     }
--- a/review/kit/src/server.rs
+++ b/review/kit/src/server.rs
@@ -69,7 +69,8 @@
 
 /// Returns the whole body of the answer to an attempt.
 pub fn body_of(id: &str, attempt: &str, bytes: usize) -> Vec<u8> {
-    let mut body = format!("{{\"server\":\"{id}\",\"attempt\":\"{attempt}\",\"pad\":\"").into_bytes();
+    let mut body =
+        format!("{{\"server\":\"{id}\",\"attempt\":\"{attempt}\",\"pad\":\"").into_bytes();
     while body.len() + 2 < bytes {
         body.push(b'x');
     }
@@ -88,7 +89,10 @@
             Ok(true) => {}
             Ok(false) => return,
             Err(error) => {
-                say(&format!("channel broke under {}: {error}", head.field("attempt-id")));
+                say(&format!(
+                    "channel broke under {}: {error}",
+                    head.field("attempt-id")
+                ));
                 return;
             }
         }
@@ -96,12 +100,20 @@
 }
 
 /// Answers a request. Returns whether the connection stays open.
-fn answer(stream: &mut TcpStream, head: &Head, length: usize, options: &Options) -> io::Result<bool> {
+fn answer(
+    stream: &mut TcpStream,
+    head: &Head,
+    length: usize,
+    options: &Options,
+) -> io::Result<bool> {
     let Options { id, .. } = options;
     let attempt = head.field("attempt-id");
     let (method, path) = (head.word(0), head.word(1));
     if path == "/healthz" {
-        write!(stream, "HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n")?;
+        write!(
+            stream,
+            "HTTP/1.1 200 OK\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+        )?;
         return Ok(true);
     }
     let expected = head.field("expect-instance");
@@ -113,8 +125,11 @@
         )?;
         return Ok(true);
     }
-    say(&format!("runs {attempt} {method} {path}, body of {length} bytes"));
-    let mut text = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: {id}.{attempt}\r\n");
+    say(&format!(
+        "runs {attempt} {method} {path}, body of {length} bytes"
+    ));
+    let mut text =
+        format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: {id}.{attempt}\r\n");
     for header in &options.headers {
         text += &format!("{header}\r\n");
     }
@@ -123,7 +138,9 @@
         // A resumed stream goes on after the event that the client or the system names.
         let last: u32 = head.field("last-event-id").parse().unwrap_or(0);
         let events = last + 1..=options.events;
-        events.map(|n| format!("id: {n}\ndata: event {n} of {attempt}\n\n").into_bytes()).collect()
+        events
+            .map(|n| format!("id: {n}\ndata: event {n} of {attempt}\n\n").into_bytes())
+            .collect()
     } else {
         std::thread::sleep(options.work);
         text += "Content-Type: application/json\r\n";
--- a/review/kit/src/store.rs
+++ b/review/kit/src/store.rs
@@ -216,8 +216,14 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for group in bytes.chunks(3) {
-        let padded = [group[0], *group.get(1).unwrap_or(&0), *group.get(2).unwrap_or(&0)];
-        let bits = padded.iter().fold(0_u32, |bits, b| bits << 8 | u32::from(*b));
+        let padded = [
+            group[0],
+            *group.get(1).unwrap_or(&0),
+            *group.get(2).unwrap_or(&0),
+        ];
+        let bits = padded
+            .iter()
+            .fold(0_u32, |bits, b| bits << 8 | u32::from(*b));
         for index in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * index)) as usize & 63] as char;
             text.push(if index <= group.len() { digit } else { '=' });
