--- a/review/kit/src/cases.rs
+++ b/review/kit/src/cases.rs
@@ -7,6 +7,7 @@
 mod keepalive;
 mod leave;
 mod logs;
+mod relearn;
 mod restored;
 mod stop;
 mod traffic;
@@ -20,6 +21,7 @@
         "leave" => leave::play(record, trouble),
         "logs" => logs::play(record, trouble, Collector::Stalled),
         "logs-closed" => logs::play(record, trouble, Collector::Closed),
+        "relearn" => relearn::play(record, trouble),
         "restored" => restored::play(record, trouble),
         "stop" => stop::play(record, trouble),
         "uploads" => uploads::play(record, trouble),
--- a/review/kit/src/deploy.rs
+++ b/review/kit/src/deploy.rs
@@ -90,6 +90,11 @@
         )
     }
 
+    /// Returns whether its process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Ends it at once, whatever it runs.
     pub fn kill(&mut self, record: &Record) {
         record.line(format!("platform: server {} is gone (SIGKILL)", self.id));
@@ -240,6 +245,14 @@
         })
     }
 
+    /// Starts all instances again, whose processes have ended.
+    pub fn restart_instances(&mut self) -> Result<(), String> {
+        for number in 0..self.instances.len() {
+            self.instances[number] = self.start_instance(number).map_err(|e| e.to_string())?;
+        }
+        Ok(())
+    }
+
     /// Starts `count` instances in one zone with the command of the deploy file, and waits until they are ready.
     pub fn start_instances(&mut self, count: usize) -> Result<(), String> {
         for number in 0..count {
--- a/review/kit/src/server.rs
+++ b/review/kit/src/server.rs
@@ -1,7 +1,8 @@
 //! A stand-in for a server (runner): each connection carries one request at a time.
 //!
 //! Options: `events=N`, `gap_ms=N` (streams, on paths below `/stream`), `work_ms=N`, `bytes=N` (other paths),
-//! `framing=chunked|length|close`, `header=NAME: VALUE` (in each answer).
+//! `framing=chunked|length|close`, `header=NAME: VALUE` (in each answer), `port=N`, `deadly=TEXT`
+//! (the process ends when it begins to run a request whose path has this text).
 
 use std::io::{self, BufReader, Write};
 use std::net::{TcpListener, TcpStream};
@@ -19,6 +20,8 @@
     bytes: usize,
     framing: String,
     headers: Vec<String>,
+    port: u16,
+    deadly: Option<String>,
 }
 
 /// Runs the server until the process ends.
@@ -31,6 +34,8 @@
         bytes: 800,
         framing: "length".to_owned(),
         headers: Vec::new(),
+        port: 0,
+        deadly: None,
     };
     for arg in &args[1..] {
         let (name, value) = arg.split_once('=').unwrap_or((arg, ""));
@@ -40,12 +45,14 @@
             "gap_ms" => options.gap = Duration::from_millis(number()?),
             "work_ms" => options.work = Duration::from_millis(number()?),
             "bytes" => options.bytes = value.parse().map_err(io::Error::other)?,
+            "port" => options.port = value.parse().map_err(io::Error::other)?,
+            "deadly" => options.deadly = Some(value.to_owned()),
             "framing" => options.framing = value.to_owned(),
             "header" => options.headers.push(value.to_owned()),
             _ => return Err(io::Error::other(format!("unknown option {name}"))),
         }
     }
-    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let listener = TcpListener::bind(("127.0.0.1", options.port))?;
     say(&listener.local_addr()?.to_string());
     // Ends with the process that started this one.
     std::thread::spawn(|| {
@@ -128,6 +135,11 @@
     say(&format!(
         "runs {attempt} {method} {path}, body of {length} bytes"
     ));
+    if options.deadly.as_ref().is_some_and(|t| path.contains(t)) {
+        say(&format!("crashes under {attempt}"));
+        std::thread::sleep(Duration::from_millis(20));
+        std::process::exit(1);
+    }
     let mut text =
         format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: {id}.{attempt}\r\n");
     for header in &options.headers {
