Log what shows that an upstream refused this request, and that an instance runs

Neither could be told from the logs of the incidents:

- whether a refusal named the request, and whether its connection had carried an answer before (`upstream refused`, sesamebarrow_upstream_refusals_total);
- which news made an instance count as alive: its own datagram, a record or an age of another one, after which silence, and how long the datagram may have waited to be read (`instance changed`, sesamebarrow_member_changes_total);
- how old the news are of the instances that the directory names (sesamebarrow_directory_silence_seconds).

--- a/crates/sesamebarrow_gateway/src/directory.rs
+++ b/crates/sesamebarrow_gateway/src/directory.rs
@@ -26,6 +26,8 @@
     if placement.instances.is_empty() {
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     }
+    metrics::histogram!("sesamebarrow_directory_silence_seconds")
+        .record(placement.silence.as_secs_f64());
     let addresses: Vec<_> = placement
         .instances
         .into_iter()
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode, Uri, Version};
 use sesamebarrow_platform::head::{self, ResponseKind};
 use sesamebarrow_routing::admit::{self, MIN_RETRY_AFTER, SelectedUpstream};
@@ -392,6 +393,7 @@
     }
     match head::classify_response(parts.status, &parts.headers, &job.id) {
         ResponseKind::NotRun => {
+            record_refusal(shared, job, &attempt, &parts);
             history.possible_runs -= 1;
             job.reservation.set_consumed(history.possible_runs > 0);
             // hyper closes the connection unless it can read the rest of the body at once.
@@ -428,6 +430,27 @@
     }
 }
 
+/// Logs and counts the refusal of an upstream, with what shows that it answers this request.
+fn record_refusal(shared: &Shared, job: &Job, attempt: &Attempt, parts: &Parts) {
+    let names_request = head::names_attempt(&parts.headers, &job.id);
+    let is_first = |c: &pool::Connection| c.is_first_response();
+    let is_new = attempt.connection.as_ref().is_some_and(is_first);
+    if shared.log_limiter.allow(true) {
+        log::info!(
+            request = job.id.as_str(), upstream = attempt.target_name().as_str(),
+            status = parts.status.as_u16(), names_request, new_connection = is_new;
+            "upstream refused"
+        );
+    }
+    let yes_or_no = |b: bool| if b { "yes" } else { "no" };
+    let connection = if is_new { "new" } else { "kept" };
+    metrics::counter!(
+        "sesamebarrow_upstream_refusals_total",
+        "names_request" => yes_or_no(names_request), "connection" => connection
+    )
+    .increment(1);
+}
+
 /// Returns whether a response's status means that the upstream failed.
 pub fn is_failure(status: StatusCode) -> bool {
     status.is_server_error()
--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -17,6 +17,7 @@
 pub async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     let mut next_round = Instant::now();
+    let mut last_read = Instant::now();
     loop {
         tokio::select! {
             () = tokio::time::sleep_until(next_round) => {
@@ -26,8 +27,11 @@
             () = shared.catalog_updated.notified() => send_revision(&shared, &socket).await,
             received = socket.recv_from(&mut buf) => match received {
                 Ok((length, from)) => {
+                    let waited = last_read.elapsed();
+                    last_read = Instant::now();
                     let reply = handle_datagram(&shared, &buf[..length], from);
                     notice::record_learned(&shared);
+                    notice::record_member_changes(&shared, waited);
                     if let Some(reply) = reply {
                         send(&socket, from, &reply).await;
                     }
--- a/crates/sesamebarrow_gateway/src/notice.rs
+++ b/crates/sesamebarrow_gateway/src/notice.rs
@@ -1,5 +1,5 @@
 //! Records what upstreams announce in their answers: that they leave, and when they want requests
-//! again.
+//! again. Also records which other instances are new, or run again.
 
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
@@ -63,3 +63,24 @@
     metrics::counter!("sesamebarrow_upstream_changes_total", "change" => change.to_owned())
         .increment(1);
 }
+
+/// Logs and counts what changed in what is known of the other instances. `waited` is how long the datagram that
+/// showed it may have waited to be read.
+pub fn record_member_changes(shared: &Shared, waited: Duration) {
+    let changes = shared.board().members.changes.take();
+    for member in changes {
+        let (change, evidence): (&str, &str) = (member.kind.into(), member.evidence.into());
+        if shared.log_limiter.allow(true) {
+            log::info!(
+                instance = member.name.as_str(), change, evidence,
+                silence_ms = member.silence.as_millis(), waited_ms = waited.as_millis(),
+                incarnation = member.incarnation;
+                "instance changed"
+            );
+        }
+        metrics::counter!(
+            "sesamebarrow_member_changes_total", "change" => change, "evidence" => evidence
+        )
+        .increment(1);
+    }
+}
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -44,9 +44,16 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     meter: Meter,
+    /// Number of responses whose head was received.
+    responses: u32,
 }
 
 impl Connection {
+    /// Returns whether no response but the latest was received, so that nothing of an earlier one can be in it.
+    pub fn is_first_response(&self) -> bool {
+        self.responses <= 1
+    }
+
     /// Sends a request and returns the response, whose body is still being received.
     pub async fn send(
         &mut self,
@@ -56,6 +63,7 @@
         match self.sender.try_send_request(req).await {
             Ok(response) => {
                 self.meter.reset();
+                self.responses = self.responses.saturating_add(1);
                 Ok(response.map(|body| MeteredBody::new(body, self.meter.clone())))
             }
             Err(mut error) => match error.take_message() {
@@ -106,6 +114,7 @@
             address,
             sender,
             meter,
+            responses: 0,
         })
     }
 
--- a/crates/sesamebarrow_gateway/src/telemetry.rs
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -14,7 +14,7 @@
 ];
 
 /// Names and descriptions of the counters.
-const COUNTERS: [(&str, &str); 20] = [
+const COUNTERS: [(&str, &str); 22] = [
     (
         "sesamebarrow_answers_total",
         "Answers that came from an upstream, by how they ended.",
@@ -47,6 +47,14 @@
         "sesamebarrow_refusals_total",
         "Requests that this instance answered itself, by reason.",
     ),
+    (
+        "sesamebarrow_upstream_refusals_total",
+        "Refusals of upstreams, by whether they name the request and whether the connection is new.",
+    ),
+    (
+        "sesamebarrow_member_changes_total",
+        "Instances that are new, run again or are heard again, by what showed it.",
+    ),
     (
         "sesamebarrow_attempts_failed_total",
         "Attempts that gave no answer, by outcome.",
@@ -95,7 +103,11 @@
 ];
 
 /// Names and descriptions of the histograms, all in seconds.
-const HISTOGRAMS: [(&str, &str); 3] = [
+const HISTOGRAMS: [(&str, &str); 4] = [
+    (
+        "sesamebarrow_directory_silence_seconds",
+        "Longest time since an instance named by the directory was last known to run, by answer.",
+    ),
     (
         "sesamebarrow_answer_seconds",
         "Time from a request's head to the end of its answer.",
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -10,6 +10,9 @@
 
 use crate::dispatch::capacity::Capacity;
 use crate::gossip::{Datagram, HeardAges, Record, UpstreamLoad, short_hash};
+use crate::member::change::{Change, Changes, Evidence};
+
+pub mod change;
 
 /// Time between two gossip rounds.
 pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
@@ -192,6 +195,8 @@
     /// Hashes of the names of instances that other members know and this one does not;
     /// without duplicates.
     unknown_instances: Vec<u32>,
+    /// What changed since the changes were last taken.
+    pub changes: Changes,
 }
 
 impl Members {
@@ -337,7 +342,19 @@
         let Some(region) = region_of(record.domain_hash) else {
             return;
         };
+        let evidence = match direct {
+            true => Evidence::Datagram,
+            false => Evidence::Record,
+        };
+        let alive_timeout = self.alive_timeout();
         let Some(member) = self.all.get_mut(record.name.as_str()) else {
+            self.changes.push(Change {
+                name: SmolStr::new(&record.name),
+                kind: change::Kind::Joined,
+                evidence,
+                silence: Duration::ZERO,
+                incarnation: record.incarnation,
+            });
             let member = Member {
                 record: record.clone(),
                 name_hash: short_hash(&record.name),
@@ -368,6 +385,21 @@
             direct || now.saturating_sub(member.last_heard) > ALIVE_TIMEOUT / 2
         };
         if newer {
+            let silence = now.saturating_sub(member.last_heard);
+            let kind = if record.incarnation != member.record.incarnation {
+                Some(change::Kind::Restarted)
+            } else {
+                (silence >= alive_timeout).then_some(change::Kind::Revived)
+            };
+            if let Some(kind) = kind {
+                self.changes.push(Change {
+                    name: SmolStr::new(&record.name),
+                    kind,
+                    evidence,
+                    silence,
+                    incarnation: record.incarnation,
+                });
+            }
             member.record = record.clone();
             member.region = region;
             member.last_heard = now;
@@ -378,9 +410,20 @@
         let tenths = ages.instance_hashes.iter().copied().zip(&ages.age_tenths);
         let mut age_by_hash: HashMap<u32, u32> = tenths.map(|(i, t)| (i, *t)).collect();
         age_by_hash.remove(&short_hash(own_name));
+        let alive_timeout = self.alive_timeout();
         for member in self.all.values_mut() {
             if let Some(tenths) = age_by_hash.remove(&member.name_hash) {
                 let age = Duration::from_millis(u64::from(tenths) * 100);
+                let silence = now.saturating_sub(member.last_heard);
+                if silence >= alive_timeout && age < alive_timeout {
+                    self.changes.push(Change {
+                        name: SmolStr::new(&member.record.name),
+                        kind: change::Kind::Revived,
+                        evidence: Evidence::Age,
+                        silence,
+                        incarnation: member.record.incarnation,
+                    });
+                }
                 member.last_heard = member.last_heard.max(now.saturating_sub(age));
             }
         }
--- a/crates/sesamebarrow_routing/src/place.rs
+++ b/crates/sesamebarrow_routing/src/place.rs
@@ -38,12 +38,16 @@
     pub instances: Vec<Ipv4Addr>,
     /// How long this is valid.
     pub ttl: Duration,
+    /// The longest time since one of the instances was last known to run.
+    pub silence: Duration,
 }
 
 struct Candidate {
     region: SmolStr,
     ip: Ipv4Addr,
     ready: bool,
+    /// Time since it was last known to run.
+    silence: Duration,
 }
 
 /// Returns the instances for clients of `host` in `region`, which may include this one.
@@ -60,10 +64,12 @@
     let matching_placement = |ready: bool, region_matches: &dyn Fn(&str) -> bool| {
         let matching = candidates
             .iter()
-            .filter(|c| c.ready == ready && region_matches(&c.region));
+            .filter(|c| c.ready == ready && region_matches(&c.region))
+            .take(MAX_INSTANCES);
         Placement {
-            instances: matching.map(|c| c.ip).take(MAX_INSTANCES).collect(),
+            instances: matching.clone().map(|c| c.ip).collect(),
             ttl: if ready { READY_TTL } else { STOPGAP_TTL },
+            silence: matching.map(|c| c.silence).max().unwrap_or_default(),
         }
     };
     let same_region = |r: &str| r == region;
@@ -131,6 +137,7 @@
             region: m.region.clone(),
             ip: m.ip(),
             ready: m.record.ready,
+            silence: now.saturating_sub(m.last_heard),
         })
         .collect();
     if board.is_ready() || board.draining_for(now).is_some_and(recently_draining) {
@@ -138,6 +145,7 @@
             region: board.identity.region.clone(),
             ip: board.identity.ip,
             ready: board.is_ready(),
+            silence: Duration::ZERO,
         });
     }
     candidates
