--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -26,6 +26,8 @@
 mod limit_owners;
 #[path = "decisions/limits.rs"]
 mod limits;
+#[path = "decisions/liveness.rs"]
+mod liveness;
 #[path = "decisions/loads.rs"]
 mod loads;
 #[path = "decisions/members.rs"]
--- a/crates/sesamebarrow_routing/tests/decisions/fleet.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/fleet.rs
@@ -149,6 +149,10 @@
     pub previous_version: bool,
     /// Time of its process at which the next gossip round starts.
     next_round_at: Duration,
+    /// Whether its process has ended.
+    ended: bool,
+    /// Time at which its process was frozen, if it is.
+    frozen_at: Option<Duration>,
 }
 
 /// Instances named `domain`-0, `domain`-1 and so on. The region has the name of the domain.
@@ -205,6 +209,8 @@
                     started_at: Duration::ZERO,
                     previous_version: false,
                     next_round_at: Duration::ZERO,
+                    ended: false,
+                    frozen_at: None,
                 });
             }
         }
@@ -229,15 +235,37 @@
             started_at: self.now,
             previous_version: false,
             next_round_at: Duration::ZERO,
+            ended: false,
+            frozen_at: None,
         };
     }
 
+    /// Ends an instance's process without notice.
+    pub fn kill(&mut self, index: usize) {
+        self.instances[index].ended = true;
+    }
+
+    /// Freezes an instance's process. What arrives meanwhile waits.
+    pub fn freeze(&mut self, index: usize) {
+        self.instances[index].frozen_at = Some(self.now);
+    }
+
+    /// Lets a frozen process run on, which reads first what has arrived.
+    pub fn thaw(&mut self, index: usize) {
+        self.instances[index].frozen_at = None;
+    }
+
+    /// Returns whether a process runs.
+    pub fn runs(&self, index: usize) -> bool {
+        !self.instances[index].ended && self.instances[index].frozen_at.is_none()
+    }
+
     /// Advances the time by one step. Datagrams arrive only where `reaches` returns true.
     pub fn step(&mut self, reaches: impl Fn(usize, usize) -> bool) {
         self.now += STEP;
         for from in 0..self.instances.len() {
             let process_time = self.process_time(from);
-            if process_time >= self.instances[from].next_round_at {
+            if self.runs(from) && process_time >= self.instances[from].next_round_at {
                 self.send_round(from, process_time);
                 let interval = self.instances[from].board.gossip_interval();
                 self.instances[from].next_round_at = process_time + interval;
@@ -246,11 +274,11 @@
         self.move_loans(&reaches);
         let (due, remaining) = std::mem::take(&mut self.in_transit)
             .into_iter()
-            .partition(|f| f.arrives_at <= self.now);
+            .partition(|f| f.arrives_at <= self.now && self.instances[f.to].frozen_at.is_none());
         self.in_transit = remaining;
         let due: Vec<InTransit> = due;
         for arrival in due {
-            if reaches(arrival.from, arrival.to) {
+            if reaches(arrival.from, arrival.to) && !self.instances[arrival.to].ended {
                 let process_time = self.process_time(arrival.to);
                 let board = &mut self.instances[arrival.to].board;
                 if board.handle_datagram(process_time, &arrival.datagram) {
