Believe a refusal only if it names the request, or is the first answer of its connection

What callers saw: 503 ("not run, come back") for a request that its upstream ran, and where the same refusal was followed by another attempt, the request at a second upstream (REFUSED, TWICE).

Cause: an answer had to bear no id other than the request's; a refusal that bears none passed. On a kept connection a second copy of an earlier refusal, or one of another connection, stands where the answer to the next request is due.

Change: without the id a refusal counts only as the first answer of its connection, and such a connection is not kept. A limit is read from proven answers alone. Refusals between instances name their attempt too, and one that names another is not believed.

Not taken: trusting an unnamed refusal on a connection that has carried none; answers may be crossed between connections.

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use sesamebarrow_platform::head::Expected;
 use sesamebarrow_routing::admit::SelectedUpstream;
 use sesamebarrow_routing::spill::RemoteInstance;
 use sesamebarrow_routing::upstream::{AttemptOutcome, RequestLoad};
@@ -134,6 +135,15 @@
         );
     }
 
+    /// Returns what the response on the attempt's connection is expected to answer.
+    pub fn expected(&self) -> Expected<'_> {
+        let is_first = |c: &Connection| c.is_first_response();
+        Expected {
+            id: &self.request_id,
+            is_first: self.connection.as_ref().is_some_and(is_first),
+        }
+    }
+
     /// Returns the name of the target.
     pub fn target_name(&self) -> &SmolStr {
         self.target.name()
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -353,7 +353,14 @@
     attempt.idle_time = pool::idle_time(&parts.headers);
     if let Target::Upstream(selected) = target {
         notice::record(shared, job, selected, &parts);
-        limit::record(shared, job, selected, &parts, attempt.sent_at);
+        limit::record(
+            shared,
+            job,
+            selected,
+            &parts,
+            attempt.expected(),
+            attempt.sent_at,
+        );
     }
     if let (Target::Upstream(selected), Some(load)) =
         (target, head::read_reported_load(&parts.headers))
@@ -375,6 +382,10 @@
     {
         // `Cancelled` closes the connection, since the response body was not read.
         attempt.end(AttemptOutcome::Cancelled);
+        // Instances of earlier versions name no attempt.
+        if head::names_other_attempt(&parts.headers, &job.id) {
+            return AttemptResult::Broken("foreign-answer");
+        }
         return match refusal_kind {
             hop::RefusalKind::NotRun => {
                 history.possible_runs -= 1;
@@ -391,9 +402,14 @@
             hop::RefusalKind::TimedOut => AttemptResult::TimedOut,
         };
     }
-    match head::classify_response(parts.status, &parts.headers, &job.id) {
+    match head::classify_response(parts.status, &parts.headers, attempt.expected()) {
         ResponseKind::NotRun => {
-            record_refusal(shared, job, &attempt, &parts);
+            let names_request = head::names_attempt(&parts.headers, &job.id);
+            record_refusal(shared, job, &attempt, &parts, names_request);
+            if !names_request {
+                // A second copy of it on this connection could not be told from the answer to another request.
+                attempt.idle_time = None;
+            }
             history.possible_runs -= 1;
             job.reservation.set_consumed(history.possible_runs > 0);
             // hyper closes the connection unless it can read the rest of the body at once.
@@ -431,10 +447,14 @@
 }
 
 /// Logs and counts the refusal of an upstream, with what shows that it answers this request.
-fn record_refusal(shared: &Shared, job: &Job, attempt: &Attempt, parts: &Parts) {
-    let names_request = head::names_attempt(&parts.headers, &job.id);
-    let is_first = |c: &pool::Connection| c.is_first_response();
-    let is_new = attempt.connection.as_ref().is_some_and(is_first);
+fn record_refusal(
+    shared: &Shared,
+    job: &Job,
+    attempt: &Attempt,
+    parts: &Parts,
+    names_request: bool,
+) {
+    let is_new = attempt.expected().is_first;
     if shared.log_limiter.allow(true) {
         log::info!(
             request = job.id.as_str(), upstream = attempt.target_name().as_str(),
--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -177,14 +177,15 @@
     names.contains(&name.as_str())
 }
 
-/// Writes for the first instance whether the refused request may have run.
-pub fn write_refusal_kind(response: &mut Response<Body>, refusal: Refusal) {
+/// Writes for the first instance which attempt was refused, and whether it may have run.
+pub fn write_refusal(response: &mut Response<Body>, refusal: Refusal, id: &str) {
     let refusal_kind = match refusal {
         Refusal::Unknown(_) => RefusalKind::Unknown,
         Refusal::TimedOut => RefusalKind::TimedOut,
         Refusal::Harmful => RefusalKind::Harmful,
         _ => RefusalKind::NotRun,
     };
+    head::write_attempt_id(response.headers_mut(), id);
     if let Ok(value) = HeaderValue::from_str(&refusal_kind.to_string()) {
         response.headers_mut().insert(RESULT_HEADER, value);
     }
--- a/crates/sesamebarrow_gateway/src/limit.rs
+++ b/crates/sesamebarrow_gateway/src/limit.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::http::response::Parts;
-use sesamebarrow_platform::head::{self, ResponseKind};
+use sesamebarrow_platform::head::{self, Expected, ResponseKind};
 use sesamebarrow_routing::admit::SelectedUpstream;
 use sesamebarrow_routing::board::limit::{Effects, Permission};
 use sesamebarrow_routing::limit::message::{self, Observed, PermitAnswer, PermitRequest, States};
@@ -184,9 +184,10 @@
     job: &Job,
     selected: &SelectedUpstream,
     parts: &Parts,
+    expected: Expected<'_>,
     sent_at: Duration,
 ) {
-    let statement = match head::read_limit(parts.status, &parts.headers, &job.id) {
+    let statement = match head::read_limit(parts.status, &parts.headers, expected) {
         Ok(statement) => statement,
         Err(error) => {
             if shared.log_limiter.allow(true) {
@@ -198,7 +199,7 @@
             Statement::Nothing
         }
     };
-    let kind = head::classify_response(parts.status, &parts.headers, &job.id);
+    let kind = head::classify_response(parts.status, &parts.headers, expected);
     let by_refusal = kind == ResponseKind::NotRun;
     let now = shared.now();
     let effects = shared
--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -146,7 +146,7 @@
     };
     result.unwrap_or_else(|refusal| {
         let mut response = refusal_response(&shared, &id, refusal, started_at);
-        hop::write_refusal_kind(&mut response, refusal);
+        hop::write_refusal(&mut response, refusal, &id);
         response
     })
 }
