Relay the age of what is known of an instance, and compare runs by it

Cause: a record that another instance relayed counted as heard at the moment of its receipt. In a large fleet a datagram holds one record, so the last heartbeat of an instance takes 10 to 20 s to reach all, and each receipt started its time-out anew and was told to the others as an age. The same at instances that start, which know nobody and ask for records, of dead members too; and at a process younger than an age, since times before its start were cut to its start.

Change: records bear the time since the instance was known to run, and since it was known to run in this run; both grow with each relay, like ages did. Of two runs the one known later is the newer one, where a silence of 1.2 s decided. Only records of live members are sent on request. What a datagram may have waited is added to all ages in it; the gateway passes none yet. Records of earlier versions, without an age, count as half the time-out old.

--- a/crates/sesamebarrow_gateway/src/admin.rs
+++ b/crates/sesamebarrow_gateway/src/admin.rs
@@ -48,7 +48,7 @@
         .map(|m| {
             json!({
                 "name": m.record.name, "region": m.region, "ready": m.record.ready,
-                "silent_ms": now.saturating_sub(m.last_heard).as_millis() as u64, "hops": m.forwarded_in_progress,
+                "silent_ms": m.silence(now).as_millis() as u64, "hops": m.forwarded_in_progress,
             })
         })
         .collect();
--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::time::Duration;
 
 use sesamebarrow_routing::gossip;
 use tokio::net::UdpSocket;
@@ -119,7 +120,7 @@
         limit::send_states(shared, ip, datagram.limits_digest);
     }
     let mut board = shared.board();
-    let needs_reply = board.handle_datagram(now, &datagram);
+    let needs_reply = board.handle_datagram(now, Duration::ZERO, &datagram);
     if datagram.revision > board.revision || datagram.config_version > board.config_version() {
         shared.catalog_outdated.notify_one();
     }
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -68,7 +68,7 @@
         let mut reply = self.begin_gossip_round(now);
         reply
             .other_records
-            .extend(self.members.records_for(&datagram.wanted_name_hashes));
+            .extend(self.members.records_for(now, &datagram.wanted_name_hashes));
         reply
     }
 
@@ -139,7 +139,8 @@
         loads
     }
 
-    fn apply_reported_loads(&mut self, now: Duration, loads: &ReportedLoads) {
+    /// Applies the loads of a datagram that was written at `made_at`.
+    fn apply_reported_loads(&mut self, made_at: Duration, loads: &ReportedLoads) {
         let counts = loads.running.iter().zip(&loads.queued);
         let reports = loads
             .upstream_hashes
@@ -153,7 +154,7 @@
                 queued: *queued,
                 slowness_percent: 0,
             };
-            (*hash, (now.saturating_sub(age), load))
+            (*hash, (made_at.saturating_sub(age), load))
         });
         self.upstreams.record_relayed_loads(&reports.collect());
     }
@@ -202,9 +203,14 @@
         loads.collect()
     }
 
-    /// Handles a datagram. Returns whether it should be answered at once, because its
-    /// sender does not know this instance yet or asks for records.
-    pub fn handle_datagram(&mut self, now: Duration, datagram: &Datagram) -> bool {
+    /// Handles a datagram that may have waited to be read for up to `waited`. Returns whether it should be
+    /// answered at once, because its sender does not know this instance yet or asks for records.
+    pub fn handle_datagram(
+        &mut self,
+        now: Duration,
+        waited: Duration,
+        datagram: &Datagram,
+    ) -> bool {
         let regions = &self.regions_by_hash;
         let region_of = |domain_hash: u32| regions.get(&domain_hash).cloned();
         let own_name = self.identity.name.as_str();
@@ -218,15 +224,16 @@
             return false;
         }
         self.members
-            .apply_datagram(now, own_name, datagram, region_of);
+            .apply_datagram(now, waited, own_name, datagram, region_of);
         if datagram.store_outage_age_ms > 0 {
-            let at = now.saturating_sub(Duration::from_millis(datagram.store_outage_age_ms.into()));
+            let age = Duration::from_millis(datagram.store_outage_age_ms.into()) + waited;
+            let at = now.saturating_sub(age);
             self.last_store_outage_at =
                 Some(self.last_store_outage_at.map_or(at, |known| known.max(at)));
         }
         self.sum_other_loads(now);
         if let Some(loads) = &datagram.reported_loads {
-            self.apply_reported_loads(now, loads);
+            self.apply_reported_loads(now.saturating_sub(waited), loads);
         }
         self.upstreams.record_leaving_runs(&datagram.leaving_runs);
         datagram.seen_heartbeat == 0 || !datagram.wanted_name_hashes.is_empty()
--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -83,6 +83,13 @@
     /// Its processor time in percent of a core.
     #[prost(uint32, tag = "12")]
     pub processor_percent: u32,
+    /// Tenths of a second since the instance was known to run, in the datagram of another one; `None` from
+    /// instances of earlier versions.
+    #[prost(uint32, optional, tag = "13")]
+    pub age_tenths: Option<u32>,
+    /// Tenths of a second by which it is longer since it was known to run in this run.
+    #[prost(uint32, tag = "14")]
+    pub run_age_tenths: u32,
 }
 
 /// How long ago instances were last heard from, directly or through other instances; in
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -11,8 +11,10 @@
 use crate::dispatch::capacity::Capacity;
 use crate::gossip::{Datagram, HeardAges, Record, UpstreamLoad, short_hash};
 use crate::member::change::{Change, Changes, Evidence};
+use crate::member::last_known::LastKnown;
 
 pub mod change;
+pub mod last_known;
 
 /// Time between two gossip rounds.
 pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
@@ -124,8 +126,11 @@
     pub name_hash: u32,
     /// Its region.
     pub region: SmolStr,
-    /// When its newest heartbeat was received, directly or through another instance.
-    pub last_heard: Duration,
+    /// When it was last known to run.
+    pub last_heard: LastKnown,
+    /// When it was last known to run in the run of `record`. Not later than `last_heard`, which is also
+    /// renewed by ages, and those name no run.
+    pub run_heard: LastKnown,
     /// Time until which it is not asked for tokens, because it did not answer.
     pub unanswered_until: Duration,
     /// When it was asked for a loan, if it has not answered since.
@@ -156,6 +161,41 @@
     pub fn ip(&self) -> Ipv4Addr {
         Ipv4Addr::from_bits(self.record.ip)
     }
+
+    /// Returns the time since it was last known to run.
+    pub fn silence(&self, now: Duration) -> Duration {
+        self.last_heard.silence(now)
+    }
+
+    /// Returns its record for the datagram of another instance, with the age of what it says.
+    fn relayed_record(&self, now: Duration) -> Record {
+        let age = self.silence(now);
+        let run_age = self.run_heard.silence(now).saturating_sub(age);
+        Record {
+            age_tenths: Some(to_tenths(age + RELAY_AGE_INCREMENT)),
+            run_age_tenths: to_tenths(run_age),
+            ..self.record.clone()
+        }
+    }
+}
+
+/// Returns `age` in tenths of a second, rounded up.
+fn to_tenths(age: Duration) -> u32 {
+    u32::try_from(age.as_millis().div_ceil(100)).unwrap_or(u32::MAX)
+}
+
+fn from_tenths(tenths: u32) -> Duration {
+    Duration::from_millis(u64::from(tenths) * 100)
+}
+
+/// News of an instance in a datagram.
+struct News<'a> {
+    record: &'a Record,
+    evidence: Evidence,
+    /// Time since the instance was known to run.
+    age: Duration,
+    /// Time since it was known to run in the run of `record`.
+    run_age: Duration,
 }
 
 /// Load of a service in a region, as last reported.
@@ -225,7 +265,7 @@
 
     /// Returns whether `member` was heard from recently.
     pub fn is_alive(&self, member: &Member, now: Duration) -> bool {
-        now.saturating_sub(member.last_heard) < self.alive_timeout()
+        member.silence(now) < self.alive_timeout()
     }
 
     /// Returns the members that were heard from recently.
@@ -278,20 +318,36 @@
         }
     }
 
-    /// Applies a datagram. `own_name` is this instance's name.
+    /// Applies a datagram that may have waited to be read for up to `waited`. `own_name` is this instance's name.
     pub fn apply_datagram(
         &mut self,
         now: Duration,
+        waited: Duration,
         own_name: &str,
         datagram: &Datagram,
         region_of: impl Fn(u32) -> Option<SmolStr>,
     ) {
-        self.apply_record(now, own_name, &datagram.sender, true, &region_of);
+        let news = News {
+            record: &datagram.sender,
+            evidence: Evidence::Datagram,
+            age: waited,
+            run_age: waited,
+        };
+        self.apply_news(now, own_name, &news, &region_of);
         for record in &datagram.other_records {
-            self.apply_record(now, own_name, record, false, &region_of);
+            // Instances of earlier versions relay records of live members without an age.
+            let age = record.age_tenths.map(from_tenths);
+            let age = age.unwrap_or(self.alive_timeout() / 2) + waited;
+            let news = News {
+                record,
+                evidence: Evidence::Record,
+                age,
+                run_age: age + from_tenths(record.run_age_tenths),
+            };
+            self.apply_news(now, own_name, &news, &region_of);
         }
         if let Some(ages) = &datagram.heard_ages {
-            self.apply_ages(now, own_name, ages);
+            self.apply_ages(now, waited, own_name, ages);
         }
         let Some(member) = self.all.get_mut(datagram.sender.name.as_str()) else {
             return;
@@ -304,12 +360,13 @@
             .upstream_loads
             .iter()
             .map(|load| (load.upstream_hash, load.clone()));
-        member.upstream_loads = (now, upstream_loads.collect());
+        let made_at = now.saturating_sub(waited);
+        member.upstream_loads = (made_at, upstream_loads.collect());
         for load in &datagram.service_loads {
             let key = (member.region.clone(), load.service_hash);
             let capacity = load.capacity.as_ref().map(Capacity::from);
             let age = Duration::from_millis(load.capacity_age_ms.into());
-            let mut capacity = (capacity, now.saturating_sub(age));
+            let mut capacity = (capacity, made_at.saturating_sub(age));
             if let Some(known) = self.service_loads.get(&key)
                 && known.capacity.is_some()
                 && (capacity.0.is_none() || known.capacity_at > capacity.1)
@@ -318,7 +375,7 @@
                 capacity = (known.capacity, known.capacity_at);
             }
             let service_load = ReceivedServiceLoad {
-                reported_at: now,
+                reported_at: made_at,
                 wait: Duration::from_millis(load.wait_ms.into()),
                 usable_upstreams: load.usable_upstreams,
                 capacity: capacity.0,
@@ -328,103 +385,98 @@
         }
     }
 
-    fn apply_record(
+    fn apply_news(
         &mut self,
         now: Duration,
         own_name: &str,
-        record: &Record,
-        direct: bool,
+        news: &News<'_>,
         region_of: impl Fn(u32) -> Option<SmolStr>,
     ) {
-        if record.name == own_name {
+        let record = news.record;
+        if record.name == own_name || news.age >= REMOVAL_TIMEOUT {
             return;
         }
         let Some(region) = region_of(record.domain_hash) else {
             return;
         };
-        let evidence = match direct {
-            true => Evidence::Datagram,
-            false => Evidence::Record,
-        };
         let alive_timeout = self.alive_timeout();
         let Some(member) = self.all.get_mut(record.name.as_str()) else {
-            self.changes.push(Change {
-                name: SmolStr::new(&record.name),
-                kind: change::Kind::Joined,
-                evidence,
-                silence: Duration::ZERO,
-                incarnation: record.incarnation,
-            });
-            let member = Member {
-                record: record.clone(),
-                name_hash: short_hash(&record.name),
-                region,
-                last_heard: now,
-                unanswered_until: Duration::ZERO,
-                loan_requested_at: None,
-                upstream_loads: (Duration::ZERO, HashMap::new()),
-                forwarded_in_progress: 0,
-                revision: 0,
-                config_version: 0,
-                judges_suspects: true,
-                silent_owner_until: Duration::ZERO,
-                silent_dispatcher_until: Duration::ZERO,
-                keeps_limits: true,
-            };
-            self.all.insert(SmolStr::new(&record.name), member);
-            self.lost.remove(record.name.as_str());
-            self.last_joined = now;
+            self.add(now, news, region);
             return;
         };
-        let newer = if record.incarnation == member.record.incarnation {
+        let is_same_run = record.incarnation == member.record.incarnation;
+        let is_newer = if is_same_run {
             record.heartbeat > member.record.heartbeat
         } else {
-            // Incarnations are start times. A clock may have been set back, so their order
-            // proves nothing. The instance's own datagram decides at once, a relayed record
-            // only after the known run has been silent for a while.
-            direct || now.saturating_sub(member.last_heard) > ALIVE_TIMEOUT / 2
+            // Incarnations are start times. A clock may have been set back, so their order proves nothing;
+            // of two runs, the one that was known to run later is the newer one.
+            news.evidence == Evidence::Datagram || news.run_age < member.run_heard.silence(now)
         };
-        if newer {
-            let silence = now.saturating_sub(member.last_heard);
-            let kind = if record.incarnation != member.record.incarnation {
-                Some(change::Kind::Restarted)
-            } else {
-                (silence >= alive_timeout).then_some(change::Kind::Revived)
-            };
-            if let Some(kind) = kind {
-                self.changes.push(Change {
-                    name: SmolStr::new(&record.name),
-                    kind,
-                    evidence,
-                    silence,
-                    incarnation: record.incarnation,
-                });
-            }
-            member.record = record.clone();
-            member.region = region;
-            member.last_heard = now;
+        if !is_newer {
+            return;
+        }
+        let silence = member.silence(now);
+        let revives = silence >= alive_timeout && news.age < alive_timeout;
+        let kind = match is_same_run {
+            false => Some(change::Kind::Restarted),
+            true => revives.then_some(change::Kind::Revived),
+        };
+        if let Some(kind) = kind {
+            self.changes
+                .push(Change::new(record, kind, news.evidence, silence));
         }
+        member.record = record.clone();
+        member.region = region;
+        member.last_heard.update(now, news.age);
+        if is_same_run {
+            member.run_heard.update(now, news.run_age);
+        } else {
+            member.run_heard = LastKnown::new(now, news.run_age);
+        }
+    }
+
+    fn add(&mut self, now: Duration, news: &News<'_>, region: SmolStr) {
+        let record = news.record;
+        let kind = change::Kind::Joined;
+        self.changes
+            .push(Change::new(record, kind, news.evidence, Duration::ZERO));
+        let member = Member {
+            record: record.clone(),
+            name_hash: short_hash(&record.name),
+            region,
+            last_heard: LastKnown::new(now, news.age),
+            run_heard: LastKnown::new(now, news.run_age),
+            unanswered_until: Duration::ZERO,
+            loan_requested_at: None,
+            upstream_loads: (Duration::ZERO, HashMap::new()),
+            forwarded_in_progress: 0,
+            revision: 0,
+            config_version: 0,
+            judges_suspects: true,
+            silent_owner_until: Duration::ZERO,
+            silent_dispatcher_until: Duration::ZERO,
+            keeps_limits: true,
+        };
+        self.all.insert(SmolStr::new(&record.name), member);
+        self.lost.remove(record.name.as_str());
+        self.last_joined = now;
     }
 
-    fn apply_ages(&mut self, now: Duration, own_name: &str, ages: &HeardAges) {
+    fn apply_ages(&mut self, now: Duration, waited: Duration, own_name: &str, ages: &HeardAges) {
         let tenths = ages.instance_hashes.iter().copied().zip(&ages.age_tenths);
         let mut age_by_hash: HashMap<u32, u32> = tenths.map(|(i, t)| (i, *t)).collect();
         age_by_hash.remove(&short_hash(own_name));
         let alive_timeout = self.alive_timeout();
         for member in self.all.values_mut() {
             if let Some(tenths) = age_by_hash.remove(&member.name_hash) {
-                let age = Duration::from_millis(u64::from(tenths) * 100);
-                let silence = now.saturating_sub(member.last_heard);
+                let age = from_tenths(tenths) + waited;
+                let silence = member.silence(now);
                 if silence >= alive_timeout && age < alive_timeout {
-                    self.changes.push(Change {
-                        name: SmolStr::new(&member.record.name),
-                        kind: change::Kind::Revived,
-                        evidence: Evidence::Age,
-                        silence,
-                        incarnation: member.record.incarnation,
-                    });
+                    let kind = change::Kind::Revived;
+                    let change = Change::new(&member.record, kind, Evidence::Age, silence);
+                    self.changes.push(change);
                 }
-                member.last_heard = member.last_heard.max(now.saturating_sub(age));
+                member.last_heard.update(now, age);
             }
         }
         for name_hash in age_by_hash.into_keys() {
@@ -439,7 +491,7 @@
     /// Removes members that have been silent for [`REMOVAL_TIMEOUT`]. Those that did not announce
     /// their end count as lost for [`LOST_LIFETIME`].
     pub fn remove_silent(&mut self, now: Duration) {
-        let silent = |m: &Member| now.saturating_sub(m.last_heard) >= REMOVAL_TIMEOUT;
+        let silent = |m: &Member| m.silence(now) >= REMOVAL_TIMEOUT;
         let lost = self.all.iter().filter(|(_, m)| silent(m));
         for (name, member) in lost.filter(|(_, m)| m.record.draining_time_ms == 0) {
             let lost = LostMember {
@@ -493,18 +545,17 @@
 
     /// Returns the newest records of randomly selected live members for a datagram.
     pub fn sample_records(&self, now: Duration, rng: &mut impl Rng) -> Vec<Record> {
-        let alive_records = self.alive(now).map(|m| m.record.clone());
+        let alive_records = self.alive(now).map(|m| m.relayed_record(now));
         alive_records.sample(rng, self.limits().max_records)
     }
 
-    /// Returns the records that a sender asks for.
-    pub fn records_for(&self, hashes: &[u32]) -> Vec<Record> {
+    /// Returns the records of live members that a sender asks for.
+    pub fn records_for(&self, now: Duration, hashes: &[u32]) -> Vec<Record> {
         let requested = |m: &&Member| hashes.contains(&m.name_hash);
-        self.all
-            .values()
+        self.alive(now)
             .filter(requested)
             .take(MAX_REQUESTED_RECORDS)
-            .map(|m| m.record.clone())
+            .map(|m| m.relayed_record(now))
             .collect()
     }
 
@@ -522,13 +573,9 @@
             return None;
         }
         let mut recent = self.alive(now).sample(rng, max_ages * AGE_CANDIDATES);
-        recent.sort_by_key(|m| std::cmp::Reverse(m.last_heard));
+        recent.sort_by_key(|m| m.silence(now));
         recent.truncate(max_ages);
-        let tenths = |m: &&Member| {
-            let age = now.saturating_sub(m.last_heard) + RELAY_AGE_INCREMENT;
-            // CAST: a live member was heard from a few seconds ago.
-            age.as_millis().div_ceil(100) as u32
-        };
+        let tenths = |m: &&Member| to_tenths(m.silence(now) + RELAY_AGE_INCREMENT);
         Some(HeardAges {
             instance_hashes: recent.iter().map(|m| m.name_hash).collect(),
             age_tenths: recent.iter().map(tenths).collect(),
--- a/crates/sesamebarrow_routing/src/member/change.rs
+++ b/crates/sesamebarrow_routing/src/member/change.rs
@@ -4,6 +4,8 @@
 
 use smol_str::SmolStr;
 
+use crate::gossip::Record;
+
 /// Maximum number of changes that are kept until they are taken.
 const MAX_CHANGES: usize = 256;
 
@@ -46,6 +48,19 @@
     pub incarnation: u64,
 }
 
+impl Change {
+    /// Returns a change to the run of `record`, after `silence`.
+    pub fn new(record: &Record, kind: Kind, evidence: Evidence, silence: Duration) -> Self {
+        Self {
+            name: SmolStr::new(&record.name),
+            kind,
+            evidence,
+            silence,
+            incarnation: record.incarnation,
+        }
+    }
+}
+
 /// The changes that were not taken yet.
 #[derive(Debug, Default)]
 pub struct Changes {
--- a/crates/sesamebarrow_routing/src/place.rs
+++ b/crates/sesamebarrow_routing/src/place.rs
@@ -130,14 +130,14 @@
         .alive(now)
         .filter(|m| {
             let draining = Duration::from_millis(m.record.draining_time_ms.into());
-            let silence = now.saturating_sub(m.last_heard);
+            let silence = m.silence(now);
             m.record.ready || (!draining.is_zero() && recently_draining(draining + silence))
         })
         .map(|m| Candidate {
             region: m.region.clone(),
             ip: m.ip(),
             ready: m.record.ready,
-            silence: now.saturating_sub(m.last_heard),
+            silence: m.silence(now),
         })
         .collect();
     if board.is_ready() || board.draining_for(now).is_some_and(recently_draining) {
--- a/crates/sesamebarrow_routing/tests/decisions/fleet.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/fleet.rs
@@ -280,8 +280,9 @@
         for arrival in due {
             if reaches(arrival.from, arrival.to) && !self.instances[arrival.to].ended {
                 let process_time = self.process_time(arrival.to);
+                let waited = self.now.saturating_sub(arrival.arrives_at);
                 let board = &mut self.instances[arrival.to].board;
-                if board.handle_datagram(process_time, &arrival.datagram) {
+                if board.handle_datagram(process_time, waited, &arrival.datagram) {
                     let mut reply = board.begin_gossip_reply(process_time, &arrival.datagram);
                     let ip = Ipv4Addr::from_bits(arrival.datagram.sender.ip);
                     board.complete_datagram(process_time, &mut reply, ip);
--- a/crates/sesamebarrow_routing/tests/decisions/limit_owners.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/limit_owners.rs
@@ -326,7 +326,7 @@
     for step in 0..1_000_u32 {
         now += ms(10);
         for (number, domain) in heard_from.iter().enumerate() {
-            board.handle_datagram(now, &heartbeat(number, domain, step));
+            board.handle_datagram(now, Duration::ZERO, &heartbeat(number, domain, step));
         }
         sent += usize::from(board.take_permit(now, key, 0) == Permission::Granted);
     }
--- a/crates/sesamebarrow_trial/src/containment/instance.rs
+++ b/crates/sesamebarrow_trial/src/containment/instance.rs
@@ -86,7 +86,7 @@
             seen_heartbeat: 1,
             ..Datagram::default()
         };
-        board.handle_datagram(Duration::MAX, &datagram);
+        board.handle_datagram(Duration::MAX, Duration::ZERO, &datagram);
     }
     board
 }
--- a/crates/sesamebarrow_trial/src/limits/exchange.rs
+++ b/crates/sesamebarrow_trial/src/limits/exchange.rs
@@ -60,7 +60,7 @@
         let ip = instance::ip_of(from);
         let board = &mut self.instances[to].board;
         let message = board.limit_message(ip, datagram.limits_digest);
-        let needs_reply = board.handle_datagram(now, datagram);
+        let needs_reply = board.handle_datagram(now, Duration::ZERO, datagram);
         let reply = needs_reply.then(|| {
             let mut reply = board.begin_gossip_reply(now, datagram);
             board.complete_datagram(now, &mut reply, ip);
--- a/crates/sesamebarrow_trial/src/placement.rs
+++ b/crates/sesamebarrow_trial/src/placement.rs
@@ -247,7 +247,7 @@
         self.datagrams = later;
         let due: Vec<(Duration, usize, Datagram)> = due;
         for (_, to, datagram) in due {
-            self.boards[to].handle_datagram(self.now, &datagram);
+            self.boards[to].handle_datagram(self.now, Duration::ZERO, &datagram);
         }
     }
 
