Count what a datagram may have waited to be read as its age

What callers saw: an instance that had been frozen named one that had ended meanwhile, for as long as the time-out, and told the others, in a fleet of more than 100 so that all named it again (DRAIN).

Cause: datagrams wait in the socket while a process is suspended or has no processor, and counted as heard when they were read.

Evidence: decisions/liveness.rs, two tests with a frozen instance, and platform/tests/liveness.rs with three processes; all failed.

Change: an inbox remembers when the socket was last seen empty. Whatever is read has arrived since, which bounds its wait without clocks that instances would have to share. The bound is added to the ages of the sender, of relayed records, ages and loads.

--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -8,6 +8,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
+use crate::inbox::{Inbox, Received};
 use crate::shared::Shared;
 use crate::{dispatch, limit, notice, quarantine};
 
@@ -18,7 +19,7 @@
 pub async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     let mut next_round = Instant::now();
-    let mut last_read = Instant::now();
+    let mut inbox = Inbox::new(&socket, Duration::ZERO, || shared.now());
     loop {
         tokio::select! {
             () = tokio::time::sleep_until(next_round) => {
@@ -26,15 +27,13 @@
                 next_round = Instant::now() + shared.board().gossip_interval();
             }
             () = shared.catalog_updated.notified() => send_revision(&shared, &socket).await,
-            received = socket.recv_from(&mut buf) => match received {
-                Ok((length, from)) => {
-                    let waited = last_read.elapsed();
-                    last_read = Instant::now();
-                    let reply = handle_datagram(&shared, &buf[..length], from);
+            received = inbox.receive(&mut buf) => match received {
+                Ok(received) => {
+                    let reply = handle_datagram(&shared, &buf[..received.length], &received);
                     notice::record_learned(&shared);
-                    notice::record_member_changes(&shared, waited);
+                    notice::record_member_changes(&shared, received.waited);
                     if let Some(reply) = reply {
-                        send(&socket, from, &reply).await;
+                        send(&socket, received.from, &reply).await;
                     }
                 }
                 Err(error) => log::debug!(error:% = error; "cannot receive datagram"),
@@ -104,11 +103,11 @@
 }
 
 /// Handles a datagram and returns the reply if the sender needs one at once.
-fn handle_datagram(shared: &Shared, bytes: &[u8], from: SocketAddr) -> Option<Vec<u8>> {
+fn handle_datagram(shared: &Shared, bytes: &[u8], received: &Received) -> Option<Vec<u8>> {
     let datagram = match gossip::decode(bytes) {
         Ok(datagram) => datagram,
         Err(error) => {
-            log::warn!(from:% = from, error:% = error; "cannot decode datagram");
+            log::warn!(from:% = received.from, error:% = error; "cannot decode datagram");
             return None;
         }
     };
@@ -120,7 +119,7 @@
         limit::send_states(shared, ip, datagram.limits_digest);
     }
     let mut board = shared.board();
-    let needs_reply = board.handle_datagram(now, Duration::ZERO, &datagram);
+    let needs_reply = board.handle_datagram(now, received.waited, &datagram);
     if datagram.revision > board.revision || datagram.config_version > board.config_version() {
         shared.catalog_outdated.notify_one();
     }
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //! that would crash more.
 //!
 //! [`token`] takes the tokens of requests from the buckets that instances keep.
-//! [`store`], [`sync`] and [`gossip`] keep the board up to date, the tables of
+//! [`store`], [`sync`] and [`gossip`], which reads its socket by [`inbox`], keep the board up to date, the tables of
 //! `sesamebarrow_routing` that hold all that this instance knows. [`directory`] and [`admin`]
 //! answer requests of clients and operators, and [`telemetry`] contains the metrics.
 
@@ -24,6 +24,7 @@
 pub mod framing;
 pub mod gossip;
 pub mod hop;
+pub mod inbox;
 pub mod intake;
 pub mod limit;
 pub mod log_limit;
