Do not send datagrams that were written before a suspension

After 100 ms the rest of a round is dropped; the next one follows. Not shown by a test: the window is the loop that sends.

--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -15,6 +15,9 @@
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
+/// Time after which a datagram that was written is not sent any more. Its ages are too low by as much.
+const MAX_SEND_DELAY: Duration = Duration::from_millis(100);
+
 /// Sends and receives datagrams until the process ends.
 pub async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
@@ -67,7 +70,11 @@
         };
         receivers.into_iter().map(encode_for).collect()
     };
+    let written_at = shared.now();
     for (ip, bytes) in datagrams {
+        if shared.now().saturating_sub(written_at) > MAX_SEND_DELAY {
+            break;
+        }
         send(socket, SocketAddr::new(ip.into(), port), &bytes).await;
     }
     // Not related to gossip; done here because rounds are regular.
