Take time from a clock that goes on while the host is suspended

What an instance knew before counted as that much younger after it: which instances run, loads, rests, quarantines, evacuations, and the ages that it told to others. The board's clock is CLOCK_BOOTTIME now, through nix, which the workspace already used for tests. Deadlines of requests and idle connections stay on the steady clock. A suspension of the host cannot be brought about in a test here.

--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod admin;
 pub mod attempt;
+pub mod clock;
 pub mod crash;
 pub mod directory;
 pub mod dispatch;
--- a/crates/sesamebarrow_gateway/src/shared.rs
+++ b/crates/sesamebarrow_gateway/src/shared.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use sesamebarrow_routing::{Board, Catalog, Identity};
 use smol_str::SmolStr;
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::clock;
 use crate::dispatch::Dispatches;
 use crate::limit::Permits;
 use crate::log_limit::Limiter;
@@ -57,7 +58,7 @@
     pub catalog_outdated: Notify,
     /// Notified when a watch of the store has returned changes.
     pub catalog_updated: Notify,
-    started_at: Instant,
+    started_at: Duration,
 }
 
 impl Shared {
@@ -89,13 +90,13 @@
             close_idle: CancellationToken::new(),
             catalog_outdated: Notify::new(),
             catalog_updated: Notify::new(),
-            started_at: Instant::now(),
+            started_at: clock::now(),
         }
     }
 
     /// Returns the time since the process started, the clock of the board.
     pub fn now(&self) -> Duration {
-        self.started_at.elapsed()
+        clock::now().saturating_sub(self.started_at)
     }
 
     /// Locks the board.
