Remember each removed upstream, and tell runs apart only by start times

Cause: a removed upstream was remembered only if it drained, left or rested, so that an entry from an older copy was one of a new upstream; and a missing start time differed from a known one, so that it was a new run.

Change: each removal is remembered for 600 s with the era of the store in which it was read. If a later era contains the run again, it is held for 10 s: in that time removals are written again and entries that nobody writes lapse. A later run is used at once, an earlier one never. An entry without a start time is of the known run. The catalog rejects changes that are not newer than a deletion that it knows, so late reads bring nothing back.

An instance that starts after the drill knows no removals: it acknowledged none.

--- a/crates/sesamebarrow_gateway/src/store.rs
+++ b/crates/sesamebarrow_gateway/src/store.rs
@@ -302,9 +302,11 @@
 /// restored copy lacks is kept for a while, as after an outage: it is published again.
 pub fn begin_era(shared: &Shared, catalog: &Catalog, revision: u64) {
     let era = Position::unpack(revision).era;
+    let mut board = shared.board();
+    board.store_era = board.store_era.max(era);
     if catalog.revision > 0 && era > catalog.era() {
         log::warn!(era, before = catalog.era(); "store began a new era");
-        shared.board().last_store_outage_at = Some(shared.now());
+        board.last_store_outage_at = Some(shared.now());
     }
 }
 
--- a/crates/sesamebarrow_gateway/tests/store.rs
+++ b/crates/sesamebarrow_gateway/tests/store.rs
@@ -64,7 +64,7 @@
     assert!(shared.board().upstreams.key("up").is_some());
     publish(&shared, &mut catalog, 3, ENTRY);
     let later = shared.now() + Duration::from_secs(10);
-    shared.board().upstreams.remove_due(later);
+    shared.board().upstreams.remove_due(later, 0);
     assert!(shared.board().upstreams.key("up").is_some());
     Ok(())
 }
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -210,7 +210,8 @@
 ) -> Result<Vec<ScoredUpstream>, Rejection> {
     let keys = board.upstreams.of_service(&request.service);
     let usable = |k: &&Key| {
-        !request.tried_upstreams.contains(*k) && accepts_requests(board, &board.upstreams.all[**k])
+        !request.tried_upstreams.contains(*k)
+            && accepts_requests(board, now, &board.upstreams.all[**k])
     };
     let mut usable: Vec<Key> = keys.iter().filter(usable).copied().collect();
     if usable.is_empty() {
@@ -281,7 +282,7 @@
     };
     let is_placed = |key: &&Key| {
         let upstream = &board.upstreams.all[**key];
-        accepts_requests(board, upstream)
+        accepts_requests(board, now, upstream)
             && !matches!(verdict(key), Verdict::Resting(_) | Verdict::Ramping)
             && !(limits_cold && upstream.is_cold(now))
             && board.is_unlimited(**key)
@@ -302,17 +303,18 @@
     board.config.as_ref()?.services.get(service)?.engine
 }
 
-/// Returns whether an upstream is ready, does not leave and is not being evacuated.
-fn accepts_requests(board: &Board, upstream: &Upstream) -> bool {
+/// Returns whether an upstream is ready, does not leave and is neither held nor being evacuated.
+fn accepts_requests(board: &Board, now: Duration, upstream: &Upstream) -> bool {
     upstream.entry.ready
         && !upstream.availability.leaving
+        && !upstream.is_held(now)
         && !board.evacuated.contains(&upstream.entry.domain)
 }
 
 /// Returns whether a request for which an upstream was selected may still be sent to it.
 pub fn may_send(board: &Board, now: Duration, key: Key) -> bool {
     let upstream = board.upstreams.all.get(key);
-    upstream.is_some_and(|u| accepts_requests(board, u)) && rest(board, now, key).is_none()
+    upstream.is_some_and(|u| accepts_requests(board, now, u)) && rest(board, now, key).is_none()
 }
 
 /// Returns the time for which an upstream still rests; `None` if it does not.
@@ -338,7 +340,7 @@
 /// rest, whether or not a request has tried them.
 pub fn service_rest(board: &Board, now: Duration, service: &str) -> Option<Duration> {
     let keys = board.upstreams.of_service(service).iter();
-    let usable = keys.filter(|k| accepts_requests(board, &board.upstreams.all[**k]));
+    let usable = keys.filter(|k| accepts_requests(board, now, &board.upstreams.all[**k]));
     shortest_rest(board, now, usable)
 }
 
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -106,6 +106,8 @@
     /// Evacuations whose items are gone since shortly after an outage of the store, by failure domain,
     /// and when they end unless their items are published again.
     evacuations_ending: HashMap<SmolStr, Duration>,
+    /// Era of the store in which the changes that are applied were made.
+    pub store_era: u16,
     /// The upstreams of this region.
     pub upstreams: Upstreams,
     /// Limits that upstreams of this region have named.
@@ -169,6 +171,7 @@
             config: None,
             evacuated: HashSet::new(),
             evacuations_ending: HashMap::new(),
+            store_era: 0,
             upstreams: Upstreams::default(),
             limits: Limits::default(),
             dispatch: dispatch::Dispatch::default(),
@@ -246,7 +249,7 @@
             return;
         }
         let warmup = self.warmup(&entry.service);
-        self.upstreams.put(now, entry, warmup);
+        self.upstreams.put(now, entry, warmup, self.store_era);
     }
 
     /// Handles the removal of an upstream's entry from the store. During and shortly after
@@ -254,9 +257,11 @@
     /// published again.
     pub fn remove_upstream(&mut self, now: Duration, id: &str) {
         let grace_end = self.last_store_outage_at.map(|at| at + REPUBLISH_GRACE);
+        let is_held = |key| self.upstreams.all[key].is_held(now);
+        let is_held = self.upstreams.key(id).is_some_and(is_held);
         match grace_end {
-            Some(until) if now < until => self.upstreams.schedule_removal(id, until),
-            _ => self.upstreams.remove(now, id),
+            Some(until) if now < until && !is_held => self.upstreams.schedule_removal(id, until),
+            _ => self.upstreams.remove(now, id, self.store_era),
         }
     }
 
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -28,7 +28,7 @@
     pub fn begin_gossip_round(&mut self, now: Duration) -> Datagram {
         self.heartbeat += 1;
         self.members.remove_silent(now);
-        self.upstreams.remove_due(now);
+        self.upstreams.remove_due(now, self.store_era);
         self.quarantine.remove_expired(now);
         self.end_due_evacuations(now);
         self.update_limits(now);
--- a/crates/sesamebarrow_routing/src/catalog.rs
+++ b/crates/sesamebarrow_routing/src/catalog.rs
@@ -94,11 +94,13 @@
 }
 
 impl Catalog {
-    /// Applies a change. Returns false if it is not newer than what is known, or if it
+    /// Applies a change. Returns false if it is not newer than what is known, also of a deletion, or if it
     /// deletes an unknown item.
     pub fn apply(&mut self, change: &Change) -> bool {
-        let known_revision = self.items.get(&change.key).map_or(0, |i| i.revision);
-        if change.revision <= known_revision || (change.item.is_none() && known_revision == 0) {
+        let item_revision = self.items.get(&change.key).map(|i| i.revision);
+        let known_revision = item_revision.or_else(|| self.deletion_revision(&change.key));
+        let is_known = known_revision.is_some_and(|known| change.revision <= known);
+        if is_known || (change.item.is_none() && item_revision.is_none()) {
             return false;
         }
         match &change.item {
@@ -120,6 +122,14 @@
         true
     }
 
+    /// Returns the revision at which an item was last deleted, as far as that is known.
+    fn deletion_revision(&self, key: &str) -> Option<u64> {
+        let mut deletions = self.deletions.iter().rev();
+        deletions
+            .find(|(k, _)| k == key)
+            .map(|(_, revision)| *revision)
+    }
+
     /// Returns the era of the store.
     pub fn era(&self) -> u16 {
         Position::unpack(self.revision).era
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -88,6 +88,10 @@
     /// Time at which it is to be removed. Set if its entry disappeared during or shortly
     /// after an outage of the store.
     pub removal_at: Option<Duration>,
+    /// Era of the store in which its entry was last published.
+    pub era: u16,
+    /// Time until which it is not used, since its entry may come from an older copy of the store.
+    pub held_until: Duration,
     /// Prompt prefixes that it is assumed to have cached.
     pub cache: PrefixCache,
 }
@@ -96,11 +100,13 @@
 const REPORTED_LOAD_LIFETIME: Duration = Duration::from_secs(1);
 
 impl Upstream {
-    fn new(entry: Entry, now: Duration) -> Self {
+    fn new(entry: Entry, now: Duration, era: u16) -> Self {
         Self {
             id_hash: short_hash(&entry.id),
             run_hash: run_hash(&entry),
             cold_until: now + entry.cold_remaining,
+            era,
+            held_until: Duration::ZERO,
             entry,
             in_progress: 0,
             prefill_tokens: 0,
@@ -114,6 +120,11 @@
         }
     }
 
+    /// Returns whether it is not used, since its entry may come from an older copy of the store.
+    pub fn is_held(&self, now: Duration) -> bool {
+        now < self.held_until
+    }
+
     /// Returns whether it is cold.
     pub fn is_cold(&self, now: Duration) -> bool {
         now < self.cold_until
@@ -167,8 +178,7 @@
     keys_by_id: HashMap<SmolStr, Key>,
     /// Keys by service, for all entries in `all`.
     keys_by_service: HashMap<SmolStr, Vec<Key>>,
-    /// Availability of removed upstreams that leave or rest, by id, with their start times and the
-    /// times at which it is forgotten. A late read of the store may bring their entries back.
+    /// Removed upstreams by id. A late read of the store, or an older copy of it, may bring their entries back.
     removed: HashMap<SmolStr, Removed>,
     /// Runs of upstreams that announced to this instance that they leave, the latest last, and when.
     leaving_runs: VecDeque<(Duration, u64)>,
@@ -181,18 +191,38 @@
 struct Removed {
     started_at_ms: Option<u64>,
     availability: Availability,
+    /// Era of the store in which it was removed.
+    era: u16,
     forget_at: Duration,
 }
 
-/// Time for which the availability of a removed upstream is kept.
+/// Time for which a removed upstream is remembered.
 const REMOVED_LIFETIME: Duration = Duration::from_secs(600);
 
+/// Time for which an upstream is not used whose removal an older copy of the store has undone. Entries that nobody
+/// writes lapse within it, and removals are written again.
+const HOLD_TIME: Duration = Duration::from_secs(10);
+
 /// Maximum number of leaving runs that are sent to other instances.
 const MAX_LEAVING_RUNS: usize = 16;
 
 /// Time for which a leaving run is sent to other instances.
 const LEAVING_RUN_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Returns whether `entry` is of a run other than the one that started at `known_start`. An entry without a start
+/// time tells no runs apart.
+fn is_other_run(entry: &Entry, known_start: Option<u64>) -> bool {
+    match (entry.started_at_ms, known_start) {
+        (Some(start), Some(known)) => start != known,
+        _ => false,
+    }
+}
+
+/// Returns whether `entry` is of a run before the one that started at `known_start`.
+fn is_before(entry: &Entry, known_start: Option<u64>) -> bool {
+    is_other_run(entry, known_start) && entry.started_at_ms < known_start
+}
+
 /// Returns the number that stands for a run of an upstream in datagrams.
 fn run_hash(entry: &Entry) -> u64 {
     let mut hasher = blake3::Hasher::new();
@@ -224,23 +254,32 @@
     /// Returns whether a known run of the upstream started after the one that `entry` describes.
     pub fn is_earlier_run(&self, entry: &Entry) -> bool {
         let known = self.key(&entry.id).map(|key| &self.all[key].entry);
-        known.is_some_and(|known| entry.started_at_ms < known.started_at_ms)
+        known.is_some_and(|known| is_before(entry, known.started_at_ms))
     }
 
-    /// Adds an upstream or updates its entry. `warmup` is the minimum time for which a
-    /// restarted upstream then counts as cold.
-    pub fn put(&mut self, now: Duration, entry: Entry, warmup: Duration) {
+    /// Adds an upstream or updates its entry, as published in `era` of the store. `warmup` is the minimum time
+    /// for which a restarted upstream then counts as cold.
+    pub fn put(&mut self, now: Duration, mut entry: Entry, warmup: Duration, era: u16) {
         let Some(&key) = self.keys_by_id.get(&entry.id) else {
-            self.insert(now, entry);
+            self.insert(now, entry, era);
             return;
         };
         if self.all[key].entry.service != entry.service {
-            self.remove(now, &entry.id);
-            self.insert(now, entry);
+            self.remove(now, &entry.id, era);
+            self.insert(now, entry, era);
             return;
         }
         let upstream = &mut self.all[key];
-        let restarted = upstream.entry.started_at_ms != entry.started_at_ms;
+        if era > upstream.era && is_before(&entry, upstream.entry.started_at_ms) {
+            // An older copy of the store contains runs that have ended.
+            return;
+        }
+        let restarted = is_other_run(&entry, upstream.entry.started_at_ms);
+        entry.started_at_ms = entry.started_at_ms.or(upstream.entry.started_at_ms);
+        if restarted {
+            upstream.held_until = Duration::ZERO;
+        }
+        upstream.era = era;
         upstream.removal_at = None;
         if restarted {
             upstream.run_hash = run_hash(&entry);
@@ -258,14 +297,20 @@
         upstream.entry.ready &= still_ready;
     }
 
-    fn insert(&mut self, now: Duration, entry: Entry) {
+    fn insert(&mut self, now: Duration, mut entry: Entry, era: u16) {
         let (id, service) = (entry.id.clone(), entry.service.clone());
-        let mut upstream = Upstream::new(entry, now);
-        if let Some(removed) = self.removed.remove(&id) {
-            let same_run = removed.started_at_ms == upstream.entry.started_at_ms;
-            upstream.availability = match same_run {
-                true => removed.availability,
-                false => removed.availability.of_new_run(),
+        let removed = self.removed.remove(&id);
+        let known_start = removed.as_ref().and_then(|r| r.started_at_ms);
+        let is_new_run = is_other_run(&entry, known_start) && !is_before(&entry, known_start);
+        entry.started_at_ms = entry.started_at_ms.or(known_start);
+        let mut upstream = Upstream::new(entry, now, era);
+        if let Some(removed) = removed {
+            if era > removed.era && !is_new_run {
+                upstream.held_until = now + HOLD_TIME;
+            }
+            upstream.availability = match is_other_run(&upstream.entry, known_start) {
+                false => removed.availability,
+                true => removed.availability.of_new_run(),
             };
         }
         let key = self.all.insert(upstream);
@@ -273,8 +318,8 @@
         self.keys_by_service.entry(service).or_default().push(key);
     }
 
-    /// Removes an upstream.
-    pub fn remove(&mut self, now: Duration, id: &str) {
+    /// Removes an upstream, whose entry is gone in `era` of the store.
+    pub fn remove(&mut self, now: Duration, id: &str, era: u16) {
         let Some(key) = self.keys_by_id.remove(id) else {
             return;
         };
@@ -286,14 +331,13 @@
         }
         let mut availability = upstream.availability;
         availability.leaving |= !upstream.entry.ready;
-        if availability.leaving || now < availability.rest_until {
-            let removed = Removed {
-                started_at_ms: upstream.entry.started_at_ms,
-                availability,
-                forget_at: now + REMOVED_LIFETIME,
-            };
-            self.removed.insert(upstream.entry.id, removed);
-        }
+        let removed = Removed {
+            started_at_ms: upstream.entry.started_at_ms,
+            availability,
+            era,
+            forget_at: now + REMOVED_LIFETIME,
+        };
+        self.removed.insert(upstream.entry.id, removed);
     }
 
     /// Removes an upstream at `at`, unless its entry is published again by then.
@@ -303,8 +347,8 @@
         }
     }
 
-    /// Removes the upstreams whose scheduled removal is due.
-    pub fn remove_due(&mut self, now: Duration) {
+    /// Removes the upstreams whose scheduled removal is due, in `era` of the store.
+    pub fn remove_due(&mut self, now: Duration, era: u16) {
         let due = |u: &&Upstream| u.removal_at.is_some_and(|at| at <= now);
         let ids: Vec<_> = self
             .all
@@ -313,7 +357,7 @@
             .map(|u| u.entry.id.clone())
             .collect();
         for id in ids {
-            self.remove(now, &id);
+            self.remove(now, &id, era);
         }
         self.removed.retain(|_, removed| now < removed.forget_at);
         let is_old = |at: &Duration| now.saturating_sub(*at) > LEAVING_RUN_LIFETIME;
--- a/crates/sesamebarrow_routing/tests/decisions/admission.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/admission.rs
@@ -242,7 +242,7 @@
     board.last_store_outage_at = Some(NOW - ms(500));
     board.remove_upstream(NOW, "up-0");
     assert!(admit::select_upstream(&mut board, NOW, &request(1, 1)).is_ok());
-    board.upstreams.remove_due(NOW + ms(2_100));
+    board.upstreams.remove_due(NOW + ms(2_100), 0);
     let after = admit::select_upstream(&mut board, NOW + ms(2_100), &request(1, 1));
     assert_eq!(after, Err(Rejection::NoUpstream));
 }
--- a/crates/sesamebarrow_routing/tests/decisions/availability.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/availability.rs
@@ -164,7 +164,9 @@
         board.record_notice(START, leaving, LEAVING);
     }
     assert_eq!(board.upstreams.leaving_runs().count(), 16);
-    board.upstreams.remove_due(START + Duration::from_secs(11));
+    board
+        .upstreams
+        .remove_due(START + Duration::from_secs(11), 0);
     assert_eq!(board.upstreams.leaving_runs().count(), 0);
 }
 
--- a/crates/sesamebarrow_routing/tests/decisions/catalogs.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/catalogs.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sesamebarrow_routing::catalog::{Change, Item, Position};
+use sesamebarrow_routing::upstream::Entry;
 use sesamebarrow_routing::{Catalog, admit};
 
 use crate::fleet::{Fleet, config, entry, ms, route};
@@ -222,7 +223,7 @@
     let mut draining = ready.clone();
     draining.ready = false;
     board.put_upstream(ms(15_000), draining);
-    board.upstreams.remove(ms(19_000), "up");
+    board.upstreams.remove(ms(19_000), "up", 0);
     board.put_upstream(NOW, ready);
     let key = board.upstreams.key("up").expect("known");
     assert!(!admit::may_send(&board, NOW, key));
@@ -245,3 +246,108 @@
     board.put_upstream(NOW + ms(9_000), first_run);
     assert_eq!(started_at(&board), Some(1));
 }
+
+/// Returns a board from which the upstream `up` was removed while it was ready, and whose store was then restored
+/// from an older copy.
+fn board_without_a_ready_upstream() -> sesamebarrow_routing::Board {
+    let mut board = board_after_restoration();
+    board.last_store_outage_at = None;
+    board.remove_upstream(ms(15_000), "up");
+    board.last_store_outage_at = Some(NOW);
+    board.store_era = 1;
+    board
+}
+
+fn may_send(board: &sesamebarrow_routing::Board, now: Duration) -> bool {
+    let key = board.upstreams.key("up");
+    key.is_some_and(|key| admit::may_send(board, now, key))
+}
+
+#[test]
+fn removed_upstream_is_not_used_when_a_restored_store_contains_it() {
+    let mut board = board_without_a_ready_upstream();
+    let run = entry("up", "a", Duration::ZERO);
+    board.put_upstream(NOW, run.clone());
+    assert!(!may_send(&board, NOW));
+    // What was written since the copy is written again.
+    board.put_upstream(NOW + ms(1_200), run);
+    assert!(!may_send(&board, NOW + ms(1_200)));
+    board.remove_upstream(NOW + ms(1_300), "up");
+    assert!(board.upstreams.key("up").is_none());
+}
+
+#[test]
+fn removed_upstream_is_used_if_its_entry_does_not_lapse_after_a_restoration() {
+    let mut board = board_without_a_ready_upstream();
+    board.put_upstream(NOW, entry("up", "a", Duration::ZERO));
+    assert!(!may_send(&board, NOW + ms(9_900)));
+    assert!(may_send(&board, NOW + ms(10_100)));
+}
+
+#[test]
+fn new_run_of_a_removed_upstream_is_used_at_once_after_a_restoration() {
+    let mut board = board_without_a_ready_upstream();
+    let run = entry("up", "a", Duration::ZERO);
+    board.put_upstream(NOW, run.clone());
+    let started_at_ms = Some(2);
+    board.put_upstream(
+        NOW + ms(100),
+        Entry {
+            started_at_ms,
+            ..run
+        },
+    );
+    // A restarted upstream may be cold.
+    assert!(may_send(&board, NOW + ms(100)));
+}
+
+#[test]
+fn removed_upstream_that_is_published_again_by_the_same_store_is_used_at_once() {
+    let mut board = board_without_a_ready_upstream();
+    board.store_era = 0;
+    board.put_upstream(NOW, entry("up", "a", Duration::ZERO));
+    assert!(may_send(&board, NOW));
+}
+
+#[test]
+fn ended_run_in_a_restored_store_is_ignored_at_any_time() {
+    let mut board = board_after_restoration();
+    let first_run = entry("up", "a", Duration::ZERO);
+    let second_run = Entry {
+        started_at_ms: Some(2),
+        ..first_run.clone()
+    };
+    board.put_upstream(ms(19_000), second_run);
+    board.store_era = 1;
+    board.put_upstream(NOW + ms(9_000), first_run);
+    let key = board.upstreams.key("up").expect("known");
+    assert_eq!(board.upstreams.all[key].entry.started_at_ms, Some(2));
+}
+
+#[test]
+fn entry_without_a_start_time_tells_no_new_run() {
+    let mut board = board_after_restoration();
+    let draining = Entry {
+        ready: false,
+        ..entry("up", "a", Duration::ZERO)
+    };
+    board.put_upstream(ms(15_000), draining);
+    let forged = Entry {
+        started_at_ms: None,
+        ..entry("up", "a", Duration::ZERO)
+    };
+    board.put_upstream(ms(16_000), forged.clone());
+    assert!(!may_send(&board, ms(16_000)));
+    board.last_store_outage_at = None;
+    board.remove_upstream(ms(17_000), "up");
+    board.put_upstream(ms(18_000), forged);
+    assert!(!may_send(&board, ms(18_000)));
+}
+
+#[test]
+fn late_read_does_not_bring_a_deleted_item_back() {
+    let mut catalog = catalog_of(&[put("a", 5)]);
+    assert!(catalog.apply(&delete("a", 7)));
+    assert!(!catalog.apply(&put("a", 6)));
+    assert!(catalog.apply(&put("a", 8)));
+}
