Take an answer for complete at the end of its connection only if its upstream still runs

Cause: an upstream that leaves, drains or is gone from the store was believed to end with its last answer, without a look.

Change: the end counts if the upstream accepts the next connection, whatever it has announced; a connection that is not accepted within 1.2 s proves nothing (0.2 s was taken for a process that runs). Retries still wait 0.2 s to see a crash.

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -14,13 +14,17 @@
 use crate::dispatch::place::{self, Place};
 use crate::intake::Job;
 use crate::notice;
-use crate::pool::Connection;
+use crate::pool::{Connection, Listening};
 use crate::shared::Shared;
 use crate::telemetry;
 
 /// Maximum number of idle connections to one instance of another region.
 const MAX_IDLE_TO_INSTANCE: usize = 64;
 
+/// Maximum time to see whether an upstream still runs at the end of an answer. The first packet of a connection is
+/// sent again after a second if the upstream's queue was full.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 /// Target of an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Target {
@@ -183,19 +187,25 @@
         }
     }
 
-    /// Returns whether the end of the connection was the end of the answer, which has no other
-    /// framing. It was not if the upstream has crashed: it accepts no connections although it neither
-    /// leaves nor is gone from the store. An upstream that leaves may end with its last answer.
+    /// Returns whether the end of the connection is known to be the end of the answer, which has no other
+    /// framing. It is if the upstream's process still runs: that of one that has crashed, was removed or has
+    /// left closes its connections in order too.
     pub fn confirm_end(&self) -> impl Future<Output = bool> + Send + 'static {
         let shared = self.shared.clone();
-        let endpoint = self.serving_endpoint();
+        let address = match &self.target {
+            Target::Upstream(selected) => Some(selected.address),
+            // The other instance frames what it sends.
+            Target::Instance(_) => None,
+        };
+        // Nothing more is sent to an upstream that leaves or is gone from the store.
+        let max_idle = self.serving_endpoint().map_or(0, |e| e.max_idle);
         async move {
-            match endpoint {
-                Some(endpoint) => {
-                    let Endpoint {
-                        address, max_idle, ..
-                    } = endpoint;
-                    shared.pool.confirm_listening(address, max_idle).await
+            match address {
+                Some(address) => {
+                    let probe = shared
+                        .pool
+                        .probe_listening(address, CONFIRM_TIMEOUT, max_idle);
+                    probe.await == Listening::Yes
                 }
                 None => true,
             }
--- a/crates/sesamebarrow_gateway/src/crash.rs
+++ b/crates/sesamebarrow_gateway/src/crash.rs
@@ -1,15 +1,20 @@
 //! Finds out whether an upstream has crashed under a request whose answer broke off, and records it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use smol_str::SmolStr;
 use tokio::task::JoinHandle;
 
 use crate::attempt::Attempt;
 use crate::intake::Job;
+use crate::pool::Listening;
 use crate::quarantine;
 use crate::shared::Shared;
 
+/// Maximum time to see whether an upstream has crashed, for which a retry waits.
+const EXAMINE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Starts to find out whether the upstream of `attempt`, whose answer to `job` broke off after `events`
 /// events, has crashed. Returns `None` if the target is no upstream, or one whose end was announced.
 pub fn examine(
@@ -25,10 +30,11 @@
     let parts = format_parts(job);
     let suspects = job.suspects.clone();
     Some(tokio::spawn(async move {
-        let crashed = !shared
-            .pool
-            .confirm_listening(endpoint.address, endpoint.max_idle)
-            .await;
+        let listening =
+            shared
+                .pool
+                .probe_listening(endpoint.address, EXAMINE_TIMEOUT, endpoint.max_idle);
+        let crashed = listening.await == Listening::No;
         if shared.log_limiter.allow(true) {
             log::info!(
                 request = request.as_str(), route = route.as_str(), upstream = upstream.as_str(), crashed,
--- a/crates/sesamebarrow_gateway/src/framing.rs
+++ b/crates/sesamebarrow_gateway/src/framing.rs
@@ -4,12 +4,12 @@
 //! |---|---|---|
 //! | event stream, inside an event | broken off | broken off |
 //! | event stream without an event, framed by its connection | broken off | broken off |
-//! | any other, framed by its connection | complete, unless the upstream has crashed | broken off |
+//! | any other, framed by its connection | complete if the upstream's process still runs, else broken off | broken off |
 //! | any other | complete | broken off |
 //!
-//! The connections of a process that has crashed are closed in order too, so such an end proves
-//! nothing where nothing else frames the body. Whether the upstream has crashed is seen by opening
-//! its next connection ([`crate::attempt::Attempt::confirm_end`]).
+//! The connections of a process that has ended are closed in order too, so such an end proves
+//! nothing where nothing else frames the body. Whether the upstream still runs is seen by opening
+//! its next connection ([`crate::attempt::Attempt::confirm_end`]), also if it leaves or is gone from the store.
 
 use hyper::HeaderMap;
 use hyper::body::Body;
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -21,9 +21,6 @@
 /// Time for which a connection may stay idle if the peer does not state one.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(4);
 
-/// Maximum time to see whether a peer still accepts connections.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Time by which an idle connection is given up before the peer would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -38,6 +35,17 @@
     Broken,
 }
 
+/// Whether a process accepts connections at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listening {
+    /// It has accepted one.
+    Yes,
+    /// The connection was refused.
+    No,
+    /// Nothing was answered in time, or the attempt failed here.
+    Unknown,
+}
+
 /// An HTTP/1 connection, which carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
@@ -118,15 +126,21 @@
         })
     }
 
-    /// Returns whether a process accepts connections at `address`, by opening one, which is then kept
-    /// as [`Self::release`] does. Only a refusal proves that none does.
-    pub async fn confirm_listening(&self, address: SocketAddr, max_idle: usize) -> bool {
-        match self.open(address, CONFIRM_TIMEOUT).await {
+    /// Returns whether a process accepts connections at `address`, by opening one within `timeout`, which is
+    /// then kept as [`Self::release`] does.
+    pub async fn probe_listening(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+        max_idle: usize,
+    ) -> Listening {
+        match self.open(address, timeout).await {
             Ok(connection) => {
                 self.release(connection, Some(DEFAULT_IDLE_TIME), max_idle);
-                true
+                Listening::Yes
             }
-            Err(error) => error.kind() != io::ErrorKind::ConnectionRefused,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Listening::No,
+            Err(_) => Listening::Unknown,
         }
     }
 
--- a/crates/sesamebarrow_node/src/exchange.rs
+++ b/crates/sesamebarrow_node/src/exchange.rs
@@ -8,6 +8,7 @@
 
 use bytes::{Bytes, BytesMut};
 use hyper::{HeaderMap, StatusCode};
+use sesamebarrow_gateway::pool::Listening;
 use sesamebarrow_policy::event::Target;
 use sesamebarrow_policy::{self as policy, Action, Event, Head, Outcome, Refusal, RequestId};
 use sesamebarrow_routing::fingerprint::{self, Content};
@@ -22,6 +23,9 @@
 use crate::problem::Problem;
 use crate::relay::{self, Part, ResponseTracker};
 
+/// Maximum time to see whether an upstream has crashed.
+const EXAMINE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Reads the body of a request. It is first polled after the policy has chosen a target.
 pub type OutboundFuture = Pin<Box<dyn Future<Output = Result<OutboundRequest, Problem>> + Send>>;
 
@@ -341,10 +345,10 @@
     async fn finish_interrupted(&self, relayed: bool) {
         let crashed = match self.upstream {
             Some(address) => {
+                let max_idle = attempt::MAX_IDLE_CONNECTIONS;
                 let pool = &self.node.pool;
-                !pool
-                    .confirm_listening(address, attempt::MAX_IDLE_CONNECTIONS)
-                    .await
+                let listening = pool.probe_listening(address, EXAMINE_TIMEOUT, max_idle);
+                listening.await == Listening::No
             }
             None => false,
         };
