Bound the memory that bodies hold in one budget, and refuse what finds no room

Cause: each body was bounded, their sum was not.

A declared body is counted before it is received, others, answers and incomplete events as they grow; at both instances of a hop. Without room: 503, not run, with Retry-After, at once, and the rest of the body is received and dropped so that the client can read it. Read buffers of upstreams are bounded by 64 KiB, the kernel's for answers by 128 KiB.

--- a/crates/sesamebarrow_gateway/src/admin.rs
+++ b/crates/sesamebarrow_gateway/src/admin.rs
@@ -40,6 +40,7 @@
 /// Returns the state dump. It contains no API keys and no data of requests.
 fn state_dump(shared: &Shared) -> serde_json::Value {
     let now = shared.now();
+    let (held, held_limit) = shared.memory.usage();
     let board = shared.board();
     let members: Vec<_> = board
         .members
@@ -147,6 +148,6 @@
         "refuses_streams": shared.refuses_streams.load(Ordering::Relaxed),
         "config": board.config.as_ref().map(|c| c.version),
         "changed": board.revision, "evacuated": board.evacuated.iter().collect::<Vec<_>>(),
-        "members": members, "upstreams": upstreams, "buckets": buckets,
+        "held_bytes": held, "held_bytes_limit": held_limit, "members": members, "upstreams": upstreams, "buckets": buckets,
     })
 }
--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
 use serde::{Deserialize, Serialize};
@@ -20,7 +20,7 @@
 use smol_str::SmolStr;
 
 use crate::exchange;
-use crate::intake::{Job, RequestPolicy, Residency, path_and_query};
+use crate::intake::{self, Job, RequestPolicy, Residency, path_and_query};
 use crate::meter::MeteredBody;
 use crate::relay::Body;
 use crate::reply::Refusal;
@@ -202,7 +202,11 @@
     let Some(envelope) = envelope else {
         return Err(Refusal::NotRun("no-envelope", Duration::ZERO));
     };
-    let body = body.collect().await.map_err(|_| Refusal::BadBody)?;
+    let mut held = shared
+        .memory
+        .hold(envelope.customer.as_deref(), envelope.priority);
+    // The first instance has checked its size.
+    let body = intake::read_body(body, usize::MAX, &mut held).await?;
     let request_head = head::read_request(&parts.headers);
     let (prompt_tokens, output_tokens) = request_head.tokens.unwrap_or((0, 0));
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
@@ -217,7 +221,8 @@
         method: parts.method,
         path_and_query: path_and_query(parts.uri),
         headers: parts.headers,
-        body: body.to_bytes(),
+        body,
+        held,
         policy: RequestPolicy {
             service: envelope.service.clone(),
             route: envelope.route,
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Uri};
@@ -22,6 +22,7 @@
 use sesamebarrow_routing::{Config, RequestKind};
 use smol_str::SmolStr;
 
+use crate::memory::{self, Held};
 use crate::meter::MeteredBody;
 use crate::reply::Refusal;
 use crate::shared::Shared;
@@ -92,6 +93,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// The memory that the body holds.
+    pub held: Held,
     /// Properties that follow from the route and the customer.
     pub policy: RequestPolicy,
     /// Regions that the request's data may enter.
@@ -149,7 +152,11 @@
     if route.kind == RequestKind::Streaming && shared.refuses_streams.load(Ordering::Relaxed) {
         return Err(Refusal::NotRun("stopping", DRAINING_RETRY_AFTER));
     }
-    let body = read_body(body, config.limits.max_body_bytes).await?;
+    let mut held = shared.memory.hold(
+        customer.as_ref().map(|c| c.name.as_str()),
+        priority(&route, customer.as_deref()),
+    );
+    let body = read_body(body, config.limits.max_body_bytes, &mut held).await?;
     // The configuration may have changed while the body was received.
     let config = shared.board().config.clone().unwrap_or(config);
     let (route, customer) = if config.route(&route.host, parts.uri.path()) == Some(&route) {
@@ -195,6 +202,7 @@
         path_and_query: path_and_query(parts.uri),
         headers,
         body,
+        held,
         policy: RequestPolicy {
             service: service.clone(),
             route: route.name.clone(),
@@ -273,22 +281,39 @@
     Ok(customer)
 }
 
-async fn read_body(body: MeteredBody, max_bytes: usize) -> Result<Bytes, Refusal> {
+/// Receives a body of at most `max_bytes`, for which `held` must have room: before it is received if its length is
+/// declared, and otherwise as it grows.
+pub async fn read_body(
+    mut body: MeteredBody,
+    max_bytes: usize,
+    held: &mut Held,
+) -> Result<Bytes, Refusal> {
     use hyper::body::Body as _;
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let mut limited = Limited::new(body, max_bytes);
-    let mut buf = BytesMut::new();
-    while let Some(frame) = limited.frame().await {
-        match frame {
-            Ok(frame) => {
-                if let Ok(data) = frame.into_data() {
-                    buf.extend_from_slice(&data);
-                }
-            }
-            Err(error) if error.is::<LengthLimitError>() => return Err(Refusal::BodyTooLarge),
-            Err(_) => return Err(Refusal::BadBody),
+    let declared = body.size_hint().exact().unwrap_or_default();
+    let declared = usize::try_from(declared).unwrap_or(usize::MAX);
+    if declared > max_bytes {
+        return Err(Refusal::BodyTooLarge);
+    }
+    if let Err(full) = held.grow_to(declared) {
+        memory::discard(body);
+        return Err(memory::refusal(full));
+    }
+    let mut buf = BytesMut::with_capacity(declared);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Refusal::BadBody)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if buf.len().saturating_add(data.len()) > max_bytes {
+            return Err(Refusal::BodyTooLarge);
+        }
+        buf.extend_from_slice(&data);
+        if let Err(full) = held.grow_to(buf.capacity()) {
+            memory::discard(body);
+            return Err(memory::refusal(full));
         }
     }
     Ok(buf.freeze())
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -7,7 +7,7 @@
 //! that has ended is complete. [`hop`] forwards requests to an instance of another region.
 //!
 //! [`crash`] finds out which upstreams have crashed under a request, and [`quarantine`] refuses requests
-//! that would crash more.
+//! that would crash more. [`memory`] bounds what bodies hold.
 //!
 //! [`token`] takes the tokens of requests from the buckets that instances keep.
 //! [`store`], [`sync`] and [`gossip`], which reads its socket by [`inbox`], keep the board up to date, the tables of
@@ -29,6 +29,7 @@
 pub mod intake;
 pub mod limit;
 pub mod log_limit;
+pub mod memory;
 pub mod meter;
 pub mod notice;
 pub mod pool;
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -21,6 +21,9 @@
 /// Time for which a connection may stay idle if the peer does not state one.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(4);
 
+/// Maximum size of the buffer into which a connection's responses are read; larger than the largest head.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Time by which an idle connection is given up before the peer would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -107,9 +110,11 @@
     /// Opens a new connection to `address` within `timeout`. The peer cannot be closing it already,
     /// as it might an idle one.
     pub async fn open(&self, address: SocketAddr, timeout: Duration) -> io::Result<Connection> {
-        let stream = socket::connect(address, timeout).await?;
+        let stream = socket::connect_for_responses(address, timeout).await?;
         let (stream, meter) = Metered::new(stream);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         tokio::spawn(async move {
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::framing::Framing;
 use crate::hop;
 use crate::intake::Job;
+use crate::memory::Held;
 use crate::quarantine;
 use crate::reply::Refusal;
 use crate::selection::AttemptHistory;
@@ -42,6 +43,17 @@
         .boxed_unsync()
 }
 
+/// Returns a body that consists of `bytes`, which `held` holds until they are sent.
+fn held_body(bytes: Bytes, held: Held) -> Body {
+    let keep = move |frame| {
+        let _ = &held;
+        frame
+    };
+    let body = Full::new(bytes).map_frame(keep);
+    body.map_err(|never: Infallible| match never {})
+        .boxed_unsync()
+}
+
 /// Receives the whole body of `response`. A client that reads no chunks could not tell a stream that
 /// breaks off from a complete one.
 pub async fn buffer_response(response: Response<Body>) -> Result<Response<Body>, Refusal> {
@@ -65,9 +77,11 @@
     }
     let mut response = response;
     loop {
-        let body = tokio::time::timeout(job.time_left(), read_body(&mut response)).await;
+        let mut held = job.held.another();
+        let body = read_body(&mut response, &mut held);
+        let body = tokio::time::timeout(job.time_left(), body).await;
         let (refusal, outcome) = match body {
-            Ok(Ok(body)) => return Ok(finish_response(shared, &job, response, body)),
+            Ok(Ok(body)) => return Ok(finish_response(shared, &job, response, (body, held))),
             Ok(Err(BodyError)) => (Refusal::Unknown("answer-broken"), AttemptOutcome::Broken),
             Err(_) => (Refusal::TimedOut, AttemptOutcome::Silent),
         };
@@ -86,14 +100,14 @@
     }
 }
 
-async fn read_body(response: &mut UpstreamResponse) -> Result<Bytes, BodyError> {
+async fn read_body(response: &mut UpstreamResponse, held: &mut Held) -> Result<Bytes, BodyError> {
     let mut buf = BytesMut::new();
     while let Some(frame) = response.body.frame().await {
         let frame = frame.map_err(|_| BodyError)?;
         if let Ok(data) = frame.into_data() {
             buf.extend_from_slice(&data);
         }
-        if buf.len() > MAX_BUFFERED_BYTES {
+        if buf.len() > MAX_BUFFERED_BYTES || held.follow(buf.capacity()).is_err() {
             return Err(BodyError);
         }
     }
@@ -107,7 +121,7 @@
     shared: &Shared,
     job: &Job,
     response: UpstreamResponse,
-    body: Bytes,
+    (body, held): (Bytes, Held),
 ) -> Response<Body> {
     let status = response.head.status();
     let outcome = if exchange::is_failure(status) {
@@ -132,7 +146,7 @@
     let (mut parts, ()) = response.head.into_parts();
     replace_internal_headers(&mut parts.headers, job, &target);
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
-    Response::from_parts(parts, full_body(body))
+    Response::from_parts(parts, held_body(body, held))
 }
 
 /// Replaces the headers of a target's response that are not meant for whoever sent the request.
--- a/crates/sesamebarrow_gateway/src/settings.rs
+++ b/crates/sesamebarrow_gateway/src/settings.rs
@@ -68,6 +68,9 @@
     /// Services whose requests one instance of each region dispatches.
     #[serde(default)]
     pub dispatch: Dispatch,
+    /// Memory of the process.
+    #[serde(default)]
+    pub memory: Memory,
     /// Logging.
     #[serde(default)]
     pub log: Log,
@@ -198,6 +201,44 @@
     }
 }
 
+/// Memory of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Memory {
+    /// Memory that the process may use, in MiB, above which the platform ends it.
+    pub process_mib: usize,
+    /// Memory that bodies of requests and answers may hold, in MiB; a part of `process_mib` if not set.
+    pub bodies_mib: Option<usize>,
+}
+
+/// Percentage of a process's memory that bodies may hold. The rest is for the process itself, its connections and
+/// their buffers.
+const BODIES_PERCENT: usize = 35;
+
+const BYTES_PER_MIB: usize = 1024 * 1024;
+
+/// Range of the memory of a process, in MiB.
+const PROCESS_MIB_RANGE: std::ops::RangeInclusive<usize> = 32..=1024 * 1024;
+
+impl Default for Memory {
+    fn default() -> Self {
+        Self {
+            process_mib: 256,
+            bodies_mib: None,
+        }
+    }
+}
+
+impl Memory {
+    /// Returns the number of bytes that bodies may hold.
+    pub fn budget_bytes(self) -> usize {
+        match self.bodies_mib {
+            Some(mib) => mib * BYTES_PER_MIB,
+            None => self.process_mib * BYTES_PER_MIB / 100 * BODIES_PERCENT,
+        }
+    }
+}
+
 /// Logging.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -259,6 +300,7 @@
             ("listen", self.listen != new.listen),
             ("store", self.store != new.store),
             ("shutdown", self.shutdown != new.shutdown),
+            ("memory", self.memory != new.memory),
             ("log", self.log != new.log),
         ];
         let changed = changes.into_iter().filter(|(_, changed)| *changed);
@@ -315,6 +357,18 @@
                 .all(|n| n.is_finite() && *n >= 0.0),
                 "expected ratios and slacks to be finite and not below zero",
             ),
+            (
+                "memory.process_mib",
+                PROCESS_MIB_RANGE.contains(&self.memory.process_mib),
+                "expected a number of MiB from 32 to 1048576",
+            ),
+            (
+                "memory.bodies_mib",
+                self.memory
+                    .bodies_mib
+                    .is_none_or(|b| b >= 1 && b < self.memory.process_mib),
+                "expected a number of MiB of at least 1 and below memory.process_mib",
+            ),
             (
                 "shutdown",
                 self.shutdown.notice <= self.shutdown.limit,
--- a/crates/sesamebarrow_gateway/src/shared.rs
+++ b/crates/sesamebarrow_gateway/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use sesamebarrow_routing::{Board, Catalog, Identity};
@@ -15,6 +15,7 @@
 use crate::dispatch::Dispatches;
 use crate::limit::Permits;
 use crate::log_limit::Limiter;
+use crate::memory::Budget;
 use crate::pool::Pool;
 use crate::quarantine::Trials;
 use crate::settings::Settings;
@@ -30,6 +31,8 @@
     board: Mutex<Board>,
     /// The items that the store has published.
     catalog: Mutex<Catalog>,
+    /// The memory that bodies may hold.
+    pub memory: Arc<Budget>,
     /// Connections to upstreams and other instances.
     pub pool: Pool,
     /// The exchange of tokens with other instances.
@@ -71,7 +74,9 @@
             regions,
             rand::random(),
         );
+        let memory = Budget::new(settings.memory.budget_bytes());
         Self {
+            memory,
             settings,
             identity,
             board: Mutex::new(board),
--- a/crates/sesamebarrow_gateway/src/socket.rs
+++ b/crates/sesamebarrow_gateway/src/socket.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Idle time after which keepalive probes are sent.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
@@ -32,6 +32,27 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
+/// Size of the receive buffer of connections that carry responses. What an upstream sends faster than its client reads
+/// waits there and counts as memory of the process.
+const RESPONSE_BUFFER_BYTES: u32 = 128 * 1024;
+
+/// Opens a connection to `address` within `timeout` that carries responses.
+pub async fn connect_for_responses(
+    address: SocketAddr,
+    timeout: Duration,
+) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_recv_buffer_size(RESPONSE_BUFFER_BYTES)?;
+    let stream = tokio::time::timeout(timeout, socket.connect(address))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    set_options(&stream)?;
+    Ok(stream)
+}
+
 /// Opens a connection to `address` within `timeout`.
 pub async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
     let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -24,6 +24,7 @@
 use crate::hop;
 use crate::hop::numbering::{Decoder, Encoder};
 use crate::intake::Job;
+use crate::memory::Held;
 use crate::meter::MeteredBody;
 use crate::quarantine;
 use crate::relay::{self, Body, BodyError, End, StreamEnd};
@@ -54,7 +55,11 @@
     let body = StreamBody {
         shared: shared.clone(),
         deadline: Box::pin(tokio::time::sleep_until(job.deadline.into())),
-        events: EventBuffer::new(job.policy.resumable, job.last_event.clone()),
+        events: EventBuffer::new(
+            job.policy.resumable,
+            job.last_event.clone(),
+            job.held.another(),
+        ),
         job: Arc::new(job),
         target,
         state: StreamState::Receiving(response.body, Some(Box::new(response.attempt))),
@@ -71,7 +76,7 @@
 /// Maximum size of an event of a resumable stream, which is held back until it is complete.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
-/// An event is larger than [`MAX_EVENT_BYTES`].
+/// An event is larger than [`MAX_EVENT_BYTES`], or there is no memory for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("event is too large")]
 struct EventTooLarge;
@@ -84,18 +89,21 @@
     parser: Parser,
     /// Bytes of an incomplete event.
     partial: BytesMut,
+    /// The memory that `partial` holds.
+    held: Held,
     /// Whether nothing of a part that another target continues has been relayed. Inside the joined
     /// stream its byte order mark would belong to the name of its first field.
     is_start_of_part: bool,
 }
 
 impl EventBuffer {
-    fn new(complete_events_only: bool, last_id: Option<SmolStr>) -> Self {
+    fn new(complete_events_only: bool, last_id: Option<SmolStr>, held: Held) -> Self {
         let resume_point = last_id.map_or(ResumePoint::Start, ResumePoint::After);
         Self {
             complete_events_only,
             parser: Parser::new(resume_point),
             partial: BytesMut::new(),
+            held,
             is_start_of_part: false,
         }
     }
@@ -109,13 +117,21 @@
         let held = self.partial.len();
         self.partial.extend_from_slice(&chunk);
         let Some(offset) = boundary else {
-            return if self.partial.len() > MAX_EVENT_BYTES {
-                Err(EventTooLarge)
-            } else {
+            let fits = self.partial.len() <= MAX_EVENT_BYTES;
+            let fits = fits && self.held.follow(self.partial.capacity()).is_ok();
+            return if fits {
                 Ok(Bytes::new())
+            } else {
+                Err(EventTooLarge)
             };
         };
         let mut complete = self.partial.split_to(held + offset).freeze();
+        if self.partial.is_empty() {
+            // `split_to` leaves the rest of the buffer's memory in it.
+            self.partial = BytesMut::new();
+        }
+        // Never fails: the buffer has shrunk.
+        let _ = self.held.follow(self.partial.len());
         if std::mem::take(&mut self.is_start_of_part) && complete.starts_with(BYTE_ORDER_MARK) {
             complete.advance(BYTE_ORDER_MARK.len());
         }
@@ -137,7 +153,9 @@
 
     /// Drops the incomplete event, which another target sends again.
     fn restart(&mut self) {
-        self.partial.clear();
+        self.partial = BytesMut::new();
+        // Never fails: nothing is held.
+        let _ = self.held.follow(0);
         self.parser.restart();
         self.is_start_of_part = true;
     }
--- a/crates/sesamebarrow_gateway/src/telemetry.rs
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -123,7 +123,15 @@
 ];
 
 /// Names and descriptions of the gauges.
-const GAUGES: [(&str, &str); 5] = [
+const GAUGES: [(&str, &str); 7] = [
+    (
+        "sesamebarrow_held_bytes",
+        "Bytes that bodies of requests and answers hold.",
+    ),
+    (
+        "sesamebarrow_held_bytes_limit",
+        "Bytes that bodies of requests and answers may hold.",
+    ),
     (
         "sesamebarrow_members_heard",
         "Other instances that are heard from.",
@@ -208,6 +216,9 @@
     let board = shared.board();
     let alive = board.members.alive(now).count();
     let version = board.config.as_ref().map_or(0, |c| c.version);
+    let (held, limit) = shared.memory.usage();
+    metrics::gauge!("sesamebarrow_held_bytes").set(held as f64);
+    metrics::gauge!("sesamebarrow_held_bytes_limit").set(limit as f64);
     let prefill_tokens: u64 = board.upstreams.all.values().map(|u| u.prefill_tokens).sum();
     // CAST: floats represent counts of this size exactly.
     metrics::gauge!("sesamebarrow_members_heard").set(alive as f64);
--- a/crates/sesamebarrow_gateway/tests/settings.rs
+++ b/crates/sesamebarrow_gateway/tests/settings.rs
@@ -43,6 +43,16 @@
     "dispatch.first_guess_per_ms"
 )]
 #[case::min_pause("min_pause = \"500ms\"", "min_pause = \"500\"", "min_pause")]
+#[case::no_memory(
+    "[limits]",
+    "[memory]\nprocess_mib = 0\n[limits]",
+    "memory.process_mib"
+)]
+#[case::memory_of_bodies(
+    "[limits]",
+    "[memory]\nprocess_mib = 64\nbodies_mib = 64\n[limits]",
+    "memory.bodies_mib"
+)]
 fn error_names_the_limit_that_is_invalid(
     #[case] old: &str,
     #[case] new: &str,
@@ -60,6 +70,7 @@
 #[case::seeds("seeds = []", "seeds = [\"127.0.0.2:4\"]", &["seeds"])]
 #[case::ip("ip = \"127.0.0.1\"", "ip = \"127.0.0.9\"", &["ip"])]
 #[case::log("[limits]", "[log]\nlevel = \"debug\"\n[limits]", &["log"])]
+#[case::memory("[limits]", "[memory]\nprocess_mib = 64\n[limits]", &["memory"])]
 #[case::shutdown("[limits]", "[shutdown]\nlimit = \"5s\"\n[limits]", &["shutdown"])]
 fn changed_fields_that_need_a_restart_are_named(
     #[case] old: &str,
--- a/crates/sesamebarrow_routing/src/lib.rs
+++ b/crates/sesamebarrow_routing/src/lib.rs
@@ -4,7 +4,8 @@
 //! instances ([`member`]), the token buckets of customers ([`quota`], [`holder`]) and the
 //! upstreams with their load ([`upstream`]), what their answers say about them
 //! ([`availability`]), the limits that they name ([`limit`]) and the requests that crash them
-//! ([`quarantine`]). [`admit`], [`spill`] and [`place`] decide where requests and clients go;
+//! ([`quarantine`]). [`memory`] bounds what requests hold.
+//! [`admit`], [`spill`] and [`place`] decide where requests and clients go;
 //! most other modules own one part of the board. `Board` follows the blackboard pattern: all
 //! modules read and write its tables.
 //!
@@ -31,6 +32,7 @@
 pub mod holder;
 pub mod limit;
 pub mod member;
+pub mod memory;
 pub mod place;
 pub mod quarantine;
 pub mod quota;
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -32,6 +32,8 @@
 mod loads;
 #[path = "decisions/members.rs"]
 mod members;
+#[path = "decisions/memory.rs"]
+mod memory;
 #[path = "decisions/placement.rs"]
 mod placement;
 #[path = "decisions/quarantine.rs"]
