--- a/crates/sesamebarrow_routing/src/memory.rs
+++ b/crates/sesamebarrow_routing/src/memory.rs
@@ -19,8 +19,8 @@
 /// Fraction of the budget that other large bodies may use.
 const LARGE_PATIENT_FRACTION: f64 = 0.6;
 
-/// Largest priority that counts as urgent.
-const MAX_URGENT_PRIORITY: u8 = 0;
+/// Priority that counts as urgent; it is the most urgent one.
+const URGENT_PRIORITY: u8 = 0;
 
 /// Fraction of what a body may use that its customer may use in all.
 const CUSTOMER_FRACTION: f64 = 0.5;
@@ -111,7 +111,7 @@
     fn limit(&self, priority: u8, total: usize) -> usize {
         let fraction = if total <= MAX_SMALL_BYTES {
             1.0
-        } else if priority <= MAX_URGENT_PRIORITY {
+        } else if priority == URGENT_PRIORITY {
             LARGE_FRACTION
         } else {
             LARGE_PATIENT_FRACTION
