Write log lines on a thread of their own, and keep files and metrics off the request's thread

Cause: each event was written to standard output on the thread that serves requests; a full pipe blocks it, and the report of a failed write panics.

Kin: the settings file is read on a blocking thread with a time-out; the runtime ends without waiting for it; histograms are summed up every 5 s, not only when somebody reads them. By reading: addresses are numbers, so no name is resolved; answers of the admin port are built at once and sent by tasks.

--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -57,6 +57,10 @@
     supervise(&shared, "dispatch-queue", dispatch::client::serve_queue);
     supervise(&shared, "dispatch-notices", dispatch::place::send_notices);
     supervise(&shared, "log-limit", reset_log_limiter);
+    let upkept = metrics.clone();
+    supervise(&shared, "metrics", move |_| {
+        telemetry::keep_up(upkept.clone())
+    });
     let gossip_socket = Arc::new(gossip_socket);
     supervise(&shared, "gossip", move |shared| {
         gossip::run(shared, gossip_socket.clone())
@@ -136,17 +140,17 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let mut settings_check = tokio::time::interval(SETTINGS_CHECK_INTERVAL);
-    let mut last_modified = modification_time(path);
+    let mut last_modified = modification_time(path).await;
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => reload(shared, path),
+            _ = hangup.recv() => reload(shared, path).await,
             _ = settings_check.tick() => {
-                let now = modification_time(path);
+                let now = modification_time(path).await;
                 if now != last_modified {
                     last_modified = now;
-                    reload(shared, path);
+                    reload(shared, path).await;
                 }
             }
         }
@@ -156,15 +160,33 @@
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
-fn modification_time(path: &Path) -> Option<SystemTime> {
-    // `None` if the file's metadata cannot be read.
-    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+/// Does `work` on a file on a thread on which it may block, within [`FILE_TIMEOUT`].
+async fn on_file<T: Send + 'static>(
+    path: &Path,
+    work: impl FnOnce(&Path) -> T + Send + 'static,
+) -> Option<T> {
+    let path = path.to_owned();
+    let done = tokio::task::spawn_blocking(move || work(&path));
+    tokio::time::timeout(FILE_TIMEOUT, done).await.ok()?.ok()
+}
+
+/// Maximum time for reading the settings file, after which a signal to stop is not held up any longer.
+const FILE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Returns when the file was modified; `None` if that cannot be read.
+async fn modification_time(path: &Path) -> Option<SystemTime> {
+    let modified = |path: &Path| std::fs::metadata(path).and_then(|m| m.modified()).ok();
+    on_file(path, modified).await.flatten()
 }
 
 /// Reloads the settings file and applies its limits. All other changes require a restart; the log line names
 /// their fields.
-fn reload(shared: &Shared, path: &Path) {
-    match Settings::load(path) {
+async fn reload(shared: &Shared, path: &Path) {
+    let Some(loaded) = on_file(path, Settings::load).await else {
+        log::error!("cannot read settings in time, keeping the old ones");
+        return;
+    };
+    match loaded {
         Ok(settings) => {
             shared.board().set_parameters(settings.parameters());
             let fields = shared.settings.restart_fields(&settings);
--- a/crates/sesamebarrow_gateway/src/telemetry.rs
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -14,7 +14,11 @@
 ];
 
 /// Names and descriptions of the counters.
-const COUNTERS: [(&str, &str); 22] = [
+const COUNTERS: [(&str, &str); 23] = [
+    (
+        "sesamebarrow_log_lines_not_written_total",
+        "Log lines that were not written, by reason.",
+    ),
     (
         "sesamebarrow_answers_total",
         "Answers that came from an upstream, by how they ended.",
@@ -171,6 +175,18 @@
     Ok(handle)
 }
 
+/// Interval at which samples of histograms are summed up. They are kept one by one until then, or until somebody reads
+/// the metrics.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Keeps the memory of the metrics small, until the process ends.
+pub async fn keep_up(metrics: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(UPKEEP_INTERVAL).await;
+        metrics.run_upkeep();
+    }
+}
+
 /// Records the time to the first event of a stream and its longest pause.
 pub fn record_stream(route: &str, first_event: Duration, longest_pause: Duration) {
     let route = route.to_owned();
--- a/crates/sesamebarrow_node/src/main.rs
+++ b/crates/sesamebarrow_node/src/main.rs
@@ -7,7 +7,9 @@
 
 fn main() -> ExitCode {
     let matches = cli::command().get_matches();
-    match start(&matches) {
+    let result = start(&matches);
+    logs::finish();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("sesamebarrow: {error:#}");
@@ -31,7 +33,10 @@
         .worker_threads(settings.threads)
         .enable_all()
         .build()?;
-    runtime.block_on(run(settings))
+    let result = runtime.block_on(run(settings));
+    // What still blocks must not hold up the end of the process.
+    runtime.shutdown_background();
+    result
 }
 
 /// Serves traffic that is routed by host and path.
@@ -48,5 +53,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(sesamebarrow_gateway::run(settings, &path))
+    let result = runtime.block_on(sesamebarrow_gateway::run(settings, &path));
+    runtime.shutdown_background();
+    result
 }
--- a/crates/sesamebarrow_node/src/node.rs
+++ b/crates/sesamebarrow_node/src/node.rs
@@ -7,6 +7,7 @@
 
 use anyhow::Context;
 use sesamebarrow_gateway::pool::Pool;
+use sesamebarrow_gateway::telemetry::keep_up;
 use sesamebarrow_policy::{self as policy, Board, Event, Identity};
 use sesamebarrow_wire::auth::FleetKeys;
 use smol_str::{SmolStr, format_smolstr};
@@ -62,6 +63,7 @@
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
     let keys = FleetKeys::new(&settings.secret()?);
     let metrics = telemetry::install()?;
+    tokio::spawn(keep_up(metrics.clone()));
     let listen = settings.listen;
     let http_listener = bind("listen.http", listen.http).await?;
     let peer_listener = bind("listen.peer", listen.peer).await?;
--- a/crates/sesamebarrow_standin/src/process.rs
+++ b/crates/sesamebarrow_standin/src/process.rs
@@ -17,6 +17,15 @@
 /// Time between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// What becomes of the output of a process that is not written to a file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// It goes to pipes that nobody reads.
+    Unread,
+    /// It goes to pipes whose readers have ended.
+    Closed,
+}
+
 /// A child process.
 pub struct Process {
     name: String,
@@ -51,6 +60,30 @@
         })
     }
 
+    /// Starts `program` with `args`. Its output goes to pipes.
+    pub fn start_with_pipes(
+        name: &str,
+        program: &Path,
+        args: &[&str],
+        output: Output,
+    ) -> anyhow::Result<Self> {
+        let mut child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .with_context(|| format!("cannot start {}", program.display()))?;
+        if output == Output::Closed {
+            child.stdout = None;
+            child.stderr = None;
+        }
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+        })
+    }
+
     /// Returns the id of the process.
     pub fn id(&self) -> u32 {
         self.child.id()
