Count the memory of a shared part that a prompt names twice once

A prompt that names a shared part twice took its tokens twice at an engine and gave them back once, so that the engine seemed fuller with each such prompt, for good.

--- a/crates/sesamebarrow_routing/src/dispatch/engine.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/engine.rs
@@ -207,11 +207,14 @@
         while self.readings.front().is_some_and(is_old) {
             self.readings.pop_front();
         }
-        let kv_tokens = self.additional_kv_tokens(work);
-        self.kv_tokens += kv_tokens;
+        self.kv_tokens += work.own_kv_tokens;
         for part in &work.shared {
-            let held = self.parts.entry(part.id).or_insert((part.tokens, 0));
-            held.1 += 1;
+            let (tokens, count) = self.parts.entry(part.id).or_insert((part.tokens, 0));
+            // A prompt may name a part twice.
+            if *count == 0 {
+                self.kv_tokens += u64::from(*tokens);
+            }
+            *count += 1;
         }
         self.places.insert(
             id,
--- a/crates/sesamebarrow_routing/tests/decisions/dispatch.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/dispatch.rs
@@ -6,6 +6,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
+use sesamebarrow_routing::cache::PromptPart;
 use sesamebarrow_routing::dispatch::capacity::{self, Capacity, Need, Remote};
 use sesamebarrow_routing::dispatch::comeback::{Caller, Comebacks};
 use sesamebarrow_routing::dispatch::engine::{Engine, Limits, Work};
@@ -504,3 +505,25 @@
     service.forget(ms(8_000), |_| false, |_| true);
     assert_eq!(service.engine(1).map(Engine::held), Some(0));
 }
+
+#[test]
+fn prompt_that_names_a_shared_part_twice_releases_what_it_took() {
+    let mut engine = Engine::default();
+    let part = PromptPart {
+        id: 1,
+        tokens: 6_000,
+    };
+    let twice = Work {
+        shared: vec![part, part],
+        ..work(4_000.0)
+    };
+    let speed = Speed::assumed(PER_MS);
+    for number in 0..3 {
+        let id = (1, number);
+        let plan = engine.plan(ms(0), &twice, &speed, &LIMITS);
+        engine.hold(ms(0), id, &twice, &plan, LIMITS.max_pause);
+        assert_eq!(engine.kv_tokens(), 6_000 + twice.own_kv_tokens);
+        assert!(engine.release(id));
+        assert_eq!(engine.kv_tokens(), 0);
+    }
+}
