--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -12,6 +12,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
 use serde::{Deserialize, Serialize};
+use sesamebarrow_platform::bound::MAX_TIME;
 use sesamebarrow_platform::head;
 use sesamebarrow_routing::admit::RequestSpec;
 use sesamebarrow_routing::limit;
@@ -93,6 +94,10 @@
     duration.as_millis() as u64
 }
 
+fn from_millis(millis: u64) -> Duration {
+    Duration::from_millis(millis).min(MAX_TIME)
+}
+
 /// Builds the request to the second instance.
 pub fn build_request(
     job: &Job,
@@ -243,7 +248,7 @@
             output_tokens: request_head
                 .output_tokens_hint
                 .map_or(output_tokens, |h| h.min(output_tokens)),
-            target_wait: Duration::from_millis(envelope.target),
+            target_wait: from_millis(envelope.target),
             tried_upstreams,
             rank: envelope.rank,
             urgency: limit::urgency(envelope.priority, envelope.may_repeat),
@@ -253,8 +258,8 @@
         suspects: Suspects::default(),
         last_event: envelope.last_event,
         started_at,
-        response_due_at: started_at + Duration::from_millis(envelope.target),
-        deadline: started_at + Duration::from_millis(envelope.left),
+        response_due_at: started_at + from_millis(envelope.target),
+        deadline: started_at + from_millis(envelope.left),
         reservation: Reservation::none(shared),
     }
     .with_suspects())
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -24,6 +24,9 @@
 /// Maximum size of the buffer into which a connection's responses are read; larger than the largest head.
 const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Maximum time for which a connection stays idle, whatever the peer states.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(600);
+
 /// Time by which an idle connection is given up before the peer would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -216,7 +219,10 @@
         parameter?.trim().parse().ok()
     });
     match seconds {
-        Some(seconds) => Duration::from_secs(seconds).checked_sub(IDLE_MARGIN),
+        Some(seconds) => {
+            let stated = Duration::from_secs(seconds).min(MAX_IDLE_TIME);
+            stated.checked_sub(IDLE_MARGIN)
+        }
         None => Some(DEFAULT_IDLE_TIME),
     }
 }
--- a/crates/sesamebarrow_routing/src/cache.rs
+++ b/crates/sesamebarrow_routing/src/cache.rs
@@ -20,6 +20,7 @@
 pub struct PrefixCache {
     /// Tokens and time of last use, by part id.
     parts: HashMap<u64, (u32, Duration)>,
+    /// Sum of the tokens of `parts`.
     tokens: u64,
 }
 
@@ -36,9 +37,9 @@
     pub fn insert(&mut self, now: Duration, prompt: &[PromptPart], kv_capacity_tokens: u64) {
         for part in prompt {
             let old = self.parts.insert(part.id, (part.tokens, now));
-            if old.is_none() {
-                self.tokens += u64::from(part.tokens);
-            }
+            // A part may be stated with another size than before.
+            self.tokens -= old.map_or(0, |(tokens, _)| u64::from(tokens));
+            self.tokens += u64::from(part.tokens);
         }
         // CAST: token counts are far below 2^53.
         let max_tokens = (kv_capacity_tokens as f64 * CACHE_FRACTION) as u64;
