Refuse what may outlast a planned stop before the last requests of the notice arrive

What callers saw: orders sent 3.02 to 3.18 s after SIGTERM that need 4.75 s were run, and their connections closed at the end of the shutdown (LOST; `stop`).

Cause: until the end of the notice, 3.2 s, requests of any duration were accepted, though the shutdown ends 4.5 s later.

Change: all requests that the limit could cut off are refused in the last tenth of the notice: 503, not run, come back in 20 ms. Their clients could have learned of the shutdown by then, and another instance takes them.

--- a/crates/sesamebarrow_routing/src/drain.rs
+++ b/crates/sesamebarrow_routing/src/drain.rs
@@ -11,9 +11,14 @@
     pub limit: Duration,
 }
 
+/// Fraction of the notice in which an instance accepts requests of any duration. Those that are received later were
+/// sent by clients that could have learned of the shutdown.
+const ACCEPT_FRACTION: f64 = 0.9;
+
 /// Returns whether an instance that has been draining for `draining_for` accepts a request
-/// that may run for `max_duration`. After the notice, it refuses those that the limit could
-/// cut off.
+/// that may run for `max_duration`. Shortly before the end of the notice and after it, it refuses those that
+/// the limit could cut off.
 pub fn accepts(schedule: Schedule, draining_for: Duration, max_duration: Duration) -> bool {
-    draining_for < schedule.notice || draining_for + max_duration <= schedule.limit
+    let ends_in_time = draining_for.saturating_add(max_duration) <= schedule.limit;
+    ends_in_time || draining_for < schedule.notice.mul_f64(ACCEPT_FRACTION)
 }
