Try a request that comes again and crashes upstreams later than a shared part

Cause: nothing lasts on the instances, so that a fleet which restarts as a whole needs three crashes to learn the request again. The trials 4 s after each order, before and after the restart, come on top.

Change: the first trial of a suspect that is one request alone is due after 48 s. It costs an upstream if the request is harmful, and only its own caller waits for it if it is sound; shared parts, which sound requests have too, are tried after 4 s as before. So a restart costs the three crashes of learning.

A trial only after other evidence: of one request there is none. Sharing before the first send: nobody knows anything.

--- a/crates/sesamebarrow_routing/src/quarantine/order.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/order.rs
@@ -5,8 +5,12 @@
 use crate::quarantine::Suspect;
 use crate::rendezvous;
 
-/// Time after an order until a request may be a trial.
-const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(4);
+/// Time after an order until a request may be a trial, if the suspect is shared: sound requests have it too.
+const SHARED_TRIAL_DELAY: Duration = Duration::from_secs(4);
+
+/// The same for a suspect of one request alone, of which each trial costs an upstream if it is harmful and none but
+/// its own caller waits for if it is sound.
+const SINGLE_TRIAL_DELAY: Duration = Duration::from_secs(48);
 
 /// Factor by which the delay grows after each trial.
 const TRIAL_DELAY_FACTOR: u32 = 16;
@@ -51,7 +55,11 @@
     /// Returns when the next trial may be granted.
     pub fn trial_due_at(&self) -> Duration {
         let factor = TRIAL_DELAY_FACTOR.pow(self.trials.min(MAX_DELAY_STEPS));
-        self.since + FIRST_TRIAL_DELAY * factor
+        let delay = match self.suspect.kind.is_shared() {
+            true => SHARED_TRIAL_DELAY,
+            false => SINGLE_TRIAL_DELAY,
+        };
+        self.since + delay * factor
     }
 
     /// Extends the order to all customers if it does not bind `customer`. Returns whether it did so.
--- a/crates/sesamebarrow_routing/tests/decisions/repeated_requests.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/repeated_requests.rs
@@ -191,3 +191,16 @@
     assert_eq!(first_sent.len(), 1_000);
     assert!(sent < 512 + 60 * 13, "{sent} reports in a minute");
 }
+
+// After the restart of all instances the crashes of this and of the next order count together.
+#[test]
+fn trial_of_a_request_that_comes_again_is_not_due_soon() {
+    let mut q = Quarantine::default();
+    let harmful = repeated(7, &[SHARED, 2, OWN]);
+    for run in 0..QUARANTINE_CRASHES as u64 {
+        q.record_crash(START, run, &harmful);
+    }
+    let admission = |seconds| q.admission(START + Duration::from_secs(seconds), &harmful);
+    assert_eq!(admission(45), Admission::Quarantined(request(7)));
+    assert_eq!(admission(50), Admission::TrialDue(request(7)));
+}
