--- a/crates/sesamebarrow_node/tests/log_queue.rs
+++ b/crates/sesamebarrow_node/tests/log_queue.rs
@@ -6,9 +6,12 @@
 
 use sesamebarrow_node::logs::queue::Queue;
 
-/// Number of lines that is more than the queue holds.
+/// Number of lines that is more than the queue and a batch hold.
 const LINES: usize = 10_000;
 
+/// Length of a line in bytes.
+const LINE_BYTES: usize = 100;
+
 /// An output that writes only while it may.
 struct Gate {
     may_write: Receiver<()>,
@@ -53,7 +56,7 @@
         let _ = reported.send(lost);
     })?;
     for _ in 0..LINES {
-        queue.push(b"line\n".to_vec());
+        queue.push(vec![b'x'; LINE_BYTES]);
     }
     queue.finish(Duration::from_millis(50));
     assert!(lines.try_recv().is_err(), "the output is blocked");
@@ -61,7 +64,7 @@
     let lost = reports.recv()?;
     queue.finish(Duration::from_secs(30));
     let written: usize = lines.try_iter().map(|batch| batch.len()).sum();
-    assert_eq!(written / 5 + usize::try_from(lost)?, LINES);
+    assert_eq!(written / LINE_BYTES + usize::try_from(lost)?, LINES);
     assert!(lost > 0);
     Ok(())
 }
