--- a/crates/sesamebarrow_gateway/src/memory.rs
+++ b/crates/sesamebarrow_gateway/src/memory.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use sesamebarrow_routing::memory::{Full, Holder, Ledger};
+use sesamebarrow_routing::memory::{Claimant, Full, Ledger};
 use sesamebarrow_routing::token;
 
 use crate::meter::MeteredBody;
@@ -46,7 +46,7 @@
         let customer = token::customer_hash(customer.unwrap_or_default());
         Held {
             budget: self.clone(),
-            holder: Holder { customer, priority },
+            claimant: Claimant { customer, priority },
             bytes: 0,
         }
     }
@@ -61,7 +61,7 @@
 #[derive(Debug)]
 pub struct Held {
     budget: Arc<Budget>,
-    holder: Holder,
+    claimant: Claimant,
     bytes: usize,
 }
 
@@ -70,7 +70,7 @@
     pub fn another(&self) -> Self {
         Self {
             budget: self.budget.clone(),
-            holder: self.holder,
+            claimant: self.claimant,
             bytes: 0,
         }
     }
@@ -85,7 +85,7 @@
             return Ok(());
         }
         let added = total - self.bytes;
-        self.budget.ledger().take(self.holder, added, total)?;
+        self.budget.ledger().take(self.claimant, added, total)?;
         self.bytes = total;
         Ok(())
     }
@@ -99,7 +99,7 @@
         let total = if total > UNCOUNTED_BYTES { total } else { 0 };
         if total < self.bytes {
             let freed = self.bytes - total;
-            self.budget.ledger().put_back(self.holder, freed);
+            self.budget.ledger().put_back(self.claimant, freed);
             self.bytes = total;
         }
         self.grow_to(total)
@@ -109,7 +109,7 @@
 impl Drop for Held {
     fn drop(&mut self) {
         if self.bytes > 0 {
-            self.budget.ledger().put_back(self.holder, self.bytes);
+            self.budget.ledger().put_back(self.claimant, self.bytes);
         }
     }
 }
--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -1,4 +1,4 @@
-//! Starts the trequests to the process and stops them gracefully.
+//! Starts the tasks of the process and stops them gracefully.
 
 use std::net::SocketAddr;
 use std::path::Path;
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -303,11 +303,11 @@
     board.config.as_ref()?.services.get(service)?.engine
 }
 
-/// Returns whether an upstream is ready, does not leave and is neither held nor being evacuated.
+/// Returns whether an upstream is ready, does not leave and is neither unverified nor being evacuated.
 fn accepts_requests(board: &Board, now: Duration, upstream: &Upstream) -> bool {
     upstream.entry.ready
         && !upstream.availability.leaving
-        && !upstream.is_held(now)
+        && !upstream.is_unverified(now)
         && !board.evacuated.contains(&upstream.entry.domain)
 }
 
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -257,10 +257,12 @@
     /// published again.
     pub fn remove_upstream(&mut self, now: Duration, id: &str) {
         let grace_end = self.last_store_outage_at.map(|at| at + REPUBLISH_GRACE);
-        let is_held = |key| self.upstreams.all[key].is_held(now);
-        let is_held = self.upstreams.key(id).is_some_and(is_held);
+        let is_unverified = |key| self.upstreams.all[key].is_unverified(now);
+        let is_unverified = self.upstreams.key(id).is_some_and(is_unverified);
         match grace_end {
-            Some(until) if now < until && !is_held => self.upstreams.schedule_removal(id, until),
+            Some(until) if now < until && !is_unverified => {
+                self.upstreams.schedule_removal(id, until);
+            }
             _ => self.upstreams.remove(now, id, self.store_era),
         }
     }
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -10,11 +10,13 @@
 
 use crate::dispatch::capacity::Capacity;
 use crate::gossip::{Datagram, HeardAges, Record, UpstreamLoad, short_hash};
-use crate::member::change::{Change, Changes, Evidence};
+use crate::member::change::{Changes, Evidence};
 use crate::member::last_known::LastKnown;
+use crate::member::news::News;
 
 pub mod change;
 pub mod last_known;
+mod news;
 
 /// Time between two gossip rounds.
 pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
@@ -188,16 +190,6 @@
     Duration::from_millis(u64::from(tenths) * 100)
 }
 
-/// News of an instance in a datagram.
-struct News<'a> {
-    record: &'a Record,
-    evidence: Evidence,
-    /// Time since the instance was known to run.
-    age: Duration,
-    /// Time since it was known to run in the run of `record`.
-    run_age: Duration,
-}
-
 /// Load of a service in a region, as last reported.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReceivedServiceLoad {
@@ -385,109 +377,6 @@
         }
     }
 
-    fn apply_news(
-        &mut self,
-        now: Duration,
-        own_name: &str,
-        news: &News<'_>,
-        region_of: impl Fn(u32) -> Option<SmolStr>,
-    ) {
-        let record = news.record;
-        if record.name == own_name || news.age >= REMOVAL_TIMEOUT {
-            return;
-        }
-        let Some(region) = region_of(record.domain_hash) else {
-            return;
-        };
-        let alive_timeout = self.alive_timeout();
-        let Some(member) = self.all.get_mut(record.name.as_str()) else {
-            self.add(now, news, region);
-            return;
-        };
-        let is_same_run = record.incarnation == member.record.incarnation;
-        let is_newer = if is_same_run {
-            record.heartbeat > member.record.heartbeat
-        } else {
-            // Incarnations are start times. A clock may have been set back, so their order proves nothing;
-            // of two runs, the one that was known to run later is the newer one.
-            news.evidence == Evidence::Datagram || news.run_age < member.run_heard.silence(now)
-        };
-        if !is_newer {
-            return;
-        }
-        let silence = member.silence(now);
-        let revives = silence >= alive_timeout && news.age < alive_timeout;
-        let kind = match is_same_run {
-            false => Some(change::Kind::Restarted),
-            true => revives.then_some(change::Kind::Revived),
-        };
-        if let Some(kind) = kind {
-            self.changes
-                .push(Change::new(record, kind, news.evidence, silence));
-        }
-        member.record = record.clone();
-        member.region = region;
-        member.last_heard.update(now, news.age);
-        if is_same_run {
-            member.run_heard.update(now, news.run_age);
-        } else {
-            member.run_heard = LastKnown::new(now, news.run_age);
-        }
-    }
-
-    fn add(&mut self, now: Duration, news: &News<'_>, region: SmolStr) {
-        let record = news.record;
-        let kind = change::Kind::Joined;
-        self.changes
-            .push(Change::new(record, kind, news.evidence, Duration::ZERO));
-        let member = Member {
-            record: record.clone(),
-            name_hash: short_hash(&record.name),
-            region,
-            last_heard: LastKnown::new(now, news.age),
-            run_heard: LastKnown::new(now, news.run_age),
-            unanswered_until: Duration::ZERO,
-            loan_requested_at: None,
-            upstream_loads: (Duration::ZERO, HashMap::new()),
-            forwarded_in_progress: 0,
-            revision: 0,
-            config_version: 0,
-            judges_suspects: true,
-            silent_owner_until: Duration::ZERO,
-            silent_dispatcher_until: Duration::ZERO,
-            keeps_limits: true,
-        };
-        self.all.insert(SmolStr::new(&record.name), member);
-        self.lost.remove(record.name.as_str());
-        self.last_joined = now;
-    }
-
-    fn apply_ages(&mut self, now: Duration, waited: Duration, own_name: &str, ages: &HeardAges) {
-        let tenths = ages.instance_hashes.iter().copied().zip(&ages.age_tenths);
-        let mut age_by_hash: HashMap<u32, u32> = tenths.map(|(i, t)| (i, *t)).collect();
-        age_by_hash.remove(&short_hash(own_name));
-        let alive_timeout = self.alive_timeout();
-        for member in self.all.values_mut() {
-            if let Some(tenths) = age_by_hash.remove(&member.name_hash) {
-                let age = from_tenths(tenths) + waited;
-                let silence = member.silence(now);
-                if silence >= alive_timeout && age < alive_timeout {
-                    let kind = change::Kind::Revived;
-                    let change = Change::new(&member.record, kind, Evidence::Age, silence);
-                    self.changes.push(change);
-                }
-                member.last_heard.update(now, age);
-            }
-        }
-        for name_hash in age_by_hash.into_keys() {
-            if self.unknown_instances.len() < MAX_REQUESTED_RECORDS
-                && !self.unknown_instances.contains(&name_hash)
-            {
-                self.unknown_instances.push(name_hash);
-            }
-        }
-    }
-
     /// Removes members that have been silent for [`REMOVAL_TIMEOUT`]. Those that did not announce
     /// their end count as lost for [`LOST_LIFETIME`].
     pub fn remove_silent(&mut self, now: Duration) {
--- a/crates/sesamebarrow_routing/src/memory.rs
+++ b/crates/sesamebarrow_routing/src/memory.rs
@@ -25,9 +25,9 @@
 /// Fraction of what a body may use that its customer may use in all.
 const CUSTOMER_FRACTION: f64 = 0.5;
 
-/// Who holds bytes.
+/// Who takes bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Holder {
+pub struct Claimant {
     /// Hash of the customer.
     pub customer: u64,
     /// Priority; 0 is the most urgent.
@@ -79,9 +79,9 @@
     /// # Errors
     ///
     /// Fails, and takes nothing, if there is no room for them.
-    pub fn take(&mut self, holder: Holder, added: usize, total: usize) -> Result<(), Full> {
-        let limit = self.limit(holder.priority, total);
-        let of_customer = self.by_customer.get(&holder.customer).copied();
+    pub fn take(&mut self, claimant: Claimant, added: usize, total: usize) -> Result<(), Full> {
+        let limit = self.limit(claimant.priority, total);
+        let of_customer = self.by_customer.get(&claimant.customer).copied();
         let of_customer = of_customer.unwrap_or_default().saturating_add(added);
         if self.held.saturating_add(added) > limit {
             return Err(Full::Budget);
@@ -91,18 +91,18 @@
         }
         if added > 0 {
             self.held += added;
-            self.by_customer.insert(holder.customer, of_customer);
+            self.by_customer.insert(claimant.customer, of_customer);
         }
         Ok(())
     }
 
     /// Returns bytes that were taken.
-    pub fn put_back(&mut self, holder: Holder, bytes: usize) {
+    pub fn put_back(&mut self, claimant: Claimant, bytes: usize) {
         self.held = self.held.saturating_sub(bytes);
-        if let Some(of_customer) = self.by_customer.get_mut(&holder.customer) {
+        if let Some(of_customer) = self.by_customer.get_mut(&claimant.customer) {
             *of_customer = of_customer.saturating_sub(bytes);
             if *of_customer == 0 {
-                self.by_customer.remove(&holder.customer);
+                self.by_customer.remove(&claimant.customer);
             }
         }
     }
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -90,8 +90,8 @@
     pub removal_at: Option<Duration>,
     /// Era of the store in which its entry was last published.
     pub era: u16,
-    /// Time until which it is not used, since its entry may come from an older copy of the store.
-    pub held_until: Duration,
+    /// Time until which it is not used, since its entry may come from an older copy of the store: it had been removed.
+    pub unverified_until: Duration,
     /// Prompt prefixes that it is assumed to have cached.
     pub cache: PrefixCache,
 }
@@ -106,7 +106,7 @@
             run_hash: run_hash(&entry),
             cold_until: now + entry.cold_remaining,
             era,
-            held_until: Duration::ZERO,
+            unverified_until: Duration::ZERO,
             entry,
             in_progress: 0,
             prefill_tokens: 0,
@@ -121,8 +121,8 @@
     }
 
     /// Returns whether it is not used, since its entry may come from an older copy of the store.
-    pub fn is_held(&self, now: Duration) -> bool {
-        now < self.held_until
+    pub fn is_unverified(&self, now: Duration) -> bool {
+        now < self.unverified_until
     }
 
     /// Returns whether it is cold.
@@ -201,7 +201,7 @@
 
 /// Time for which an upstream is not used whose removal an older copy of the store has undone. Entries that nobody
 /// writes lapse within it, and removals are written again.
-const HOLD_TIME: Duration = Duration::from_secs(10);
+const UNVERIFIED_TIME: Duration = Duration::from_secs(10);
 
 /// Maximum number of leaving runs that are sent to other instances.
 const MAX_LEAVING_RUNS: usize = 16;
@@ -277,7 +277,7 @@
         let restarted = is_other_run(&entry, upstream.entry.started_at_ms);
         entry.started_at_ms = entry.started_at_ms.or(upstream.entry.started_at_ms);
         if restarted {
-            upstream.held_until = Duration::ZERO;
+            upstream.unverified_until = Duration::ZERO;
         }
         upstream.era = era;
         upstream.removal_at = None;
@@ -306,7 +306,7 @@
         let mut upstream = Upstream::new(entry, now, era);
         if let Some(removed) = removed {
             if era > removed.era && !is_new_run {
-                upstream.held_until = now + HOLD_TIME;
+                upstream.unverified_until = now + UNVERIFIED_TIME;
             }
             upstream.availability = match is_other_run(&upstream.entry, known_start) {
                 false => removed.availability,
