Follow what inbound connections owe, and log those that are closed unanswered

Each inbound connection now has a stage (opened, idle, receiving, handling, answering); one that this instance closes before its answer is written is logged and counted by stage and phase. The end of the notice has a line, 'stopped' says what is owed.

--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -1,6 +1,6 @@
 //! The gateway instance for traffic that is routed by host and path.
 //!
-//! [`server`] accepts a request. [`intake`] finds its route, identifies the customer and
+//! [`server`] accepts a request, and [`inbound`] follows what its connection owes. [`intake`] finds its route, identifies the customer and
 //! reserves the tokens that it costs. [`exchange`] makes attempts at the targets that [`selection`]
 //! takes from `sesamebarrow_routing`, over connections of [`pool`]. [`relay`] sends the response to
 //! the client, [`stream`] an event stream. [`event_stream`] and [`framing`] tell whether a body
@@ -25,6 +25,7 @@
 pub mod framing;
 pub mod gossip;
 pub mod hop;
+pub mod inbound;
 pub mod inbox;
 pub mod intake;
 pub mod limit;
--- a/crates/sesamebarrow_gateway/src/meter.rs
+++ b/crates/sesamebarrow_gateway/src/meter.rs
@@ -14,6 +14,8 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::inbound::BodyGuard;
+
 /// Maximum number of bytes that a peer may send without making progress with its message. Larger than the
 /// largest head.
 const MAX_OVERHEAD_BYTES: i64 = 512 * 1024;
@@ -150,16 +152,29 @@
 }
 
 /// The body of a message on a [`Metered`] connection.
-#[derive(Debug)]
 pub struct MeteredBody {
     body: Incoming,
     meter: Meter,
+    /// Dropped with the body.
+    _guard: Option<BodyGuard>,
 }
 
 impl MeteredBody {
     /// Returns the body of a message on the connection that `meter` counts for.
     pub fn new(body: Incoming, meter: Meter) -> Self {
-        Self { body, meter }
+        Self {
+            body,
+            meter,
+            _guard: None,
+        }
+    }
+
+    /// Returns the body with `guard`, which is dropped with it.
+    pub fn guarded(self, guard: BodyGuard) -> Self {
+        Self {
+            _guard: Some(guard),
+            ..self
+        }
     }
 }
 
--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -210,11 +210,14 @@
     shared.refuses_streams.store(true, Ordering::Relaxed);
     tokio::time::sleep(shutdown.notice.mul_f64(1.0 - STREAM_ACCEPT_FRACTION)).await;
     shared.close_idle.cancel();
+    log::info!(owed = shared.owed_answers.load(Ordering::Relaxed); "notice ended");
     loop {
         let running = shared.active_requests.load(Ordering::Relaxed);
         let limit_reached = shared.now().saturating_sub(drain_started_at) > shutdown.limit;
         if running == 0 || limit_reached {
-            log::info!(cut = running; "stopped");
+            let owed = shared.owed_answers.load(Ordering::Relaxed);
+            let open = shared.inbound_connections.len();
+            log::info!(cut = running, owed, open; "stopped");
             return;
         }
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::exchange;
+use crate::inbound::{self, BodyGuard, EndGuard, Progress, Tracked};
 use crate::intake::{self, Job};
 use crate::meter::{Metered, MeteredBody};
 use crate::relay::{self, Body};
@@ -65,12 +66,21 @@
     let shared = shared.clone();
     let close_idle = shared.close_idle.clone();
     let tracker = shared.inbound_connections.clone();
+    let progress = Progress::new(&shared);
+    let end_guard = EndGuard(progress.clone());
     let (stream, meter) = Metered::new(stream);
+    let stream = Tracked::new(stream, progress.clone());
     let service = hyper::service::service_fn(move |req: Request<Incoming>| {
         meter.reset();
-        let req = req.map(|body| MeteredBody::new(body, meter.clone()));
+        progress.record_handler();
+        let guard = BodyGuard(progress.clone());
+        let req = req.map(|body| MeteredBody::new(body, meter.clone()).guarded(guard));
         let response = handler(shared.clone(), req);
-        async move { Ok::<_, Infallible>(response.await) }
+        let progress = progress.clone();
+        async move {
+            let response = response.await;
+            Ok::<_, Infallible>(response.map(|body| inbound::answer_body(body, progress)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -80,6 +90,7 @@
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES) * 2)
         .serve_connection(TokioIo::new(stream), service);
     tracker.spawn(async move {
+        let _end_guard = end_guard;
         let mut connection = std::pin::pin!(connection);
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
