Refuse forwarded requests that a stopping instance could cut off, and send them elsewhere

The entry instance and its upstream were sound; the instance of another region between them had got SIGTERM 4 to 5 s before and ended at its limit. Cause: an instance that drains asked of its clients' requests whether they end in time, and of forwarded ones nothing, though only it knows for sure that it stops. In a fleet of more than 100 that news takes longer than the stop to arrive everywhere. Change: from the start of its stop an instance refuses forwarded requests that could last beyond the limit: not run, and a header says that it stops. The sender believes that at once, forwards nothing more to this run, and tries another instance of the same region; nothing was sent to an upstream, so no retry is spent. Senders of earlier versions see a refusal as before.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -192,8 +192,8 @@
     if history.crashes > 0 && quarantine::is_suspected(shared, job) {
         return false;
     }
-    if history.sent == 0 {
-        // Nothing was sent yet, so the next attempt is not a retry.
+    if history.sent == history.refused_stopping {
+        // No upstream was sent the request yet, so the next attempt is not a retry.
         return true;
     }
     let mut board = shared.board();
@@ -386,6 +386,14 @@
         if head::names_other_attempt(&parts.headers, &job.id) {
             return AttemptResult::Broken("foreign-answer");
         }
+        if let Target::Instance(remote) = target
+            && hop::is_stopping(&parts.headers)
+        {
+            shared.board().members.record_stopping(&remote.name);
+            history.refused_stopping += 1;
+            // Another instance of its region may take the request.
+            history.tried_regions.retain(|r| *r != remote.region);
+        }
         return match refusal_kind {
             hop::RefusalKind::NotRun => {
                 history.possible_runs -= 1;
--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -37,6 +37,9 @@
 /// says whether the request may have run.
 const RESULT_HEADER: &str = "sesamebarrow-result";
 
+/// Header of a refusal by a second instance that stops.
+const STOPPING_HEADER: &str = "sesamebarrow-stopping";
+
 /// Header of a response that names the upstream that the second instance selected.
 const UPSTREAM_HEADER: &str = "sesamebarrow-upstream";
 
@@ -142,6 +145,11 @@
     headers.get(RESULT_HEADER)?.to_str().ok()?.parse().ok()
 }
 
+/// Reads whether the second instance refused the request because it stops.
+pub fn is_stopping(headers: &HeaderMap) -> bool {
+    headers.contains_key(STOPPING_HEADER)
+}
+
 /// Reads which upstream the second instance selected.
 pub fn read_upstream(headers: &HeaderMap) -> Option<SmolStr> {
     headers
@@ -178,6 +186,7 @@
         RESULT_HEADER,
         UPSTREAM_HEADER,
         NUMBERED_HEADER,
+        STOPPING_HEADER,
     ];
     names.contains(&name.as_str())
 }
@@ -191,6 +200,12 @@
         _ => RefusalKind::NotRun,
     };
     head::write_attempt_id(response.headers_mut(), id);
+    if refusal == Refusal::Stopping {
+        let name = HeaderName::from_static(STOPPING_HEADER);
+        response
+            .headers_mut()
+            .insert(name, HeaderValue::from_static("1"));
+    }
     if let Ok(value) = HeaderValue::from_str(&refusal_kind.to_string()) {
         response.headers_mut().insert(RESULT_HEADER, value);
     }
@@ -212,6 +227,9 @@
         .hold(envelope.customer.as_deref(), envelope.priority);
     // The first instance has checked its size.
     let body = intake::read_body(body, usize::MAX, &mut held).await?;
+    if !intake::may_accept_forwarded(shared, from_millis(envelope.left)) {
+        return Err(Refusal::Stopping);
+    }
     let request_head = head::read_request(&parts.headers);
     let (prompt_tokens, output_tokens) = request_head.tokens.unwrap_or((0, 0));
     parts.headers.remove(hyper::header::CONTENT_LENGTH);
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -40,9 +40,6 @@
 /// Time after which a client may retry if this instance has no configuration yet.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Time after which a client may retry at another instance if this one is draining.
-const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
-
 /// Properties of a request that follow from its route and customer. They are also sent to an
 /// instance that the request is forwarded to.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -150,7 +147,7 @@
     let route = find_route(&config, &parts)?;
     let customer = identify(&config, &route, request_head.api_key.as_deref())?;
     if route.kind == RequestKind::Streaming && shared.refuses_streams.load(Ordering::Relaxed) {
-        return Err(Refusal::NotRun("stopping", DRAINING_RETRY_AFTER));
+        return Err(Refusal::Stopping);
     }
     let mut held = shared.memory.hold(
         customer.as_ref().map(|c| c.name.as_str()),
@@ -174,7 +171,7 @@
         .saturating_sub(RESPONSE_MARGIN)
         .min(route.timeout);
     if !may_accept(shared, timeout) {
-        return Err(Refusal::NotRun("stopping", DRAINING_RETRY_AFTER));
+        return Err(Refusal::Stopping);
     }
     let reservation = match &customer {
         Some(customer) => {
@@ -240,13 +237,20 @@
     .with_suspects())
 }
 
-/// Returns whether this instance may accept a request that takes up to `timeout`.
+/// Returns whether this instance may accept a client's request that takes up to `timeout`.
 fn may_accept(shared: &Shared, timeout: Duration) -> bool {
-    let shutdown = shared.settings.shutdown;
-    let schedule = Schedule {
-        notice: shutdown.notice,
-        limit: shutdown.limit,
-    };
+    may_accept_within(shared, timeout, shared.settings.shutdown.notice)
+}
+
+/// Returns whether this instance may accept a forwarded request that takes up to `timeout`. Other instances can take
+/// it at once, so that it is never accepted if the limit of a stop could cut it off.
+pub fn may_accept_forwarded(shared: &Shared, timeout: Duration) -> bool {
+    may_accept_within(shared, timeout, Duration::ZERO)
+}
+
+fn may_accept_within(shared: &Shared, timeout: Duration, notice: Duration) -> bool {
+    let limit = shared.settings.shutdown.limit;
+    let schedule = Schedule { notice, limit };
     let draining_for = shared.board().draining_for(shared.now());
     draining_for.is_none_or(|draining_for| drain::accepts(schedule, draining_for, timeout))
 }
--- a/crates/sesamebarrow_gateway/src/reply.rs
+++ b/crates/sesamebarrow_gateway/src/reply.rs
@@ -8,6 +8,9 @@
 
 use crate::relay::{self, Body};
 
+/// Time after which a client may retry at another instance if this one stops.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// Why the gateway returns no upstream's response. The text is sent to the client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
@@ -30,6 +33,9 @@
     /// retry.
     #[error("{0}")]
     NotRun(&'static str, Duration),
+    /// The request has not run and will not: this instance stops before it would end.
+    #[error("stopping")]
+    Stopping,
     /// The request has not run and will not: it, or a part of its prompt, crashes upstreams.
     #[error("harmful-request")]
     Harmful,
@@ -50,7 +56,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BadBody => StatusCode::BAD_REQUEST,
             Self::Rate(_) => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotRun(..) | Self::Harmful => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotRun(..) | Self::Stopping | Self::Harmful => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown(_) => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -60,6 +66,7 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Rate(after) | Self::NotRun(_, after) => Some(after),
+            Self::Stopping => Some(STOPPING_RETRY_AFTER),
             _ => None,
         }
     }
--- a/crates/sesamebarrow_gateway/src/selection.rs
+++ b/crates/sesamebarrow_gateway/src/selection.rs
@@ -47,6 +47,8 @@
     pub refused_connections: u32,
     /// Number of attempts that were sent to a target, including those that did not run.
     pub sent: u32,
+    /// Number of these that were refused by an instance that stops.
+    pub refused_stopping: u32,
     /// Number of attempts that may have run.
     pub possible_runs: u32,
     /// Number of attempts whose upstream has crashed.
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -150,6 +150,9 @@
     pub silent_owner_until: Duration,
     /// Time until which it is not asked as a dispatcher, because it did not answer.
     pub silent_dispatcher_until: Duration,
+    /// Start time of the run in which it refused a request because it stops; 0 if it has refused none. What others
+    /// relay of it may be older.
+    stopping_run: u64,
     /// Whether it keeps the limits of upstreams ([`crate::limit`]); instances of earlier versions do not. Unknown
     /// ones count as of this version.
     pub keeps_limits: bool,
@@ -164,6 +167,11 @@
         Ipv4Addr::from_bits(self.record.ip)
     }
 
+    /// Returns whether it takes requests, as far as is known.
+    pub fn is_ready(&self) -> bool {
+        self.record.ready && self.stopping_run != self.record.incarnation
+    }
+
     /// Returns the time since it was last known to run.
     pub fn silence(&self, now: Duration) -> Duration {
         self.last_heard.silence(now)
@@ -267,7 +275,14 @@
 
     /// Returns the members that are alive and ready.
     pub fn ready(&self, now: Duration) -> impl Iterator<Item = &Member> {
-        self.alive(now).filter(|m| m.record.ready)
+        self.alive(now).filter(|m| m.is_ready())
+    }
+
+    /// Records that an instance has refused a request because it stops.
+    pub fn record_stopping(&mut self, name: &str) {
+        if let Some(member) = self.all.get_mut(name) {
+            member.stopping_run = member.record.incarnation;
+        }
     }
 
     /// Returns the load of a service in `region`, or `None` if there is no recent report.
--- a/crates/sesamebarrow_routing/src/member/news.rs
+++ b/crates/sesamebarrow_routing/src/member/news.rs
@@ -93,6 +93,7 @@
             silent_owner_until: Duration::ZERO,
             silent_dispatcher_until: Duration::ZERO,
             keeps_limits: true,
+            stopping_run: 0,
         };
         self.all.insert(SmolStr::new(&record.name), member);
         self.lost.remove(record.name.as_str());
