Tell all instances of a stop before it ends, also in fleets of more than 100

Cause: in fleets of more than 100 a datagram holds one record of another instance, chosen at random, and the ages that it holds instead say that it runs. So whether an instance drains reached few before it had ended. Evidence: at the end of the notice, 3.2 s, 72 of 119 instances still took a stopping one for ready, 254 of 350, and 51 to 76 of 119 with six stops a second; three of four new tests failed, the one of 18 instances passed. Change: datagrams name up to 12 instances that began to drain within 4 s, with their ages, in place of as many other ages, so that they do not grow. The news count only for a run that was known before the stop began. An instance that is known to drain never counts as ready again in its run; the directory goes by the same. Failed try: the records of draining instances first, in three of four datagrams; alone it reached all, with six stops a second up to 51 of 119 did not hear. Result: none of 17, 119 and 350 after 3.2 s, also with stops in series.

--- a/crates/sesamebarrow_gateway/src/admin.rs
+++ b/crates/sesamebarrow_gateway/src/admin.rs
@@ -48,7 +48,7 @@
         .values()
         .map(|m| {
             json!({
-                "name": m.record.name, "region": m.region, "ready": m.record.ready,
+                "name": m.record.name, "region": m.region, "ready": m.is_ready(),
                 "silent_ms": m.silence(now).as_millis() as u64, "hops": m.forwarded_in_progress,
             })
         })
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -389,7 +389,8 @@
         if let Target::Instance(remote) = target
             && hop::is_stopping(&parts.headers)
         {
-            shared.board().members.record_stopping(&remote.name);
+            let now = shared.now();
+            shared.board().members.record_stopping(now, &remote.name);
             history.refused_stopping += 1;
             // Another instance of its region may take the request.
             history.tried_regions.retain(|r| *r != remote.region);
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -51,6 +51,7 @@
             upstream_loads: Vec::new(),
             reported_loads: None,
             leaving_runs: Vec::new(),
+            recent_stops: None,
             seen_heartbeat: 0,
             // CAST: bounded by `REPUBLISH_GRACE`.
             store_outage_age_ms: self
@@ -114,7 +115,10 @@
             true => self.upstreams.leaving_runs().collect(),
             false => Vec::new(),
         };
-        datagram.heard_ages = self.members.recent_ages(now, &mut self.rng);
+        datagram.recent_stops = self.members.recent_stops(now, &mut self.rng);
+        let stops = datagram.recent_stops.as_ref();
+        let stops = stops.map_or(0, |s| s.instance_hashes.len());
+        datagram.heard_ages = self.members.recent_ages(now, stops, &mut self.rng);
     }
 
     /// Returns the loads that upstreams reported recently to this or other instances.
--- a/crates/sesamebarrow_routing/src/board/limit.rs
+++ b/crates/sesamebarrow_routing/src/board/limit.rs
@@ -85,7 +85,7 @@
         let own = self.is_ready().then(|| weight(self.name_hash()));
         let mut best = (own, Owner::Own);
         let mut silent = None;
-        for member in self.limit_members(now).filter(|m| m.record.ready) {
+        for member in self.limit_members(now).filter(|m| m.is_ready()) {
             let weight = Some(weight(member.name_hash));
             if now < member.silent_owner_until {
                 silent = silent.max(weight);
--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -170,6 +170,9 @@
     /// Digest of the limits that the sender knows ([`crate::limit`]); `None` from instances of earlier versions.
     #[prost(uint32, optional, tag = "14")]
     pub limits_digest: Option<u32>,
+    /// Which other instances have begun to drain recently, and how long ago.
+    #[prost(message, optional, tag = "15")]
+    pub recent_stops: Option<HeardAges>,
 }
 
 /// Returns the hash that stands for a name in datagrams.
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -34,6 +34,12 @@
 /// Longer than the network partitions that must be tolerated.
 pub const REMOVAL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time after the start of a member's stop in which other instances are told of it.
+const STOP_NEWS_TIME: Duration = Duration::from_secs(4);
+
+/// Maximum number of members in one datagram that have begun to drain.
+const MAX_STOPS: usize = 12;
+
 /// Time for which a removed member counts as lost. Longer than any partition that is expected, since
 /// after it both sides of one would use the whole of each limit.
 pub const LOST_LIFETIME: Duration = Duration::from_secs(600);
@@ -150,9 +156,10 @@
     pub silent_owner_until: Duration,
     /// Time until which it is not asked as a dispatcher, because it did not answer.
     pub silent_dispatcher_until: Duration,
-    /// Start time of the run in which it refused a request because it stops; 0 if it has refused none. What others
-    /// relay of it may be older.
-    stopping_run: u64,
+    /// When the run of `record` was first heard of.
+    run_known_since: Duration,
+    /// When the run of `record` began to drain, if it is known to.
+    draining_since: Option<Duration>,
     /// Whether it keeps the limits of upstreams ([`crate::limit`]); instances of earlier versions do not. Unknown
     /// ones count as of this version.
     pub keeps_limits: bool,
@@ -169,7 +176,19 @@
 
     /// Returns whether it takes requests, as far as is known.
     pub fn is_ready(&self) -> bool {
-        self.record.ready && self.stopping_run != self.record.incarnation
+        self.record.ready && self.draining_since.is_none()
+    }
+
+    /// Returns for how long it has been draining; `None` if it is not known to.
+    pub fn draining_for(&self, now: Duration) -> Option<Duration> {
+        self.draining_since.map(|at| now.saturating_sub(at))
+    }
+
+    /// Records that the run of `record` began to drain at `began_at`. Older news of it never make it ready again.
+    fn record_draining(&mut self, began_at: Duration) {
+        // Ages grow each time that they are relayed, so the latest start is the most exact one.
+        let latest = self.draining_since.map_or(began_at, |at| at.max(began_at));
+        self.draining_since = Some(latest);
     }
 
     /// Returns the time since it was last known to run.
@@ -279,12 +298,27 @@
     }
 
     /// Records that an instance has refused a request because it stops.
-    pub fn record_stopping(&mut self, name: &str) {
+    pub fn record_stopping(&mut self, now: Duration, name: &str) {
         if let Some(member) = self.all.get_mut(name) {
-            member.stopping_run = member.record.incarnation;
+            member.draining_since.get_or_insert(now);
         }
     }
 
+    /// Returns which other instances have begun to drain a short time ago, for one datagram. Records alone would not
+    /// reach all instances before they stop.
+    pub fn recent_stops(&self, now: Duration, rng: &mut impl Rng) -> Option<HeardAges> {
+        let age = |m: &Member| m.draining_for(now).filter(|age| *age < STOP_NEWS_TIME);
+        let recent = self.alive(now).filter_map(|m| Some((m.name_hash, age(m)?)));
+        let recent = recent.sample(rng, MAX_STOPS);
+        (!recent.is_empty()).then(|| HeardAges {
+            instance_hashes: recent.iter().map(|(hash, _)| *hash).collect(),
+            age_tenths: recent
+                .iter()
+                .map(|(_, age)| to_tenths(*age + RELAY_AGE_INCREMENT))
+                .collect(),
+        })
+    }
+
     /// Returns the load of a service in `region`, or `None` if there is no recent report.
     pub fn service_load(
         &self,
@@ -356,6 +390,9 @@
         if let Some(ages) = &datagram.heard_ages {
             self.apply_ages(now, waited, own_name, ages);
         }
+        if let Some(stops) = &datagram.recent_stops {
+            self.apply_stops(now, waited, stops);
+        }
         let Some(member) = self.all.get_mut(datagram.sender.name.as_str()) else {
             return;
         };
@@ -470,9 +507,15 @@
 
     /// Returns when members were last heard from, for one datagram; `None` unless there are
     /// many members. They are the more recent ones of a random selection: every member is
-    /// selected often, and news spread faster than old ages.
-    pub fn recent_ages(&self, now: Duration, rng: &mut impl Rng) -> Option<HeardAges> {
-        let max_ages = self.limits().max_ages;
+    /// selected often, and news spread faster than old ages. The news of `stops` instances that drain take the place of
+    /// as many ages.
+    pub fn recent_ages(
+        &self,
+        now: Duration,
+        stops: usize,
+        rng: &mut impl Rng,
+    ) -> Option<HeardAges> {
+        let max_ages = self.limits().max_ages.saturating_sub(stops);
         if max_ages == 0 {
             return None;
         }
--- a/crates/sesamebarrow_routing/src/member/news.rs
+++ b/crates/sesamebarrow_routing/src/member/news.rs
@@ -20,6 +20,12 @@
     pub run_age: Duration,
 }
 
+/// Returns when the run of `news` began to drain; `None` if its record does not say that it does.
+fn draining_since(now: Duration, news: &News<'_>) -> Option<Duration> {
+    let draining = Duration::from_millis(news.record.draining_time_ms.into());
+    (!draining.is_zero()).then(|| now.saturating_sub(draining.saturating_add(news.run_age)))
+}
+
 impl Members {
     /// Applies news of an instance, unless they are of this one or older than what is known.
     pub(super) fn apply_news(
@@ -64,6 +70,13 @@
         }
         member.record = record.clone();
         member.region = region;
+        if !is_same_run {
+            member.run_known_since = now;
+            member.draining_since = None;
+        }
+        if let Some(began_at) = draining_since(now, news) {
+            member.record_draining(began_at);
+        }
         member.last_heard.update(now, news.age);
         if is_same_run {
             member.run_heard.update(now, news.run_age);
@@ -93,13 +106,30 @@
             silent_owner_until: Duration::ZERO,
             silent_dispatcher_until: Duration::ZERO,
             keeps_limits: true,
-            stopping_run: 0,
+            run_known_since: now,
+            draining_since: draining_since(now, news),
         };
         self.all.insert(SmolStr::new(&record.name), member);
         self.lost.remove(record.name.as_str());
         self.last_joined = now;
     }
 
+    /// Applies the times since other instances began to drain.
+    pub(super) fn apply_stops(&mut self, now: Duration, waited: Duration, stops: &HeardAges) {
+        let tenths = stops.instance_hashes.iter().copied().zip(&stops.age_tenths);
+        let age_by_hash: HashMap<u32, u32> = tenths.map(|(hash, t)| (hash, *t)).collect();
+        for member in self.all.values_mut() {
+            let Some(tenths) = age_by_hash.get(&member.name_hash) else {
+                continue;
+            };
+            let began_at = now.saturating_sub(from_tenths(*tenths) + waited);
+            // Otherwise, it may have been the run before.
+            if began_at > member.run_known_since {
+                member.record_draining(began_at);
+            }
+        }
+    }
+
     /// Applies the times since other instances were known to run.
     pub(super) fn apply_ages(
         &mut self,
--- a/crates/sesamebarrow_routing/src/place.rs
+++ b/crates/sesamebarrow_routing/src/place.rs
@@ -128,15 +128,11 @@
     let mut candidates: Vec<_> = board
         .members
         .alive(now)
-        .filter(|m| {
-            let draining = Duration::from_millis(m.record.draining_time_ms.into());
-            let silence = m.silence(now);
-            m.record.ready || (!draining.is_zero() && recently_draining(draining + silence))
-        })
+        .filter(|m| m.is_ready() || m.draining_for(now).is_some_and(recently_draining))
         .map(|m| Candidate {
             region: m.region.clone(),
             ip: m.ip(),
-            ready: m.record.ready,
+            ready: m.is_ready(),
             silence: m.silence(now),
         })
         .collect();
--- a/crates/sesamebarrow_routing/tests/decisions/drain.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/drain.rs
@@ -4,7 +4,7 @@
 
 use sesamebarrow_routing::drain::{self, Schedule};
 
-use crate::fleet::ms;
+use crate::fleet::{Fleet, config, ms, route};
 
 const SCHEDULE: Schedule = Schedule {
     notice: Duration::from_millis(3_200),
@@ -45,3 +45,72 @@
 drain_test!(request_that_may_be_cut_off_is_refused, 5_800, 2_000, false);
 // Regression test (run hunt-bed8-3): taken 25 ms before the end, it was cut off.
 drain_test!(request_just_before_the_end_is_refused, 7_675, 2_000, false);
+
+/// Time after the start of a stop by which other instances must know of it: the notice, in which requests that come
+/// anyway are still taken.
+const KNOWN_WITHIN: Duration = SCHEDULE.notice;
+
+/// Returns how many running instances take the one at `draining` for ready.
+fn believers(fleet: &Fleet, draining: usize) -> usize {
+    let name = &fleet.instances[draining].board.identity.name;
+    let takes_for_ready = |index: &usize| {
+        let now = fleet.process_time(*index);
+        let members = &fleet.instances[*index].board.members;
+        members.ready(now).any(|m| m.record.name == name.as_str())
+    };
+    let others = (0..fleet.instances.len()).filter(|index| *index != draining);
+    others.filter(takes_for_ready).count()
+}
+
+/// Defines a test of a fleet of three times `$count` instances, of which `$at_once` begin to stop in each of
+/// `$seconds`.
+macro_rules! news_test {
+    ($name:ident, $count:expr, $at_once:expr, $seconds:expr) => {
+        #[test]
+        fn $name() {
+            let domains = [("a", $count), ("b", $count), ("c", $count)];
+            let mut fleet = Fleet::new(&domains, config(&[], vec![route("r", &[])]));
+            fleet.advance(ms(8_000));
+            let mut stops = Vec::new();
+            let mut late = Vec::new();
+            for tenth in 0..($seconds * 10 + 33) {
+                if tenth % 10 == 0 && tenth < $seconds * 10 {
+                    for _ in 0..$at_once {
+                        // Apart in all regions, and none twice.
+                        let index = stops.len() * 7 % (3 * $count);
+                        let now = fleet.process_time(index);
+                        fleet.instances[index].board.draining_since = Some(now);
+                        stops.push((index, fleet.now));
+                    }
+                }
+                fleet.advance(ms(100));
+                for (index, at) in &stops {
+                    if fleet.now - *at == KNOWN_WITHIN {
+                        late.push(believers(&fleet, *index));
+                    }
+                }
+            }
+            assert_eq!(late.iter().sum::<usize>(), 0, "{late:?}");
+        }
+    };
+}
+
+news_test!(
+    all_of_18_instances_know_of_a_stop_within_the_notice,
+    6,
+    1,
+    1
+);
+news_test!(
+    all_of_120_instances_know_of_a_stop_within_the_notice,
+    40,
+    1,
+    1
+);
+news_test!(
+    all_of_351_instances_know_of_a_stop_within_the_notice,
+    117,
+    1,
+    1
+);
+news_test!(all_of_120_instances_know_of_stops_in_series, 40, 6, 4);
