Notice a signal to stop while a reload waits for its file

What callers saw: a SIGTERM right after a SIGHUP was noticed up to 2 s later, so that the platform's kill came before the limit of the stop and cut what ran (LOST). Cause: the loop that waits for signals read the settings within it. Change: the reload is a branch beside the signals, and is dropped by a stop. Signals are listened to before the first listener is bound; one that comes earlier ends a process that has taken nothing.

--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, Response};
 use sesamebarrow_routing::Identity;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::meter::MeteredBody;
 use crate::relay::Body;
@@ -32,6 +32,7 @@
 /// The settings file at `path` is reloaded on SIGHUP and when it changes.
 pub async fn run(settings: Settings, path: &Path) -> anyhow::Result<()> {
     let metrics = telemetry::install()?;
+    let mut signals = Signals::listen()?;
     let listen = settings.listen;
     let identity = build_identity(&settings);
     let client_listener = bind("listen.callers", listen.callers).await?;
@@ -75,7 +76,7 @@
     supervise_server(&shared, "directory", directory_listener, directory::resolve);
     let admin_handler = move |shared, req| admin::handle(shared, metrics.clone(), req);
     supervise_server(&shared, "admin", admin_listener, admin_handler);
-    wait_for_stop(&shared, path).await?;
+    wait_for_stop(&shared, &mut signals, path).await;
     drain(&shared).await;
     Ok(())
 }
@@ -135,16 +136,38 @@
         .with_context(|| format!("{field}: cannot listen on {address}"))
 }
 
-async fn wait_for_stop(shared: &Shared, path: &Path) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+/// The signals that the process obeys. One that comes before they are listened to ends it.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn listen() -> anyhow::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+/// Waits for a signal to stop. Files may be slow, so that reloads do not hold it up.
+async fn wait_for_stop(shared: &Shared, signals: &mut Signals, path: &Path) {
+    tokio::select! {
+        _ = signals.terminate.recv() => {}
+        _ = signals.interrupt.recv() => {}
+        () = follow_settings(shared, &mut signals.hangup, path) => {}
+    }
+}
+
+/// Reloads the settings at each hangup signal and whenever their file changes.
+async fn follow_settings(shared: &Shared, hangup: &mut Signal, path: &Path) {
     let mut settings_check = tokio::time::interval(SETTINGS_CHECK_INTERVAL);
     let mut last_modified = modification_time(path).await;
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
             _ = hangup.recv() => reload(shared, path).await,
             _ = settings_check.tick() => {
                 let now = modification_time(path).await;
@@ -170,7 +193,7 @@
     tokio::time::timeout(FILE_TIMEOUT, done).await.ok()?.ok()
 }
 
-/// Maximum time for reading the settings file, after which a signal to stop is not held up any longer.
+/// Maximum time for reading the settings file.
 const FILE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Returns when the file was modified; `None` if that cannot be read.
