Answer what is unanswered shortly before a stop ends

Cause: the process ended at the limit with whatever its handlers were doing. Change: 400 ms before the limit each handler without an answer gives one: 503, not run, if nothing was sent to a target that may have run it, else 502, which promises nothing; also of a body that is half received, and to callers of HTTP/1.0. A request is accepted late in a stop only if its own time ends before that. Streams whose head was sent go on until the limit, since nothing but the rest would make them whole. Evidence: five tests of planned_stop.rs failed before (order, read, stream without a head, forwarded order, half a body).

--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -25,6 +25,7 @@
 use crate::memory::{self, Held};
 use crate::meter::MeteredBody;
 use crate::reply::Refusal;
+use crate::run::ANSWER_TIME;
 use crate::shared::Shared;
 use crate::token::{self, Reservation};
 
@@ -249,7 +250,8 @@
 }
 
 fn may_accept_within(shared: &Shared, timeout: Duration, notice: Duration) -> bool {
-    let limit = shared.settings.shutdown.limit;
+    // Its own time-out is answered before the process answers what is left.
+    let limit = shared.settings.shutdown.limit.saturating_sub(ANSWER_TIME);
     let schedule = Schedule { notice, limit };
     let draining_for = shared.board().draining_for(shared.now());
     draining_for.is_none_or(|draining_for| drain::accepts(schedule, draining_for, timeout))
--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -23,6 +23,9 @@
 /// Interval at which a draining process checks whether all requests have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time before the limit of a shutdown at which this instance answers what is unanswered.
+pub const ANSWER_TIME: Duration = Duration::from_millis(400);
+
 /// Fraction of the shutdown notice in which streaming requests are accepted. Later ones might
 /// not end before the process stops.
 const STREAM_ACCEPT_FRACTION: f64 = 0.9;
@@ -222,7 +225,7 @@
 
 /// Stops the process gracefully. It announces that it is draining, refuses streaming requests
 /// shortly before the notice ends, closes idle connections when it ends, and then waits for
-/// active requests until the limit.
+/// active requests until the limit. What is unanswered shortly before it is answered by this instance.
 async fn drain(shared: &Shared) {
     let shutdown = shared.settings.shutdown;
     let drain_started_at = shared.now();
@@ -236,7 +239,12 @@
     log::info!(owed = shared.owed_answers.load(Ordering::Relaxed); "notice ended");
     loop {
         let running = shared.active_requests.load(Ordering::Relaxed);
-        let limit_reached = shared.now().saturating_sub(drain_started_at) > shutdown.limit;
+        let draining_for = shared.now().saturating_sub(drain_started_at);
+        if draining_for + ANSWER_TIME > shutdown.limit && !shared.ends.is_cancelled() {
+            log::info!(requests = running; "answering what is left");
+            shared.ends.cancel();
+        }
+        let limit_reached = draining_for > shutdown.limit;
         if running == 0 || limit_reached {
             let owed = shared.owed_answers.load(Ordering::Relaxed);
             let open = shared.inbound_connections.len();
--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -127,12 +127,15 @@
     let started_at = Instant::now();
     let id = sesamebarrow_platform::head::read_attempt_id(req.headers());
     let reads_chunks = req.version() > Version::HTTP_10;
-    let result = match intake::receive(&shared, req).await {
-        Ok(job) => proxy(&shared, job).await,
-        Err(refusal) => Err(refusal),
-    };
+    let result =
+        match unless_ending(&shared, intake::receive(&shared, req), Refusal::Stopping).await {
+            Ok(job) => proxy(&shared, job).await,
+            Err(refusal) => Err(refusal),
+        };
     let result = match result {
-        Ok(response) if !reads_chunks => relay::buffer_response(response).await,
+        Ok(response) if !reads_chunks => {
+            unless_ending(&shared, relay::buffer_response(response), ENDED).await
+        }
         result => result,
     };
     let mut response = match result {
@@ -151,7 +154,7 @@
     let _active = ActiveRequest::new(&shared);
     let started_at = Instant::now();
     let id = sesamebarrow_platform::head::read_attempt_id(req.headers());
-    let result = match hop::receive(&shared, req).await {
+    let result = match unless_ending(&shared, hop::receive(&shared, req), Refusal::Stopping).await {
         Ok(job) => proxy(&shared, job).await,
         Err(refusal) => Err(refusal),
     };
@@ -164,8 +167,35 @@
 
 async fn proxy(shared: &Arc<Shared>, job: Job) -> Result<Response<Body>, Refusal> {
     let mut history = AttemptHistory::default();
-    let response = exchange::make_attempts(shared, &job, &mut history).await?;
-    relay::relay_response(shared, job, history, response).await
+    let response = tokio::select! {
+        biased;
+        response = exchange::make_attempts(shared, &job, &mut history) => response?,
+        () = shared.ends.cancelled() => {
+            return Err(if history.possible_runs > 0 { ENDED } else { Refusal::Stopping });
+        }
+    };
+    unless_ending(
+        shared,
+        relay::relay_response(shared, job, history, response),
+        ENDED,
+    )
+    .await
+}
+
+/// Refusal of a request that may have run when the process ends.
+const ENDED: Refusal = Refusal::Unknown("stopped");
+
+/// Returns the result of `work`, or `refusal` if the process is about to end before it.
+async fn unless_ending<T>(
+    shared: &Shared,
+    work: impl Future<Output = Result<T, Refusal>>,
+    refusal: Refusal,
+) -> Result<T, Refusal> {
+    tokio::select! {
+        biased;
+        result = work => result,
+        () = shared.ends.cancelled() => Err(refusal),
+    }
 }
 
 fn refusal_response(
--- a/crates/sesamebarrow_gateway/src/shared.rs
+++ b/crates/sesamebarrow_gateway/src/shared.rs
@@ -59,6 +59,8 @@
     pub refuses_streams: AtomicBool,
     /// Cancelled when inbound connections must be closed as soon as they are idle.
     pub close_idle: CancellationToken,
+    /// Cancelled shortly before the process ends: what is unanswered then is answered by this instance.
+    pub ends: CancellationToken,
     /// Notified when another instance has newer items than this one.
     pub catalog_outdated: Notify,
     /// Notified when a watch of the store has returned changes.
@@ -96,6 +98,7 @@
             closes_connections: AtomicBool::new(false),
             refuses_streams: AtomicBool::new(false),
             close_idle: CancellationToken::new(),
+            ends: CancellationToken::new(),
             catalog_outdated: Notify::new(),
             catalog_updated: Notify::new(),
             started_at: clock::now(),
