Receive the rest of a body whose request is refused by its head

Cause: only refusals for want of memory received and dropped the rest of the body; after the others the connection was closed with bytes unread.

--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -22,6 +22,7 @@
 
 use crate::exchange;
 use crate::intake::{self, Job, RequestPolicy, Residency, path_and_query};
+use crate::memory;
 use crate::meter::MeteredBody;
 use crate::relay::Body;
 use crate::reply::Refusal;
@@ -220,6 +221,7 @@
         .and_then(|v| v.to_str().ok().map(serde_json::from_str))
         .and_then(Result::ok);
     let Some(envelope) = envelope else {
+        memory::discard(body);
         return Err(Refusal::NotRun("no-envelope", Duration::ZERO));
     };
     let mut held = shared
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -140,16 +140,15 @@
 pub async fn receive(shared: &Arc<Shared>, req: Request<MeteredBody>) -> Result<Job, Refusal> {
     let started_at = Instant::now();
     let (parts, body) = req.into_parts();
-    let config = shared.board().config.clone();
-    let Some(config) = config else {
-        return Err(Refusal::NotRun("no-configuration", NO_CONFIG_RETRY_AFTER));
-    };
     let request_head = head::read_request(&parts.headers);
-    let route = find_route(&config, &parts)?;
-    let customer = identify(&config, &route, request_head.api_key.as_deref())?;
-    if route.kind == RequestKind::Streaming && shared.refuses_streams.load(Ordering::Relaxed) {
-        return Err(Refusal::Stopping);
-    }
+    let (config, route, customer) =
+        match check_head(shared, &parts, request_head.api_key.as_deref()) {
+            Ok(checked) => checked,
+            Err(refusal) => {
+                memory::discard(body);
+                return Err(refusal);
+            }
+        };
     let mut held = shared.memory.hold(
         customer.as_ref().map(|c| c.name.as_str()),
         priority(&route, customer.as_deref()),
@@ -238,6 +237,22 @@
     .with_suspects())
 }
 
+type Checked = (Arc<Config>, Arc<Route>, Option<Arc<Customer>>);
+
+/// Checks what the head of a request shows, before its body is received.
+fn check_head(shared: &Shared, parts: &Parts, api_key: Option<&str>) -> Result<Checked, Refusal> {
+    let config = shared.board().config.clone();
+    let Some(config) = config else {
+        return Err(Refusal::NotRun("no-configuration", NO_CONFIG_RETRY_AFTER));
+    };
+    let route = find_route(&config, parts)?;
+    let customer = identify(&config, &route, api_key)?;
+    if route.kind == RequestKind::Streaming && shared.refuses_streams.load(Ordering::Relaxed) {
+        return Err(Refusal::Stopping);
+    }
+    Ok((config, route, customer))
+}
+
 /// Returns whether this instance may accept a client's request that takes up to `timeout`.
 fn may_accept(shared: &Shared, timeout: Duration) -> bool {
     may_accept_within(shared, timeout, shared.settings.shutdown.notice)
@@ -301,6 +316,7 @@
     let declared = body.size_hint().exact().unwrap_or_default();
     let declared = usize::try_from(declared).unwrap_or(usize::MAX);
     if declared > max_bytes {
+        memory::discard(body);
         return Err(Refusal::BodyTooLarge);
     }
     if let Err(full) = held.grow_to(declared) {
@@ -314,6 +330,7 @@
             continue;
         };
         if buf.len().saturating_add(data.len()) > max_bytes {
+            memory::discard(body);
             return Err(Refusal::BodyTooLarge);
         }
         buf.extend_from_slice(&data);
