Answer a request whose handler panics

It is answered 502 now, which promises nothing; the panic is logged by its hook and counted as a task failure. Evidence: the test of supervise::catch; no input is known that makes a handler panic.

--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -23,7 +23,7 @@
 use crate::reply::Refusal;
 use crate::selection::AttemptHistory;
 use crate::shared::Shared;
-use crate::{hop, socket};
+use crate::{hop, socket, supervise};
 
 /// Pause after a failed accept, which most likely means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -127,17 +127,9 @@
     let started_at = Instant::now();
     let id = sesamebarrow_platform::head::read_attempt_id(req.headers());
     let reads_chunks = req.version() > Version::HTTP_10;
-    let result =
-        match unless_ending(&shared, intake::receive(&shared, req), Refusal::Stopping).await {
-            Ok(job) => proxy(&shared, job).await,
-            Err(refusal) => Err(refusal),
-        };
-    let result = match result {
-        Ok(response) if !reads_chunks => {
-            unless_ending(&shared, relay::buffer_response(response), ENDED).await
-        }
-        result => result,
-    };
+    let work = answer_client(&shared, req, reads_chunks);
+    let result = supervise::catch("client-request", work).await;
+    let result = result.unwrap_or(Err(FAILED));
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => refusal_response(&shared, &id, refusal, started_at),
@@ -154,10 +146,13 @@
     let _active = ActiveRequest::new(&shared);
     let started_at = Instant::now();
     let id = sesamebarrow_platform::head::read_attempt_id(req.headers());
-    let result = match unless_ending(&shared, hop::receive(&shared, req), Refusal::Stopping).await {
-        Ok(job) => proxy(&shared, job).await,
-        Err(refusal) => Err(refusal),
+    let work = async {
+        let received = hop::receive(&shared, req);
+        let job = unless_ending(&shared, received, Refusal::Stopping).await?;
+        proxy(&shared, job).await
     };
+    let result = supervise::catch("forwarded-request", work).await;
+    let result = result.unwrap_or(Err(FAILED));
     result.unwrap_or_else(|refusal| {
         let mut response = refusal_response(&shared, &id, refusal, started_at);
         hop::write_refusal(&mut response, refusal, &id);
@@ -165,6 +160,23 @@
     })
 }
 
+/// Refusal of a request whose handler has panicked.
+const FAILED: Refusal = Refusal::Unknown("internal-error");
+
+async fn answer_client(
+    shared: &Arc<Shared>,
+    req: Request<MeteredBody>,
+    reads_chunks: bool,
+) -> Result<Response<Body>, Refusal> {
+    let received = intake::receive(shared, req);
+    let job = unless_ending(shared, received, Refusal::Stopping).await?;
+    let response = proxy(shared, job).await?;
+    if reads_chunks {
+        return Ok(response);
+    }
+    unless_ending(shared, relay::buffer_response(response), ENDED).await
+}
+
 async fn proxy(shared: &Arc<Shared>, job: Job) -> Result<Response<Body>, Refusal> {
     let mut history = AttemptHistory::default();
     let response = tokio::select! {
--- a/crates/sesamebarrow_gateway/tests/supervise.rs
+++ b/crates/sesamebarrow_gateway/tests/supervise.rs
@@ -22,3 +22,10 @@
     tokio::time::sleep(std::time::Duration::from_secs(1)).await;
     assert_eq!(starts.load(Ordering::Relaxed), 3);
 }
+
+#[tokio::test]
+async fn request_whose_handler_panics_is_not_left_unanswered() {
+    let work = async { Option::<u32>::None.expect("an unexpected message") };
+    assert_eq!(supervise::catch("test", work).await, None);
+    assert_eq!(supervise::catch("test", async { 7 }).await, Some(7));
+}
