Close connections in a stop only when they owe nothing, and end the process after that

Cause: the end of the notice closed each connection that was idle to the HTTP library, whatever had arrived; the listener went on accepting; and the process ended when no handler was active, which says nothing of what is read, or written. Change: the listeners of clients and hops are closed at the end of the notice, after all that wait in their backlog were accepted, so that a refused connection says that nothing was sent. A connection is closed when it is idle after the runtime has looked at its socket; half a head, or a connection without a request (500 ms), is waited for. The process ends when no connection is busy, or at the limit. Connections are closed for writing first and read on for up to 1 s, so that pipelined bytes do not reset an answer. Weighed: answering 503 on new connections until the end; a refused connection costs the caller less and is as clear. Class: also the directory, the readiness check and the admin address.

--- a/crates/sesamebarrow_gateway/src/inbound.rs
+++ b/crates/sesamebarrow_gateway/src/inbound.rs
@@ -46,6 +46,7 @@
 impl Progress {
     /// Returns the progress of a connection that has just been accepted.
     pub fn new(shared: &Arc<Shared>) -> Arc<Self> {
+        shared.busy_connections.fetch_add(1, Ordering::Relaxed);
         Arc::new(Self {
             shared: shared.clone(),
             stage: AtomicU8::new(Stage::Opened as u8),
@@ -65,11 +66,11 @@
     }
 
     fn set(&self, stage: Stage) {
-        let owed_before = owes(self.stage());
+        let was_busy = self.stage() != Stage::Idle;
         self.stage.store(stage as u8, Ordering::Relaxed);
-        match (owed_before, owes(stage)) {
-            (false, true) => self.shared.owed_answers.fetch_add(1, Ordering::Relaxed),
-            (true, false) => self.shared.owed_answers.fetch_sub(1, Ordering::Relaxed),
+        match (was_busy, stage != Stage::Idle) {
+            (false, true) => self.shared.busy_connections.fetch_add(1, Ordering::Relaxed),
+            (true, false) => self.shared.busy_connections.fetch_sub(1, Ordering::Relaxed),
             _ => 0,
         };
     }
@@ -150,6 +151,11 @@
         Self { stream, progress }
     }
 
+    /// Returns the stream.
+    pub fn into_inner(self) -> T {
+        self.stream
+    }
+
     fn record_failure<R>(&self, result: io::Result<R>) -> io::Result<R> {
         if result.is_err() {
             self.progress.peer_closed.store(true, Ordering::Relaxed);
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod inbox;
 pub mod intake;
 pub mod limit;
+pub mod listener;
 pub mod log_limit;
 pub mod memory;
 pub mod meter;
--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -11,7 +11,9 @@
 use sesamebarrow_routing::Identity;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio_util::sync::CancellationToken;
 
+use crate::listener::Listener;
 use crate::meter::MeteredBody;
 use crate::relay::Body;
 use crate::settings::Settings;
@@ -21,7 +23,7 @@
 use crate::{admin, directory, dispatch, gossip, server, store, supervise, sync};
 
 /// Interval at which a draining process checks whether all requests have ended.
-const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time before the limit of a shutdown at which this instance answers what is unanswered.
 pub const ANSWER_TIME: Duration = Duration::from_millis(400);
@@ -73,11 +75,19 @@
     supervise(&shared, "sync-server", move |shared| {
         sync::serve(shared, sync_listener.clone())
     });
+    // A client whose connection is refused knows that nothing was sent.
+    let until_notice_ends = |socket| Listener::new(socket, shared.close_idle.clone());
+    let until_end = |socket| Listener::new(socket, CancellationToken::new());
+    let client_listener = until_notice_ends(client_listener);
     supervise_server(&shared, "callers", client_listener, server::handle_client);
+    let hop_listener = until_notice_ends(hop_listener);
     supervise_server(&shared, "hops", hop_listener, server::handle_instance);
+    let ready_listener = until_end(ready_listener);
     supervise_server(&shared, "ready", ready_listener, directory::ready);
+    let directory_listener = until_end(directory_listener);
     supervise_server(&shared, "directory", directory_listener, directory::resolve);
     let admin_handler = move |shared, req| admin::handle(shared, metrics.clone(), req);
+    let admin_listener = until_end(admin_listener);
     supervise_server(&shared, "admin", admin_listener, admin_handler);
     wait_for_stop(&shared, &mut signals, path).await;
     drain(&shared).await;
@@ -95,13 +105,9 @@
     supervise::spawn(name, move || task(shared.clone()));
 }
 
-fn supervise_server<F, R>(
-    shared: &Arc<Shared>,
-    name: &'static str,
-    listener: TcpListener,
-    handler: F,
-) where
-    F: Fn(Arc<Shared>, Request<MeteredBody>) -> R + Clone + Send + 'static,
+fn supervise_server<F, R>(shared: &Arc<Shared>, name: &'static str, listener: Listener, handler: F)
+where
+    F: Fn(Arc<Shared>, Request<MeteredBody>) -> R + Clone + Send + Unpin + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
     let listener = Arc::new(listener);
@@ -236,19 +242,20 @@
     shared.refuses_streams.store(true, Ordering::Relaxed);
     tokio::time::sleep(shutdown.notice.mul_f64(1.0 - STREAM_ACCEPT_FRACTION)).await;
     shared.close_idle.cancel();
-    log::info!(owed = shared.owed_answers.load(Ordering::Relaxed); "notice ended");
+    let busy = || shared.busy_connections.load(Ordering::Relaxed);
+    let running = || shared.active_requests.load(Ordering::Relaxed);
+    log::info!(busy = busy(), requests = running(); "notice ended");
+    // Connections that are read for the last time begin to owe answers now.
+    tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
     loop {
-        let running = shared.active_requests.load(Ordering::Relaxed);
         let draining_for = shared.now().saturating_sub(drain_started_at);
         if draining_for + ANSWER_TIME > shutdown.limit && !shared.ends.is_cancelled() {
-            log::info!(requests = running; "answering what is left");
+            log::info!(requests = running(); "answering what is left");
             shared.ends.cancel();
         }
-        let limit_reached = draining_for > shutdown.limit;
-        if running == 0 || limit_reached {
-            let owed = shared.owed_answers.load(Ordering::Relaxed);
+        if busy() == 0 && running() == 0 || draining_for > shutdown.limit {
             let open = shared.inbound_connections.len();
-            log::info!(cut = running, owed, open; "stopped");
+            log::info!(cut = running(), busy = busy(), open; "stopped");
             return;
         }
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -1,23 +1,29 @@
 //! Accepts connections and handles the requests of clients and other instances.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::task::{Poll, ready};
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
+use hyper::service::HttpService;
 use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sesamebarrow_routing::config::Limits;
 use smol_str::SmolStr;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
 
 use crate::exchange;
-use crate::inbound::{self, BodyGuard, EndGuard, Progress, Tracked};
+use crate::inbound::{self, BodyGuard, EndGuard, Progress, Stage, Tracked};
 use crate::intake::{self, Job};
+use crate::listener::Listener;
 use crate::meter::{Metered, MeteredBody};
 use crate::relay::{self, Body};
 use crate::reply::Refusal;
@@ -35,15 +41,24 @@
 /// Minimum size in bytes of a read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Time for which a connection that nothing was received on stays open once connections are closed. Its client may
+/// be about to send a request.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
+/// Maximum time for which a connection that this instance has closed is read on. Otherwise, what its client still
+/// sends would reset it, and the client might not be able to read the last answer.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
 /// Serves connections of `listener` until the process ends; `handler` answers requests.
-pub async fn serve<F, R>(shared: Arc<Shared>, listener: Arc<TcpListener>, handler: F)
+pub async fn serve<F, R>(shared: Arc<Shared>, listener: Arc<Listener>, handler: F)
 where
-    F: Fn(Arc<Shared>, Request<MeteredBody>) -> R + Clone + Send + 'static,
+    F: Fn(Arc<Shared>, Request<MeteredBody>) -> R + Clone + Send + Unpin + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
+    let mut backlog = Vec::new();
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => spawn_connection(&shared, stream, handler.clone()),
+        match listener.accept(&mut backlog).await {
+            Ok(stream) => spawn_connection(&shared, stream, handler.clone()),
             Err(error) => {
                 log::warn!(error:% = error; "accept failed");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -54,7 +69,7 @@
 
 fn spawn_connection<F, R>(shared: &Arc<Shared>, stream: TcpStream, handler: F)
 where
-    F: Fn(Arc<Shared>, Request<MeteredBody>) -> R + Clone + Send + 'static,
+    F: Fn(Arc<Shared>, Request<MeteredBody>) -> R + Clone + Send + Unpin + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
     if let Err(error) = socket::set_options(&stream) {
@@ -63,48 +78,108 @@
     }
     let config = shared.board().config.clone();
     let limits = config.map_or_else(Limits::default, |c| c.limits);
-    let shared = shared.clone();
-    let close_idle = shared.close_idle.clone();
-    let tracker = shared.inbound_connections.clone();
-    let progress = Progress::new(&shared);
-    let end_guard = EndGuard(progress.clone());
+    let progress = Progress::new(shared);
     let (stream, meter) = Metered::new(stream);
     let stream = Tracked::new(stream, progress.clone());
-    let service = hyper::service::service_fn(move |req: Request<Incoming>| {
-        meter.reset();
-        progress.record_handler();
-        let guard = BodyGuard(progress.clone());
-        let req = req.map(|body| MeteredBody::new(body, meter.clone()).guarded(guard));
-        let response = handler(shared.clone(), req);
-        let progress = progress.clone();
-        async move {
-            let response = response.await;
-            Ok::<_, Infallible>(response.map(|body| inbound::answer_body(body, progress)))
-        }
-    });
-    let connection = http1::Builder::new()
+    let service = {
+        let (shared, progress) = (shared.clone(), progress.clone());
+        hyper::service::service_fn(move |req: Request<Incoming>| {
+            meter.reset();
+            progress.record_handler();
+            let guard = BodyGuard(progress.clone());
+            let req = req.map(|body| MeteredBody::new(body, meter.clone()).guarded(guard));
+            let response = handler(shared.clone(), req);
+            let progress = progress.clone();
+            Box::pin(async move {
+                let response = response.await;
+                Ok::<_, Infallible>(response.map(|body| inbound::answer_body(body, progress)))
+            })
+        })
+    };
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // This timeout covers both the idle time before a request and the receipt of its head;
         // `Limits::head_timeout` is not used.
         .header_read_timeout(limits.idle_timeout + IDLE_SLACK)
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES) * 2)
         .serve_connection(TokioIo::new(stream), service);
-    tracker.spawn(async move {
-        let _end_guard = end_guard;
-        let mut connection = std::pin::pin!(connection);
-        let ended = tokio::select! {
-            ended = connection.as_mut() => ended,
-            () = close_idle.cancelled() => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
-        };
+    let close_idle = shared.close_idle.clone();
+    shared.inbound_connections.spawn(async move {
+        let end_guard = EndGuard(progress.clone());
+        let ended = serve_connection(&mut connection, &progress, close_idle).await;
+        drop(end_guard);
         if let Err(error) = ended {
             log::debug!(error:% = error; "inbound connection failed");
         }
+        if !progress.peer_closed() {
+            linger(connection.into_parts().io.into_inner().into_inner()).await;
+        }
     });
 }
 
+/// Serves the requests of a connection until it ends. Once `close_idle` is cancelled, it ends when it owes no answer.
+async fn serve_connection<S, B>(
+    connection: &mut http1::Connection<TokioIo<Tracked<Metered<TcpStream>>>, S>,
+    progress: &Progress,
+    close_idle: CancellationToken,
+) -> hyper::Result<()>
+where
+    S: HttpService<Incoming, ResBody = B> + Unpin,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    S::Future: Unpin,
+    B: hyper::body::Body + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut closing = std::pin::pin!(async {
+        close_idle.cancelled().await;
+        // The runtime looks at its sockets before this goes on, so what has arrived is read first.
+        tokio::task::yield_now().await;
+    });
+    let mut unused = std::pin::pin!(None);
+    let (mut is_closing, mut is_last) = (false, false);
+    poll_fn(|cx| {
+        loop {
+            if let Poll::Ready(ended) = connection.poll_without_shutdown(cx) {
+                return Poll::Ready(ended);
+            }
+            if is_last {
+                return Poll::Pending;
+            }
+            if !is_closing {
+                ready!(closing.as_mut().poll(cx));
+                is_closing = true;
+            }
+            match progress.stage() {
+                Stage::Opened => {
+                    if unused.is_none() {
+                        unused.set(Some(tokio::time::sleep(FIRST_REQUEST_TIME)));
+                    }
+                    if let Some(unused) = unused.as_mut().as_pin_mut() {
+                        ready!(unused.poll(cx));
+                    }
+                }
+                // The HTTP library would drop the part of a head that it holds.
+                Stage::Receiving => return Poll::Pending,
+                Stage::Idle | Stage::Handling | Stage::Answering => {}
+            }
+            is_last = true;
+            Pin::new(&mut *connection).graceful_shutdown();
+        }
+    })
+    .await
+}
+
+/// Closes a connection for writing, and drops what its client still sends, until the client closes it too.
+async fn linger(mut stream: Metered<TcpStream>) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let mut buf = [0; 4 * 1024];
+    let rest = async { while let Ok(1..) = stream.read(&mut buf).await {} };
+    // A client that does not close it in time is reset.
+    let _ = tokio::time::timeout(LINGER_TIME, rest).await;
+}
+
 /// Counts a request as active until it is dropped.
 struct ActiveRequest(Arc<Shared>);
 
--- a/crates/sesamebarrow_gateway/src/shared.rs
+++ b/crates/sesamebarrow_gateway/src/shared.rs
@@ -51,8 +51,8 @@
     pub inbound_connections: TaskTracker,
     /// Number of active requests.
     pub active_requests: AtomicU64,
-    /// Number of inbound connections that owe an answer.
-    pub owed_answers: AtomicU64,
+    /// Number of inbound connections that owe an answer, or that nothing was received on yet.
+    pub busy_connections: AtomicU64,
     /// Whether responses tell clients to close their connections.
     pub closes_connections: AtomicBool,
     /// Whether streaming requests are refused, because the process may stop before they end.
@@ -94,7 +94,7 @@
             log_limiter: Limiter::default(),
             inbound_connections: TaskTracker::new(),
             active_requests: AtomicU64::new(0),
-            owed_answers: AtomicU64::new(0),
+            busy_connections: AtomicU64::new(0),
             closes_connections: AtomicBool::new(false),
             refuses_streams: AtomicBool::new(false),
             close_idle: CancellationToken::new(),
