Take an upstream for running only if its next connection stays open

The connection must now stay open: for 100 ms after an answer that broke off, for 50 ms at the end of an answer that only its connection frames. One that the peer closes is opened again until a connection is refused; a process that closes new connections for more than 150 ms runs, and has too many. The callers' interface uses the same probe.

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -25,6 +25,10 @@
 /// sent again after a second if the upstream's queue was full.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Time for which a connection that is opened at the end of an answer must stay open. It delays the end of each answer that
+/// nothing but its connection frames.
+const CONFIRM_SETTLING_TIME: Duration = Duration::from_millis(50);
+
 /// Target of an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Target {
@@ -202,9 +206,12 @@
         async move {
             match address {
                 Some(address) => {
-                    let probe = shared
-                        .pool
-                        .probe_listening(address, CONFIRM_TIMEOUT, max_idle);
+                    let probe = shared.pool.probe_listening(
+                        address,
+                        CONFIRM_TIMEOUT,
+                        CONFIRM_SETTLING_TIME,
+                        max_idle,
+                    );
                     probe.await == Listening::Yes
                 }
                 None => true,
--- a/crates/sesamebarrow_gateway/src/crash.rs
+++ b/crates/sesamebarrow_gateway/src/crash.rs
@@ -12,9 +12,13 @@
 use crate::quarantine;
 use crate::shared::Shared;
 
-/// Maximum time to see whether an upstream has crashed, for which a retry waits.
+/// Maximum time to open a connection to an upstream that may have crashed. A retry waits for it, and for
+/// [`SETTLING_TIME`].
 const EXAMINE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time for which a connection to an upstream that may have crashed must stay open to show that it has not.
+const SETTLING_TIME: Duration = Duration::from_millis(100);
+
 /// Starts to find out whether the upstream of `attempt`, whose answer to `job` broke off after `events`
 /// events, has crashed. Returns `None` if the target is no upstream, or one whose end was announced.
 pub fn examine(
@@ -30,10 +34,12 @@
     let parts = format_parts(job);
     let suspects = job.suspects.clone();
     Some(tokio::spawn(async move {
-        let listening =
-            shared
-                .pool
-                .probe_listening(endpoint.address, EXAMINE_TIMEOUT, endpoint.max_idle);
+        let listening = shared.pool.probe_listening(
+            endpoint.address,
+            EXAMINE_TIMEOUT,
+            SETTLING_TIME,
+            endpoint.max_idle,
+        );
         let crashed = listening.await == Listening::No;
         if shared.log_limiter.allow(true) {
             log::info!(
--- a/crates/sesamebarrow_gateway/src/framing.rs
+++ b/crates/sesamebarrow_gateway/src/framing.rs
@@ -9,7 +9,7 @@
 //!
 //! The connections of a process that has ended are closed in order too, so such an end proves
 //! nothing where nothing else frames the body. Whether the upstream still runs is seen by opening
-//! its next connection ([`crate::attempt::Attempt::confirm_end`]), also if it leaves or is gone from the store.
+//! its next connection, which must stay open ([`crate::attempt::Attempt::confirm_end`]), also if it leaves or is gone from the store.
 
 use hyper::HeaderMap;
 use hyper::body::Body;
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -14,6 +14,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
 
 use crate::meter::{Meter, Metered, MeteredBody};
 use crate::socket;
@@ -41,10 +42,17 @@
     Broken,
 }
 
+/// Pause before another connection is opened after the peer has closed one.
+const REOPEN_PAUSE: Duration = Duration::from_millis(5);
+
+/// Time within which a process that closes its connections since it ends also stops to accept new ones. One that closes
+/// new connections for longer has too many.
+const ENDING_TIME: Duration = Duration::from_millis(150);
+
 /// Whether a process accepts connections at an address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listening {
-    /// It has accepted one.
+    /// It has accepted one and has kept it open, or accepts them for longer than a process that ends.
     Yes,
     /// The connection was refused.
     No,
@@ -114,6 +122,10 @@
     /// as it might an idle one.
     pub async fn open(&self, address: SocketAddr, timeout: Duration) -> io::Result<Connection> {
         let stream = socket::connect_for_responses(address, timeout).await?;
+        Self::start(address, stream).await
+    }
+
+    async fn start(address: SocketAddr, stream: TcpStream) -> io::Result<Connection> {
         let (stream, meter) = Metered::new(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
@@ -134,21 +146,37 @@
         })
     }
 
-    /// Returns whether a process accepts connections at `address`, by opening one within `timeout`, which is
-    /// then kept as [`Self::release`] does.
+    /// Returns whether a process runs that accepts connections at `address`, by opening one, each attempt within
+    /// `timeout`. A process that ends may still accept a connection, but closes it: it must stay open for
+    /// `settling_time`. It is then kept as [`Self::release`] does.
     pub async fn probe_listening(
         &self,
         address: SocketAddr,
         timeout: Duration,
+        settling_time: Duration,
         max_idle: usize,
     ) -> Listening {
-        match self.open(address, timeout).await {
-            Ok(connection) => {
-                self.release(connection, Some(DEFAULT_IDLE_TIME), max_idle);
-                Listening::Yes
+        let started_at = Instant::now();
+        loop {
+            match socket::connect_for_responses(address, timeout).await {
+                Ok(stream) if stays_open(&stream, settling_time).await => {
+                    if let Ok(connection) = Self::start(address, stream).await {
+                        self.release(connection, Some(DEFAULT_IDLE_TIME), max_idle);
+                    }
+                    return Listening::Yes;
+                }
+                Ok(_) => {}
+                Err(error) => match error.kind() {
+                    io::ErrorKind::ConnectionRefused => return Listening::No,
+                    // The connection was closed before its socket was read.
+                    io::ErrorKind::ConnectionReset => {}
+                    _ => return Listening::Unknown,
+                },
             }
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Listening::No,
-            Err(_) => Listening::Unknown,
+            if started_at.elapsed() >= ENDING_TIME {
+                return Listening::Yes;
+            }
+            tokio::time::sleep(REOPEN_PAUSE).await;
         }
     }
 
@@ -202,6 +230,16 @@
     }
 }
 
+/// Returns whether the peer does not close `stream` within `time`.
+async fn stays_open(stream: &TcpStream, time: Duration) -> bool {
+    match tokio::time::timeout(time, stream.peek(&mut [0])).await {
+        // The peer's process has written something.
+        Ok(Ok(count)) => count > 0,
+        Ok(Err(_)) => false,
+        Err(_) => true,
+    }
+}
+
 /// Returns how long the connection of a response with these headers may stay idle; `None` if
 /// it must be closed.
 pub fn idle_time(headers: &HeaderMap) -> Option<Duration> {
--- a/crates/sesamebarrow_node/src/exchange.rs
+++ b/crates/sesamebarrow_node/src/exchange.rs
@@ -23,9 +23,12 @@
 use crate::problem::Problem;
 use crate::relay::{self, Part, ResponseTracker};
 
-/// Maximum time to see whether an upstream has crashed.
+/// Maximum time to open a connection to an upstream that may have crashed.
 const EXAMINE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time for which a connection to an upstream that may have crashed must stay open to show that it has not.
+const SETTLING_TIME: Duration = Duration::from_millis(100);
+
 /// Reads the body of a request. It is first polled after the policy has chosen a target.
 pub type OutboundFuture = Pin<Box<dyn Future<Output = Result<OutboundRequest, Problem>> + Send>>;
 
@@ -347,7 +350,8 @@
             Some(address) => {
                 let max_idle = attempt::MAX_IDLE_CONNECTIONS;
                 let pool = &self.node.pool;
-                let listening = pool.probe_listening(address, EXAMINE_TIMEOUT, max_idle);
+                let listening =
+                    pool.probe_listening(address, EXAMINE_TIMEOUT, SETTLING_TIME, max_idle);
                 listening.await == Listening::No
             }
             None => false,
