Let peers read slowly until the deadline of their request

Callers that read nothing of an answer for 2.5 s lost it: TCP_USER_TIMEOUT also counts the time for which a live peer keeps its window closed. It was set on each connection, so uploads to upstreams and streams over hops broke the same way.

The timeout now follows the message. From the begin of an answer it is the rest of the request's time budget; while a client waits it stays 2.5 s, so that keepalive finds one that is gone.

That a stream whose client never reads ends was so before, and still is.

--- a/crates/sesamebarrow_gateway/src/meter.rs
+++ b/crates/sesamebarrow_gateway/src/meter.rs
@@ -1,12 +1,13 @@
-//! Limits the bytes of a connection that are no part of a message.
+//! Limits the bytes of a connection that are no part of a message, and the time for which its peer reads nothing.
 //!
 //! The HTTP library reads on while it finds neither an error nor the end of what it parses. Interim responses
 //! and the size of a chunk have no end, and a peer that never pauses then keeps the thread for itself.
 
 use std::io;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,8 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::socket;
+
 /// Maximum number of bytes that a peer may send without making progress with its message. Larger than the
 /// largest head.
 const MAX_OVERHEAD_BYTES: i64 = 512 * 1024;
@@ -27,19 +30,38 @@
 /// Number of bytes that a peer may send in each [`REFILL_INTERVAL`] without making progress.
 const REFILL_BYTES: i64 = 16 * 1024;
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Counts the bytes that a peer may send before it must make progress.
 #[derive(Clone, Debug)]
 pub struct Meter {
     remaining: Arc<AtomicI64>,
+    /// Time for which the peer may read nothing, in milliseconds; 0 for any time.
+    write_timeout_ms: Arc<AtomicU64>,
 }
 
 impl Meter {
     fn new() -> Self {
         Self {
             remaining: Arc::new(AtomicI64::new(MAX_OVERHEAD_BYTES)),
+            write_timeout_ms: Arc::new(AtomicU64::new(millis(socket::WRITE_TIMEOUT))),
         }
     }
 
+    /// Sets for how long the peer may read nothing of what is written from now on before the connection is closed; at
+    /// least [`socket::WRITE_TIMEOUT`], and else rounded up to whole seconds. `None` sets no limit.
+    pub fn set_write_timeout(&self, timeout: Option<Duration>) {
+        let timeout = match timeout {
+            None => Duration::ZERO,
+            Some(timeout) if timeout <= socket::WRITE_TIMEOUT => socket::WRITE_TIMEOUT,
+            Some(timeout) => Duration::from_secs(timeout.as_secs().saturating_add(1)),
+        };
+        self.write_timeout_ms
+            .store(millis(timeout), Ordering::Relaxed);
+    }
+
     /// Records that a request begins or a head was received.
     pub fn reset(&self) {
         self.remaining.store(MAX_OVERHEAD_BYTES, Ordering::Relaxed);
@@ -75,6 +97,8 @@
     stream: T,
     meter: Meter,
     refilled_at: Instant,
+    /// The write timeout of the socket, in milliseconds.
+    write_timeout_ms: u64,
 }
 
 impl<T> Metered<T> {
@@ -85,6 +109,7 @@
             stream,
             meter: meter.clone(),
             refilled_at: Instant::now(),
+            write_timeout_ms: millis(socket::WRITE_TIMEOUT),
         };
         (metered, meter)
     }
@@ -101,6 +126,19 @@
     }
 }
 
+impl<T: AsFd> Metered<T> {
+    /// Passes a write timeout that was changed on to the socket.
+    fn update_write_timeout(&mut self) -> io::Result<()> {
+        let wanted_ms = self.meter.write_timeout_ms.load(Ordering::Relaxed);
+        if wanted_ms == self.write_timeout_ms {
+            return Ok(());
+        }
+        self.write_timeout_ms = wanted_ms;
+        let timeout = (wanted_ms > 0).then_some(Duration::from_millis(wanted_ms));
+        socket::set_write_timeout(&self.stream, timeout)
+    }
+}
+
 impl<T: AsyncRead + Unpin> AsyncRead for Metered<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -119,12 +157,13 @@
     }
 }
 
-impl<T: AsyncWrite + Unpin> AsyncWrite for Metered<T> {
+impl<T: AsyncWrite + AsFd + Unpin> AsyncWrite for Metered<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.update_write_timeout()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -141,6 +180,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.update_write_timeout()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -161,6 +201,11 @@
     pub fn new(body: Incoming, meter: Meter) -> Self {
         Self { body, meter }
     }
+
+    /// Returns what counts for the body's connection.
+    pub fn meter(&self) -> &Meter {
+        &self.meter
+    }
 }
 
 impl Body for MeteredBody {
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
@@ -42,6 +43,9 @@
     Broken,
 }
 
+/// Maximum size of a request that the kernel of a peer takes, though the peer reads nothing of it.
+const MAX_UNREAD_BYTES: u64 = 64 * 1024;
+
 /// Pause before another connection is opened after the peer has closed one.
 const REOPEN_PAUSE: Duration = Duration::from_millis(5);
 
@@ -82,6 +86,13 @@
         req: Request<Full<Bytes>>,
     ) -> Result<Response<MeteredBody>, Error> {
         self.meter.reset();
+        let is_small = req
+            .body()
+            .size_hint()
+            .upper()
+            .is_some_and(|u| u <= MAX_UNREAD_BYTES);
+        let write_timeout = is_small.then_some(socket::WRITE_TIMEOUT);
+        self.meter.set_write_timeout(write_timeout);
         match self.sender.try_send_request(req).await {
             Ok(response) => {
                 self.meter.reset();
--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -17,7 +17,7 @@
 
 use crate::exchange;
 use crate::intake::{self, Job};
-use crate::meter::{Metered, MeteredBody};
+use crate::meter::{Meter, Metered, MeteredBody};
 use crate::relay::{self, Body};
 use crate::reply::Refusal;
 use crate::selection::AttemptHistory;
@@ -116,8 +116,9 @@
     let started_at = Instant::now();
     let id = sesamebarrow_platform::head::read_attempt_id(req.headers());
     let reads_chunks = req.version() > Version::HTTP_10;
+    let meter = req.body().meter().clone();
     let result = match intake::receive(&shared, req).await {
-        Ok(job) => proxy(&shared, job).await,
+        Ok(job) => answer(&shared, job, &meter).await,
         Err(refusal) => Err(refusal),
     };
     let result = match result {
@@ -140,8 +141,9 @@
     let _active = ActiveRequest::new(&shared);
     let started_at = Instant::now();
     let id = sesamebarrow_platform::head::read_attempt_id(req.headers());
+    let meter = req.body().meter().clone();
     let result = match hop::receive(&shared, req).await {
-        Ok(job) => proxy(&shared, job).await,
+        Ok(job) => answer(&shared, job, &meter).await,
         Err(refusal) => Err(refusal),
     };
     result.unwrap_or_else(|refusal| {
@@ -151,6 +153,15 @@
     })
 }
 
+/// Answers `job`. Its client may read the answer as slowly as the deadline allows.
+async fn answer(shared: &Arc<Shared>, job: Job, meter: &Meter) -> Result<Response<Body>, Refusal> {
+    let deadline = job.deadline;
+    let response = proxy(shared, job).await;
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    meter.set_write_timeout(Some(time_left));
+    response
+}
+
 async fn proxy(shared: &Arc<Shared>, job: Job) -> Result<Response<Body>, Refusal> {
     let mut history = AttemptHistory::default();
     let response = exchange::make_attempts(shared, &job, &mut history).await?;
--- a/crates/sesamebarrow_gateway/src/socket.rs
+++ b/crates/sesamebarrow_gateway/src/socket.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
@@ -17,8 +18,9 @@
 const KEEPALIVE_PROBES: u32 = 2;
 
 /// Time within which sent bytes must be acknowledged. It allows for a few round trips between
-/// regions and one lost packet.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// regions and one lost packet. The kernel also counts the time for which a peer that is alive reads nothing, which
+/// [`set_write_timeout`] allows for.
+pub const WRITE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Sets the socket options of a connection.
 pub fn set_options(stream: &TcpStream) -> io::Result<()> {
@@ -29,7 +31,13 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(WRITE_TIMEOUT))
+}
+
+/// Sets the time for which the peer may neither acknowledge nor read what was sent. Without one, keepalive probes
+/// still find a peer that is gone while nothing is being sent.
+pub fn set_write_timeout(stream: &impl AsFd, timeout: Option<Duration>) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(timeout)
 }
 
 /// Size of the receive buffer of connections that carry responses. What an upstream sends faster than its client reads
