Blame no upstream for the short time budget of a request

A request with a budget below the connect time-out or below the target latency counted its own deadline against the upstream (Unreachable, Silent); two in a row ejected a sound one. So did a stream that was running at its deadline.

Such attempts now end as inconclusive, which changes nothing. A connect time-out counts if the whole connect time-out was used, silence if the upstream has sent nothing for the target latency (at least 0.5 s, at most 2 s).

An upstream that answers no connection is no longer ejected by requests with less than the connect time-out left, only by others.

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -29,6 +29,9 @@
 /// nothing but its connection frames.
 const CONFIRM_SETTLING_TIME: Duration = Duration::from_millis(50);
 
+/// Minimum time for which a target must send nothing to count as silent, and time after which it always does.
+const SILENCE_RANGE: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(2));
+
 /// Target of an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Target {
@@ -124,6 +127,21 @@
         }
     }
 
+    /// Returns how the attempt ends if the deadline of `job` has passed and its target was last heard at `heard_at`; `None`
+    /// if it has sent nothing. A target must be silent for the target latency, within [`SILENCE_RANGE`], or the time budget
+    /// of the request was too short to show that it fails.
+    pub fn outcome_at_deadline(&self, job: &Job, heard_at: Option<Instant>) -> AttemptOutcome {
+        let silent_since = heard_at.unwrap_or(self.started_at);
+        let target_latency = job
+            .response_due_at
+            .saturating_duration_since(job.started_at);
+        let (min, max) = SILENCE_RANGE;
+        match silent_since.elapsed() < target_latency.clamp(min, max) {
+            true => AttemptOutcome::Inconclusive,
+            false => AttemptOutcome::Silent,
+        }
+    }
+
     /// Records that the request is about to be sent.
     pub fn record_sent(&self, job: &Job) {
         let Target::Upstream(selected) = &self.target else {
--- a/crates/sesamebarrow_gateway/src/dispatch/place.rs
+++ b/crates/sesamebarrow_gateway/src/dispatch/place.rs
@@ -83,7 +83,9 @@
             AttemptOutcome::Unreachable => Event::Unreachable,
             AttemptOutcome::Refused => Event::Refused,
             AttemptOutcome::Whole => Event::Completed,
-            AttemptOutcome::Silent | AttemptOutcome::Cancelled => Event::Ended,
+            AttemptOutcome::Silent | AttemptOutcome::Cancelled | AttemptOutcome::Inconclusive => {
+                Event::Ended
+            }
         };
     }
 
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -1,7 +1,7 @@
 //! Makes attempts to run a job until one returns a response or no retry is allowed.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -56,6 +56,8 @@
     pub body: MeteredBody,
     /// What ends the body.
     pub framing: Framing,
+    /// When something of it was last received.
+    pub heard_at: Instant,
     /// The attempt that it belongs to.
     pub attempt: Attempt,
 }
@@ -225,10 +227,8 @@
             (hop::address(shared, remote.ip), HOP_CONNECT_TIMEOUT)
         }
     };
-    let connected = shared
-        .pool
-        .connect(address, timeout.min(job.time_left()))
-        .await;
+    let connect_time = timeout.min(job.time_left());
+    let connected = shared.pool.connect(address, connect_time).await;
     let mut connection = match connected {
         Ok(connection) => connection,
         Err(error) => {
@@ -238,7 +238,12 @@
             );
             let is_refused = error.kind() == std::io::ErrorKind::ConnectionRefused;
             history.refused_connections += u32::from(is_refused);
-            attempt.end(AttemptOutcome::Unreachable);
+            let is_cut_short =
+                error.kind() == std::io::ErrorKind::TimedOut && connect_time < timeout;
+            attempt.end(match is_cut_short {
+                true => AttemptOutcome::Inconclusive,
+                false => AttemptOutcome::Unreachable,
+            });
             return AttemptResult::NotRun("unreachable", MIN_RETRY_AFTER);
         }
     };
@@ -306,7 +311,8 @@
             return AttemptResult::Broken("connection-broken");
         }
         Err(_) => {
-            attempt.end(AttemptOutcome::Silent);
+            let outcome = attempt.outcome_at_deadline(job, None);
+            attempt.end(outcome);
             return AttemptResult::TimedOut;
         }
     };
@@ -433,6 +439,7 @@
             parts.version = Version::HTTP_11;
             let response = Box::new(UpstreamResponse {
                 framing: Framing::of(&parts.headers, &body),
+                heard_at: Instant::now(),
                 head: Response::from_parts(parts, ()),
                 body,
                 attempt,
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -3,6 +3,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -83,7 +84,11 @@
         let (refusal, outcome) = match body {
             Ok(Ok(body)) => return Ok(finish_response(shared, &job, response, (body, held))),
             Ok(Err(BodyError)) => (Refusal::Unknown("answer-broken"), AttemptOutcome::Broken),
-            Err(_) => (Refusal::TimedOut, AttemptOutcome::Silent),
+            Err(_) => {
+                let heard_at = Some(response.heard_at);
+                let outcome = response.attempt.outcome_at_deadline(&job, heard_at);
+                (Refusal::TimedOut, outcome)
+            }
         };
         if outcome == AttemptOutcome::Broken {
             history.examination = crash::examine(shared, &job, &response.attempt, 0);
@@ -104,6 +109,7 @@
     let mut buf = BytesMut::new();
     while let Some(frame) = response.body.frame().await {
         let frame = frame.map_err(|_| BodyError)?;
+        response.heard_at = Instant::now();
         if let Ok(data) = frame.into_data() {
             buf.extend_from_slice(&data);
         }
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::task::{Context, Poll, ready};
+use std::time::Instant;
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::future::BoxFuture;
@@ -69,6 +70,7 @@
         decoder,
         encoder,
         timing: StreamTiming::default(),
+        heard_at: response.heard_at,
     };
     Response::from_parts(parts, body.boxed_unsync())
 }
@@ -193,6 +195,8 @@
     /// Name of the upstream or instance that sends the stream.
     target: SmolStr,
     timing: StreamTiming,
+    /// When something was last received from the target.
+    heard_at: Instant,
 }
 
 impl StreamBody {
@@ -219,6 +223,17 @@
         self.timing.record_event(self.job.started_at);
     }
 
+    /// Returns how the current attempt ends if the deadline has passed.
+    fn outcome_at_deadline(&self) -> AttemptOutcome {
+        match &self.state {
+            StreamState::Receiving(_, Some(attempt))
+            | StreamState::Confirming(_, Some(attempt)) => {
+                attempt.outcome_at_deadline(&self.job, Some(self.heard_at))
+            }
+            _ => AttemptOutcome::Inconclusive,
+        }
+    }
+
     /// Ends the current attempt.
     fn end_attempt(&mut self, outcome: AttemptOutcome) {
         let state = std::mem::replace(&mut self.state, StreamState::Done);
@@ -333,6 +348,7 @@
                         this.history = Some(history);
                         this.target = response.attempt.target_name().clone();
                         this.framing = response.framing;
+                        this.heard_at = response.heard_at;
                         this.decoder =
                             hop::is_numbered(response.head.headers()).then(Decoder::default);
                         log::info!(
@@ -358,11 +374,13 @@
             };
             let Poll::Ready(polled) = polled else {
                 ready!(this.deadline.as_mut().poll(cx));
-                this.end_attempt(AttemptOutcome::Silent);
+                let outcome = this.outcome_at_deadline();
+                this.end_attempt(outcome);
                 return this.fail(cx, "timeout");
             };
             match polled {
                 Some(Ok(frame)) => {
+                    this.heard_at = Instant::now();
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
--- a/crates/sesamebarrow_routing/src/availability.rs
+++ b/crates/sesamebarrow_routing/src/availability.rs
@@ -9,6 +9,8 @@
 //! | refusal with a time | it rests until the latest time named, then begins a ramp |
 //! | answer of an upstream that leaves | it is never chosen again in this run, even as the last one |
 //! | cancelled by the client | none |
+//! | the request's own time budget ended sooner than an upstream must connect or answer | none |
+//! | refusal that may be a second copy of another one | none, also if it names a time |
 //!
 //! An ejected upstream is chosen if all others are ejected too. A resting or leaving one is not
 //! chosen in any case: the request goes to another region or is refused at once.
@@ -142,7 +144,9 @@
             | AttemptOutcome::Unreachable
             | AttemptOutcome::Broken
             | AttemptOutcome::Silent => true,
-            AttemptOutcome::Refused | AttemptOutcome::Cancelled => return None,
+            AttemptOutcome::Refused | AttemptOutcome::Cancelled | AttemptOutcome::Inconclusive => {
+                return None;
+            }
         };
         let newest = if failed { 1.0 } else { 0.0 };
         self.failure_ratio += FAILURE_RATIO_GAIN * (newest - self.failure_ratio);
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -167,6 +167,9 @@
     Silent,
     /// The client cancelled the request.
     Cancelled,
+    /// It shows nothing about the upstream: the request's own time budget was too short, or the response may be one to
+    /// another request.
+    Inconclusive,
 }
 
 /// The upstreams of a region.
