Hold no refusal against an upstream that may be a second copy

An upstream that never names requests and was merely full was ejected: its refusals on kept connections counted as failures. One with Retry-After also rested its upstream, though it may be a second copy of an older refusal.

Such a refusal is now a kind of its own (Unproven): the caller gets 502 as before, the connection is closed, so that the next refusal is proven, and nothing is held against the upstream. A time to come back is read only of proven answers; that the upstream leaves still is. The log calls it refusal-without-id, no longer foreign-answer, and the metric of refusals counts it.

Tests: two refusals on kept connections, with and without Retry-After; both failed before (failures=1, rest_ms=30507) and pass. Changed tests: decoding expects Unproven where it expected Invalid (both are not NotRun); read_notice takes what is expected in place of the id.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -358,7 +358,7 @@
     let (mut parts, body) = response.into_parts();
     attempt.idle_time = pool::idle_time(&parts.headers);
     if let Target::Upstream(selected) = target {
-        notice::record(shared, job, selected, &parts);
+        notice::record(shared, job, selected, &parts, attempt.expected());
         limit::record(
             shared,
             job,
@@ -423,6 +423,12 @@
             attempt.end(AttemptOutcome::Refused);
             AttemptResult::NotRun("refused-by-upstream", MIN_RETRY_AFTER)
         }
+        ResponseKind::Unproven => {
+            record_refusal(shared, job, &attempt, &parts, false);
+            // Not one of those outcomes after which the connection is kept: a refusal on a new one is proven.
+            attempt.end(AttemptOutcome::Inconclusive);
+            AttemptResult::Broken("refusal-without-id")
+        }
         ResponseKind::Invalid => {
             attempt.end(AttemptOutcome::Broken);
             AttemptResult::Broken("foreign-answer")
--- a/crates/sesamebarrow_gateway/src/notice.rs
+++ b/crates/sesamebarrow_gateway/src/notice.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime};
 
 use hyper::http::response::Parts;
-use sesamebarrow_platform::head;
+use sesamebarrow_platform::head::{self, Expected};
 use sesamebarrow_routing::admit::SelectedUpstream;
 use sesamebarrow_routing::availability::Change;
 use smol_str::SmolStr;
@@ -14,9 +14,15 @@
 use crate::shared::Shared;
 
 /// Records what `selected` announces in the head of its answer to `job`.
-pub fn record(shared: &Shared, job: &Job, selected: &SelectedUpstream, parts: &Parts) {
+pub fn record(
+    shared: &Shared,
+    job: &Job,
+    selected: &SelectedUpstream,
+    parts: &Parts,
+    expected: Expected<'_>,
+) {
     let now = SystemTime::now();
-    let notice = head::read_notice(parts.status, &parts.headers, &job.id, now);
+    let notice = head::read_notice(parts.status, &parts.headers, expected, now);
     let change = shared
         .board()
         .record_notice(shared.now(), selected.key, notice);
