Cut long log lines between two characters

A log line that was cut at 4 KiB could end inside a character, so that readers that expect UTF-8 failed on it. It is now cut before that character. The test failed before (incomplete UTF-8 sequence at byte 4095) and passes.

--- a/crates/sesamebarrow_node/src/logs.rs
+++ b/crates/sesamebarrow_node/src/logs.rs
@@ -14,7 +14,7 @@
 
 pub use sesamebarrow_gateway::settings::Level;
 
-use crate::logs::queue::{MAX_LINE_BYTES, Queue};
+use crate::logs::queue::Queue;
 
 pub mod queue;
 
@@ -46,7 +46,7 @@
         diags: &[Box<dyn Diagnostic>],
     ) -> Result<(), logforth::Error> {
         let mut line = self.layout.format(record, diags)?;
-        line.truncate(MAX_LINE_BYTES);
+        queue::truncate(&mut line);
         line.push(b'\n');
         if let Some(queue) = QUEUE.get() {
             queue.push(line);
--- a/crates/sesamebarrow_node/src/logs/queue.rs
+++ b/crates/sesamebarrow_node/src/logs/queue.rs
@@ -15,6 +15,16 @@
 /// Maximum length of a line in bytes. The rest is cut off.
 pub const MAX_LINE_BYTES: usize = 4 * 1024;
 
+/// Cuts off what exceeds the maximum length of a line, between two characters.
+pub fn truncate(line: &mut Vec<u8>) {
+    let is_inside_character = |end: usize| line.get(end).is_some_and(|b| b & 0xc0 == 0x80);
+    let mut end = MAX_LINE_BYTES;
+    while end > 0 && is_inside_character(end) {
+        end -= 1;
+    }
+    line.truncate(end);
+}
+
 /// Number of bytes after which lines are written at once.
 const MAX_BATCH_BYTES: usize = 64 * 1024;
 
--- a/crates/sesamebarrow_node/tests/log_queue.rs
+++ b/crates/sesamebarrow_node/tests/log_queue.rs
@@ -4,7 +4,7 @@
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::time::Duration;
 
-use sesamebarrow_node::logs::queue::Queue;
+use sesamebarrow_node::logs::queue::{self, MAX_LINE_BYTES, Queue};
 
 /// Number of lines that is more than the queue and a batch hold.
 const LINES: usize = 10_000;
@@ -98,3 +98,25 @@
     assert_eq!(String::from_utf8(text)?, expected);
     Ok(())
 }
+
+#[test]
+fn line_that_is_too_long_is_not_cut_inside_a_character() -> anyhow::Result<()> {
+    for first in ["", "a", "aa", "aaa"] {
+        for character in ["a", "é", "語", "🦀"] {
+            let text = format!("{first}{}", character.repeat(MAX_LINE_BYTES));
+            let mut line = text.clone().into_bytes();
+            queue::truncate(&mut line);
+            let cut = std::str::from_utf8(&line)?;
+            assert!(text.starts_with(cut));
+            assert!(cut.len() <= MAX_LINE_BYTES);
+            assert!(
+                cut.len() + character.len() > MAX_LINE_BYTES,
+                "too much is cut off"
+            );
+        }
+    }
+    let mut short = "ü".to_owned().into_bytes();
+    queue::truncate(&mut short);
+    assert_eq!(short, "ü".as_bytes());
+    Ok(())
+}
