--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -24,7 +24,7 @@
 use crate::inbound::{self, BodyGuard, EndGuard, Progress, Stage, Tracked};
 use crate::intake::{self, Job};
 use crate::listener::Listener;
-use crate::meter::{Metered, MeteredBody};
+use crate::meter::{Meter, Metered, MeteredBody};
 use crate::relay::{self, Body};
 use crate::reply::Refusal;
 use crate::selection::AttemptHistory;
@@ -222,9 +222,10 @@
     let started_at = Instant::now();
     let id = sesamebarrow_platform::head::read_attempt_id(req.headers());
     let work = async {
+        let meter = req.body().meter().clone();
         let received = hop::receive(&shared, req);
         let job = unless_ending(&shared, received, Refusal::Stopping).await?;
-        proxy(&shared, job).await
+        answer(&shared, job, &meter).await
     };
     let result = supervise::catch("forwarded-request", work).await;
     let result = result.unwrap_or(Err(FAILED));
@@ -243,15 +244,25 @@
     req: Request<MeteredBody>,
     reads_chunks: bool,
 ) -> Result<Response<Body>, Refusal> {
+    let meter = req.body().meter().clone();
     let received = intake::receive(shared, req);
     let job = unless_ending(shared, received, Refusal::Stopping).await?;
-    let response = proxy(shared, job).await?;
+    let response = answer(shared, job, &meter).await?;
     if reads_chunks {
         return Ok(response);
     }
     unless_ending(shared, relay::buffer_response(response), ENDED).await
 }
 
+/// Answers `job`. Its client may read the answer as slowly as the deadline allows.
+async fn answer(shared: &Arc<Shared>, job: Job, meter: &Meter) -> Result<Response<Body>, Refusal> {
+    let deadline = job.deadline;
+    let response = proxy(shared, job).await;
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    meter.set_write_timeout(Some(time_left));
+    response
+}
+
 async fn proxy(shared: &Arc<Shared>, job: Job) -> Result<Response<Body>, Refusal> {
     let mut history = AttemptHistory::default();
     let response = tokio::select! {
