Keep requests running over SIGHUP and a repeated SIGTERM

Callers saw responses cut when an instance got SIGHUP, or a second SIGTERM while it drained: the first has no handler, so that its default action ends the process, and the second counted as an order to cut. The handlers were also installed after the listeners, when a request may have been read already.

The handlers are installed first. SIGHUP is logged and changes nothing, since settings are read at the start only; SIGTERM during a shutdown is ignored; SIGINT still ends it early.

Both tests of signals failed before (8 running responses incomplete). body_half_read_at_the_stop_… passed before as well: it holds what was right. The tests can now change the deployment that they start.

--- a/crates/sesamebarrow_node/src/node.rs
+++ b/crates/sesamebarrow_node/src/node.rs
@@ -12,7 +12,7 @@
 use sesamebarrow_wire::auth::FleetKeys;
 use smol_str::{SmolStr, format_smolstr};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -61,6 +61,7 @@
 
 /// Runs the process until it is stopped by a signal or has drained.
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    let signals = Signals::install()?;
     let keys = FleetKeys::new(&settings.secret()?);
     let metrics = telemetry::install()?;
     tokio::spawn(keep_up(metrics.clone()));
@@ -84,7 +85,38 @@
         name = node.identity.name.as_str(), domain = node.identity.domain.as_str(),
         http:% = listen.http, peer:% = listen.peer, admin:% = listen.admin; "started"
     );
-    shut_down(&node, stop, serving, drained).await
+    shut_down(&node, signals, stop, serving, drained).await
+}
+
+/// Signals that the process handles. They are installed before it accepts requests, because
+/// their default action ends the process.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn install() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT.
+    async fn stop_requested(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => {
+                    log::warn!("settings are read at the start only, restart to apply changes");
+                }
+            }
+        }
+    }
 }
 
 async fn bind(field: &str, address: SocketAddr) -> anyhow::Result<TcpListener> {
@@ -156,15 +188,13 @@
 /// accepting requests and waits for those in progress.
 async fn shut_down(
     node: &Node,
+    mut signals: Signals,
     stop: CancellationToken,
     serving: tokio::task::JoinHandle<()>,
     mut drained: watch::Receiver<bool>,
 ) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        () = signals.stop_requested() => {}
         _ = drained.wait_for(|drained| *drained) => {}
     }
     let shutdown = node.settings.shutdown;
@@ -181,8 +211,7 @@
     let finished = tokio::select! {
         () = graceful => true,
         () = tokio::time::sleep(shutdown.limit) => false,
-        _ = terminate.recv() => false,
-        _ = interrupt.recv() => false,
+        _ = signals.interrupt.recv() => false,
     };
     if finished {
         log::info!("stopped");
--- a/crates/sesamebarrow_standin/src/deploy.rs
+++ b/crates/sesamebarrow_standin/src/deploy.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
 
 /// Secret shared by the instances of a deployment on loopback.
 pub const SECRET: &str = "loopback-only-secret-of-a-trial-deployment";
@@ -51,6 +52,10 @@
     pub instances: Vec<InstanceSpec>,
     /// Upstreams.
     pub upstreams: Vec<UpstreamSpec>,
+    /// Time between the start of a shutdown and the end of listening.
+    pub shutdown_notice: Duration,
+    /// Maximum time of a shutdown.
+    pub shutdown_limit: Duration,
 }
 
 /// First port that is assigned.
@@ -79,6 +84,8 @@
             platform: free_address()?,
             instances: Vec::new(),
             upstreams: Vec::new(),
+            shutdown_notice: Duration::from_millis(200),
+            shutdown_limit: Duration::from_secs(20),
         })
     }
 
@@ -163,7 +170,7 @@
         format!(
             "name = \"{}\"\ndomain = \"{}\"\nslot = {}\nsecret_file = {:?}\npeers = [{}]\n\n\
              [listen]\nhttp = \"{}\"\npeer = \"{}\"\nadmin = \"{}\"\n\n\
-             [platform]\naddress = \"{}\"\n\n[request]\nread_timeout = \"1s\"\n\n[shutdown]\nnotice = \"200ms\"\nlimit = \"20s\"\n",
+             [platform]\naddress = \"{}\"\n\n[request]\nread_timeout = \"1s\"\n\n[shutdown]\nnotice = \"{}ms\"\nlimit = \"{}ms\"\n",
             instance.name,
             instance.domain,
             instance.slot,
@@ -172,7 +179,9 @@
             instance.http,
             instance.peer,
             instance.admin,
-            self.platform
+            self.platform,
+            self.shutdown_notice.as_millis(),
+            self.shutdown_limit.as_millis()
         )
     }
 
--- a/crates/sesamebarrow_standin/tests/processes.rs
+++ b/crates/sesamebarrow_standin/tests/processes.rs
@@ -47,6 +47,14 @@
 
 /// Starts two instances in Lima and one in Piura, a model engine and a payout service.
 async fn start() -> anyhow::Result<TestEnv> {
+    start_changed(&rules(&[KEY]), |_| {}).await
+}
+
+/// Starts the same deployment with other rules and after `change`.
+async fn start_changed(
+    rules: &str,
+    change: impl FnOnce(&mut DeploymentSpec),
+) -> anyhow::Result<TestEnv> {
     let folder = TempDir::new()?;
     let mut deployment = DeploymentSpec::new()?;
     deployment.add_instance("lim-1-a", "lim-1", 0)?;
@@ -54,8 +62,9 @@
     deployment.add_instance("piu-1-a", "piu-1", 0)?;
     deployment.add_upstream("eng-lim", "lim-1", "statements", 8)?;
     deployment.add_upstream("pay-lim", "lim-1", "payouts", 8)?;
+    change(&mut deployment);
     let models = ["statements"];
-    let fleet = Fleet::start(deployment, &rules(&[KEY]), &models, folder.path()).await?;
+    let fleet = Fleet::start(deployment, rules, &models, folder.path()).await?;
     Ok(TestEnv {
         fleet,
         _folder: folder,
@@ -134,5 +143,7 @@
 mod input_and_responses;
 #[path = "processes/lifecycle.rs"]
 mod lifecycle;
+#[path = "processes/planned_work.rs"]
+mod planned_work;
 #[path = "processes/residency_and_keys.rs"]
 mod residency_and_keys;
--- /dev/null
+++ b/crates/sesamebarrow_standin/tests/processes/planned_work.rs
@@ -0,0 +1,96 @@
+//! A request that was read is answered or refused whatever planned work goes on.
+
+use tokio::net::TcpStream;
+
+use super::*;
+
+/// Reads what arrives on `stream` until its end.
+async fn read_all(stream: &mut TcpStream) -> std::io::Result<String> {
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+/// Sends 8 prompts to the first instance and waits until all of them run.
+async fn start_prompts(
+    env: &TestEnv,
+) -> anyhow::Result<Vec<tokio::task::JoinHandle<anyhow::Result<ReceivedResponse>>>> {
+    let http = env.fleet.instance(0).http;
+    let running = (0..8).map(|_| tokio::spawn(send_prompt(http, KEY, 200)));
+    let running = running.collect();
+    let upstream = env.fleet.upstreams[0].clone();
+    wait_until("all requests to reach the upstream", || async {
+        upstream.seen().paths.len() == 8
+    })
+    .await?;
+    Ok(running)
+}
+
+/// Waits until the first instance has logged that it drains.
+async fn wait_until_draining(env: &TestEnv) -> anyhow::Result<()> {
+    wait_until("the instance to drain", || async {
+        env.fleet
+            .log(0)
+            .is_ok_and(|log| log.contains("message=draining"))
+    })
+    .await
+}
+
+process_test!(reload_signal_cuts_no_response, mut env, {
+    let running = start_prompts(&env).await?;
+    env.fleet.instances[0].signal(Signal::SIGHUP)?;
+    for response in running {
+        let response = response.await??;
+        assert!(response.complete && response.text().contains("[DONE]"));
+    }
+    let http = env.fleet.instance(0).http;
+    // The last load report of the upstream may say for a while that it is full.
+    wait_until("the instance to serve on", || async {
+        send_prompt(http, KEY, 1)
+            .await
+            .is_ok_and(|r| r.status == 200)
+    })
+    .await?;
+    assert!(env.fleet.instances[0].stop()?.success());
+});
+
+process_test!(repeated_stop_signal_cuts_no_response, mut env, {
+    let running = start_prompts(&env).await?;
+    env.fleet.instances[0].signal(Signal::SIGTERM)?;
+    wait_until_draining(&env).await?;
+    env.fleet.instances[0].signal(Signal::SIGTERM)?;
+    env.fleet.instances[0].signal(Signal::SIGHUP)?;
+    for response in running {
+        let response = response.await??;
+        assert!(response.complete && response.text().contains("[DONE]"));
+    }
+    assert!(env.fleet.instances[0].wait()?.success());
+});
+
+process_test!(body_half_read_at_the_stop_is_read_and_answered, mut env, {
+    let (http, admin) = (env.fleet.instance(0).http, env.fleet.instance(0).admin);
+    let mut stream = TcpStream::connect(http).await?;
+    let body = "{\"max_tokens\":1}";
+    let head = format!(
+        "POST /s/statements/generate HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await?;
+    wait_until("the request to be admitted", || async {
+        let state = fetch_state(admin).await;
+        state.is_ok_and(|s| {
+            s.json()["requests"]
+                .as_array()
+                .is_some_and(|r| r.len() == 1)
+        })
+    })
+    .await?;
+    env.fleet.instances[0].signal(Signal::SIGTERM)?;
+    wait_until_draining(&env).await?;
+    stream.write_all(body.as_bytes()).await?;
+    let response = read_all(&mut stream).await?;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert!(response.contains("[DONE]") && response.ends_with("\r\n0\r\n\r\n"));
+    assert!(env.fleet.instances[0].wait()?.success());
+});
