Refuse what is left shortly before the limit of a shutdown

A request that was not answered by `shutdown.limit` ended with a closed connection, whether it had been sent to an upstream or not.

One second before the limit (a quarter of it, if it is short) the policy refuses every request whose response has not started, with `draining`: `not-run` only where no byte was sent, else `unknown`. Requests that other instances forward are refused from then on too. The rest of the time is for writing the refusals. The exit status stays 1. SIGINT during the shutdown does the same at once, instead of cutting.

The process test failed before ("connection closed before message completed"), the test of the board names an event that did not exist. Responses that have started are still cut at the limit, visibly.

--- a/crates/sesamebarrow_node/src/node.rs
+++ b/crates/sesamebarrow_node/src/node.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::driver::{self, Command, Handle, Setup};
@@ -25,6 +26,9 @@
 /// Time between two attempts to connect to the configured peers while no link is open.
 const PEER_DIAL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time before the limit of a shutdown at which the remaining requests are refused.
+const FINAL_REFUSAL_TIME: Duration = Duration::from_secs(1);
+
 /// State shared by all tasks of the process.
 pub struct Node {
     /// The settings.
@@ -185,7 +189,8 @@
 }
 
 /// Waits for a signal, or for the end of a drain that an operator requested. Then stops
-/// accepting requests and waits for those in progress.
+/// accepting requests and waits for those in progress. Requests that outlast the limit of the
+/// shutdown are refused shortly before it.
 async fn shut_down(
     node: &Node,
     mut signals: Signals,
@@ -198,9 +203,10 @@
         _ = drained.wait_for(|drained| *drained) => {}
     }
     let shutdown = node.settings.shutdown;
+    let limit = Instant::now() + shutdown.limit;
     log::info!(limit:? = shutdown.limit; "draining");
     node.driver.send_event(Event::Drain);
-    let graceful = async {
+    let finished = async {
         // Gives callers and other instances time to learn that this instance takes no new
         // requests.
         tokio::time::sleep(shutdown.notice).await;
@@ -208,17 +214,22 @@
         let _ = drained.wait_for(|drained| *drained).await;
         let _ = serving.await;
     };
-    let finished = tokio::select! {
-        () = graceful => true,
-        () = tokio::time::sleep(shutdown.limit) => false,
+    let mut finished = std::pin::pin!(finished);
+    let final_refusal = shutdown.limit - FINAL_REFUSAL_TIME.min(shutdown.limit / 4);
+    let is_graceful = tokio::select! {
+        () = &mut finished => true,
+        () = tokio::time::sleep(final_refusal) => false,
         _ = signals.interrupt.recv() => false,
     };
-    if finished {
+    if is_graceful {
         log::info!("stopped");
         return Ok(());
     }
     let state = node.driver.query(Command::Snapshot).await?;
-    let cut = state["requests"].as_array().map_or(0, Vec::len);
-    log::error!(cut; "stopped before all requests finished");
-    anyhow::bail!("stopped before {cut} requests finished")
+    let left = state["requests"].as_array().map_or(0, Vec::len);
+    log::error!(left; "refusing the remaining requests");
+    node.driver.send_event(Event::RefuseRemaining);
+    let finished = tokio::time::timeout_at(limit, finished).await.is_ok();
+    log::error!(left, finished; "stopped before all requests finished");
+    anyhow::bail!("stopped before {left} requests finished")
 }
--- a/crates/sesamebarrow_policy/src/board.rs
+++ b/crates/sesamebarrow_policy/src/board.rs
@@ -166,6 +166,8 @@
     pub counters: Counters,
     /// Whether the process is shutting down and accepts no new requests from callers.
     pub draining: bool,
+    /// Whether the shutdown is about to end, so that also forwarded requests are refused.
+    pub refuses_all: bool,
     /// Whether [`Action::Drained`] was emitted.
     pub drained: bool,
     /// When missing links were last checked.
@@ -237,6 +239,7 @@
             retry_budget_hundredths: INITIAL_RETRY_BUDGET_HUNDREDTHS,
             counters: Counters::default(),
             draining: false,
+            refuses_all: false,
             drained: false,
             links_checked_at: None,
             heartbeat_sent_at: None,
--- a/crates/sesamebarrow_policy/src/event.rs
+++ b/crates/sesamebarrow_policy/src/event.rs
@@ -235,6 +235,9 @@
     },
     /// The process was asked to shut down gracefully.
     Drain,
+    /// The limit of the shutdown is near: every request whose response has not started must be
+    /// refused.
+    RefuseRemaining,
 }
 
 /// Destination of an attempt.
--- a/crates/sesamebarrow_policy/src/pipeline.rs
+++ b/crates/sesamebarrow_policy/src/pipeline.rs
@@ -319,17 +319,35 @@
         .map(|(id, _)| *id)
         .collect();
     for id in expired {
-        time_out(board, id);
+        give_up(board, id, Refusal::not_run(Reason::DeadlinePassed));
     }
 }
 
-fn time_out(board: &mut Board, id: RequestId) {
+/// Refuses the requests whose response has not started, since the process is about to end.
+pub(crate) fn refuse_remaining(board: &mut Board) {
+    board.refuses_all = true;
+    let remaining: Vec<RequestId> = board
+        .requests
+        .iter()
+        .filter(|(_, r)| !r.detached && r.stage != Stage::Answering)
+        .map(|(id, _)| *id)
+        .collect();
+    let refusal =
+        Refusal::not_run(Reason::Draining).with_retry_after(board.settings.recovery_timeout);
+    for id in remaining {
+        give_up(board, id, refusal.clone());
+    }
+}
+
+/// Refuses a request whose response has not started. The refusal says that the request may
+/// have run if bytes of it may have been sent.
+fn give_up(board: &mut Board, id: RequestId, refusal: Refusal) {
     let request = &board.requests[&id];
     if request.stage != Stage::Running {
-        refuse(board, id, Refusal::not_run(Reason::DeadlinePassed));
+        refuse(board, id, refusal);
         return;
     }
-    let refusal = Refusal::unknown(Reason::DeadlinePassed);
+    let refusal = refusal.with_unknown_execution();
     if !request.is_at_most_once() {
         refuse(board, id, refusal);
         return;
--- a/crates/sesamebarrow_policy/src/pipeline/identify.rs
+++ b/crates/sesamebarrow_policy/src/pipeline/identify.rs
@@ -25,7 +25,8 @@
     if board.clock.recovering_until.is_some() {
         return Err(Refusal::not_run(Reason::NotReady).with_retry_after(retry_after));
     }
-    if board.draining && !matches!(head.origin, Origin::Instance { .. }) {
+    let is_forwarded = matches!(head.origin, Origin::Instance { .. });
+    if board.refuses_all || (board.draining && !is_forwarded) {
         return Err(Refusal::not_run(Reason::Draining).with_retry_after(retry_after));
     }
     let class = rules.classify(&head.service, &head.method, &head.path);
--- a/crates/sesamebarrow_policy/src/schedule.rs
+++ b/crates/sesamebarrow_policy/src/schedule.rs
@@ -65,6 +65,7 @@
             placement::handle_query(board, id, key, &service);
         }
         Event::Drain => member::begin_drain(board),
+        Event::RefuseRemaining => pipeline::refuse_remaining(board),
     }
 }
 
--- a/crates/sesamebarrow_policy/tests/board.rs
+++ b/crates/sesamebarrow_policy/tests/board.rs
@@ -6,8 +6,8 @@
 use sesamebarrow_policy::at_most_once::{Scope, Ticket};
 use sesamebarrow_policy::event::Target;
 use sesamebarrow_policy::{
-    Action, Board, Event, Execution, Head, Identity, Message, Origin, Outcome, Reason, RequestId,
-    Settings, handle,
+    Action, Board, Event, Execution, Head, Identity, Message, Origin, Outcome, Reason, Refusal,
+    RequestId, Settings, handle,
 };
 use sesamebarrow_routing::quarantine::message::BlameEntry;
 use sesamebarrow_routing::quarantine::{Blame, Suspects};
@@ -400,3 +400,60 @@
     assert_eq!(refusal.reason, Reason::TicketVoid);
     assert_eq!(refusal.execution, Execution::NotRun);
 }
+
+/// Returns the refusal of request `id` among `actions`.
+fn refusal_of(actions: &[Action], id: u64) -> &Refusal {
+    let refusal = |action| match action {
+        &Action::Refuse {
+            id: refused,
+            ref refusal,
+        } if refused == RequestId(id) => Some(refusal),
+        _ => None,
+    };
+    let refusal = actions.iter().find_map(refusal);
+    refusal.unwrap_or_else(|| panic!("request {id} is not refused: {actions:?}"))
+}
+
+#[test]
+fn requests_left_at_the_end_of_a_shutdown_are_refused_as_not_run_only_if_not_sent() {
+    let mut board = new_board();
+    let now = Duration::from_secs(1);
+    for id in 1..=3 {
+        assert!(submit_status_request(&mut board, now, id));
+    }
+    for id in [2, 3] {
+        let fingerprint = id;
+        let id = RequestId(id);
+        handle(&mut board, now, Event::ReadyToSend { id, fingerprint });
+    }
+    let id = RequestId(3);
+    handle(&mut board, now, Event::ResponseStarted { id });
+    handle(&mut board, now, Event::Drain);
+    let actions = handle(&mut board, now, Event::RefuseRemaining);
+    assert_eq!(actions.len(), 2, "{actions:?}");
+    for (id, execution) in [(1, Execution::NotRun), (2, Execution::Unknown)] {
+        let refusal = refusal_of(&actions, id);
+        assert_eq!(refusal.reason, Reason::Draining);
+        assert_eq!(refusal.execution, execution);
+    }
+    let forwarded = Head {
+        origin: Origin::Instance {
+            name: "lim-b".into(),
+            customer: Some("rosa".into()),
+            hops: 1,
+        },
+        service: "payouts".into(),
+        method: "GET".into(),
+        path: "/status".into(),
+        ticket: None,
+        time_left: Duration::from_secs(5),
+        estimated_tokens: 1,
+    };
+    let id = RequestId(4);
+    let arrival = Event::RequestArrived {
+        id,
+        head: forwarded,
+    };
+    let actions = handle(&mut board, now, arrival);
+    assert_eq!(refusal_of(&actions, 4).execution, Execution::NotRun);
+}
--- a/crates/sesamebarrow_standin/tests/processes/planned_work.rs
+++ b/crates/sesamebarrow_standin/tests/processes/planned_work.rs
@@ -94,3 +94,46 @@
     assert!(response.contains("[DONE]") && response.ends_with("\r\n0\r\n\r\n"));
     assert!(env.fleet.instances[0].wait()?.success());
 });
+
+/// Starts a deployment with these times of a shutdown.
+async fn start_with_shutdown(notice: Duration, limit: Duration) -> anyhow::Result<TestEnv> {
+    start_changed(&rules(&[KEY]), |deployment| {
+        deployment.shutdown_notice = notice;
+        deployment.shutdown_limit = limit;
+    })
+    .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_outlasts_the_shutdown_is_refused_before_its_limit() -> anyhow::Result<()> {
+    let (notice, limit) = (Duration::from_millis(200), Duration::from_secs(4));
+    let mut env = start_with_shutdown(notice, limit).await?;
+    let http = env.fleet.instance(0).http;
+    let ticket = fetch_ticket(http).await?;
+    for upstream in &env.fleet.upstreams {
+        upstream.set_fault(Fault::Silent);
+    }
+    let prompt = tokio::spawn(send_prompt(http, KEY, 1));
+    let payout = tokio::spawn(async move {
+        let bearer = bearer(KEY);
+        let headers = [
+            ("authorization", bearer.as_str()),
+            ("idempotency-key", ticket.as_str()),
+        ];
+        http::call(http, "POST", "/s/payouts/payouts", &headers, "pay-1").await
+    });
+    let upstreams = env.fleet.upstreams.clone();
+    wait_until("the requests to reach the upstreams", || async {
+        upstreams.iter().all(|u| u.seen().paths.len() == 1)
+    })
+    .await?;
+    env.fleet.instances[0].signal(Signal::SIGTERM)?;
+    for response in [prompt, payout] {
+        let response = response.await??;
+        assert_eq!(response.status, 503, "{}", response.text());
+        assert!(response.text().contains("draining") && response.complete);
+        assert_eq!(outcome(&response), "unknown");
+    }
+    env.fleet.instances[0].wait()?;
+    Ok(())
+}
