Wait for forwarded requests and their answers before the process ends

The process ended once the board had been empty at some moment of the drain. That misses requests which other instances forward afterwards, and answers to them which are received but not yet written: the caller of the other instance got 409 `owner-lost` for a payout that ran, or a response that lacked its last bytes.

Exchanges and forwarded streams are counted as tasks, and the process waits until none is left. Links then write their queued frames, send their end and wait for the other end to close, so that the end of the process does not reset what is under way.

--- a/crates/sesamebarrow_node/src/exchange.rs
+++ b/crates/sesamebarrow_node/src/exchange.rs
@@ -76,7 +76,8 @@
         sent: false,
         upstream: None,
     };
-    tokio::spawn(exchange.run_attempts(outbound_future));
+    let exchanges = exchange.node.exchanges.clone();
+    exchanges.spawn(exchange.run_attempts(outbound_future));
     rx.await.ok()
 }
 
--- a/crates/sesamebarrow_node/src/node.rs
+++ b/crates/sesamebarrow_node/src/node.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::driver::{self, Command, Handle, Setup};
 use crate::peer::Links;
@@ -41,6 +42,8 @@
     pub links: Links,
     /// Connections to upstreams.
     pub pool: Pool,
+    /// Exchanges, and the streams of requests that other instances forwarded.
+    pub exchanges: TaskTracker,
     next_request_number: AtomicU64,
 }
 
@@ -170,6 +173,7 @@
         driver,
         links: links.clone(),
         pool: Pool::default(),
+        exchanges: TaskTracker::new(),
         next_request_number: AtomicU64::new(1),
     });
     links.attach(&node);
@@ -206,15 +210,7 @@
     let limit = Instant::now() + shutdown.limit;
     log::info!(limit:? = shutdown.limit; "draining");
     node.driver.send_event(Event::Drain);
-    let finished = async {
-        // Gives callers and other instances time to learn that this instance takes no new
-        // requests.
-        tokio::time::sleep(shutdown.notice).await;
-        stop.cancel();
-        let _ = drained.wait_for(|drained| *drained).await;
-        let _ = serving.await;
-    };
-    let mut finished = std::pin::pin!(finished);
+    let mut finished = std::pin::pin!(finish_requests(node, stop, serving));
     let final_refusal = shutdown.limit - FINAL_REFUSAL_TIME.min(shutdown.limit / 4);
     let is_graceful = tokio::select! {
         () = &mut finished => true,
@@ -233,3 +229,20 @@
     log::error!(left, finished; "stopped before all requests finished");
     anyhow::bail!("stopped before {left} requests finished")
 }
+
+/// Accepts requests until the end of the notice, then waits until none is in progress and
+/// all responses are sent.
+async fn finish_requests(
+    node: &Node,
+    stop: CancellationToken,
+    serving: tokio::task::JoinHandle<()>,
+) {
+    // Gives callers and other instances time to learn that this instance takes no new
+    // requests.
+    tokio::time::sleep(node.settings.shutdown.notice).await;
+    stop.cancel();
+    let _ = serving.await;
+    node.exchanges.close();
+    node.exchanges.wait().await;
+    node.links.finish().await;
+}
--- a/crates/sesamebarrow_node/src/peer.rs
+++ b/crates/sesamebarrow_node/src/peer.rs
@@ -20,6 +20,8 @@
 use sesamebarrow_wire::stream::{Field, Open};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::accept;
 use crate::attempt::{OutboundRequest, RequestContext};
@@ -31,6 +33,9 @@
 /// Maximum time to connect and complete the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum time to close all links at the end of the process.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Table of the open links of this process.
 #[derive(Clone)]
 pub struct Links(Arc<Inner>);
@@ -40,6 +45,10 @@
     keys: FleetKeys,
     links: Mutex<HashMap<SmolStr, Arc<Link>>>,
     node: OnceLock<Weak<Node>>,
+    /// Cancelled when the links are to close after their queued frames.
+    finishing: CancellationToken,
+    /// Reader and writer tasks of all links, also of those that were replaced.
+    tasks: TaskTracker,
 }
 
 impl Links {
@@ -50,6 +59,8 @@
             keys,
             links: Mutex::default(),
             node: OnceLock::new(),
+            finishing: CancellationToken::new(),
+            tasks: TaskTracker::new(),
         }))
     }
 
@@ -97,6 +108,19 @@
         }
     }
 
+    /// Sends all queued frames, and then closes the links. The other ends must have read the
+    /// frames before the process ends, since its end resets connections with unread bytes.
+    pub async fn finish(&self) {
+        self.0.finishing.cancel();
+        self.0.tasks.close();
+        if tokio::time::timeout(FINISH_TIMEOUT, self.0.tasks.wait())
+            .await
+            .is_err()
+        {
+            log::warn!("links not closed in time");
+        }
+    }
+
     /// Opens a link to `address`. If `name` is given, checks that the instance there has this
     /// name.
     pub async fn dial(&self, name: Option<SmolStr>, address: SocketAddr) {
@@ -148,7 +172,13 @@
         }
         let domain = SmolStr::new(&established.hello.domain);
         let incarnation = established.hello.incarnation;
-        let link = Link::start(node.clone(), established, role);
+        let link = Link::start(
+            node.clone(),
+            established,
+            role,
+            &self.0.finishing,
+            &self.0.tasks,
+        );
         // A link that is replaced here is not closed, so its streams continue.
         self.with_links(|links| links.insert(name.clone(), link));
         node.driver.send_event(Event::LinkUp {
--- a/crates/sesamebarrow_node/src/peer/link.rs
+++ b/crates/sesamebarrow_node/src/peer/link.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{Semaphore, mpsc};
 use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use super::handshake::Established;
 use super::serve;
@@ -46,8 +47,15 @@
 type Writer = SplitSink<Framed<TcpStream, Codec>, Payload>;
 
 impl Link {
-    /// Starts the tasks of a link.
-    pub(super) fn start(node: Arc<Node>, established: Established, role: Role) -> Arc<Self> {
+    /// Starts the tasks of a link, as part of `tasks`. Once `finishing` is cancelled, the link
+    /// closes after its queued frames.
+    pub(super) fn start(
+        node: Arc<Node>,
+        established: Established,
+        role: Role,
+        finishing: &CancellationToken,
+        tasks: &TaskTracker,
+    ) -> Arc<Self> {
         let (tx, rx) = mpsc::unbounded_channel();
         let (writer, reader) = established.framed.split();
         let first_stream_id = match role {
@@ -62,8 +70,9 @@
             streams: Mutex::default(),
             next_stream_id: AtomicU64::new(first_stream_id),
         });
-        tokio::spawn(run_writer(writer, rx, link.closed.clone()));
-        tokio::spawn(run_reader(node, link.clone(), reader));
+        let closed = link.closed.clone();
+        tasks.spawn(run_writer(writer, rx, closed, finishing.clone()));
+        tasks.spawn(run_reader(node, link.clone(), reader));
         link
     }
 
@@ -154,10 +163,15 @@
     mut writer: Writer,
     mut rx: mpsc::UnboundedReceiver<Payload>,
     closed: CancellationToken,
+    finishing: CancellationToken,
 ) {
     loop {
         let payload = tokio::select! {
             payload = rx.recv() => payload,
+            () = finishing.cancelled(), if !rx.is_closed() => {
+                rx.close();
+                continue;
+            }
             () = closed.cancelled() => None,
         };
         let Some(payload) = payload else {
@@ -171,6 +185,10 @@
             break;
         }
     }
+    if finishing.is_cancelled() && writer.close().await.is_ok() {
+        // The other end closes the link once it has read all frames.
+        return;
+    }
     closed.cancel();
 }
 
--- a/crates/sesamebarrow_node/src/peer/serve.rs
+++ b/crates/sesamebarrow_node/src/peer/serve.rs
@@ -19,7 +19,8 @@
 
 /// Starts a task that serves the request on a stream opened by `open`.
 pub(super) fn start(node: Arc<Node>, stream: Stream, open: Open) {
-    tokio::spawn(serve(node, stream, open));
+    let exchanges = node.exchanges.clone();
+    exchanges.spawn(serve(node, stream, open));
 }
 
 async fn serve(node: Arc<Node>, mut stream: Stream, open: Open) {
--- a/crates/sesamebarrow_standin/src/upstream.rs
+++ b/crates/sesamebarrow_standin/src/upstream.rs
@@ -189,8 +189,9 @@
         match self.0.kind {
             Kind::Plain if fault == Fault::Cut => truncated_response(),
             Kind::Plain => {
+                let padding = " ".repeat(requested_padding(&body));
                 let json = format!("{{\"upstream\":\"{}\",\"ok\":true}}", self.0.name);
-                http::text(StatusCode::OK, json)
+                http::text(StatusCode::OK, json + &padding)
             }
             Kind::Model { token_interval } => {
                 let tokens = requested_tokens(&body);
@@ -246,6 +247,15 @@
         .unwrap_or(DEFAULT_TOKENS)
 }
 
+/// Reads `"padding": N` from a request's JSON, the number of bytes that lengthen the response.
+fn requested_padding(body: &str) -> usize {
+    let value: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+    value["padding"]
+        .as_u64()
+        .and_then(|n| usize::try_from(n).ok())
+        .unwrap_or(0)
+}
+
 /// Streams `tokens` tokens as server-sent events, or only half of them and no final event
 /// if `truncate` is set.
 fn stream_tokens(
--- a/crates/sesamebarrow_standin/tests/processes/planned_work.rs
+++ b/crates/sesamebarrow_standin/tests/processes/planned_work.rs
@@ -1,11 +1,32 @@
 //! A request that was read is answered or refused whatever planned work goes on.
 
-use tokio::net::TcpStream;
+use std::io;
+
+use tokio::net::{TcpSocket, TcpStream};
 
 use super::*;
 
+/// Length of a response that the buffers between an upstream and a caller do not hold.
+const LARGE_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
+/// Writes a request head and `body` on `stream`.
+async fn write_request(
+    stream: &mut TcpStream,
+    line: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
+    let mut head = format!("{line}\r\nhost: x\r\ncontent-length: {}\r\n", body.len());
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str("\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(body).await
+}
+
 /// Reads what arrives on `stream` until its end.
-async fn read_all(stream: &mut TcpStream) -> std::io::Result<String> {
+async fn read_all(stream: &mut TcpStream) -> io::Result<String> {
     let mut bytes = Vec::new();
     stream.read_to_end(&mut bytes).await?;
     Ok(String::from_utf8_lossy(&bytes).into_owned())
@@ -137,3 +158,62 @@
     env.fleet.instances[0].wait()?;
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_forwarded_to_a_draining_instance_is_answered() -> anyhow::Result<()> {
+    let (notice, limit) = (Duration::from_millis(500), Duration::from_secs(20));
+    let mut env = start_with_shutdown(notice, limit).await?;
+    let ticket = fetch_ticket(env.fleet.instance(0).http).await?;
+    env.fleet.upstreams[1].set_fault(Fault::Late);
+    env.fleet.instances[0].signal(Signal::SIGTERM)?;
+    wait_until_draining(&env).await?;
+    let response = send_payout(env.fleet.instance(1).http, &ticket, "pay-1").await?;
+    assert_eq!(response.status, 200, "{}", response.text());
+    assert!(env.fleet.instances[0].wait()?.success());
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_to_a_slow_caller_survives_the_stop_of_the_instance_that_runs_it()
+-> anyhow::Result<()> {
+    let rules = rules(&[KEY]).replace("regions=lima ", "regions=lima,piura ")
+        + "service reports kind=plain # luis\n\
+           allow paita reports # rosa\n\
+           route reports POST /reports idempotent # luis\n";
+    let mut env = start_changed(&rules, |deployment| {
+        // The ports of a deployment do not run out in a test.
+        let _ = deployment.add_upstream("rep-lim", "lim-1", "reports", 8);
+    })
+    .await?;
+    let socket = TcpSocket::new_v4()?;
+    socket.set_recv_buffer_size(16 * 1024)?;
+    let mut stream = socket.connect(env.fleet.instance(2).http).await?;
+    let bearer = bearer(KEY);
+    let headers = [("authorization", bearer.as_str()), ("connection", "close")];
+    let body = format!("{{\"padding\":{LARGE_RESPONSE_BYTES}}}");
+    let line = "POST /s/reports/reports HTTP/1.1";
+    write_request(&mut stream, line, &headers, body.as_bytes()).await?;
+    let reports = env.fleet.upstreams[2].clone();
+    wait_until("the request to reach the upstream", || async {
+        reports.seen().paths.len() == 1
+    })
+    .await?;
+    // One of these two runs the request.
+    for index in [0, 1] {
+        env.fleet.instances[index].signal(Signal::SIGTERM)?;
+    }
+    let mut received = 0;
+    let mut buf = vec![0; 64 * 1024];
+    loop {
+        match stream.read(&mut buf).await? {
+            0 => break,
+            length => received += length,
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert!(received > LARGE_RESPONSE_BYTES, "{received} bytes");
+    for index in [0, 1] {
+        assert!(env.fleet.instances[index].wait()?.success());
+    }
+    Ok(())
+}
