Answer connections and requests that arrive as the listener closes

At the end of the notice the listener was closed with what its backlog held, which resets these connections, and the HTTP library closed connections on which it had not yet read a request that had arrived.

The backlog is accepted before the listener closes, and connections stay open for 500 ms after that. Responses during a shutdown say that they close the connection, so that few callers send on a kept one.

The test suspends the instance so that the end of the notice and 21 requests meet it at once.

--- a/crates/sesamebarrow_node/src/accept.rs
+++ b/crates/sesamebarrow_node/src/accept.rs
@@ -3,21 +3,22 @@
 mod head;
 mod placement;
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::HeaderValue;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
 use sesamebarrow_gateway::meter::{Metered, MeteredBody};
 use smol_str::SmolStr;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::attempt::OutboundRequest;
 use crate::credential::{self, Key};
@@ -33,41 +34,91 @@
 /// Serves callers until `stop` is cancelled, then waits for the exchanges in progress on
 /// all connections.
 pub async fn serve(node: Arc<Node>, listener: TcpListener, stop: CancellationToken) {
-    let graceful = GracefulShutdown::new();
     let builder = builder();
+    let connections = TaskTracker::new();
+    let serve_stream = |stream| {
+        let connection = serve_connection(node.clone(), builder.clone(), stream, stop.clone());
+        connections.spawn(connection);
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = stop.cancelled() => break,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                pause_after_failure(&error).await;
-                continue;
+        match accepted {
+            Ok((stream, _)) => serve_stream(stream),
+            Err(error) => pause_after_failure(&error).await,
+        }
+    }
+    // Closing the listener resets the connections that it has not accepted.
+    accept_pending(listener).into_iter().for_each(serve_stream);
+    connections.close();
+    connections.wait().await;
+}
+
+/// Closes the listener and returns the connections that are waiting to be accepted.
+fn accept_pending(listener: TcpListener) -> Vec<TcpStream> {
+    let mut pending = Vec::new();
+    let Ok(listener) = listener.into_std() else {
+        return pending;
+    };
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                let stream = stream
+                    .set_nonblocking(true)
+                    .and_then(|()| TcpStream::from_std(stream));
+                pending.extend(stream);
             }
-        };
-        // Without this, small chunks of streamed responses would be delayed.
-        let _ = stream.set_nodelay(true);
-        let node = node.clone();
-        let (stream, meter) = Metered::new(stream);
-        let service = hyper::service::service_fn(move |req: Request<Incoming>| {
-            meter.reset();
-            let req = req.map(|body| MeteredBody::new(body, meter.clone()));
-            handle_request(node.clone(), req)
-        });
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
-        let watched = graceful.watch(connection.into_owned());
-        tokio::spawn(async move {
-            if let Err(error) = watched.await {
-                log::debug!(error:% = error; "connection failed");
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return pending,
+            Err(error) => {
+                log::warn!(error:% = error; "cannot accept connection");
+                if error.kind() != ErrorKind::ConnectionAborted {
+                    return pending;
+                }
             }
-        });
+        }
+    }
+}
+
+/// Serves a connection until it is closed. After `stop`, it is closed once the request in
+/// progress is answered.
+async fn serve_connection(
+    node: Arc<Node>,
+    builder: auto::Builder<TokioExecutor>,
+    stream: TcpStream,
+    stop: CancellationToken,
+) {
+    // Without this, small chunks of streamed responses would be delayed.
+    let _ = stream.set_nodelay(true);
+    let (stream, meter) = Metered::new(stream);
+    let service = hyper::service::service_fn(move |req: Request<Incoming>| {
+        meter.reset();
+        let req = req.map(|body| MeteredBody::new(body, meter.clone()));
+        handle_request(node.clone(), req)
+    });
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let close = async {
+        stop.cancelled().await;
+        tokio::time::sleep(CLOSE_DELAY).await;
+    };
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = close => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(error:% = error; "connection failed");
     }
-    drop(listener);
-    graceful.shutdown().await;
 }
 
+/// Time for which connections stay open after the process has stopped accepting them, so that a
+/// request that has arrived but was not read is answered. Responses close them from then on.
+const CLOSE_DELAY: Duration = Duration::from_millis(500);
+
 /// Delay after a failed accept. The likely cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -102,7 +153,8 @@
 ) -> Result<Response<Body>, relay::Interrupted> {
     let started_at = Instant::now();
     let id = node.next_request_id();
-    let reads_chunks = req.version() > Version::HTTP_10;
+    let version = req.version();
+    let draining = node.draining.clone();
     let result = route(node, &id, req).await;
     let mut response = match result {
         Ok(response) => response,
@@ -119,7 +171,11 @@
     if let Ok(value) = HeaderValue::from_str(&id) {
         response.headers_mut().insert("x-request-id", value);
     }
-    if reads_chunks {
+    if draining.is_cancelled() && version < Version::HTTP_2 {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    if version > Version::HTTP_10 {
         return Ok(response);
     }
     // The caller could not tell a body that breaks off from a complete one.
--- a/crates/sesamebarrow_node/src/node.rs
+++ b/crates/sesamebarrow_node/src/node.rs
@@ -44,6 +44,8 @@
     pub pool: Pool,
     /// Exchanges, and the streams of requests that other instances forwarded.
     pub exchanges: TaskTracker,
+    /// Cancelled when the shutdown begins. From then on each response closes its connection.
+    pub draining: CancellationToken,
     next_request_number: AtomicU64,
 }
 
@@ -174,6 +176,7 @@
         links: links.clone(),
         pool: Pool::default(),
         exchanges: TaskTracker::new(),
+        draining: CancellationToken::new(),
         next_request_number: AtomicU64::new(1),
     });
     links.attach(&node);
@@ -209,6 +212,7 @@
     let shutdown = node.settings.shutdown;
     let limit = Instant::now() + shutdown.limit;
     log::info!(limit:? = shutdown.limit; "draining");
+    node.draining.cancel();
     node.driver.send_event(Event::Drain);
     let mut finished = std::pin::pin!(finish_requests(node, stop, serving));
     let final_refusal = shutdown.limit - FINAL_REFUSAL_TIME.min(shutdown.limit / 4);
--- a/crates/sesamebarrow_standin/tests/processes/planned_work.rs
+++ b/crates/sesamebarrow_standin/tests/processes/planned_work.rs
@@ -217,3 +217,39 @@
     }
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_arrive_as_the_listener_closes_are_answered() -> anyhow::Result<()> {
+    let (notice, limit) = (Duration::from_secs(1), Duration::from_secs(20));
+    let mut env = start_with_shutdown(notice, limit).await?;
+    let http = env.fleet.instance(0).http;
+    let bearer = bearer(KEY);
+    let headers = [("authorization", bearer.as_str())];
+    let line = "POST /s/statements/generate HTTP/1.1";
+    let mut kept = TcpStream::connect(http).await?;
+    write_request(&mut kept, line, &headers, b"{\"max_tokens\":1}").await?;
+    let mut response = Vec::new();
+    while !response.ends_with(b"\r\n0\r\n\r\n") {
+        anyhow::ensure!(kept.read_buf(&mut response).await? > 0, "no whole response");
+    }
+    env.fleet.instances[0].signal(Signal::SIGTERM)?;
+    wait_until_draining(&env).await?;
+    // The end of the notice and all requests meet the process at once when it goes on.
+    env.fleet.instances[0].suspend().await?;
+    let mut streams = vec![kept];
+    for _ in 0..20 {
+        streams.push(TcpStream::connect(http).await?);
+    }
+    for stream in &mut streams {
+        write_request(stream, line, &headers, b"{\"max_tokens\":1}").await?;
+    }
+    tokio::time::sleep(notice).await;
+    env.fleet.instances[0].signal(Signal::SIGCONT)?;
+    for mut stream in streams {
+        let response = read_all(&mut stream).await?;
+        assert!(response.contains("HTTP/1.1 503"), "{response}");
+        assert!(response.contains("connection: close"), "{response}");
+    }
+    assert!(env.fleet.instances[0].wait()?.success());
+    Ok(())
+}
