Refuse a running request whose key is withdrawn

When new rules withdrew a key, requests that waited for the head of their answer ended with a closed connection. Those that had not been sent were refused, and those with a started response have to break off.

They are refused with 401 `bad-key` and `unknown`. If the response starts in the same moment, the exchange still ends it.

The process test failed before ("connection closed before message completed"). The test of the board was run on the new code only.

--- a/crates/sesamebarrow_node/src/exchange.rs
+++ b/crates/sesamebarrow_node/src/exchange.rs
@@ -10,7 +10,9 @@
 use hyper::{HeaderMap, StatusCode};
 use sesamebarrow_gateway::pool::Listening;
 use sesamebarrow_policy::event::Target;
-use sesamebarrow_policy::{self as policy, Action, Event, Head, Outcome, Refusal, RequestId};
+use sesamebarrow_policy::{
+    self as policy, Action, Event, Head, Outcome, Reason, Refusal, RequestId,
+};
 use sesamebarrow_routing::fingerprint::{self, Content};
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
@@ -234,7 +236,11 @@
             let part = tokio::select! {
                 part = target_response.next(stall) => part,
                 () = tx.closed() => return Err(Abort::CallerDisconnected),
-                Some(Action::Cancel { .. }) = self.handle.rx.recv() => BodyPart::Interrupted,
+                Some(action) = self.handle.rx.recv() => match action {
+                    // Was sent before the policy knew that the response had started.
+                    Action::Refuse { refusal, .. } if refusal.reason != Reason::BadKey => continue,
+                    _ => BodyPart::Interrupted,
+                },
             };
             match part {
                 BodyPart::Chunk(bytes) => {
--- a/crates/sesamebarrow_policy/src/event.rs
+++ b/crates/sesamebarrow_policy/src/event.rs
@@ -308,8 +308,8 @@
         /// The stored response.
         response: Arc<StoredResponse>,
     },
-    /// Abort the request without a refusal because its key was revoked. No further action
-    /// for the request follows.
+    /// Abort the request after its response has started, because its key was revoked. No
+    /// further action for the request follows.
     Cancel {
         /// The request.
         id: RequestId,
--- a/crates/sesamebarrow_policy/src/pipeline.rs
+++ b/crates/sesamebarrow_policy/src/pipeline.rs
@@ -284,7 +284,8 @@
     board.push_action(Action::Refuse { id, refusal });
 }
 
-/// Cancels the requests whose key has been revoked.
+/// Ends the requests whose key has been revoked. Those whose response has started are
+/// cancelled, the others refused.
 ///
 /// A request that must run at most once and may have been sent continues. Cancelling it
 /// would undo nothing and leave its outcome unknown.
@@ -297,7 +298,11 @@
         }
         match request.stage {
             Stage::Running | Stage::Answering if request.is_at_most_once() => {}
-            Stage::Running | Stage::Answering => {
+            Stage::Running => {
+                board.counters.cancelled += 1;
+                refuse(board, id, Refusal::unknown(Reason::BadKey));
+            }
+            Stage::Answering => {
                 board.counters.cancelled += 1;
                 settle::abandon_request(board, id);
                 board.push_action(Action::Cancel { id });
--- a/crates/sesamebarrow_policy/tests/board.rs
+++ b/crates/sesamebarrow_policy/tests/board.rs
@@ -200,10 +200,21 @@
 
 /// Delivers a complete list document to the board in a message from a neighbour.
 fn receive_list(board: &mut Board, now: Duration, revision: u64, text: &str) {
+    receive_document(board, now, DocumentKind::List, revision, text);
+}
+
+/// Delivers a complete document to the board in a message from a neighbour.
+fn receive_document(
+    board: &mut Board,
+    now: Duration,
+    kind: DocumentKind,
+    revision: u64,
+    text: &str,
+) -> Vec<Action> {
     let document = Document::new(revision, text);
     let delta = document.delta_from_empty();
     let message = sesamebarrow_wire::control::DocumentUpdate {
-        kind: DocumentKind::List.into(),
+        kind: kind.into(),
         revision,
         base_revision: 0,
         removed: Vec::new(),
@@ -215,7 +226,7 @@
         incarnation: PEER_INCARNATION,
         message: Message::DocumentUpdate(message),
     };
-    handle(board, now, event);
+    handle(board, now, event)
 }
 
 fn rate_of_share(board: &Board) -> u64 {
@@ -457,3 +468,27 @@
     let actions = handle(&mut board, now, arrival);
     assert_eq!(refusal_of(&actions, 4).execution, Execution::NotRun);
 }
+
+#[test]
+fn withdrawn_key_refuses_the_request_whose_response_has_not_started() {
+    let mut board = new_board();
+    let now = Duration::from_secs(1);
+    for id in [1, 2] {
+        assert!(submit_status_request(&mut board, now, id));
+        let fingerprint = id;
+        let id = RequestId(id);
+        handle(&mut board, now, Event::ReadyToSend { id, fingerprint });
+    }
+    let id = RequestId(2);
+    handle(&mut board, now, Event::ResponseStarted { id });
+    let text = rules();
+    let key = text.find("key rosa").expect("a key");
+    let actions = receive_document(&mut board, now, DocumentKind::Rules, 2, &text[..key]);
+    let refusal = refusal_of(&actions, 1);
+    assert_eq!(refusal.reason, Reason::BadKey);
+    assert_eq!(refusal.execution, Execution::Unknown);
+    assert!(
+        actions.contains(&Action::Cancel { id }),
+        "the response that has started must break off: {actions:?}"
+    );
+}
--- a/crates/sesamebarrow_standin/tests/processes/planned_work.rs
+++ b/crates/sesamebarrow_standin/tests/processes/planned_work.rs
@@ -116,6 +116,21 @@
     assert!(env.fleet.instances[0].wait()?.success());
 });
 
+process_test!(key_withdrawn_before_the_answer_refuses_its_request, env, {
+    let http = env.fleet.instance(0).http;
+    env.fleet.upstreams[0].set_fault(Fault::Silent);
+    let running = tokio::spawn(send_prompt(http, KEY, 1));
+    let upstream = env.fleet.upstreams[0].clone();
+    wait_until("the request to reach the upstream", || async {
+        upstream.seen().paths.len() == 1
+    })
+    .await?;
+    env.fleet.platform.publish("rules", 2, rules(&[OTHER_KEY]));
+    let response = running.await??;
+    assert_eq!(response.status, 401, "{}", response.text());
+    assert_eq!(outcome(&response), "unknown");
+});
+
 /// Starts a deployment with these times of a shutdown.
 async fn start_with_shutdown(notice: Duration, limit: Duration) -> anyhow::Result<TestEnv> {
     start_changed(&rules(&[KEY]), |deployment| {
