Give every request a reply

Left over were three ways in which a request got none. A caller of HTTP/1.0, for whom responses are buffered, saw the connection close when the answer of the upstream broke off. A panic of a handler or of an exchange closed the connection and left the request on the board. After a panic of the policy's actor the instance went on and closed all connections without a word.

The first is 502 `upstream-failed` now, the others are 500 `internal` with `unknown`, and the process stops when the actor has ended.

The test of HTTP/1.0 failed before (empty response). No test makes a handler or the actor panic: these paths are by reading.

--- a/crates/sesamebarrow_node/src/accept.rs
+++ b/crates/sesamebarrow_node/src/accept.rs
@@ -3,11 +3,14 @@
 mod head;
 mod placement;
 
+use std::convert::Infallible;
 use std::io::ErrorKind;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
@@ -15,6 +18,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use sesamebarrow_gateway::meter::{Metered, MeteredBody};
+use sesamebarrow_policy::{Reason, Refusal};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -150,38 +154,48 @@
 async fn handle_request(
     node: Arc<Node>,
     req: Request<MeteredBody>,
-) -> Result<Response<Body>, relay::Interrupted> {
+) -> Result<Response<Body>, Infallible> {
     let started_at = Instant::now();
     let id = node.next_request_id();
     let version = req.version();
     let draining = node.draining.clone();
-    let result = route(node, &id, req).await;
-    let mut response = match result {
-        Ok(response) => response,
-        Err(Failure::Problem(problem)) => {
-            record_problem(&id, &problem, started_at);
-            problem.into_response(Some(&id))
-        }
-        Err(Failure::NoResponse) => {
-            telemetry::count_response("broken", "cancelled");
-            log::info!(request = id.as_str(), outcome = "cancelled"; "request");
-            return Err(relay::Interrupted);
-        }
-    };
+    let answer = AssertUnwindSafe(answer(node, &id, req))
+        .catch_unwind()
+        .await;
+    let result = answer.unwrap_or_else(|_| {
+        let refusal = Refusal::unknown(Reason::Internal);
+        Err(Problem::from_refusal(&refusal))
+    });
+    let mut response = result.unwrap_or_else(|problem| {
+        record_problem(&id, &problem, started_at);
+        problem.into_response(Some(&id))
+    });
+    let headers = response.headers_mut();
     if let Ok(value) = HeaderValue::from_str(&id) {
-        response.headers_mut().insert("x-request-id", value);
+        headers.insert("x-request-id", value);
     }
     if draining.is_cancelled() && version < Version::HTTP_2 {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    if version > Version::HTTP_10 {
+    Ok(response)
+}
+
+async fn answer(
+    node: Arc<Node>,
+    id: &SmolStr,
+    req: Request<MeteredBody>,
+) -> Result<Response<Body>, Problem> {
+    let reads_chunks = req.version() > Version::HTTP_10;
+    let response = route(node, id, req).await?;
+    if reads_chunks {
         return Ok(response);
     }
     // The caller could not tell a body that breaks off from a complete one.
     let (parts, body) = response.into_parts();
-    let body = body.collect().await?.to_bytes();
-    Ok(Response::from_parts(parts, relay::full(body)))
+    let body = body.collect().await.map_err(|relay::Interrupted| {
+        Problem::from_refusal(&Refusal::unknown(Reason::UpstreamFailed))
+    })?;
+    Ok(Response::from_parts(parts, relay::full(body.to_bytes())))
 }
 
 fn record_problem(id: &SmolStr, problem: &Problem, started_at: Instant) {
@@ -195,32 +209,22 @@
     telemetry::count_response(outcome, reason.to_owned());
 }
 
-/// Why a request gets no response from an upstream.
-enum Failure {
-    /// The request is rejected with a problem document.
-    Problem(Problem),
-    /// The connection is closed without a response, usually because the key was revoked.
-    NoResponse,
-}
-
-impl From<Problem> for Failure {
-    fn from(problem: Problem) -> Self {
-        Self::Problem(problem)
-    }
-}
-
 async fn route(
     node: Arc<Node>,
     id: &SmolStr,
     req: Request<MeteredBody>,
-) -> Result<Response<Body>, Failure> {
+) -> Result<Response<Body>, Problem> {
     let path = req.uri().path();
     if path == "/placement" && req.method() == Method::GET {
         return placement::respond(&node, &req).await;
     }
     let Some(rest) = path.strip_prefix("/s/") else {
         let title = "expected /placement or /s/SERVICE/…";
-        return Err(Problem::rejection(StatusCode::NOT_FOUND, "no-such-path", title).into());
+        return Err(Problem::rejection(
+            StatusCode::NOT_FOUND,
+            "no-such-path",
+            title,
+        ));
     };
     let (service, path) = match rest.split_once('/') {
         Some((service, path)) => (service, format!("/{path}")),
@@ -236,7 +240,7 @@
     req: Request<MeteredBody>,
     service: SmolStr,
     path: String,
-) -> Result<Response<Body>, Failure> {
+) -> Result<Response<Body>, Problem> {
     let started_at = Instant::now();
     let (parts, body) = req.into_parts();
     let key = Key::from_headers(&parts.headers).map_err(|e| head::bad_credential(&e))?;
@@ -249,9 +253,7 @@
     let has_key_parameter = parts.uri.query().is_some_and(credential::has_key_parameter);
     if has_key_parameter {
         let problem = head::bad_credential(&credential::Error::Misplaced);
-        return Err(problem
-            .with_unknown_execution_if(head.ticket.is_some())
-            .into());
+        return Err(problem.with_unknown_execution_if(head.ticket.is_some()));
     }
     let outbound = OutboundRequest {
         id: id.clone(),
@@ -264,7 +266,7 @@
     let outbound_future = head::read_body(&node, outbound, key, body, max_length);
     let reply = exchange::run(node, head, outbound_future).await;
     let status_code = match &reply {
-        Some(Reply::Response { status, .. }) => status.as_u16(),
+        Reply::Response { status, .. } => status.as_u16(),
         _ => 0,
     };
     if status_code > 0 {
@@ -279,20 +281,19 @@
     into_response(reply)
 }
 
-fn into_response(reply: Option<Reply>) -> Result<Response<Body>, Failure> {
+fn into_response(reply: Reply) -> Result<Response<Body>, Problem> {
     match reply {
-        Some(Reply::Response {
+        Reply::Response {
             status,
             fields,
             body,
-        }) => {
+        } => {
             let mut response = Response::new(relay::streamed(body));
             *response.status_mut() = status;
             *response.headers_mut() = fields;
             Ok(response)
         }
-        Some(Reply::Refused(refusal)) => Err(Problem::from_refusal(&refusal).into()),
-        Some(Reply::Problem(problem)) => Err(problem.into()),
-        None => Err(Failure::NoResponse),
+        Reply::Refused(refusal) => Err(Problem::from_refusal(&refusal)),
+        Reply::Problem(problem) => Err(problem),
     }
 }
--- a/crates/sesamebarrow_node/src/accept/placement.rs
+++ b/crates/sesamebarrow_node/src/accept/placement.rs
@@ -6,10 +6,10 @@
 use serde::Serialize;
 use sesamebarrow_gateway::meter::MeteredBody;
 use sesamebarrow_policy::event::Candidate;
-use sesamebarrow_policy::{Action, Event};
+use sesamebarrow_policy::{Action, Event, Reason, Refusal};
 use smol_str::{SmolStr, format_smolstr};
 
-use super::{Failure, head};
+use super::head;
 use crate::credential::Key;
 use crate::node::Node;
 use crate::problem::Problem;
@@ -34,13 +34,17 @@
 pub(super) async fn respond(
     node: &Node,
     req: &Request<MeteredBody>,
-) -> Result<Response<Body>, Failure> {
+) -> Result<Response<Body>, Problem> {
     let key = Key::from_headers(req.headers()).map_err(|e| head::bad_credential(&e))?;
     let query = req.uri().query().unwrap_or_default();
     let service = query.split('&').find_map(|p| p.strip_prefix("service="));
     let Some(service) = service.map(SmolStr::new) else {
         let title = "expected ?service=NAME";
-        return Err(Problem::rejection(StatusCode::BAD_REQUEST, "bad-query", title).into());
+        return Err(Problem::rejection(
+            StatusCode::BAD_REQUEST,
+            "bad-query",
+            title,
+        ));
     };
     let key = key.as_ref().map(Key::digest);
     let mut handle = node
@@ -53,8 +57,8 @@
             ticket,
             ..
         }) => Ok(placement_response(&candidates, ttl, ticket)),
-        Some(Action::Refuse { refusal, .. }) => Err(Problem::from_refusal(&refusal).into()),
-        _ => Err(Failure::NoResponse),
+        Some(Action::Refuse { refusal, .. }) => Err(Problem::from_refusal(&refusal)),
+        _ => Err(Problem::from_refusal(&Refusal::not_run(Reason::Internal))),
     }
 }
 
--- a/crates/sesamebarrow_node/src/driver.rs
+++ b/crates/sesamebarrow_node/src/driver.rs
@@ -12,6 +12,7 @@
 use sesamebarrow_wire::control::DocumentKind;
 use smol_str::SmolStr;
 use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
 
 use crate::peer::Links;
 use crate::platform::Platform;
@@ -48,6 +49,9 @@
 pub struct Handle {
     actor: ActorRef<Command>,
     next_id: Arc<AtomicU64>,
+    /// Cancelled when the actor has ended, which it does only by a fault. All requests are
+    /// refused from then on.
+    pub ended: CancellationToken,
 }
 
 impl Handle {
@@ -121,11 +125,17 @@
 
 /// Starts the actor and its ticks.
 pub async fn start(setup: Setup) -> anyhow::Result<Handle> {
-    let (actor, _) = Actor::spawn(None, Driver, setup).await?;
+    let (actor, task) = Actor::spawn(None, Driver, setup).await?;
+    let ended = CancellationToken::new();
     let handle = Handle {
         actor: actor.clone(),
         next_id: Arc::new(AtomicU64::new(FIRST_REQUEST_ID)),
+        ended: ended.clone(),
     };
+    tokio::spawn(async move {
+        let _ = task.await;
+        ended.cancel();
+    });
     tokio::spawn(tick(actor));
     Ok(handle)
 }
--- a/crates/sesamebarrow_node/src/exchange.rs
+++ b/crates/sesamebarrow_node/src/exchange.rs
@@ -55,11 +55,11 @@
     CallerDisconnected,
 }
 
-/// Runs a request. Returns `None` if the caller must get no response.
+/// Runs a request and returns the reply to it.
 ///
 /// If the caller disconnects after a request that must run at most once was sent, the
 /// exchange continues in the background, so that the response can be stored.
-pub async fn run(node: Arc<Node>, head: Head, outbound_future: OutboundFuture) -> Option<Reply> {
+pub async fn run(node: Arc<Node>, head: Head, outbound_future: OutboundFuture) -> Reply {
     let (tx, rx) = oneshot::channel();
     let context = RequestContext {
         service: head.service.clone(),
@@ -80,7 +80,8 @@
     };
     let exchanges = exchange.node.exchanges.clone();
     exchanges.spawn(exchange.run_attempts(outbound_future));
-    rx.await.ok()
+    let failed = |_| Reply::Refused(Refusal::unknown(Reason::Internal));
+    rx.await.unwrap_or_else(failed)
 }
 
 /// A request in progress, with its attempts one after another.
@@ -101,6 +102,18 @@
     upstream: Option<SocketAddr>,
 }
 
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            // Removes the request from the board, which would otherwise wait for its end.
+            self.finish_attempt(Outcome::Interrupted {
+                relayed: true,
+                crashed: false,
+            });
+        }
+    }
+}
+
 impl Exchange {
     async fn run_attempts(mut self, mut outbound_future: OutboundFuture) {
         let mut outbound: Option<OutboundRequest> = None;
@@ -343,7 +356,7 @@
                 .node
                 .driver
                 .send_event(Event::CallerDisconnected { id: self.id }),
-            // The key was revoked: the connection is closed without a response.
+            // The policy ends a request without a refusal only after its response has started.
             Abort::Cancelled => {}
         }
     }
--- a/crates/sesamebarrow_node/src/node.rs
+++ b/crates/sesamebarrow_node/src/node.rs
@@ -208,6 +208,7 @@
     tokio::select! {
         () = signals.stop_requested() => {}
         _ = drained.wait_for(|drained| *drained) => {}
+        () = node.driver.ended.cancelled() => log::error!("the policy has failed"),
     }
     let shutdown = node.settings.shutdown;
     let limit = Instant::now() + shutdown.limit;
@@ -221,10 +222,11 @@
         () = tokio::time::sleep(final_refusal) => false,
         _ = signals.interrupt.recv() => false,
     };
-    if is_graceful {
+    if is_graceful && !node.driver.ended.is_cancelled() {
         log::info!("stopped");
         return Ok(());
     }
+    anyhow::ensure!(!node.driver.ended.is_cancelled(), "the policy has failed");
     let state = node.driver.query(Command::Snapshot).await?;
     let left = state["requests"].as_array().map_or(0, Vec::len);
     log::error!(left; "refusing the remaining requests");
--- a/crates/sesamebarrow_node/src/peer/serve.rs
+++ b/crates/sesamebarrow_node/src/peer/serve.rs
@@ -137,18 +137,18 @@
     Problem::rejection(StatusCode::BAD_REQUEST, reason, title)
 }
 
-async fn send_reply(stream: &mut Stream, reply: Option<Reply>) {
+async fn send_reply(stream: &mut Stream, reply: Reply) {
     match reply {
-        Some(Reply::Response {
+        Reply::Response {
             status,
             fields,
             body,
-        }) => send_response(stream, status, &fields, body).await,
-        Some(Reply::Refused(refusal)) => {
+        } => send_response(stream, status, &fields, body).await,
+        Reply::Refused(refusal) => {
             stream.send_refusal(problem::encode_refusal(stream.id(), &refusal));
             stream.mark_ended();
         }
-        Some(Reply::Problem(_)) => {
+        Reply::Problem(_) => {
             // The sender has checked the request, so its body did not arrive complete in
             // time, or it exceeds the limit of this instance. The refusal frame has no field
             // for details.
@@ -156,7 +156,6 @@
             stream.send_refusal(problem::encode_refusal(stream.id(), &refusal));
             stream.mark_ended();
         }
-        None => {}
     }
 }
 
--- a/crates/sesamebarrow_policy/src/refusal.rs
+++ b/crates/sesamebarrow_policy/src/refusal.rs
@@ -81,6 +81,8 @@
     Harmful,
     /// The rules of this instance are older than those of the instance that owns the ticket.
     OutOfDate,
+    /// This instance has a fault.
+    Internal,
     /// The request was forwarded by an instance and would have to be forwarded again, or
     /// was forwarded more than once.
     Loop,
@@ -100,6 +102,7 @@
             Self::NeedsTicket => 428,
             Self::RateExceeded => 429,
             Self::BadTicket => 400,
+            Self::Internal => 500,
             Self::UpstreamFailed => 502,
             Self::NotReady
             | Self::Draining
@@ -136,6 +139,7 @@
             Self::UpstreamFailed => "The upstream failed.",
             Self::Harmful => "The request crashes upstreams.",
             Self::OutOfDate => "This instance's rules are out of date.",
+            Self::Internal => "This instance has a fault.",
             Self::Loop => "A request passes between instances once at most.",
         }
     }
--- a/crates/sesamebarrow_standin/tests/processes/planned_work.rs
+++ b/crates/sesamebarrow_standin/tests/processes/planned_work.rs
@@ -131,6 +131,22 @@
     assert_eq!(outcome(&response), "unknown");
 });
 
+process_test!(
+    answer_that_breaks_off_becomes_a_refusal_for_a_caller_of_http_1_0,
+    env,
+    {
+        env.fleet.upstreams[0].set_fault(Fault::Cut);
+        let mut stream = TcpStream::connect(env.fleet.instance(0).http).await?;
+        let bearer = bearer(KEY);
+        let headers = [("authorization", bearer.as_str())];
+        let line = "POST /s/statements/generate HTTP/1.0";
+        write_request(&mut stream, line, &headers, b"{\"max_tokens\":8}").await?;
+        let response = read_all(&mut stream).await?;
+        assert!(response.starts_with("HTTP/1.0 502"), "{response}");
+        assert!(response.contains("\"outcome\":\"unknown\""), "{response}");
+    }
+);
+
 /// Starts a deployment with these times of a shutdown.
 async fn start_with_shutdown(notice: Duration, limit: Duration) -> anyhow::Result<TestEnv> {
     start_changed(&rules(&[KEY]), |deployment| {
