Read the rest of a request body that was refused unread

A refusal is sent before the body is read. If more of it came than one read takes, the connection was closed with unread bytes, which resets it: callers got a broken pipe instead of 401, 413 or 503.

A body that waits for `100 Continue` is not asked for.

--- a/crates/sesamebarrow_node/src/accept.rs
+++ b/crates/sesamebarrow_node/src/accept.rs
@@ -2,6 +2,7 @@
 
 mod head;
 mod placement;
+mod unread;
 
 use std::convert::Infallible;
 use std::io::ErrorKind;
@@ -24,6 +25,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use self::unread::RequestBody;
+
 use crate::attempt::OutboundRequest;
 use crate::credential::{self, Key};
 use crate::exchange::{self, Reply};
@@ -98,7 +101,9 @@
     let (stream, meter) = Metered::new(stream);
     let service = hyper::service::service_fn(move |req: Request<Incoming>| {
         meter.reset();
-        let req = req.map(|body| MeteredBody::new(body, meter.clone()));
+        let has_expectation = req.headers().contains_key(hyper::header::EXPECT);
+        let req = req
+            .map(|body| RequestBody::new(MeteredBody::new(body, meter.clone()), has_expectation));
         handle_request(node.clone(), req)
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
@@ -153,7 +158,7 @@
 
 async fn handle_request(
     node: Arc<Node>,
-    req: Request<MeteredBody>,
+    req: Request<RequestBody>,
 ) -> Result<Response<Body>, Infallible> {
     let started_at = Instant::now();
     let id = node.next_request_id();
@@ -183,7 +188,7 @@
 async fn answer(
     node: Arc<Node>,
     id: &SmolStr,
-    req: Request<MeteredBody>,
+    req: Request<RequestBody>,
 ) -> Result<Response<Body>, Problem> {
     let reads_chunks = req.version() > Version::HTTP_10;
     let response = route(node, id, req).await?;
@@ -212,7 +217,7 @@
 async fn route(
     node: Arc<Node>,
     id: &SmolStr,
-    req: Request<MeteredBody>,
+    req: Request<RequestBody>,
 ) -> Result<Response<Body>, Problem> {
     let path = req.uri().path();
     if path == "/placement" && req.method() == Method::GET {
@@ -237,7 +242,7 @@
 async fn handle_service_request(
     node: Arc<Node>,
     id: &SmolStr,
-    req: Request<MeteredBody>,
+    req: Request<RequestBody>,
     service: SmolStr,
     path: String,
 ) -> Result<Response<Body>, Problem> {
--- a/crates/sesamebarrow_node/src/accept/head.rs
+++ b/crates/sesamebarrow_node/src/accept/head.rs
@@ -4,10 +4,10 @@
 
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{HeaderMap, StatusCode};
-use sesamebarrow_gateway::meter::MeteredBody;
 use sesamebarrow_policy::{Head, Origin};
 use smol_str::SmolStr;
 
+use super::unread::RequestBody;
 use crate::attempt::OutboundRequest;
 use crate::credential::{self, Key};
 use crate::exchange::OutboundFuture;
@@ -102,7 +102,7 @@
     node: &Node,
     outbound: OutboundRequest,
     key: Option<Key>,
-    body: MeteredBody,
+    body: RequestBody,
     max_length: u64,
 ) -> OutboundFuture {
     let limit = usize::try_from(max_length).unwrap_or(usize::MAX);
--- a/crates/sesamebarrow_node/src/accept/placement.rs
+++ b/crates/sesamebarrow_node/src/accept/placement.rs
@@ -4,12 +4,12 @@
 
 use hyper::{Request, Response, StatusCode};
 use serde::Serialize;
-use sesamebarrow_gateway::meter::MeteredBody;
 use sesamebarrow_policy::event::Candidate;
 use sesamebarrow_policy::{Action, Event, Reason, Refusal};
 use smol_str::{SmolStr, format_smolstr};
 
 use super::head;
+use super::unread::RequestBody;
 use crate::credential::Key;
 use crate::node::Node;
 use crate::problem::Problem;
@@ -33,7 +33,7 @@
 /// Answers `GET /placement?service=NAME`.
 pub(super) async fn respond(
     node: &Node,
-    req: &Request<MeteredBody>,
+    req: &Request<RequestBody>,
 ) -> Result<Response<Body>, Problem> {
     let key = Key::from_headers(req.headers()).map_err(|e| head::bad_credential(&e))?;
     let query = req.uri().query().unwrap_or_default();
--- a/crates/sesamebarrow_standin/tests/processes/planned_work.rs
+++ b/crates/sesamebarrow_standin/tests/processes/planned_work.rs
@@ -6,6 +6,9 @@
 
 use super::*;
 
+/// Length of a body that the receive buffer of a connection does not hold.
+const LARGE_BODY_BYTES: usize = 1024 * 1024;
+
 /// Length of a response that the buffers between an upstream and a caller do not hold.
 const LARGE_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -147,6 +150,30 @@
     }
 );
 
+process_test!(refusal_before_the_body_was_read_reaches_its_caller, env, {
+    let http = env.fleet.instance(0).http;
+    let body = vec![b'x'; LARGE_BODY_BYTES];
+    let too_large = vec![b'x'; 2 * LARGE_BODY_BYTES];
+    let bearer = bearer(KEY);
+    let key = ("authorization", bearer.as_str());
+    let close = ("connection", "close");
+    for (headers, body, status) in [
+        (vec![close], &body, "401"),
+        (vec![key, close], &too_large, "413"),
+        (vec![key, close, ("x-max-tokens", "many")], &body, "400"),
+    ] {
+        for _ in 0..10 {
+            let mut stream = TcpStream::connect(http).await?;
+            let line = "POST /s/statements/generate HTTP/1.1";
+            write_request(&mut stream, line, &headers, body).await?;
+            let response = read_all(&mut stream).await?;
+            let start = format!("HTTP/1.1 {status}");
+            assert!(response.starts_with(&start), "{response}");
+            assert!(response.contains("\"outcome\":\"not-run\""), "{response}");
+        }
+    }
+});
+
 /// Starts a deployment with these times of a shutdown.
 async fn start_with_shutdown(notice: Duration, limit: Duration) -> anyhow::Result<TestEnv> {
     start_changed(&rules(&[KEY]), |deployment| {
