Answer requests that were sent behind a running one before closing

At a stop, keep-alive was switched off for connections with a running response. A second request that its caller had sent behind it, and that was read already, ended with the connection closed after the first response, whose head did not say so.

A connection is closed only after 500 ms without a request; the next response says that it closes the connection. HTTP/2 closes as before, since it announces the last stream that it answers.

--- a/crates/sesamebarrow_node/src/accept.rs
+++ b/crates/sesamebarrow_node/src/accept.rs
@@ -22,6 +22,7 @@
 use sesamebarrow_policy::{Reason, Refusal};
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -88,8 +89,8 @@
     }
 }
 
-/// Serves a connection until it is closed. After `stop`, it is closed once the request in
-/// progress is answered.
+/// Serves a connection until it is closed. After `stop`, it is closed once all requests that
+/// have arrived are answered.
 async fn serve_connection(
     node: Arc<Node>,
     builder: auto::Builder<TokioExecutor>,
@@ -99,18 +100,30 @@
     // Without this, small chunks of streamed responses would be delayed.
     let _ = stream.set_nodelay(true);
     let (stream, meter) = Metered::new(stream);
+    let in_progress = Arc::new(watch::Sender::new(0));
+    let mut requests = in_progress.subscribe();
     let service = hyper::service::service_fn(move |req: Request<Incoming>| {
         meter.reset();
+        // HTTP/2 can announce its end without losing requests.
+        let guard = (req.version() < Version::HTTP_2).then(|| InProgress::new(&in_progress));
         let has_expectation = req.headers().contains_key(hyper::header::EXPECT);
         let req = req
             .map(|body| RequestBody::new(MeteredBody::new(body, meter.clone()), has_expectation));
-        handle_request(node.clone(), req)
+        let response = handle_request(node.clone(), req);
+        async move { Ok::<_, Infallible>(response.await.map(|body| hold(guard, body))) }
     });
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let close = async {
         stop.cancelled().await;
-        tokio::time::sleep(CLOSE_DELAY).await;
+        loop {
+            // The sender lives as long as the connection.
+            let _ = requests.wait_for(|count| *count == 0).await;
+            let next = requests.wait_for(|count| *count > 0);
+            if tokio::time::timeout(CLOSE_DELAY, next).await.is_err() {
+                return;
+            }
+        }
     };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
@@ -124,10 +137,36 @@
     }
 }
 
-/// Time for which connections stay open after the process has stopped accepting them, so that a
-/// request that has arrived but was not read is answered. Responses close them from then on.
+/// Time for which connections without a request stay open after the process has stopped accepting
+/// them, so that a request that has arrived but was not read is answered. Responses close them from
+/// then on.
 const CLOSE_DELAY: Duration = Duration::from_millis(500);
 
+/// Counts a request of a connection as in progress until it is dropped.
+struct InProgress(Arc<watch::Sender<u32>>);
+
+impl InProgress {
+    fn new(count: &Arc<watch::Sender<u32>>) -> Self {
+        count.send_modify(|count| *count += 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.send_modify(|count| *count -= 1);
+    }
+}
+
+/// Returns `body`, which holds `guard` until it is dropped.
+fn hold(guard: Option<InProgress>, body: Body) -> Body {
+    let hold = move |error| {
+        let _guard = &guard;
+        error
+    };
+    body.map_err(hold).boxed()
+}
+
 /// Delay after a failed accept. The likely cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -156,10 +195,7 @@
     builder
 }
 
-async fn handle_request(
-    node: Arc<Node>,
-    req: Request<RequestBody>,
-) -> Result<Response<Body>, Infallible> {
+async fn handle_request(node: Arc<Node>, req: Request<RequestBody>) -> Response<Body> {
     let started_at = Instant::now();
     let id = node.next_request_id();
     let version = req.version();
@@ -182,7 +218,7 @@
     if draining.is_cancelled() && version < Version::HTTP_2 {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    response
 }
 
 async fn answer(
--- a/crates/sesamebarrow_standin/tests/processes/planned_work.rs
+++ b/crates/sesamebarrow_standin/tests/processes/planned_work.rs
@@ -311,3 +311,27 @@
     assert!(env.fleet.instances[0].wait()?.success());
     Ok(())
 }
+
+process_test!(
+    request_sent_behind_a_running_one_is_answered_after_it,
+    mut env,
+    {
+        let mut stream = TcpStream::connect(env.fleet.instance(0).http).await?;
+        let bearer = bearer(KEY);
+        let headers = [("authorization", bearer.as_str())];
+        let line = "POST /s/statements/generate HTTP/1.1";
+        for body in [b"{\"max_tokens\":300}", b"{\"max_tokens\":100}"] {
+            write_request(&mut stream, line, &headers, body).await?;
+        }
+        let upstream = env.fleet.upstreams[0].clone();
+        wait_until("the first request to reach the upstream", || async {
+            upstream.seen().paths.len() == 1
+        })
+        .await?;
+        env.fleet.instances[0].signal(Signal::SIGTERM)?;
+        let responses = read_all(&mut stream).await?;
+        assert!(responses.contains("[DONE]"), "{responses}");
+        assert!(responses.contains("HTTP/1.1 503"), "no second response");
+        assert!(env.fleet.instances[0].wait()?.success());
+    }
+);
