End a shutdown within a second of SIGINT

After SIGINT during a shutdown the remaining requests were refused, but the process waited until `shutdown.limit` for attempts that must run at most once and whose caller has been answered.

It waits one second now, as before the limit. The tests of both cases cover a payout that another instance forwarded, whose caller gets the same refusal; they failed on the first code ("connection closed before message completed").

--- a/crates/sesamebarrow_node/src/node.rs
+++ b/crates/sesamebarrow_node/src/node.rs
@@ -14,7 +14,6 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -27,7 +26,7 @@
 /// Time between two attempts to connect to the configured peers while no link is open.
 const PEER_DIAL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time before the limit of a shutdown at which the remaining requests are refused.
+/// Time before the end of a shutdown at which the remaining requests are refused.
 const FINAL_REFUSAL_TIME: Duration = Duration::from_secs(1);
 
 /// State shared by all tasks of the process.
@@ -211,15 +210,14 @@
         () = node.driver.ended.cancelled() => log::error!("the policy has failed"),
     }
     let shutdown = node.settings.shutdown;
-    let limit = Instant::now() + shutdown.limit;
     log::info!(limit:? = shutdown.limit; "draining");
     node.draining.cancel();
     node.driver.send_event(Event::Drain);
     let mut finished = std::pin::pin!(finish_requests(node, stop, serving));
-    let final_refusal = shutdown.limit - FINAL_REFUSAL_TIME.min(shutdown.limit / 4);
+    let refusal_time = FINAL_REFUSAL_TIME.min(shutdown.limit / 4);
     let is_graceful = tokio::select! {
         () = &mut finished => true,
-        () = tokio::time::sleep(final_refusal) => false,
+        () = tokio::time::sleep(shutdown.limit - refusal_time) => false,
         _ = signals.interrupt.recv() => false,
     };
     if is_graceful && !node.driver.ended.is_cancelled() {
@@ -231,7 +229,7 @@
     let left = state["requests"].as_array().map_or(0, Vec::len);
     log::error!(left; "refusing the remaining requests");
     node.driver.send_event(Event::RefuseRemaining);
-    let finished = tokio::time::timeout_at(limit, finished).await.is_ok();
+    let finished = tokio::time::timeout(refusal_time, finished).await.is_ok();
     log::error!(left, finished; "stopped before all requests finished");
     anyhow::bail!("stopped before {left} requests finished")
 }
--- a/crates/sesamebarrow_standin/tests/processes/planned_work.rs
+++ b/crates/sesamebarrow_standin/tests/processes/planned_work.rs
@@ -183,40 +183,68 @@
     .await
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn request_that_outlasts_the_shutdown_is_refused_before_its_limit() -> anyhow::Result<()> {
-    let (notice, limit) = (Duration::from_millis(200), Duration::from_secs(4));
-    let mut env = start_with_shutdown(notice, limit).await?;
-    let http = env.fleet.instance(0).http;
-    let ticket = fetch_ticket(http).await?;
+/// Sends requests whose upstreams never answer: a prompt and a payout to the first instance, and
+/// a payout that another instance forwards to it.
+async fn start_unanswered(
+    env: &TestEnv,
+) -> anyhow::Result<Vec<tokio::task::JoinHandle<anyhow::Result<ReceivedResponse>>>> {
+    let (a, b) = (env.fleet.instance(0).http, env.fleet.instance(1).http);
     for upstream in &env.fleet.upstreams {
         upstream.set_fault(Fault::Silent);
     }
-    let prompt = tokio::spawn(send_prompt(http, KEY, 1));
-    let payout = tokio::spawn(async move {
-        let bearer = bearer(KEY);
-        let headers = [
-            ("authorization", bearer.as_str()),
-            ("idempotency-key", ticket.as_str()),
-        ];
-        http::call(http, "POST", "/s/payouts/payouts", &headers, "pay-1").await
-    });
+    let mut requests = vec![tokio::spawn(send_prompt(a, KEY, 1))];
+    for http in [a, b] {
+        let ticket = fetch_ticket(a).await?;
+        requests.push(tokio::spawn(async move {
+            let bearer = bearer(KEY);
+            let headers = [
+                ("authorization", bearer.as_str()),
+                ("idempotency-key", ticket.as_str()),
+            ];
+            http::call(http, "POST", "/s/payouts/payouts", &headers, "pay-1").await
+        }));
+    }
     let upstreams = env.fleet.upstreams.clone();
     wait_until("the requests to reach the upstreams", || async {
-        upstreams.iter().all(|u| u.seen().paths.len() == 1)
+        upstreams[0].seen().paths.len() == 1 && upstreams[1].seen().paths.len() == 2
     })
     .await?;
-    env.fleet.instances[0].signal(Signal::SIGTERM)?;
-    for response in [prompt, payout] {
+    Ok(requests)
+}
+
+/// Expects that each request is refused because its instance drains, and may have run.
+async fn expect_draining(
+    requests: Vec<tokio::task::JoinHandle<anyhow::Result<ReceivedResponse>>>,
+) -> anyhow::Result<()> {
+    for response in requests {
         let response = response.await??;
         assert_eq!(response.status, 503, "{}", response.text());
         assert!(response.text().contains("draining") && response.complete);
         assert_eq!(outcome(&response), "unknown");
     }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_outlasts_the_shutdown_is_refused_before_its_limit() -> anyhow::Result<()> {
+    let (notice, limit) = (Duration::from_millis(200), Duration::from_secs(4));
+    let mut env = start_with_shutdown(notice, limit).await?;
+    let requests = start_unanswered(&env).await?;
+    env.fleet.instances[0].signal(Signal::SIGTERM)?;
+    expect_draining(requests).await?;
     env.fleet.instances[0].wait()?;
     Ok(())
 }
 
+process_test!(interrupt_during_a_shutdown_refuses_what_is_left, mut env, {
+    let requests = start_unanswered(&env).await?;
+    env.fleet.instances[0].signal(Signal::SIGTERM)?;
+    wait_until_draining(&env).await?;
+    env.fleet.instances[0].signal(Signal::SIGINT)?;
+    expect_draining(requests).await?;
+    env.fleet.instances[0].wait()?;
+});
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_forwarded_to_a_draining_instance_is_answered() -> anyhow::Result<()> {
     let (notice, limit) = (Duration::from_millis(500), Duration::from_secs(20));
