--- a/crates/sesamebarrow_node/src/accept.rs
+++ b/crates/sesamebarrow_node/src/accept.rs
@@ -2,22 +2,31 @@
 
 mod head;
 mod placement;
+mod unread;
 
+use std::convert::Infallible;
+use std::io::ErrorKind;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::HeaderValue;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
 use sesamebarrow_gateway::meter::{Metered, MeteredBody};
+use sesamebarrow_policy::{Reason, Refusal};
 use smol_str::SmolStr;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use self::unread::RequestBody;
 
 use crate::attempt::OutboundRequest;
 use crate::credential::{self, Key};
@@ -33,39 +42,129 @@
 /// Serves callers until `stop` is cancelled, then waits for the exchanges in progress on
 /// all connections.
 pub async fn serve(node: Arc<Node>, listener: TcpListener, stop: CancellationToken) {
-    let graceful = GracefulShutdown::new();
     let builder = builder();
+    let connections = TaskTracker::new();
+    let serve_stream = |stream| {
+        let connection = serve_connection(node.clone(), builder.clone(), stream, stop.clone());
+        connections.spawn(connection);
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = stop.cancelled() => break,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        match accepted {
+            Ok((stream, _)) => serve_stream(stream),
+            Err(error) => pause_after_failure(&error).await,
+        }
+    }
+    // Closing the listener resets the connections that it has not accepted.
+    accept_pending(listener).into_iter().for_each(serve_stream);
+    connections.close();
+    connections.wait().await;
+}
+
+/// Closes the listener and returns the connections that are waiting to be accepted.
+fn accept_pending(listener: TcpListener) -> Vec<TcpStream> {
+    let mut pending = Vec::new();
+    let Ok(listener) = listener.into_std() else {
+        return pending;
+    };
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                let stream = stream
+                    .set_nonblocking(true)
+                    .and_then(|()| TcpStream::from_std(stream));
+                pending.extend(stream);
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return pending,
             Err(error) => {
-                pause_after_failure(&error).await;
-                continue;
+                log::warn!(error:% = error; "cannot accept connection");
+                if error.kind() != ErrorKind::ConnectionAborted {
+                    return pending;
+                }
             }
-        };
-        // Without this, small chunks of streamed responses would be delayed.
-        let _ = stream.set_nodelay(true);
-        let node = node.clone();
-        let (stream, meter) = Metered::new(stream);
-        let service = hyper::service::service_fn(move |req: Request<Incoming>| {
-            meter.reset();
-            let req = req.map(|body| MeteredBody::new(body, meter.clone()));
-            handle_request(node.clone(), req)
-        });
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
-        let watched = graceful.watch(connection.into_owned());
-        tokio::spawn(async move {
-            if let Err(error) = watched.await {
-                log::debug!(error:% = error; "connection failed");
+        }
+    }
+}
+
+/// Serves a connection until it is closed. After `stop`, it is closed once all requests that
+/// have arrived are answered.
+async fn serve_connection(
+    node: Arc<Node>,
+    builder: auto::Builder<TokioExecutor>,
+    stream: TcpStream,
+    stop: CancellationToken,
+) {
+    // Without this, small chunks of streamed responses would be delayed.
+    let _ = stream.set_nodelay(true);
+    let (stream, meter) = Metered::new(stream);
+    let in_progress = Arc::new(watch::Sender::new(0));
+    let mut requests = in_progress.subscribe();
+    let service = hyper::service::service_fn(move |req: Request<Incoming>| {
+        meter.reset();
+        // HTTP/2 can announce its end without losing requests.
+        let guard = (req.version() < Version::HTTP_2).then(|| InProgress::new(&in_progress));
+        let has_expectation = req.headers().contains_key(hyper::header::EXPECT);
+        let req = req
+            .map(|body| RequestBody::new(MeteredBody::new(body, meter.clone()), has_expectation));
+        let response = handle_request(node.clone(), req);
+        async move { Ok::<_, Infallible>(response.await.map(|body| hold(guard, body))) }
+    });
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let close = async {
+        stop.cancelled().await;
+        loop {
+            // The sender lives as long as the connection.
+            let _ = requests.wait_for(|count| *count == 0).await;
+            let next = requests.wait_for(|count| *count > 0);
+            if tokio::time::timeout(CLOSE_DELAY, next).await.is_err() {
+                return;
             }
-        });
+        }
+    };
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = close => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(error:% = error; "connection failed");
+    }
+}
+
+/// Time for which connections without a request stay open after the process has stopped accepting
+/// them, so that a request that has arrived but was not read is answered. Responses close them from
+/// then on.
+const CLOSE_DELAY: Duration = Duration::from_millis(500);
+
+/// Counts a request of a connection as in progress until it is dropped.
+struct InProgress(Arc<watch::Sender<u32>>);
+
+impl InProgress {
+    fn new(count: &Arc<watch::Sender<u32>>) -> Self {
+        count.send_modify(|count| *count += 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.send_modify(|count| *count -= 1);
     }
-    drop(listener);
-    graceful.shutdown().await;
+}
+
+/// Returns `body`, which holds `guard` until it is dropped.
+fn hold(guard: Option<InProgress>, body: Body) -> Body {
+    let hold = move |error| {
+        let _guard = &guard;
+        error
+    };
+    body.map_err(hold).boxed()
 }
 
 /// Delay after a failed accept. The likely cause is a lack of file descriptors.
@@ -96,36 +195,48 @@
     builder
 }
 
-async fn handle_request(
-    node: Arc<Node>,
-    req: Request<MeteredBody>,
-) -> Result<Response<Body>, relay::Interrupted> {
+async fn handle_request(node: Arc<Node>, req: Request<RequestBody>) -> Response<Body> {
     let started_at = Instant::now();
     let id = node.next_request_id();
-    let reads_chunks = req.version() > Version::HTTP_10;
-    let result = route(node, &id, req).await;
-    let mut response = match result {
-        Ok(response) => response,
-        Err(Failure::Problem(problem)) => {
-            record_problem(&id, &problem, started_at);
-            problem.into_response(Some(&id))
-        }
-        Err(Failure::NoResponse) => {
-            telemetry::count_response("broken", "cancelled");
-            log::info!(request = id.as_str(), outcome = "cancelled"; "request");
-            return Err(relay::Interrupted);
-        }
-    };
+    let version = req.version();
+    let draining = node.draining.clone();
+    let answer = AssertUnwindSafe(answer(node, &id, req))
+        .catch_unwind()
+        .await;
+    let result = answer.unwrap_or_else(|_| {
+        let refusal = Refusal::unknown(Reason::Internal);
+        Err(Problem::from_refusal(&refusal))
+    });
+    let mut response = result.unwrap_or_else(|problem| {
+        record_problem(&id, &problem, started_at);
+        problem.into_response(Some(&id))
+    });
+    let headers = response.headers_mut();
     if let Ok(value) = HeaderValue::from_str(&id) {
-        response.headers_mut().insert("x-request-id", value);
+        headers.insert("x-request-id", value);
     }
+    if draining.is_cancelled() && version < Version::HTTP_2 {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn answer(
+    node: Arc<Node>,
+    id: &SmolStr,
+    req: Request<RequestBody>,
+) -> Result<Response<Body>, Problem> {
+    let reads_chunks = req.version() > Version::HTTP_10;
+    let response = route(node, id, req).await?;
     if reads_chunks {
         return Ok(response);
     }
     // The caller could not tell a body that breaks off from a complete one.
     let (parts, body) = response.into_parts();
-    let body = body.collect().await?.to_bytes();
-    Ok(Response::from_parts(parts, relay::full(body)))
+    let body = body.collect().await.map_err(|relay::Interrupted| {
+        Problem::from_refusal(&Refusal::unknown(Reason::UpstreamFailed))
+    })?;
+    Ok(Response::from_parts(parts, relay::full(body.to_bytes())))
 }
 
 fn record_problem(id: &SmolStr, problem: &Problem, started_at: Instant) {
@@ -139,32 +250,22 @@
     telemetry::count_response(outcome, reason.to_owned());
 }
 
-/// Why a request gets no response from an upstream.
-enum Failure {
-    /// The request is rejected with a problem document.
-    Problem(Problem),
-    /// The connection is closed without a response, usually because the key was revoked.
-    NoResponse,
-}
-
-impl From<Problem> for Failure {
-    fn from(problem: Problem) -> Self {
-        Self::Problem(problem)
-    }
-}
-
 async fn route(
     node: Arc<Node>,
     id: &SmolStr,
-    req: Request<MeteredBody>,
-) -> Result<Response<Body>, Failure> {
+    req: Request<RequestBody>,
+) -> Result<Response<Body>, Problem> {
     let path = req.uri().path();
     if path == "/placement" && req.method() == Method::GET {
         return placement::respond(&node, &req).await;
     }
     let Some(rest) = path.strip_prefix("/s/") else {
         let title = "expected /placement or /s/SERVICE/…";
-        return Err(Problem::rejection(StatusCode::NOT_FOUND, "no-such-path", title).into());
+        return Err(Problem::rejection(
+            StatusCode::NOT_FOUND,
+            "no-such-path",
+            title,
+        ));
     };
     let (service, path) = match rest.split_once('/') {
         Some((service, path)) => (service, format!("/{path}")),
@@ -177,10 +278,10 @@
 async fn handle_service_request(
     node: Arc<Node>,
     id: &SmolStr,
-    req: Request<MeteredBody>,
+    req: Request<RequestBody>,
     service: SmolStr,
     path: String,
-) -> Result<Response<Body>, Failure> {
+) -> Result<Response<Body>, Problem> {
     let started_at = Instant::now();
     let (parts, body) = req.into_parts();
     let key = Key::from_headers(&parts.headers).map_err(|e| head::bad_credential(&e))?;
@@ -193,9 +294,7 @@
     let has_key_parameter = parts.uri.query().is_some_and(credential::has_key_parameter);
     if has_key_parameter {
         let problem = head::bad_credential(&credential::Error::Misplaced);
-        return Err(problem
-            .with_unknown_execution_if(head.ticket.is_some())
-            .into());
+        return Err(problem.with_unknown_execution_if(head.ticket.is_some()));
     }
     let outbound = OutboundRequest {
         id: id.clone(),
@@ -208,7 +307,7 @@
     let outbound_future = head::read_body(&node, outbound, key, body, max_length);
     let reply = exchange::run(node, head, outbound_future).await;
     let status_code = match &reply {
-        Some(Reply::Response { status, .. }) => status.as_u16(),
+        Reply::Response { status, .. } => status.as_u16(),
         _ => 0,
     };
     if status_code > 0 {
@@ -223,20 +322,19 @@
     into_response(reply)
 }
 
-fn into_response(reply: Option<Reply>) -> Result<Response<Body>, Failure> {
+fn into_response(reply: Reply) -> Result<Response<Body>, Problem> {
     match reply {
-        Some(Reply::Response {
+        Reply::Response {
             status,
             fields,
             body,
-        }) => {
+        } => {
             let mut response = Response::new(relay::streamed(body));
             *response.status_mut() = status;
             *response.headers_mut() = fields;
             Ok(response)
         }
-        Some(Reply::Refused(refusal)) => Err(Problem::from_refusal(&refusal).into()),
-        Some(Reply::Problem(problem)) => Err(problem.into()),
-        None => Err(Failure::NoResponse),
+        Reply::Refused(refusal) => Err(Problem::from_refusal(&refusal)),
+        Reply::Problem(problem) => Err(problem),
     }
 }
--- a/crates/sesamebarrow_node/src/node.rs
+++ b/crates/sesamebarrow_node/src/node.rs
@@ -12,9 +12,10 @@
 use sesamebarrow_wire::auth::FleetKeys;
 use smol_str::{SmolStr, format_smolstr};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::driver::{self, Command, Handle, Setup};
 use crate::peer::Links;
@@ -25,6 +26,9 @@
 /// Time between two attempts to connect to the configured peers while no link is open.
 const PEER_DIAL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time before the end of a shutdown at which the remaining requests are refused.
+const FINAL_REFUSAL_TIME: Duration = Duration::from_secs(1);
+
 /// State shared by all tasks of the process.
 pub struct Node {
     /// The settings.
@@ -37,6 +41,10 @@
     pub links: Links,
     /// Connections to upstreams.
     pub pool: Pool,
+    /// Exchanges, and the streams of requests that other instances forwarded.
+    pub exchanges: TaskTracker,
+    /// Cancelled when the shutdown begins. From then on each response closes its connection.
+    pub draining: CancellationToken,
     next_request_number: AtomicU64,
 }
 
@@ -61,6 +69,7 @@
 
 /// Runs the process until it is stopped by a signal or has drained.
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    let signals = Signals::install()?;
     let keys = FleetKeys::new(&settings.secret()?);
     let metrics = telemetry::install()?;
     tokio::spawn(keep_up(metrics.clone()));
@@ -84,7 +93,38 @@
         name = node.identity.name.as_str(), domain = node.identity.domain.as_str(),
         http:% = listen.http, peer:% = listen.peer, admin:% = listen.admin; "started"
     );
-    shut_down(&node, stop, serving, drained).await
+    shut_down(&node, signals, stop, serving, drained).await
+}
+
+/// Signals that the process handles. They are installed before it accepts requests, because
+/// their default action ends the process.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn install() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM or SIGINT.
+    async fn stop_requested(&mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => {
+                    log::warn!("settings are read at the start only, restart to apply changes");
+                }
+            }
+        }
+    }
 }
 
 async fn bind(field: &str, address: SocketAddr) -> anyhow::Result<TcpListener> {
@@ -134,6 +174,8 @@
         driver,
         links: links.clone(),
         pool: Pool::default(),
+        exchanges: TaskTracker::new(),
+        draining: CancellationToken::new(),
         next_request_number: AtomicU64::new(1),
     });
     links.attach(&node);
@@ -153,43 +195,58 @@
 }
 
 /// Waits for a signal, or for the end of a drain that an operator requested. Then stops
-/// accepting requests and waits for those in progress.
+/// accepting requests and waits for those in progress. Requests that outlast the limit of the
+/// shutdown are refused shortly before it.
 async fn shut_down(
     node: &Node,
+    mut signals: Signals,
     stop: CancellationToken,
     serving: tokio::task::JoinHandle<()>,
     mut drained: watch::Receiver<bool>,
 ) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        () = signals.stop_requested() => {}
         _ = drained.wait_for(|drained| *drained) => {}
+        () = node.driver.ended.cancelled() => log::error!("the policy has failed"),
     }
     let shutdown = node.settings.shutdown;
     log::info!(limit:? = shutdown.limit; "draining");
+    node.draining.cancel();
     node.driver.send_event(Event::Drain);
-    let graceful = async {
-        // Gives callers and other instances time to learn that this instance takes no new
-        // requests.
-        tokio::time::sleep(shutdown.notice).await;
-        stop.cancel();
-        let _ = drained.wait_for(|drained| *drained).await;
-        let _ = serving.await;
+    let mut finished = std::pin::pin!(finish_requests(node, stop, serving));
+    let refusal_time = FINAL_REFUSAL_TIME.min(shutdown.limit / 4);
+    let is_graceful = tokio::select! {
+        () = &mut finished => true,
+        () = tokio::time::sleep(shutdown.limit - refusal_time) => false,
+        _ = signals.interrupt.recv() => false,
     };
-    let finished = tokio::select! {
-        () = graceful => true,
-        () = tokio::time::sleep(shutdown.limit) => false,
-        _ = terminate.recv() => false,
-        _ = interrupt.recv() => false,
-    };
-    if finished {
+    if is_graceful && !node.driver.ended.is_cancelled() {
         log::info!("stopped");
         return Ok(());
     }
+    anyhow::ensure!(!node.driver.ended.is_cancelled(), "the policy has failed");
     let state = node.driver.query(Command::Snapshot).await?;
-    let cut = state["requests"].as_array().map_or(0, Vec::len);
-    log::error!(cut; "stopped before all requests finished");
-    anyhow::bail!("stopped before {cut} requests finished")
+    let left = state["requests"].as_array().map_or(0, Vec::len);
+    log::error!(left; "refusing the remaining requests");
+    node.driver.send_event(Event::RefuseRemaining);
+    let finished = tokio::time::timeout(refusal_time, finished).await.is_ok();
+    log::error!(left, finished; "stopped before all requests finished");
+    anyhow::bail!("stopped before {left} requests finished")
+}
+
+/// Accepts requests until the end of the notice, then waits until none is in progress and
+/// all responses are sent.
+async fn finish_requests(
+    node: &Node,
+    stop: CancellationToken,
+    serving: tokio::task::JoinHandle<()>,
+) {
+    // Gives callers and other instances time to learn that this instance takes no new
+    // requests.
+    tokio::time::sleep(node.settings.shutdown.notice).await;
+    stop.cancel();
+    let _ = serving.await;
+    node.exchanges.close();
+    node.exchanges.wait().await;
+    node.links.finish().await;
 }
--- a/crates/sesamebarrow_policy/src/event.rs
+++ b/crates/sesamebarrow_policy/src/event.rs
@@ -235,6 +235,9 @@
     },
     /// The process was asked to shut down gracefully.
     Drain,
+    /// The limit of the shutdown is near: every request whose response has not started must be
+    /// refused.
+    RefuseRemaining,
 }
 
 /// Destination of an attempt.
@@ -305,8 +308,8 @@
         /// The stored response.
         response: Arc<StoredResponse>,
     },
-    /// Abort the request without a refusal because its key was revoked. No further action
-    /// for the request follows.
+    /// Abort the request after its response has started, because its key was revoked. No
+    /// further action for the request follows.
     Cancel {
         /// The request.
         id: RequestId,
--- a/crates/sesamebarrow_policy/src/pipeline.rs
+++ b/crates/sesamebarrow_policy/src/pipeline.rs
@@ -284,7 +284,8 @@
     board.push_action(Action::Refuse { id, refusal });
 }
 
-/// Cancels the requests whose key has been revoked.
+/// Ends the requests whose key has been revoked. Those whose response has started are
+/// cancelled, the others refused.
 ///
 /// A request that must run at most once and may have been sent continues. Cancelling it
 /// would undo nothing and leave its outcome unknown.
@@ -297,7 +298,11 @@
         }
         match request.stage {
             Stage::Running | Stage::Answering if request.is_at_most_once() => {}
-            Stage::Running | Stage::Answering => {
+            Stage::Running => {
+                board.counters.cancelled += 1;
+                refuse(board, id, Refusal::unknown(Reason::BadKey));
+            }
+            Stage::Answering => {
                 board.counters.cancelled += 1;
                 settle::abandon_request(board, id);
                 board.push_action(Action::Cancel { id });
@@ -319,17 +324,35 @@
         .map(|(id, _)| *id)
         .collect();
     for id in expired {
-        time_out(board, id);
+        give_up(board, id, Refusal::not_run(Reason::DeadlinePassed));
+    }
+}
+
+/// Refuses the requests whose response has not started, since the process is about to end.
+pub(crate) fn refuse_remaining(board: &mut Board) {
+    board.refuses_all = true;
+    let remaining: Vec<RequestId> = board
+        .requests
+        .iter()
+        .filter(|(_, r)| !r.detached && r.stage != Stage::Answering)
+        .map(|(id, _)| *id)
+        .collect();
+    let refusal =
+        Refusal::not_run(Reason::Draining).with_retry_after(board.settings.recovery_timeout);
+    for id in remaining {
+        give_up(board, id, refusal.clone());
     }
 }
 
-fn time_out(board: &mut Board, id: RequestId) {
+/// Refuses a request whose response has not started. The refusal says that the request may
+/// have run if bytes of it may have been sent.
+fn give_up(board: &mut Board, id: RequestId, refusal: Refusal) {
     let request = &board.requests[&id];
     if request.stage != Stage::Running {
-        refuse(board, id, Refusal::not_run(Reason::DeadlinePassed));
+        refuse(board, id, refusal);
         return;
     }
-    let refusal = Refusal::unknown(Reason::DeadlinePassed);
+    let refusal = refusal.with_unknown_execution();
     if !request.is_at_most_once() {
         refuse(board, id, refusal);
         return;
