Send held answers with their length, and count them until they are written

Callers saw every plain answer in chunks, also one of two bytes whose upstream stated its length, at one instance and over a hop. An answer to HEAD lost the length that it stated.

Cause: the memory of a held answer was tied to a combinator around its body, which gives no size. The combinator also gave the memory back too early: the HTTP library drops a body once its last frame is queued, so that an answer that waited for a slow caller was not counted. A stream that is collected for a caller of HTTP/1.0 was not counted at all.

Change: the bytes themselves own the memory, so that bodies are plain ones that keep their size, and the memory is free when the bytes are written or dropped. A body that is collected for HTTP/1.0 is counted; one whose length is known is not collected again. HEAD keeps one valid Content-Length. 204 and 304 have none (the HTTP library writes none for them), streams are sent in chunks as before, trailers are dropped as before.

Evidence: `lengths` reads raw bytes.

--- a/crates/sesamebarrow_gateway/src/memory.rs
+++ b/crates/sesamebarrow_gateway/src/memory.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use sesamebarrow_routing::memory::{Claimant, Full, Ledger};
 use sesamebarrow_routing::token;
@@ -104,6 +105,26 @@
         }
         self.grow_to(total)
     }
+
+    /// Returns `bytes`, which hold what this holds until the last handle to them is dropped.
+    pub fn into_bytes(self, bytes: Bytes) -> Bytes {
+        if self.bytes == 0 {
+            return bytes;
+        }
+        Bytes::from_owner(HeldBytes { bytes, _held: self })
+    }
+}
+
+/// Bytes that hold memory.
+struct HeldBytes {
+    bytes: Bytes,
+    _held: Held,
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 impl Drop for Held {
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -6,8 +6,10 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{HeaderMap, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Body as HttpBody;
+use hyper::header::{CONTENT_LENGTH, HeaderValue};
+use hyper::{HeaderMap, Method, Response};
 use sesamebarrow_platform::head;
 use sesamebarrow_routing::upstream::AttemptOutcome;
 
@@ -43,25 +45,42 @@
         .boxed_unsync()
 }
 
-/// Returns a body that consists of `bytes`, which `held` holds until they are sent.
-fn held_body(bytes: Bytes, held: Held) -> Body {
-    let keep = move |frame| {
-        let _ = &held;
-        frame
-    };
-    let body = Full::new(bytes).map_frame(keep);
-    body.map_err(|never: Infallible| match never {})
-        .boxed_unsync()
+/// Receives the whole body of `response`, unless its length is known, and holds it in `held`. A client that
+/// reads no chunks could not tell a stream that breaks off from a complete one.
+pub async fn buffer_response(
+    response: Response<Body>,
+    mut held: Held,
+) -> Result<Response<Body>, Refusal> {
+    if response.body().size_hint().exact().is_some() {
+        return Ok(response);
+    }
+    let (parts, mut body) = response.into_parts();
+    match collect(&mut body, &mut held).await {
+        Ok(bytes) => Ok(Response::from_parts(
+            parts,
+            full_body(held.into_bytes(bytes)),
+        )),
+        Err(BodyError) => Err(Refusal::Unknown("answer-broken")),
+    }
 }
 
-/// Receives the whole body of `response`. A client that reads no chunks could not tell a stream that
-/// breaks off from a complete one.
-pub async fn buffer_response(response: Response<Body>) -> Result<Response<Body>, Refusal> {
-    let (parts, body) = response.into_parts();
-    match Limited::new(body, MAX_BUFFERED_BYTES).collect().await {
-        Ok(body) => Ok(Response::from_parts(parts, full_body(body.to_bytes()))),
-        Err(_) => Err(Refusal::Unknown("answer-broken")),
+/// Receives a body of at most [`MAX_BUFFERED_BYTES`] and counts it in `held`. Its trailers are dropped, since a
+/// body that is sent with its length cannot have any.
+async fn collect(
+    body: &mut (impl HttpBody<Data = Bytes> + Unpin),
+    held: &mut Held,
+) -> Result<Bytes, BodyError> {
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError)?;
+        if let Ok(data) = frame.into_data() {
+            buf.extend_from_slice(&data);
+        }
+        if buf.len() > MAX_BUFFERED_BYTES || held.follow(buf.capacity()).is_err() {
+            return Err(BodyError);
+        }
     }
+    Ok(buf.freeze())
 }
 
 /// Relays the response to `job`. If a buffered response ends early, the request is retried where
@@ -101,20 +120,11 @@
 }
 
 async fn read_body(response: &mut UpstreamResponse, held: &mut Held) -> Result<Bytes, BodyError> {
-    let mut buf = BytesMut::new();
-    while let Some(frame) = response.body.frame().await {
-        let frame = frame.map_err(|_| BodyError)?;
-        if let Ok(data) = frame.into_data() {
-            buf.extend_from_slice(&data);
-        }
-        if buf.len() > MAX_BUFFERED_BYTES || held.follow(buf.capacity()).is_err() {
-            return Err(BodyError);
-        }
-    }
+    let body = collect(&mut response.body, held).await?;
     if response.framing == Framing::Connection && !response.attempt.confirm_end().await {
         return Err(BodyError);
     }
-    Ok(buf.freeze())
+    Ok(body)
 }
 
 fn finish_response(
@@ -145,8 +155,18 @@
     record_end(shared, job, &end);
     let (mut parts, ()) = response.head.into_parts();
     replace_internal_headers(&mut parts.headers, job, &target);
-    parts.headers.remove(hyper::header::CONTENT_LENGTH);
-    Response::from_parts(parts, held_body(body, held))
+    if job.method != Method::HEAD || !states_one_length(&parts.headers) {
+        // The HTTP library writes the length of the body.
+        parts.headers.remove(CONTENT_LENGTH);
+    }
+    Response::from_parts(parts, full_body(held.into_bytes(body)))
+}
+
+/// Returns whether the headers state one length, which is a number.
+fn states_one_length(headers: &HeaderMap) -> bool {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let is_number = |v: &HeaderValue| !v.is_empty() && v.as_bytes().iter().all(u8::is_ascii_digit);
+    lengths.next().is_some_and(is_number) && lengths.next().is_none()
 }
 
 /// Replaces the headers of a target's response that are not meant for whoever sent the request.
--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -117,13 +117,15 @@
     let id = sesamebarrow_platform::head::read_attempt_id(req.headers());
     let reads_chunks = req.version() > Version::HTTP_10;
     let result = match intake::receive(&shared, req).await {
-        Ok(job) => proxy(&shared, job).await,
+        Ok(job) => {
+            let held = job.held.another();
+            match proxy(&shared, job).await {
+                Ok(response) if !reads_chunks => relay::buffer_response(response, held).await,
+                result => result,
+            }
+        }
         Err(refusal) => Err(refusal),
     };
-    let result = match result {
-        Ok(response) if !reads_chunks => relay::buffer_response(response).await,
-        result => result,
-    };
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => refusal_response(&shared, &id, refusal, started_at),
