Give callers the length of a response at the callers' interface

Callers of `/s/...` saw every response in chunks, also one whose upstream stated its length, over a link, and a stored response that is known whole. HEAD lost the stated length.

Cause: bodies went through a channel of parts wrapped as a stream, which has no size; the length was not passed on, nor over a link.

Change: a response carries its length beside its fields, over links as a new optional field of the head frame that older instances ignore (they go on in chunks). One body type keeps what remains of it. Event streams keep none, as one whose length ends inside an event must not look complete. The HTTP library drops a body whose length is reached, so a dropped body no longer counts as a caller that left once all bytes were received. A response whose length is known is relayed to HTTP/1.0 as it comes instead of being collected.

The drop of a finished body was seen by reading, no test shows it. Two calls in `units` name the new argument; nothing else in them changed.

--- a/crates/sesamebarrow_node/src/accept.rs
+++ b/crates/sesamebarrow_node/src/accept.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::HeaderValue;
+use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
@@ -119,7 +119,7 @@
     if let Ok(value) = HeaderValue::from_str(&id) {
         response.headers_mut().insert("x-request-id", value);
     }
-    if reads_chunks {
+    if reads_chunks || response.body().size_hint().exact().is_some() {
         return Ok(response);
     }
     // The caller could not tell a body that breaks off from a complete one.
@@ -220,19 +220,26 @@
         );
         telemetry::count_response("answered", "none");
     }
-    into_response(reply)
+    into_response(&method, reply)
 }
 
-fn into_response(reply: Option<Reply>) -> Result<Response<Body>, Failure> {
+fn into_response(method: &Method, reply: Option<Reply>) -> Result<Response<Body>, Failure> {
     match reply {
         Some(Reply::Response {
             status,
             fields,
+            length,
             body,
         }) => {
-            let mut response = Response::new(relay::streamed(body));
+            let is_head = *method == Method::HEAD;
+            let body_length = if is_head { Some(0) } else { length };
+            let mut response = Response::new(relay::streamed(body, body_length));
             *response.status_mut() = status;
             *response.headers_mut() = fields;
+            if let Some(length) = length.filter(|l| is_head && *l > 0) {
+                let value = HeaderValue::from(length);
+                response.headers_mut().insert(CONTENT_LENGTH, value);
+            }
             Ok(response)
         }
         Some(Reply::Refused(refusal)) => Err(Problem::from_refusal(&refusal).into()),
--- a/crates/sesamebarrow_node/src/attempt.rs
+++ b/crates/sesamebarrow_node/src/attempt.rs
@@ -5,8 +5,10 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::header::{HOST, HeaderValue};
+use hyper::body::Body as _;
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode};
+use sesamebarrow_gateway::event_stream;
 use sesamebarrow_gateway::meter::MeteredBody;
 use sesamebarrow_gateway::pool::{self, Connection};
 use sesamebarrow_policy::Refusal;
@@ -72,6 +74,10 @@
     pub status: StatusCode,
     /// Header fields for the caller.
     pub fields: HeaderMap,
+    /// Length of the body in bytes, or the length that the response to `HEAD` states, if known.
+    pub length: Option<u64>,
+    /// Number of bytes of the body that are still to come, if known.
+    remaining: Option<u64>,
     body: BodySource,
 }
 
@@ -144,14 +150,16 @@
     match connection.send(req).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
-            SendOutcome::Response(Box::new(TargetResponse {
-                status: head.status,
-                fields: crate::credential::response_fields(&head.headers),
-                body: BodySource::Upstream(
-                    body,
-                    Some((connection, pool::idle_time(&head.headers))),
-                ),
-            }))
+            let length = if outbound.method == Method::HEAD {
+                stated_length(&head.headers)
+            } else {
+                body.size_hint().exact()
+            };
+            let idle_time = pool::idle_time(&head.headers);
+            let fields = crate::credential::response_fields(&head.headers);
+            let body = BodySource::Upstream(body, Some((connection, idle_time)));
+            let response = TargetResponse::new(outbound, head.status, fields, length, body);
+            SendOutcome::Response(Box::new(response))
         }
         Err(pool::Error::NotSent) => SendOutcome::NotSent,
         Err(pool::Error::Broken) => SendOutcome::Interrupted,
@@ -188,11 +196,13 @@
         return SendOutcome::Interrupted;
     }
     match stream.next().await {
-        Some(Inbound::Head(head)) => SendOutcome::Response(Box::new(TargetResponse {
-            status: status_from_code(head.status),
-            fields: peer::decode_fields(&head.fields),
-            body: BodySource::Instance(Box::new(stream)),
-        })),
+        Some(Inbound::Head(head)) => {
+            let status = status_from_code(head.status);
+            let fields = peer::decode_fields(&head.fields);
+            let body = BodySource::Instance(Box::new(stream));
+            let response = TargetResponse::new(outbound, status, fields, head.length, body);
+            SendOutcome::Response(Box::new(response))
+        }
         Some(Inbound::Refused(refused)) => {
             SendOutcome::Refused(crate::problem::decode_refusal(&refused))
         }
@@ -207,14 +217,47 @@
         .unwrap_or(StatusCode::BAD_GATEWAY)
 }
 
+/// Returns the length that the headers state.
+fn stated_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
 impl TargetResponse {
+    fn new(
+        outbound: &OutboundRequest,
+        status: StatusCode,
+        fields: HeaderMap,
+        length: Option<u64>,
+        body: BodySource,
+    ) -> Self {
+        let has_no_body = outbound.method == Method::HEAD
+            || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        // A stream whose length ends inside an event must not look complete.
+        let length = length.filter(|_| !event_stream::is_event_stream(&fields));
+        Self {
+            status,
+            fields,
+            length,
+            remaining: if has_no_body { Some(0) } else { length },
+            body,
+        }
+    }
+
+    /// Returns whether all bytes of the body were received, though perhaps not yet its end. The HTTP library
+    /// drops the body for the caller then.
+    pub fn has_all_bytes(&self) -> bool {
+        self.remaining == Some(0)
+    }
+
     /// Returns the next part of the body, or [`BodyPart::Interrupted`] if none arrives
     /// within `stall`.
     pub async fn next(&mut self, stall: Duration) -> BodyPart {
-        match tokio::time::timeout(stall, self.read()).await {
-            Ok(part) => part,
-            Err(_) => BodyPart::Interrupted,
+        let part = tokio::time::timeout(stall, self.read()).await;
+        let part = part.unwrap_or(BodyPart::Interrupted);
+        if let (BodyPart::Chunk(bytes), Some(remaining)) = (&part, &mut self.remaining) {
+            *remaining = remaining.saturating_sub(bytes.len() as u64);
         }
+        part
     }
 
     async fn read(&mut self) -> BodyPart {
--- a/crates/sesamebarrow_node/src/exchange.rs
+++ b/crates/sesamebarrow_node/src/exchange.rs
@@ -37,6 +37,8 @@
         status: StatusCode,
         /// Header fields.
         fields: HeaderMap,
+        /// Length of the body in bytes, or the length that the response to `HEAD` states, if known.
+        length: Option<u64>,
         /// Parts of the body.
         body: relay::Receiver,
     },
@@ -226,13 +228,15 @@
         self.send_reply(Reply::Response {
             status,
             fields,
+            length: target_response.length,
             body: rx,
         });
         let stall = self.node.settings.request.stall;
         loop {
+            let has_all_bytes = target_response.has_all_bytes();
             let part = tokio::select! {
                 part = target_response.next(stall) => part,
-                () = tx.closed() => return Err(Abort::CallerDisconnected),
+                () = tx.closed(), if !has_all_bytes => return Err(Abort::CallerDisconnected),
                 Some(Action::Cancel { .. }) = self.handle.rx.recv() => BodyPart::Interrupted,
             };
             match part {
@@ -270,6 +274,7 @@
     async fn buffer_response(&mut self, target_response: TargetResponse) -> Result<(), Abort> {
         let status = target_response.status;
         let fields = target_response.fields.clone();
+        let length = target_response.length;
         let collected = self
             .run_unless_aborted(collect(self.node.clone(), target_response))
             .await?;
@@ -287,7 +292,8 @@
             response: Some(Arc::new(stored)),
             is_server_error: status.is_server_error(),
         });
-        self.send_reply(complete_reply(status, fields, body));
+        let length = length.unwrap_or(body.len() as u64);
+        self.send_reply(complete_reply(status, fields, length, body));
         Ok(())
     }
 
@@ -323,7 +329,13 @@
             Action::Replay { response, .. } => {
                 let status = StatusCode::from_u16(response.status).unwrap_or(StatusCode::OK);
                 let fields = from_stored_fields(&response.fields);
-                self.send_reply(complete_reply(status, fields, response.body.clone()));
+                let length = response.body.len() as u64;
+                self.send_reply(complete_reply(
+                    status,
+                    fields,
+                    length,
+                    response.body.clone(),
+                ));
             }
             _ => {}
         }
@@ -428,14 +440,16 @@
     }
 }
 
-fn complete_reply(status: StatusCode, fields: HeaderMap, bytes: Bytes) -> Reply {
+fn complete_reply(status: StatusCode, fields: HeaderMap, length: u64, bytes: Bytes) -> Reply {
     let (tx, body) = relay::channel();
     // The channel is empty, so it has capacity.
     let _ = tx.try_send(Part::Chunk(bytes));
     let _ = tx.try_send(Part::End);
+    // An event stream that came whole is sent with its length too.
     Reply::Response {
         status,
         fields,
+        length: Some(length),
         body,
     }
 }
--- a/crates/sesamebarrow_node/src/peer/serve.rs
+++ b/crates/sesamebarrow_node/src/peer/serve.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use hyper::{HeaderMap, Method, StatusCode};
+use hyper::{Method, StatusCode};
 use sesamebarrow_policy::{Head, Origin, Reason, Refusal};
 use sesamebarrow_wire::stream::{self as frames, Open};
 use smol_str::SmolStr;
@@ -141,8 +141,17 @@
         Some(Reply::Response {
             status,
             fields,
+            length,
             body,
-        }) => send_response(stream, status, &fields, body).await,
+        }) => {
+            let head = frames::Head {
+                stream: stream.id(),
+                status: u32::from(status.as_u16()),
+                fields: super::encode_fields(&fields),
+                length,
+            };
+            send_response(stream, head, body).await;
+        }
         Some(Reply::Refused(refusal)) => {
             stream.send_refusal(problem::encode_refusal(stream.id(), &refusal));
             stream.mark_ended();
@@ -159,17 +168,8 @@
     }
 }
 
-async fn send_response(
-    stream: &mut Stream,
-    status: StatusCode,
-    fields: &HeaderMap,
-    mut body: relay::Receiver,
-) {
-    stream.send_head(frames::Head {
-        stream: stream.id(),
-        status: u32::from(status.as_u16()),
-        fields: super::encode_fields(fields),
-    });
+async fn send_response(stream: &mut Stream, head: frames::Head, mut body: relay::Receiver) {
+    stream.send_head(head);
     while let Some(part) = body.recv().await {
         match part {
             Part::Chunk(bytes) => {
--- a/crates/sesamebarrow_node/src/relay.rs
+++ b/crates/sesamebarrow_node/src/relay.rs
@@ -1,11 +1,13 @@
 //! Response bodies for callers, and the detection of incomplete responses.
 
 use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::Frame;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Response};
 use memchr::memmem;
@@ -71,21 +73,71 @@
     mpsc::channel(CHANNEL_CAPACITY_CHUNKS)
 }
 
-/// Returns a body that streams the parts from `rx`.
-pub fn streamed(rx: Receiver) -> Body {
-    let stream = futures_util::stream::unfold(Some(rx), |rx| async move {
-        let mut rx = rx?;
-        match rx.recv().await {
-            Some(Part::Chunk(bytes)) => Some((Ok(Frame::data(bytes)), Some(rx))),
-            Some(Part::End) => None,
-            None => {
-                // The HTTP library drops what it has not sent yet when a body fails.
-                tokio::task::yield_now().await;
-                Some((Err(Interrupted), None))
+/// Returns a body that streams the parts from `rx`, which have `length` bytes if that is known.
+pub fn streamed(rx: Receiver, length: Option<u64>) -> Body {
+    BodyExt::boxed(Streamed {
+        state: State::Receiving(rx),
+        remaining: length,
+    })
+}
+
+enum State {
+    Receiving(Receiver),
+    /// The body was interrupted. The next poll ends it with an error: the HTTP library drops what it has not
+    /// sent yet when a body fails, so it gets a turn to send it.
+    Failing,
+    Done,
+}
+
+/// A body whose parts are still being received.
+struct Streamed {
+    state: State,
+    /// Number of bytes that are still to come, if known.
+    remaining: Option<u64>,
+}
+
+impl HttpBody for Streamed {
+    type Data = Bytes;
+    type Error = Interrupted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
+        match &mut self.state {
+            State::Receiving(rx) => match ready!(rx.poll_recv(cx)) {
+                Some(Part::Chunk(bytes)) => {
+                    if let Some(remaining) = &mut self.remaining {
+                        *remaining = remaining.saturating_sub(bytes.len() as u64);
+                    }
+                    Poll::Ready(Some(Ok(Frame::data(bytes))))
+                }
+                Some(Part::End) => {
+                    self.state = State::Done;
+                    Poll::Ready(None)
+                }
+                None => {
+                    self.state = State::Failing;
+                    cx.waker().wake_by_ref();
+                    Poll::Pending
+                }
+            },
+            State::Failing => {
+                self.state = State::Done;
+                Poll::Ready(Some(Err(Interrupted)))
             }
+            State::Done => Poll::Ready(None),
         }
-    });
-    BodyExt::boxed(StreamBody::new(stream))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.remaining == Some(0) || matches!(self.state, State::Done)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.remaining
+            .map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
 }
 
 /// Tracks the end of an event stream to tell whether it is complete and how many tokens it
--- a/crates/sesamebarrow_node/tests/units.rs
+++ b/crates/sesamebarrow_node/tests/units.rs
@@ -138,7 +138,10 @@
     tx.try_send(Part::Chunk("data: {}".into()))
         .expect("the channel has capacity");
     drop(tx);
-    assert_eq!(relay::streamed(rx).collect().await.err(), Some(Interrupted));
+    assert_eq!(
+        relay::streamed(rx, None).collect().await.err(),
+        Some(Interrupted)
+    );
 }
 
 #[tokio::test]
@@ -147,6 +150,9 @@
     for part in [Part::Chunk("paid".into()), Part::End] {
         tx.try_send(part).expect("the channel has capacity");
     }
-    let body = relay::streamed(rx).collect().await.expect("a whole body");
+    let body = relay::streamed(rx, None)
+        .collect()
+        .await
+        .expect("a whole body");
     assert_eq!(body.to_bytes(), "paid");
 }
--- a/crates/sesamebarrow_standin/src/upstream.rs
+++ b/crates/sesamebarrow_standin/src/upstream.rs
@@ -2,7 +2,8 @@
 //! often each request body was processed.
 //!
 //! A request to `/fault/MODE` sets the fault to inject: `none`, `silent` (accepts requests
-//! and never responds), `cut` (truncates responses) or `late` (responds after one second).
+//! and never responds), `cut` (truncates responses) or `late` (responds after one second). A plain
+//! service answers `/length/N` with N bytes and `/status/N` with that status and no body.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -188,6 +189,7 @@
         }
         match self.0.kind {
             Kind::Plain if fault == Fault::Cut => truncated_response(),
+            Kind::Plain if let Some(response) = requested_response(parts.uri.path()) => response,
             Kind::Plain => {
                 let json = format!("{{\"upstream\":\"{}\",\"ok\":true}}", self.0.name);
                 http::text(StatusCode::OK, json)
@@ -213,6 +215,15 @@
     }
 }
 
+/// Returns the response that the path asks for, if it does.
+fn requested_response(path: &str) -> Option<Response<Body>> {
+    if let Some(length) = path.strip_prefix("/length/") {
+        return Some(http::text(StatusCode::OK, vec![b'x'; length.parse().ok()?]));
+    }
+    let status = path.strip_prefix("/status/")?.parse().ok()?;
+    Some(http::text(StatusCode::from_u16(status).ok()?, Bytes::new()))
+}
+
 /// Locks `mutex` even if a thread panicked while holding it.
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     match mutex.lock() {
--- a/crates/sesamebarrow_standin/tests/processes.rs
+++ b/crates/sesamebarrow_standin/tests/processes.rs
@@ -132,6 +132,8 @@
 mod harmful_requests;
 #[path = "processes/input_and_responses.rs"]
 mod input_and_responses;
+#[path = "processes/lengths.rs"]
+mod lengths;
 #[path = "processes/lifecycle.rs"]
 mod lifecycle;
 #[path = "processes/residency_and_keys.rs"]
--- a/crates/sesamebarrow_wire/src/stream.rs
+++ b/crates/sesamebarrow_wire/src/stream.rs
@@ -73,6 +73,10 @@
     /// Header fields for the caller.
     #[prost(message, repeated, tag = "3")]
     pub fields: Vec<Field>,
+    /// Length of the body in bytes, or the length that the response to `HEAD` states, if known. Instances of
+    /// earlier versions send none.
+    #[prost(uint64, optional, tag = "4")]
+    pub length: Option<u64>,
 }
 
 /// Bytes of the body of a request or a response.
