Close idle connections to upstreams at the callers' interface

Only the next request to the same upstream removed what had been idle for too long. Connections to an upstream that got no more requests, or that was replaced, stayed open for good, up to 32 each.

Cause: nothing called `Pool::remove_expired` in the callers' interface; the gateway does at each round of gossip.

Change: a task calls it each second.

--- a/crates/sesamebarrow_node/src/node.rs
+++ b/crates/sesamebarrow_node/src/node.rs
@@ -25,6 +25,9 @@
 /// Time between two attempts to connect to the configured peers while no link is open.
 const PEER_DIAL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two checks for connections that have been idle for long enough.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// State shared by all tasks of the process.
 pub struct Node {
     /// The settings.
@@ -73,6 +76,7 @@
     let stop = CancellationToken::new();
     tokio::spawn(peer::listen(node.clone(), peer_listener));
     tokio::spawn(dial_configured_peers(node.clone()));
+    tokio::spawn(close_idle_connections(node.clone()));
     let admin_cx = admin::Context {
         node: node.clone(),
         token: keys.admin_token(),
@@ -152,6 +156,15 @@
     }
 }
 
+/// Closes connections to upstreams that have been idle for long enough. Otherwise only the next request to the
+/// same upstream would.
+async fn close_idle_connections(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+        node.pool.remove_expired();
+    }
+}
+
 /// Waits for a signal, or for the end of a drain that an operator requested. Then stops
 /// accepting requests and waits for those in progress.
 async fn shut_down(
--- a/crates/sesamebarrow_standin/tests/processes/lifecycle.rs
+++ b/crates/sesamebarrow_standin/tests/processes/lifecycle.rs
@@ -1,5 +1,8 @@
 //! Start, shutdown, configuration and links between instances.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
 use super::*;
 
 process_test!(instances_serve_and_restart_without_the_platform, mut env, {
@@ -109,3 +112,43 @@
     assert_eq!(send_prompt(instance.http, KEY, 1).await?.status, 200);
     task.abort();
 });
+
+process_test!(idle_connections_to_upstreams_are_closed, env, {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let (opened, open) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
+    let (opened_there, open_there) = (opened.clone(), open.clone());
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let open = open_there.clone();
+            opened_there.fetch_add(1, Ordering::Relaxed);
+            open.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                let mut buf = [0; 4096];
+                while stream.read(&mut buf).await.is_ok_and(|n| n > 0) {
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+                    if stream.write_all(answer).await.is_err() {
+                        break;
+                    }
+                }
+                open.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    });
+    let list = env.fleet.deployment.list(&["pay-lim"]);
+    let list = format!(
+        "{list}upstream raw domain=lim-1 service=payouts http={address} capacity=8 state=live\n"
+    );
+    env.fleet.platform.publish("list", 2, list);
+    let http = env.fleet.instance(0).http;
+    wait_until("a request to the new upstream", || async {
+        let response = http::call(http, "GET", "/s/payouts/hours", &[], "").await;
+        response.is_ok_and(|r| r.text() == "ok")
+    })
+    .await?;
+    assert!(opened.load(Ordering::Relaxed) > 0);
+    wait_until("the idle connection to be closed", || async {
+        open.load(Ordering::Relaxed) == 0
+    })
+    .await?;
+});
