Take back the cached prompt of a request that was withdrawn or refused

Left were three ways in which a prompt that no upstream has read counts as cached, so that later requests with its prefix go there: - the dispatcher counts it when it grants the place, and learned of no withdrawal (a place not used, a rest or departure while connecting); - an upstream refuses the request; - the connection closes before anything is sent.

Change: the estimate counts how often each part was sent, and takes one back; parts that came with another prompt remain. Instances report a place that was never used as the new event `Withdrawn`, which older dispatchers read as the end that they always got. The dispatcher keeps the prompt of each granted place until its first event or end. `sesamebarrow_prompt_tokens_total` counts at the sending, as its text says, not when connecting begins.

Evidence: `prompt_of_a_place_that_was_not_used_...` failed before in the cases refused and withdrawn: 2,000 tokens counted as cached, expected none (there the event was written as `Other`, since `Withdrawn` is new). The two new cases of `admission` name a new function and were not run on the old code. That a gateway sends `Withdrawn` was seen by reading, no test shows it.

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -93,7 +93,6 @@
                 if upstream.is_some_and(|u| u.is_cold(now)) {
                     metrics::counter!("sesamebarrow_cold_sends_total").increment(1);
                 }
-                telemetry::count_prompt(job.spec.prompt_tokens, request_load.prefill_tokens);
                 board
                     .upstreams
                     .start_attempt(now, selected.key, request_load);
@@ -121,10 +120,14 @@
     }
 
     /// Records that the request is about to be sent.
-    pub fn record_sent(&self, job: &Job) {
+    pub fn record_sent(&mut self, job: &Job) {
+        if let Some(place) = &mut self.place {
+            place.record_sent();
+        }
         let Target::Upstream(selected) = &self.target else {
             return;
         };
+        telemetry::count_prompt(job.spec.prompt_tokens, self.request_load.prefill_tokens);
         let mut board = self.shared.board();
         let config = board.config.clone();
         let services = config.as_ref().map(|c| &c.services);
@@ -139,6 +142,16 @@
         );
     }
 
+    /// Records that the request was not sent after all, or that the upstream has not run it.
+    pub fn record_not_run(&self, job: &Job) {
+        if let Target::Upstream(selected) = &self.target {
+            let mut board = self.shared.board();
+            board
+                .upstreams
+                .record_prompt_not_read(selected.key, &job.spec.prompt);
+        }
+    }
+
     /// Returns what the response on the attempt's connection is expected to answer.
     pub fn expected(&self) -> Expected<'_> {
         let is_first = |c: &Connection| c.is_first_response();
--- a/crates/sesamebarrow_gateway/src/dispatch/place.rs
+++ b/crates/sesamebarrow_gateway/src/dispatch/place.rs
@@ -53,11 +53,16 @@
             shared: shared.clone(),
             id,
             started: false,
-            end: Event::Ended,
+            end: Event::Withdrawn,
             longest_pause: Duration::ZERO,
         }
     }
 
+    /// Records that the request is about to be sent.
+    pub fn record_sent(&mut self) {
+        self.end = Event::Ended;
+    }
+
     /// Sets the longest time between two events of the stream.
     pub fn set_longest_pause(&mut self, pause: Duration) {
         self.longest_pause = pause;
@@ -83,7 +88,7 @@
             AttemptOutcome::Unreachable => Event::Unreachable,
             AttemptOutcome::Refused => Event::Refused,
             AttemptOutcome::Whole => Event::Completed,
-            AttemptOutcome::Silent | AttemptOutcome::Cancelled => Event::Ended,
+            AttemptOutcome::Silent | AttemptOutcome::Cancelled => self.end,
         };
     }
 
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -297,6 +297,7 @@
         Ok(Err(pool::Error::NotSent)) => {
             history.possible_runs -= 1;
             job.reservation.set_consumed(history.possible_runs > 0);
+            attempt.record_not_run(job);
             attempt.end(AttemptOutcome::Broken);
             return AttemptResult::NotRun("connection-closed", MIN_RETRY_AFTER);
         }
@@ -414,6 +415,7 @@
             job.reservation.set_consumed(history.possible_runs > 0);
             // hyper closes the connection unless it can read the rest of the body at once.
             drop(body);
+            attempt.record_not_run(job);
             attempt.end(AttemptOutcome::Refused);
             AttemptResult::NotRun("refused-by-upstream", MIN_RETRY_AFTER)
         }
--- a/crates/sesamebarrow_routing/src/board/dispatch.rs
+++ b/crates/sesamebarrow_routing/src/board/dispatch.rs
@@ -9,8 +9,10 @@
 use crate::admit::{self, RequestSpec};
 use crate::board::Board;
 use crate::board::limit::Owner;
+use crate::cache::PromptPart;
 use crate::config::Config;
 use crate::dispatch::capacity::{Capacity, Remote};
+use crate::dispatch::engine::HolderId;
 use crate::dispatch::message::{
     Answer, Decision, Event, Notice, Notices, PlaceRequest, StatedCapacity,
 };
@@ -38,6 +40,9 @@
     services: HashMap<u32, Service>,
     /// Capacity that answers of dispatchers stated, by hash of the service's name, and when.
     capacities: HashMap<u32, (Duration, Capacity)>,
+    /// Run and prompt of each request that was granted a place and has shown no first event, by the address of
+    /// its instance and its id.
+    granted: HashMap<HolderId, (u64, Vec<PromptPart>)>,
 }
 
 /// An answer and the address of the instance that asked.
@@ -191,7 +196,7 @@
         });
         let outcome = service.decide(now, (from.to_bits(), req.id), req, &cx);
         let capacity = service.capacity(now, &candidates);
-        self.apply_outcome(now, req, outcome);
+        self.apply_outcome(now, from, req, outcome);
         self.dispatch
             .capacities
             .insert(req.service_hash, (now, capacity));
@@ -235,14 +240,20 @@
         self.dispatch.services = services;
         let mut addressed = Vec::new();
         for (ip, req, answer, outcome) in answers {
-            self.apply_outcome(now, &req, outcome);
+            self.apply_outcome(now, ip, &req, outcome);
             addressed.push((ip, answer));
         }
         (addressed, waits)
     }
 
     /// Records what follows from a decision besides its answer.
-    fn apply_outcome(&mut self, now: Duration, req: &PlaceRequest, outcome: Outcome) {
+    fn apply_outcome(
+        &mut self,
+        now: Duration,
+        from: Ipv4Addr,
+        req: &PlaceRequest,
+        outcome: Outcome,
+    ) {
         match outcome {
             Outcome::Granted { run, .. } => {
                 let Some(key) = self.upstreams.key_of_run(run) else {
@@ -251,8 +262,15 @@
                 let service = &self.upstreams.all[key].entry.service;
                 let kv_capacity =
                     admit::engine_of(self, service).map_or(0, |e| e.kv_capacity_tokens);
-                self.upstreams
-                    .record_prompt_sent(now, key, &req.prompt(), kv_capacity);
+                let prompt = req.prompt();
+                let id = (from.to_bits(), req.id);
+                // A request that is sent again gets the same place.
+                let granted = self.dispatch.granted.get(&id);
+                if !prompt.is_empty() && granted.is_none_or(|(known, _)| *known != run) {
+                    self.upstreams
+                        .record_prompt_sent(now, key, &prompt, kv_capacity);
+                    self.dispatch.granted.insert(id, (run, prompt));
+                }
             }
             Outcome::Forward(region_hash) => {
                 let service = self.dispatch.services.get(&req.service_hash);
@@ -338,6 +356,13 @@
     }
 
     fn handle_notice(&mut self, now: Duration, from: Ipv4Addr, notice: &Notice) {
+        let granted = self.dispatch.granted.remove(&(from.to_bits(), notice.id));
+        if matches!(notice.event(), Event::Refused | Event::Withdrawn)
+            && let Some((run, prompt)) = granted
+            && let Some(key) = self.upstreams.key_of_run(run)
+        {
+            self.upstreams.record_prompt_not_read(key, &prompt);
+        }
         let dispatch = &mut self.dispatch;
         let mut run = None;
         for (hash, service) in &mut dispatch.services {
@@ -356,7 +381,7 @@
             Event::Refused => AttemptOutcome::Refused,
             Event::Completed => AttemptOutcome::Whole,
             Event::Broken => AttemptOutcome::Broken,
-            Event::Other | Event::Started | Event::Ended => return,
+            Event::Other | Event::Started | Event::Ended | Event::Withdrawn => return,
         };
         if from != self.identity.ip
             && let Some(key) = self.upstreams.key_of_run(run)
@@ -381,6 +406,9 @@
                 |run| runs.contains(&run),
             );
         }
+        let services = &self.dispatch.services;
+        let holds = |id: &HolderId| services.values().any(|s| s.holds(*id));
+        self.dispatch.granted.retain(|id, _| holds(id));
     }
 
     /// Records the capacity that a dispatcher's answer states.
--- a/crates/sesamebarrow_routing/src/cache.rs
+++ b/crates/sesamebarrow_routing/src/cache.rs
@@ -15,11 +15,20 @@
 /// Fraction of an engine's KV cache that is assumed to hold finished prompts.
 const CACHE_FRACTION: f64 = 0.6;
 
+/// A part that is assumed to be cached.
+#[derive(Clone, Copy, Debug)]
+struct CachedPart {
+    tokens: u32,
+    used_at: Duration,
+    /// Number of times that it was sent and may have been read.
+    sends: u32,
+}
+
 /// The prompt parts that were sent to one upstream and are assumed to be cached there.
 #[derive(Clone, Debug, Default)]
 pub struct PrefixCache {
-    /// Tokens and time of last use, by part id.
-    parts: HashMap<u64, (u32, Duration)>,
+    /// Parts by id.
+    parts: HashMap<u64, CachedPart>,
     /// Sum of the tokens of `parts`.
     tokens: u64,
 }
@@ -36,10 +45,19 @@
     /// When the cache is full, the least recently used parts are evicted.
     pub fn insert(&mut self, now: Duration, prompt: &[PromptPart], kv_capacity_tokens: u64) {
         for part in prompt {
-            let old = self.parts.insert(part.id, (part.tokens, now));
+            let cached = self.parts.entry(part.id).or_insert(CachedPart {
+                tokens: 0,
+                used_at: now,
+                sends: 0,
+            });
             // A part may be stated with another size than before.
-            self.tokens -= old.map_or(0, |(tokens, _)| u64::from(tokens));
+            self.tokens -= u64::from(cached.tokens);
             self.tokens += u64::from(part.tokens);
+            *cached = CachedPart {
+                tokens: part.tokens,
+                used_at: now,
+                sends: cached.sends.saturating_add(1),
+            };
         }
         // CAST: token counts are far below 2^53.
         let max_tokens = (kv_capacity_tokens as f64 * CACHE_FRACTION) as u64;
@@ -49,9 +67,25 @@
         }
     }
 
+    /// Records that the upstream has not read `prompt`, which [`Self::insert`] recorded. Parts that came with
+    /// another prompt too remain.
+    pub fn retract(&mut self, prompt: &[PromptPart]) {
+        for part in prompt {
+            let Some(cached) = self.parts.get_mut(&part.id) else {
+                continue;
+            };
+            cached.sends -= 1;
+            if cached.sends == 0 {
+                self.tokens -= u64::from(cached.tokens);
+                self.parts.remove(&part.id);
+            }
+        }
+    }
+
     /// Evicts the least recently used parts until at most `max_tokens` remain.
     fn evict_to(&mut self, max_tokens: u64) {
-        let mut by_last_use: Vec<_> = self.parts.iter().map(|(id, p)| (p.1, *id, p.0)).collect();
+        let parts = self.parts.iter();
+        let mut by_last_use: Vec<_> = parts.map(|(id, p)| (p.used_at, *id, p.tokens)).collect();
         by_last_use.sort_unstable();
         for (_, id, tokens) in by_last_use {
             if self.tokens <= max_tokens {
--- a/crates/sesamebarrow_routing/src/dispatch/message.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/message.rs
@@ -152,7 +152,8 @@
     Other = 0,
     /// Its first event arrived.
     Started = 1,
-    /// It ended without showing anything about the upstream, or was never sent.
+    /// It ended without showing anything about the upstream. Instances of earlier versions also send this for
+    /// one that was never sent.
     Ended = 2,
     /// The upstream failed it.
     Failed = 3,
@@ -164,6 +165,8 @@
     Completed = 6,
     /// Its connection ended before its answer was complete.
     Broken = 7,
+    /// It was never sent. Dispatchers of earlier versions read it as [`Self::Other`], which ends it too.
+    Withdrawn = 8,
 }
 
 /// An event of a request that holds a place.
--- a/crates/sesamebarrow_routing/src/dispatch/service.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/service.rs
@@ -496,6 +496,11 @@
         Some(run)
     }
 
+    /// Returns whether a request holds a place.
+    pub fn holds(&self, id: HolderId) -> bool {
+        self.runs.contains_key(&id)
+    }
+
     /// Records a request that holds a place which this dispatcher did not give.
     pub fn handle_hold(&mut self, now: Duration, from: u32, hold: &Hold, max_pause: Duration) {
         let id = (from, hold.id);
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -439,6 +439,14 @@
         }
     }
 
+    /// Records that the upstream has not run a request whose prompt [`Self::record_prompt_sent`] recorded, so
+    /// that it does not count as cached.
+    pub fn record_prompt_not_read(&mut self, key: Key, prompt: &[PromptPart]) {
+        if let Some(upstream) = self.all.get_mut(key) {
+            upstream.cache.retract(prompt);
+        }
+    }
+
     /// Records that the answer has begun, so that the prompt has been prefilled.
     pub fn record_prefill_done(&mut self, key: Key, request_load: RequestLoad) {
         if let Some(upstream) = self.all.get_mut(key) {
--- a/crates/sesamebarrow_routing/tests/decisions/admission.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/admission.rs
@@ -283,3 +283,27 @@
     let cache = &board.upstreams.all[key].cache;
     assert_eq!(cache.cached_tokens(&request(77, 2).prompt), 0);
 }
+
+#[test]
+fn prompt_that_an_upstream_refused_does_not_count_as_cached() {
+    let mut board = board(4);
+    let refused = send(&mut board, &request(77, 101)).expect("idle");
+    let prompt = request(77, 101).prompt;
+    board.upstreams.record_prompt_not_read(refused.key, &prompt);
+    finish(&mut board, &refused, AttemptOutcome::Refused);
+    let cache = &board.upstreams.all[refused.key].cache;
+    assert_eq!(cache.cached_tokens(&prompt), 0);
+}
+
+#[test]
+fn refused_prompt_still_counts_as_cached_where_another_request_brought_it() {
+    let mut board = board(1);
+    let read = send(&mut board, &request(77, 101)).expect("idle");
+    let prompt = request(77, 102).prompt;
+    let cached = |board: &Board| board.upstreams.all[read.key].cache.cached_tokens(&prompt);
+    let before = cached(&board);
+    assert!(before > 0);
+    send(&mut board, &request(77, 102)).expect("a free slot");
+    board.upstreams.record_prompt_not_read(read.key, &prompt);
+    assert_eq!(cached(&board), before);
+}
--- a/crates/sesamebarrow_routing/tests/decisions/dispatchers.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/dispatchers.rs
@@ -355,3 +355,65 @@
         "{sizes:?}"
     );
 }
+
+const PROMPT: [PromptPart; 2] = [
+    PromptPart {
+        id: 1,
+        tokens: 1_500,
+    },
+    PromptPart { id: 2, tokens: 500 },
+];
+
+/// Asks for a place for a request with [`PROMPT`], which must be granted, and reports `events` of it.
+fn use_place(fleet: &mut Fleet, id: u64, events: &[Event]) {
+    let ask = PlaceRequest {
+        part_ids: PROMPT.iter().map(|p| p.id).collect(),
+        part_tokens: PROMPT.iter().map(|p| p.tokens).collect(),
+        ..ask(fleet, 0, id, &[])
+    };
+    // A request may be asked for twice.
+    assert_eq!(decide(fleet, 0, &ask), Decision::Granted);
+    assert_eq!(decide(fleet, 0, &ask), Decision::Granted);
+    let now = fleet.process_time(0);
+    let notice = |event: &Event| Notice {
+        id,
+        event: (*event).into(),
+        ..Notice::default()
+    };
+    let notices = Notices {
+        notices: events.iter().map(notice).collect(),
+        ..Notices::default()
+    };
+    let from = Ipv4Addr::new(10, 0, 0, 99);
+    fleet.instances[0].board.handle_notices(now, from, &notices);
+}
+
+/// Returns the tokens of [`PROMPT`] that count as cached at all upstreams.
+fn cached_tokens(fleet: &Fleet) -> u64 {
+    let upstreams = fleet.instances[0].board.upstreams.all.values();
+    upstreams.map(|u| u.cache.cached_tokens(&PROMPT)).sum()
+}
+
+#[rstest]
+#[case::in_progress(&[], 2_000)]
+#[case::complete(&[Event::Started, Event::Completed], 2_000)]
+#[case::cancelled_after_its_first_event(&[Event::Started, Event::Withdrawn], 2_000)]
+#[case::refused(&[Event::Refused], 0)]
+#[case::withdrawn(&[Event::Withdrawn], 0)]
+#[case::withdrawn_in_two_datagrams(&[Event::Withdrawn, Event::Withdrawn], 0)]
+fn prompt_of_a_place_that_was_not_used_does_not_count_as_cached(
+    #[case] events: &[Event],
+    #[case] expected: u64,
+) {
+    let mut fleet = dispatched(&[("a", 2)]);
+    use_place(&mut fleet, 1, events);
+    assert_eq!(cached_tokens(&fleet), expected);
+}
+
+#[test]
+fn withdrawn_prompt_still_counts_as_cached_where_another_request_brought_it() {
+    let mut fleet = dispatched(&[("a", 2)]);
+    use_place(&mut fleet, 1, &[Event::Started, Event::Completed]);
+    use_place(&mut fleet, 2, &[Event::Withdrawn]);
+    assert_eq!(cached_tokens(&fleet), 2_000);
+}
