List as known red that parts of a limit fall due at once in a region without links

Of the floors and roundings up in the source, one does not: the bucket of an upstream's limit, which gives each instance that owns a part at least one whole permit, and up to two in advance.

Seen: where each instance of a region hears no other, the parts begin to fill when the cut is noticed and fall due together. The sum over a minute is inside.

What is needed is a phase that survives such turns and never adds permits.

The others were read: retry budget and idle connections are divided without a floor, cold upstreams are rounded down, loans only move tokens, `MIN_RATE` of a limit is multiplied by the part, those of the dispatcher are estimates.

--- a/crates/sesamebarrow_routing/tests/decisions/limit_owners.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/limit_owners.rs
@@ -184,6 +184,23 @@
     assert!(sent.len() as f64 >= 0.85 * rate * 60.0, "{}", sent.len());
 }
 
+#[rstest]
+#[case::twenty_at_117(20.0, 117)]
+#[case::twenty_at_350(20.0, 350)]
+#[case::two_at_40(2.0, 40)]
+fn instances_that_hear_no_other_together_keep_to_a_limit(#[case] rate: f64, #[case] count: usize) {
+    let mut region = Region::new(count);
+    region.observe(0, Statement::Limit(rate), all);
+    region.load(Duration::from_secs(5), all);
+    let sent = region.load(Duration::from_secs(60), |_, _| false);
+    assert!(
+        most_in_4s(&sent) <= allowed(rate),
+        "{} of {}",
+        most_in_4s(&sent),
+        allowed(rate)
+    );
+}
+
 #[test]
 fn limit_is_kept_when_its_owner_ends_and_starts_again() {
     let mut region = Region::new(6);
