--- a/crates/sesamebarrow_gateway/src/dispatch/place.rs
+++ b/crates/sesamebarrow_gateway/src/dispatch/place.rs
@@ -53,11 +53,16 @@
             shared: shared.clone(),
             id,
             started: false,
-            end: Event::Ended,
+            end: Event::Withdrawn,
             longest_pause: Duration::ZERO,
         }
     }
 
+    /// Records that the request is about to be sent.
+    pub fn record_sent(&mut self) {
+        self.end = Event::Ended;
+    }
+
     /// Sets the longest time between two events of the stream.
     pub fn set_longest_pause(&mut self, pause: Duration) {
         self.longest_pause = pause;
@@ -84,7 +89,7 @@
             AttemptOutcome::Refused => Event::Refused,
             AttemptOutcome::Whole => Event::Completed,
             AttemptOutcome::Silent | AttemptOutcome::Cancelled | AttemptOutcome::Inconclusive => {
-                Event::Ended
+                self.end
             }
         };
     }
--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -247,11 +247,12 @@
     let meter = req.body().meter().clone();
     let received = intake::receive(shared, req);
     let job = unless_ending(shared, received, Refusal::Stopping).await?;
+    let held = job.held.another();
     let response = answer(shared, job, &meter).await?;
     if reads_chunks {
         return Ok(response);
     }
-    unless_ending(shared, relay::buffer_response(response), ENDED).await
+    unless_ending(shared, relay::buffer_response(response, held), ENDED).await
 }
 
 /// Answers `job`. Its client may read the answer as slowly as the deadline allows.
--- a/crates/sesamebarrow_node/src/accept.rs
+++ b/crates/sesamebarrow_node/src/accept.rs
@@ -14,7 +14,7 @@
 use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
@@ -228,7 +228,7 @@
 ) -> Result<Response<Body>, Problem> {
     let reads_chunks = req.version() > Version::HTTP_10;
     let response = route(node, id, req).await?;
-    if reads_chunks {
+    if reads_chunks || response.body().size_hint().exact().is_some() {
         return Ok(response);
     }
     // The caller could not tell a body that breaks off from a complete one.
@@ -319,19 +319,26 @@
         );
         telemetry::count_response("answered", "none");
     }
-    into_response(reply)
+    into_response(&method, reply)
 }
 
-fn into_response(reply: Reply) -> Result<Response<Body>, Problem> {
+fn into_response(method: &Method, reply: Reply) -> Result<Response<Body>, Problem> {
     match reply {
         Reply::Response {
             status,
             fields,
+            length,
             body,
         } => {
-            let mut response = Response::new(relay::streamed(body));
+            let is_head = *method == Method::HEAD;
+            let body_length = if is_head { Some(0) } else { length };
+            let mut response = Response::new(relay::streamed(body, body_length));
             *response.status_mut() = status;
             *response.headers_mut() = fields;
+            if let Some(length) = length.filter(|l| is_head && *l > 0) {
+                let value = HeaderValue::from(length);
+                response.headers_mut().insert(CONTENT_LENGTH, value);
+            }
             Ok(response)
         }
         Reply::Refused(refusal) => Err(Problem::from_refusal(&refusal)),
