Count forwarded requests of a region without upstreams until they end

Callers of a region without upstreams got 503 `no-upstream` for most requests although another region was idle.

Cause: `spill::select_instance` adds 8 ms to the other region's wait (`Members::add_wait`) at each selection. Nothing takes it back before the next report: not an answer, and not the refusal for being too late, so that refused requests add to it as well. `Member::forwarded_in_progress` was released rightly; it only chooses between two instances.

Now a region states in its datagrams how many requests others may have in progress there (`ServiceLoad.room`, and `UpstreamLoad.forwarded` within the region). Requests that cannot run here count from the attempt to its end, however it ends, and each instance that may forward has an equal part of the room. In fleets of up to 100 members, those that do forward (`Record.forwards`) divide three quarters of it, after 5 s. Refusals say `no-upstream`, `no-room-elsewhere` or `too-late-elsewhere`. Requests of regions that have upstreams are selected as before. Instances of the version before state no room; towards them the old rule holds. They skip the new fields.

Not done: requests that are refused for a full upstream of their own region, and dispatched services, are still counted until the next report.

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -7,6 +7,8 @@
 
 use sesamebarrow_platform::head::Expected;
 use sesamebarrow_routing::admit::SelectedUpstream;
+use sesamebarrow_routing::forwarded;
+use sesamebarrow_routing::gossip::short_hash;
 use sesamebarrow_routing::spill::RemoteInstance;
 use sesamebarrow_routing::upstream::{AttemptOutcome, RequestLoad};
 use smol_str::SmolStr;
@@ -70,6 +72,10 @@
     pub sent_at: Duration,
     request_id: SmolStr,
     ended: bool,
+    /// Counts the request in progress in another region.
+    forwarded: Option<forwarded::Key>,
+    /// Whether another region has forwarded the request to this instance.
+    from_instance: bool,
     /// The place at the upstream that its dispatcher knows.
     place: Option<Place>,
     /// How long work takes at the upstream at the moment, in percent; 0 if it does not say.
@@ -85,6 +91,8 @@
         };
         let mut board = shared.board();
         let mut request_load = RequestLoad::default();
+        let mut forwarded = None;
+        let from_instance = job.policy.from_instance;
         match target {
             Target::Upstream(selected) => {
                 request_load = selected.request_load;
@@ -97,11 +105,17 @@
                 board
                     .upstreams
                     .start_attempt(now, selected.key, request_load);
+                if from_instance {
+                    board.upstreams.start_forwarded(selected.key);
+                }
             }
             Target::Instance(instance) => {
                 if let Some(member) = board.members.all.get_mut(&instance.name) {
                     member.forwarded_in_progress += 1;
                 }
+                let service_hash = short_hash(&job.policy.service);
+                let region = &instance.region;
+                forwarded = Some(board.forwarded.begin(shared.now(), region, service_hash));
             }
         }
         drop(board);
@@ -115,6 +129,8 @@
             sent_at: shared.now(),
             request_id: job.id.clone(),
             ended: false,
+            forwarded,
+            from_instance,
             place,
             slowness_percent: 0,
         }
@@ -250,6 +266,9 @@
         let mut leaving = false;
         match &self.target {
             Target::Upstream(selected) => {
+                if self.from_instance {
+                    board.upstreams.finish_forwarded(selected.key);
+                }
                 let upstream = board.upstreams.all.get(selected.key);
                 leaving = upstream.is_none_or(|u| u.availability.leaving);
                 if let Some(service) = upstream.map(|u| u.entry.service.clone()) {
@@ -274,6 +293,9 @@
                 if let Some(member) = board.members.all.get_mut(&instance.name) {
                     member.forwarded_in_progress = member.forwarded_in_progress.saturating_sub(1);
                 }
+                if let Some(forwarded) = self.forwarded.take() {
+                    board.forwarded.end(forwarded);
+                }
             }
         }
         drop(board);
--- a/crates/sesamebarrow_gateway/src/selection.rs
+++ b/crates/sesamebarrow_gateway/src/selection.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use sesamebarrow_routing::Board;
 use sesamebarrow_routing::admit::{self, MIN_RETRY_AFTER, Rejection, RequestSpec};
-use sesamebarrow_routing::spill::{self, RemoteInstance};
+use sesamebarrow_routing::spill::{self, RemoteInstance, Shortage};
 use sesamebarrow_routing::upstream::Key;
 use smol_str::SmolStr;
 use tokio::task::JoinHandle;
@@ -22,6 +22,9 @@
 /// Minimum estimated time that forwarding a request to another region must save.
 const MIN_FORWARDING_GAIN: Duration = Duration::from_millis(120);
 
+/// Minimum time after which a client may retry that was refused since no upstream is known.
+const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(600);
+
 /// Minimum of the range of random times that is added to the retry delays of refused clients.
 const RETRY_AFTER_JITTER: Duration = Duration::from_millis(400);
 
@@ -166,7 +169,7 @@
     }
     if job.policy.from_instance || history.is_trial {
         return local.map(Target::Upstream).map_err(|rejection| {
-            log_rejection(shared, &board, job, &spec, (rejection, None));
+            log_rejection(shared, &board, job, &spec, (rejection.into(), None));
             to_refusal(rejection)
         });
     }
@@ -179,6 +182,25 @@
     // requests share.
     let affinity_key = spec.prompt.iter().rev().nth(1).map(|part| part.id);
     let allowed = |region: &str| job.residency.allows(region);
+    if local == Err(Rejection::NoUpstream) && spec.tried_upstreams.is_empty() {
+        let mut select = |tried_regions: &[SmolStr]| {
+            let request = spill::Request {
+                service: &job.policy.service,
+                target_wait: spec.target_wait,
+                tried_regions,
+                affinity_key,
+            };
+            spill::select_with_room(&mut board, now, &request, allowed)
+        };
+        let mut remote = select(&history.tried_regions);
+        if remote.is_err() && history.possible_runs > 0 && job.policy.may_repeat {
+            remote = select(&[]);
+        }
+        return remote.map(Target::Instance).map_err(|shortage| {
+            log_rejection(shared, &board, job, &spec, (shortage.into(), None));
+            shortage_refusal(shortage)
+        });
+    }
     let mut select_instance = |tried_regions: &[SmolStr]| {
         let service = &job.policy.service;
         spill::select_instance(
@@ -206,7 +228,8 @@
             Ok(Target::Instance(remote))
         }
         (Err(rejection), remote) => {
-            log_rejection(shared, &board, job, &spec, (rejection, remote.as_ref()));
+            let reason = rejection.into();
+            log_rejection(shared, &board, job, &spec, (reason, remote.as_ref()));
             // Another region may take the request sooner than a permit is due here.
             let rejection = match (rejection, &remote) {
                 (Rejection::Limited(_), Some(_)) => Rejection::Overload,
@@ -224,14 +247,14 @@
     board: &Board,
     job: &Job,
     spec: &RequestSpec,
-    (rejection, remote): (Rejection, Option<&RemoteInstance>),
+    (reason, remote): (&'static str, Option<&RemoteInstance>),
 ) {
     if !shared.log_limiter.allow(true) {
         return;
     }
     let (wait, usable) = admit::service_load(board, shared.now(), &spec.service);
     log::info!(
-        request = job.id.as_str(), refused:% = rejection, service = spec.service.as_str(), usable,
+        request = job.id.as_str(), refused = reason, service = spec.service.as_str(), usable,
         wait_ms = wait.as_millis(), target_ms = spec.target_wait.as_millis(), tokens = spec.prompt_tokens,
         hop = remote.map_or("none", |h| h.name.as_str()),
         hop_wait_ms = remote.map_or(0, |h| h.estimated_wait.as_millis());
@@ -239,9 +262,17 @@
     );
 }
 
+fn shortage_refusal(shortage: Shortage) -> Refusal {
+    let min = match shortage {
+        Shortage::NoUpstream => NO_UPSTREAM_RETRY_AFTER,
+        Shortage::NoRoomElsewhere | Shortage::TooLateElsewhere => MIN_RETRY_AFTER,
+    };
+    Refusal::NotRun(shortage.into(), jittered_retry_after(min))
+}
+
 fn to_refusal(rejection: Rejection) -> Refusal {
     let min = match rejection {
-        Rejection::NoUpstream => Duration::from_millis(600),
+        Rejection::NoUpstream => NO_UPSTREAM_RETRY_AFTER,
         Rejection::Cold => Duration::from_millis(400),
         Rejection::Resting(rest) | Rejection::Limited(rest) => rest.max(MIN_RETRY_AFTER),
         Rejection::Overload => MIN_RETRY_AFTER,
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -156,6 +156,8 @@
     cost_ms: f64,
     request_load: RequestLoad,
     full: bool,
+    /// Number of such requests that other regions may have in progress at it, so that it is not more than full.
+    places: u32,
 }
 
 /// Selects the upstream of this region whose first event is expected soonest.
@@ -410,6 +412,14 @@
     };
     let max_tokens = tokens(engine.kv_capacity_tokens) * MAX_KV_FRACTION;
     let slot_demand = f64::from(upstream.outstanding(now)) + 1.0;
+    let max_slot_demand = f64::from(engine.slots) * MAX_SLOT_DEMAND_RATIO;
+    // A request that is larger than the limit may run alone.
+    let full = (used_tokens > 0 && tokens(used_tokens + request_tokens) > max_tokens)
+        || slot_demand > max_slot_demand;
+    let forwarded = upstream.forwarded_here();
+    let own = f64::from(upstream.outstanding(now).saturating_sub(forwarded));
+    let free_tokens = max_tokens - tokens(used_tokens);
+    let token_places = f64::from(forwarded) + free_tokens.max(0.0) / tokens(request_tokens.max(1));
     ScoredUpstream {
         key,
         wait_ms,
@@ -421,9 +431,9 @@
             prefill_tokens,
             kv_tokens: request_tokens,
         },
-        // A request that is larger than the limit may run alone.
-        full: (used_tokens > 0 && tokens(used_tokens + request_tokens) > max_tokens)
-            || slot_demand > f64::from(engine.slots) * MAX_SLOT_DEMAND_RATIO,
+        full,
+        // CAST: a float is clamped to the range of the integer.
+        places: (max_slot_demand - own).min(token_places) as u32,
     }
 }
 
@@ -489,18 +499,39 @@
     let slots = upstream.entry.slots.max(1);
     let outstanding = upstream.outstanding(now);
     let wait_ms = (f64::from(outstanding) + 1.0) / f64::from(slots) * REQUEST_MS_WITHOUT_ENGINE;
+    let max_outstanding = slots.saturating_mul(MAX_PER_SLOT_WITHOUT_ENGINE);
     ScoredUpstream {
         key,
         wait_ms,
         cost_ms: wait_ms + upstream.availability.failure_ratio * FAILURE_PENALTY_MS,
         request_load: RequestLoad::default(),
-        full: outstanding >= slots.saturating_mul(MAX_PER_SLOT_WITHOUT_ENGINE),
+        full: outstanding >= max_outstanding,
+        places: max_outstanding
+            .saturating_sub(outstanding.saturating_sub(upstream.forwarded_here())),
     }
 }
 
+/// Load of a service in this region, for typical requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RegionLoad {
+    /// Mean wait at the usable upstreams.
+    pub wait: Duration,
+    /// Number of upstreams that accept requests and are not full.
+    pub usable_upstreams: usize,
+    /// Number of requests that other regions may have in progress here at once, so that no upstream is more than
+    /// full.
+    pub room: u32,
+}
+
 /// Returns the mean wait of a typical request of `service` at the upstreams of this region
 /// that accept requests and are not full, and the number of these upstreams.
 pub fn service_load(board: &Board, now: Duration, service: &SmolStr) -> (Duration, usize) {
+    let load = region_load(board, now, service);
+    (load.wait, load.usable_upstreams)
+}
+
+/// Returns the load of `service` in this region.
+pub fn region_load(board: &Board, now: Duration, service: &SmolStr) -> RegionLoad {
     let request = RequestSpec {
         service: service.clone(),
         prompt_tokens: 2_000,
@@ -509,16 +540,27 @@
         ..RequestSpec::default()
     };
     let Ok(scored) = score_all(board, now, &request) else {
-        return (Duration::ZERO, 0);
+        return RegionLoad::default();
     };
+    let room = scored
+        .iter()
+        .fold(0u32, |sum, s| sum.saturating_add(s.places));
     let not_full: Vec<_> = scored.iter().filter(|s| !s.full).collect();
     if not_full.is_empty() {
-        return (ALL_FULL_WAIT, 0);
+        return RegionLoad {
+            wait: ALL_FULL_WAIT,
+            usable_upstreams: 0,
+            room,
+        };
     }
     // CAST: the number of upstreams is small.
     let mean_ms = not_full.iter().map(|s| s.wait_ms).sum::<f64>() / not_full.len() as f64;
-    (Duration::from_secs_f64(mean_ms / 1_000.0), not_full.len())
+    RegionLoad {
+        wait: Duration::from_secs_f64(mean_ms / 1_000.0),
+        usable_upstreams: not_full.len(),
+        room,
+    }
 }
 
-/// Wait that [`service_load`] returns when all upstreams are full.
+/// Wait that [`region_load`] returns when all upstreams are full.
 const ALL_FULL_WAIT: Duration = Duration::from_secs(5);
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -14,6 +14,7 @@
 use crate::cold;
 use crate::config::{Config, Route};
 use crate::correction::WaitCorrection;
+use crate::forwarded::Forwarded;
 use crate::gossip::short_hash;
 use crate::holder;
 use crate::limit::Limits;
@@ -120,6 +121,8 @@
     order_allowance: Allowance,
     /// The other instances.
     pub members: Members,
+    /// Requests of this instance that are in progress in other regions.
+    pub forwarded: Forwarded,
     /// The token buckets of customers that this instance keeps.
     pub quota: Quota,
     /// Whether this instance has discovered the others since its start.
@@ -178,6 +181,7 @@
             quarantine: Quarantine::default(),
             order_allowance: Allowance::default(),
             members: Members::default(),
+            forwarded: Forwarded::default(),
             quota,
             discovery_done: false,
             budget: RetryBudget::new(parameters.budget),
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use crate::admit;
 use crate::board::{Board, REPUBLISH_GRACE};
 use crate::gossip::{Datagram, Record, ReportedLoads, ServiceLoad, UpstreamLoad, short_hash};
 use crate::holder;
@@ -96,6 +97,7 @@
             keeps_buckets: true,
             dispatches: true,
             processor_percent: self.processor_percent(),
+            forwards: self.forwarded.active_for(now).is_some(),
             ..Record::default()
         }
     }
@@ -179,6 +181,7 @@
             in_progress: u.in_progress,
             prefill_tokens: u.prefill_tokens as u32,
             kv_tokens: u.kv_tokens as u32,
+            forwarded: u.forwarded,
         });
         loads.collect()
     }
@@ -188,16 +191,17 @@
             return Vec::new();
         };
         let loads = config.services.values().map(|service| {
-            let (wait, usable) = crate::admit::service_load(self, now, &service.name);
+            let load = admit::region_load(self, now, &service.name);
             let service_hash = short_hash(&service.name);
             let capacity = self.own_capacity(now, service_hash);
             // CAST: waits are at most minutes, and upstreams and slots at most thousands.
             ServiceLoad {
                 service_hash,
-                wait_ms: wait.as_millis() as u32,
-                usable_upstreams: usable as u32,
+                wait_ms: load.wait.as_millis() as u32,
+                usable_upstreams: load.usable_upstreams as u32,
                 capacity: capacity.map(|(capacity, _)| capacity.into()),
                 capacity_age_ms: capacity.map_or(0, |(_, age)| age.as_millis() as u32),
+                room: Some(load.room),
             }
         });
         loads.collect()
@@ -256,6 +260,7 @@
                 sum.in_progress = sum.in_progress.saturating_add(load.in_progress);
                 sum.prefill_tokens = sum.prefill_tokens.saturating_add(load.prefill_tokens);
                 sum.kv_tokens = sum.kv_tokens.saturating_add(load.kv_tokens);
+                sum.forwarded = sum.forwarded.saturating_add(load.forwarded);
             }
             upstream.others_load = sum;
         }
--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -26,6 +26,10 @@
     /// Milliseconds since the dispatcher stated it.
     #[prost(uint32, tag = "5")]
     pub capacity_age_ms: u32,
+    /// Number of requests that other regions may have in progress here at once, so that no upstream is more than
+    /// full; `None` from instances of earlier versions.
+    #[prost(uint32, optional, tag = "6")]
+    pub room: Option<u32>,
 }
 
 /// Load that the sender has put on one upstream of its region.
@@ -43,6 +47,9 @@
     /// KV cache tokens that the requests take.
     #[prost(uint32, tag = "4")]
     pub kv_tokens: u32,
+    /// Requests in progress that other regions have forwarded.
+    #[prost(uint32, tag = "5")]
+    pub forwarded: u32,
 }
 
 /// State of one instance. Tag 7 held the demand of customers in an earlier version.
@@ -90,6 +97,9 @@
     /// Tenths of a second by which it is longer since it was known to run in this run.
     #[prost(uint32, tag = "14")]
     pub run_age_tenths: u32,
+    /// Whether it has forwarded requests to other regions recently.
+    #[prost(bool, tag = "15")]
+    pub forwards: bool,
 }
 
 /// How long ago instances were last heard from, directly or through other instances; in
--- a/crates/sesamebarrow_routing/src/lib.rs
+++ b/crates/sesamebarrow_routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! upstreams with their load ([`upstream`]), what their answers say about them
 //! ([`availability`]), the limits that they name ([`limit`]) and the requests that crash them
 //! ([`quarantine`]). [`memory`] bounds what requests hold.
+//! [`forwarded`] counts what other regions do for this one.
 //! [`admit`], [`spill`] and [`place`] decide where requests and clients go;
 //! most other modules own one part of the board. `Board` follows the blackboard pattern: all
 //! modules read and write its tables.
@@ -28,6 +29,7 @@
 pub mod dispatch;
 pub mod drain;
 pub mod fingerprint;
+pub mod forwarded;
 pub mod gossip;
 pub mod holder;
 pub mod limit;
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -199,6 +199,9 @@
     pub wait: Duration,
     /// Number of upstreams that accept requests and are not full.
     pub usable_upstreams: u32,
+    /// Number of requests that other regions may have in progress there at once; `None` from instances of earlier
+    /// versions.
+    pub room: Option<u32>,
     /// The capacity that its dispatcher stated, if it is dispatched.
     pub capacity: Option<Capacity>,
     /// When its dispatcher stated the capacity.
@@ -240,6 +243,11 @@
         }
     }
 
+    /// Returns whether news of an instance reach all others within a few rounds.
+    pub fn is_small_fleet(&self) -> bool {
+        self.all.len() <= LARGE_FLEET_THRESHOLD
+    }
+
     /// Returns the silence after which a member is no longer considered alive.
     pub fn alive_timeout(&self) -> Duration {
         self.limits().alive_timeout
@@ -277,8 +285,19 @@
         region: &SmolStr,
         service_hash: u32,
     ) -> Option<ReceivedServiceLoad> {
-        let load = self.service_loads.get(&(region.clone(), service_hash))?;
-        (now.saturating_sub(load.reported_at) < SERVICE_LOAD_LIFETIME).then_some(*load)
+        let load = self.last_service_load(region, service_hash)?;
+        (now.saturating_sub(load.reported_at) < SERVICE_LOAD_LIFETIME).then_some(load)
+    }
+
+    /// Returns the load of a service in `region`, or `None` if there was never a report.
+    pub fn last_service_load(
+        &self,
+        region: &SmolStr,
+        service_hash: u32,
+    ) -> Option<ReceivedServiceLoad> {
+        self.service_loads
+            .get(&(region.clone(), service_hash))
+            .copied()
     }
 
     /// Adds `wait` to the load of a region to which a request is forwarded, so that later
@@ -370,6 +389,7 @@
                 reported_at: made_at,
                 wait: Duration::from_millis(load.wait_ms.into()),
                 usable_upstreams: load.usable_upstreams,
+                room: load.room,
                 capacity: capacity.0,
                 capacity_at: capacity.1,
             };
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -70,6 +70,8 @@
     pub run_hash: u64,
     /// Requests of this instance that are in progress.
     pub in_progress: u32,
+    /// Those of them that other regions have forwarded.
+    pub forwarded: u32,
     /// Prompt tokens of this instance's requests that are not yet prefilled.
     pub prefill_tokens: u64,
     /// KV cache tokens that this instance's requests take.
@@ -109,6 +111,7 @@
             unverified_until: Duration::ZERO,
             entry,
             in_progress: 0,
+            forwarded: 0,
             prefill_tokens: 0,
             kv_tokens: 0,
             others_load: UpstreamLoad::default(),
@@ -147,6 +150,11 @@
             });
         from_datagrams.max(reported)
     }
+
+    /// Returns the requests in progress of all instances that other regions have forwarded, as far as known.
+    pub fn forwarded_here(&self) -> u32 {
+        self.forwarded.saturating_add(self.others_load.forwarded)
+    }
 }
 
 /// How an attempt at an upstream ended.
@@ -423,6 +431,20 @@
         }
     }
 
+    /// Records that an attempt that was started belongs to a request that another region has forwarded.
+    pub fn start_forwarded(&mut self, key: Key) {
+        if let Some(upstream) = self.all.get_mut(key) {
+            upstream.forwarded += 1;
+        }
+    }
+
+    /// Records that such an attempt has ended.
+    pub fn finish_forwarded(&mut self, key: Key) {
+        if let Some(upstream) = self.all.get_mut(key) {
+            upstream.forwarded = upstream.forwarded.saturating_sub(1);
+        }
+    }
+
     /// Records that a prompt is sent, so that it counts as cached. `kv_capacity_tokens` is the size of the
     /// engine's KV cache.
     pub fn record_prompt_sent(
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -22,6 +22,8 @@
 mod fingerprint;
 #[path = "decisions/fleet.rs"]
 mod fleet;
+#[path = "decisions/forwarding.rs"]
+mod forwarding;
 #[path = "decisions/limit_owners.rs"]
 mod limit_owners;
 #[path = "decisions/limits.rs"]
--- a/crates/sesamebarrow_routing/tests/decisions/fleet.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/fleet.rs
@@ -424,6 +424,11 @@
         let board = &mut self.instances[from].board;
         let mut datagram = board.begin_gossip_round(process_time);
         datagram.sender.keeps_buckets = !previous_version;
+        if previous_version {
+            for load in &mut datagram.service_loads {
+                load.room = None;
+            }
+        }
         for ip in board
             .members
             .receivers(&board.identity.region, &seeds, &mut board.rng)
