Do not count an answer again whose connection has ended

What callers saw: after any client had left in the middle of an answer, each later stop lasted until its limit, 7.7 s instead of about 3.3 s. Cause: the guard of the connection ended its count, and after it the HTTP library dropped the body of the answer, which set the stage to `Answering` and counted the connection once more, for good. Change: the end of a body counts only while its request is handled.

--- a/crates/sesamebarrow_gateway/src/inbound.rs
+++ b/crates/sesamebarrow_gateway/src/inbound.rs
@@ -262,6 +262,9 @@
 
 impl Drop for AnswerBody {
     fn drop(&mut self) {
-        self.progress.set(Stage::Answering);
+        // The connection may have ended before.
+        if self.progress.stage() == Stage::Handling {
+            self.progress.set(Stage::Answering);
+        }
     }
 }
