Answer what is unanswered also if the limit of a stop has passed

What callers saw: a process that got no processor from before the last 0.4 s of a stop until its limit cut all that it held, orders too, without an answer (LOST). Cause: the round of the stop that cancels what is left also saw the limit passed, and ended the process before any other task ran.

--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -252,6 +252,8 @@
         if draining_for + ANSWER_TIME > shutdown.limit && !shared.ends.is_cancelled() {
             log::info!(requests = running(); "answering what is left");
             shared.ends.cancel();
+            // The limit may have passed already, if the process did not run for a while.
+            tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         }
         if busy() == 0 && running() == 0 || draining_for > shutdown.limit {
             let open = shared.inbound_connections.len();
