Close connections after refusing a request that expects to be told to continue

What callers saw: a client that states `Expect: 100-continue`, is refused by its head and sends its next request on the same connection got no answer to it; the connection closed after about 10 s. Cause: since the rest of a refused body is received, also where the client has not begun it, and the next request was taken for it. Change: such a refusal says `Connection: close`.

--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{CONNECTION, EXPECT, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::HttpService;
 use hyper::{Request, Response, Version};
@@ -202,14 +202,17 @@
     let started_at = Instant::now();
     let id = sesamebarrow_platform::head::read_attempt_id(req.headers());
     let reads_chunks = req.version() > Version::HTTP_10;
+    let may_omit_body = req.headers().contains_key(EXPECT);
     let work = answer_client(&shared, req, reads_chunks);
     let result = supervise::catch("client-request", work).await;
     let result = result.unwrap_or(Err(FAILED));
+    // A client that waits to be told to send its body may send its next request instead.
+    let closes = result.is_err() && may_omit_body;
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => refusal_response(&shared, &id, refusal, started_at),
     };
-    if shared.closes_connections.load(Ordering::Relaxed) {
+    if closes || shared.closes_connections.load(Ordering::Relaxed) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
