Let an instance take back late news that it drains

What callers saw: nothing yet; a restarted instance could have been left out of forwarding, dispatch and the directory by the whole fleet until its next restart. Cause: a refusal `Stopping` names no run. One that is read only after the news of the restart, by an instance that had no processor meanwhile, marks the new run as draining, and that news passes on as recent, while nothing of the same run ever ended it. Evidence: the new test failed before: 10 s later none of 5 instances took the restarted one for ready. It passes now, as do the tests of news of stops and of members. Change: what a member itself says over 2 s later, that it does not drain, ends the mark.

--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -37,6 +37,9 @@
 /// Time after the start of a member's stop in which other instances are told of it.
 const STOP_NEWS_TIME: Duration = Duration::from_secs(4);
 
+/// Time for which a datagram may have been in transit that was sent before its sender began to drain.
+const MAX_TRANSIT_TIME: Duration = Duration::from_secs(2);
+
 /// Maximum number of members in one datagram that have begun to drain.
 const MAX_STOPS: usize = 12;
 
@@ -191,6 +194,13 @@
         self.draining_since = Some(latest);
     }
 
+    /// Records that the member itself has said, at `said_at`, that it does not drain. What was heard before may have
+    /// been of the run before.
+    fn refute_draining(&mut self, said_at: Duration) {
+        let is_refuted = |at: &Duration| *at + MAX_TRANSIT_TIME < said_at;
+        self.draining_since = self.draining_since.filter(|at| !is_refuted(at));
+    }
+
     /// Returns the time since it was last known to run.
     pub fn silence(&self, now: Duration) -> Duration {
         self.last_heard.silence(now)
--- a/crates/sesamebarrow_routing/src/member/news.rs
+++ b/crates/sesamebarrow_routing/src/member/news.rs
@@ -76,6 +76,8 @@
         }
         if let Some(began_at) = draining_since(now, news) {
             member.record_draining(began_at);
+        } else if news.evidence == Evidence::Datagram {
+            member.refute_draining(now.saturating_sub(news.run_age));
         }
         member.last_heard.update(now, news.age);
         if is_same_run {
--- a/crates/sesamebarrow_routing/tests/decisions/drain.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/drain.rs
@@ -114,3 +114,19 @@
     1
 );
 news_test!(all_of_120_instances_know_of_stops_in_series, 40, 6, 4);
+
+#[test]
+fn late_refusal_of_an_ended_run_does_not_keep_its_restarted_instance_out() {
+    let domains = [("a", 3), ("b", 3)];
+    let mut fleet = Fleet::new(&domains, config(&[], vec![route("r", &[])]));
+    fleet.advance(ms(4_000));
+    fleet.restart(0);
+    fleet.advance(ms(4_000));
+    // The answer of the run before arrives only now.
+    let name = fleet.instances[0].board.identity.name.clone();
+    let now = fleet.process_time(1);
+    let members = &mut fleet.instances[1].board.members;
+    members.record_stopping(now, &name);
+    fleet.advance(ms(10_000));
+    assert_eq!(believers(&fleet, 0), 5);
+}
