Take an instance for ready again that is heard from after its stop has ended

Change: an instance that was heard from later than the longest stop after its own began runs again, and counts as ready until its record says otherwise. The store's readers, the owners of limits and the count of lost instances go by the same start of the stop.

--- a/crates/sesamebarrow_gateway/src/settings.rs
+++ b/crates/sesamebarrow_gateway/src/settings.rs
@@ -390,6 +390,7 @@
     pub fn parameters(&self) -> Parameters {
         let limits = self.limits;
         Parameters {
+            stop_limit: self.shutdown.limit,
             budget: budget::Limit {
                 ratio: limits.retry_ratio,
                 slack: limits.retry_slack,
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -50,6 +50,8 @@
 /// together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Parameters {
+    /// Maximum duration of a planned stop, the same for all instances.
+    pub stop_limit: Duration,
     /// Limit on retries.
     pub budget: budget::Limit,
     /// How far customers may exceed their rates.
@@ -180,7 +182,7 @@
             dispatch: dispatch::Dispatch::default(),
             quarantine: Quarantine::default(),
             order_allowance: Allowance::default(),
-            members: Members::default(),
+            members: Members::new(parameters.stop_limit),
             forwarded: Forwarded::default(),
             quota,
             discovery_done: false,
@@ -443,7 +445,7 @@
         let higher = self.members.alive(now).filter(|m| {
             m.region == self.identity.region
                 && m.record.store_answers
-                && m.record.draining_time_ms == 0
+                && m.draining_since.is_none()
                 && weight(&m.record.name) > own_weight
         });
         higher.count() < STORE_READERS_PER_REGION
@@ -455,7 +457,7 @@
             .members
             .alive(now)
             .filter(|m| m.region == self.identity.region);
-        peers.any(|m| m.record.store_answers && m.record.draining_time_ms == 0)
+        peers.any(|m| m.record.store_answers && m.draining_since.is_none())
     }
 
     /// Returns the addresses of the other instances in this region that are alive.
--- a/crates/sesamebarrow_routing/src/board/limit.rs
+++ b/crates/sesamebarrow_routing/src/board/limit.rs
@@ -119,7 +119,7 @@
     fn expected_limit_members(&self, now: Duration) -> f64 {
         let region = &self.identity.region;
         let in_region = self.members.all.values().filter(|m| m.region == *region);
-        let is_gone = |m: &&Member| m.record.draining_time_ms > 0 && !self.members.is_alive(m, now);
+        let is_gone = |m: &&Member| m.draining_since.is_some() && !self.members.is_alive(m, now);
         let gone = in_region.clone().filter(is_gone).count();
         // CAST: the number of instances is small.
         let known = (self.region_instance_count() - gone) as f64;
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -37,6 +37,9 @@
 /// Time after the start of a member's stop in which other instances are told of it.
 const STOP_NEWS_TIME: Duration = Duration::from_secs(4);
 
+/// Time by which a stop may seem to have begun too early, since ages grow when they are relayed.
+const STOP_AGE_ERROR: Duration = Duration::from_millis(1_300);
+
 /// Time for which a datagram may have been in transit that was sent before its sender began to drain.
 const MAX_TRANSIT_TIME: Duration = Duration::from_secs(2);
 
@@ -162,7 +165,7 @@
     /// When the run of `record` was first heard of.
     run_known_since: Duration,
     /// When the run of `record` began to drain, if it is known to.
-    draining_since: Option<Duration>,
+    pub draining_since: Option<Duration>,
     /// Whether it keeps the limits of upstreams ([`crate::limit`]); instances of earlier versions do not. Unknown
     /// ones count as of this version.
     pub keeps_limits: bool,
@@ -194,6 +197,20 @@
         self.draining_since = Some(latest);
     }
 
+    /// Takes the member for ready again if it was last heard from after a stop that lasts up to `stop_time` must have
+    /// ended. Another run of it is alive then, whose record may take longer to arrive.
+    fn end_stop(&mut self, now: Duration, stop_time: Duration) {
+        let Some(began_at) = self.draining_since else {
+            return;
+        };
+        if now.saturating_sub(self.silence(now)) > began_at + stop_time {
+            self.draining_since = None;
+            self.run_known_since = now;
+            self.record.draining_time_ms = 0;
+            self.record.ready = true;
+        }
+    }
+
     /// Records that the member itself has said, at `said_at`, that it does not drain. What was heard before may have
     /// been of the run before.
     fn refute_draining(&mut self, said_at: Duration) {
@@ -269,9 +286,19 @@
     unknown_instances: Vec<u32>,
     /// What changed since the changes were last taken.
     pub changes: Changes,
+    /// Time after the start of a stop by which it has ended, as far as is known here.
+    stop_time: Duration,
 }
 
 impl Members {
+    /// Returns no instances; their stops last up to `stop_limit`.
+    pub fn new(stop_limit: Duration) -> Self {
+        Self {
+            stop_time: stop_limit + STOP_AGE_ERROR,
+            ..Self::default()
+        }
+    }
+
     fn limits(&self) -> GossipLimits {
         if self.all.len() > LARGE_FLEET_THRESHOLD {
             LARGE_FLEET
@@ -464,7 +491,7 @@
     pub fn remove_silent(&mut self, now: Duration) {
         let silent = |m: &Member| m.silence(now) >= REMOVAL_TIMEOUT;
         let lost = self.all.iter().filter(|(_, m)| silent(m));
-        for (name, member) in lost.filter(|(_, m)| m.record.draining_time_ms == 0) {
+        for (name, member) in lost.filter(|(_, m)| m.draining_since.is_none()) {
             let lost = LostMember {
                 region: member.region.clone(),
                 removed_at: now,
--- a/crates/sesamebarrow_routing/src/member/news.rs
+++ b/crates/sesamebarrow_routing/src/member/news.rs
@@ -143,7 +143,7 @@
         let tenths = ages.instance_hashes.iter().copied().zip(&ages.age_tenths);
         let mut age_by_hash: HashMap<u32, u32> = tenths.map(|(i, t)| (i, *t)).collect();
         age_by_hash.remove(&short_hash(own_name));
-        let alive_timeout = self.alive_timeout();
+        let (alive_timeout, stop_time) = (self.alive_timeout(), self.stop_time);
         for member in self.all.values_mut() {
             if let Some(tenths) = age_by_hash.remove(&member.name_hash) {
                 let age = from_tenths(tenths) + waited;
@@ -154,6 +154,7 @@
                     self.changes.push(change);
                 }
                 member.last_heard.update(now, age);
+                member.end_stop(now, stop_time);
             }
         }
         for name_hash in age_by_hash.into_keys() {
--- a/crates/sesamebarrow_routing/tests/decisions/drain.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/drain.rs
@@ -130,3 +130,51 @@
     fleet.advance(ms(10_000));
     assert_eq!(believers(&fleet, 0), 5);
 }
+
+/// Defines a test of a fleet of three times `$count` instances, of which `$at_once` start again in each of `$seconds`
+/// after their stops.
+macro_rules! restart_test {
+    ($name:ident, $count:expr, $at_once:expr, $seconds:expr) => {
+        #[test]
+        fn $name() {
+            let domains = [("a", $count), ("b", $count), ("c", $count)];
+            let mut fleet = Fleet::new(&domains, config(&[], vec![route("r", &[])]));
+            fleet.advance(ms(8_000));
+            let stopped: Vec<usize> = (0..$at_once * $seconds)
+                .map(|n| n * 7 % (3 * $count))
+                .collect();
+            let mut unaware = Vec::new();
+            let restart_tenth = |n: usize| n / $at_once * 10 + 80;
+            for tenth in 0..restart_tenth(stopped.len()) + 90 {
+                for (n, index) in stopped.iter().enumerate() {
+                    if tenth + 80 == restart_tenth(n) {
+                        let now = fleet.process_time(*index);
+                        fleet.instances[*index].board.draining_since = Some(now);
+                    }
+                    if tenth == restart_tenth(n) {
+                        fleet.restart(*index);
+                    }
+                    if tenth == restart_tenth(n) + 50 {
+                        unaware.push(3 * $count - 1 - believers(&fleet, *index));
+                    }
+                }
+                fleet.advance(ms(100));
+            }
+            assert_eq!(unaware.iter().sum::<usize>(), 0, "{unaware:?}");
+        }
+    };
+}
+
+restart_test!(
+    all_of_120_instances_know_of_a_restart_within_five_seconds,
+    40,
+    1,
+    1
+);
+restart_test!(all_of_120_instances_know_of_restarts_in_series, 40, 6, 4);
+restart_test!(
+    all_of_351_instances_know_of_a_restart_within_five_seconds,
+    117,
+    1,
+    1
+);
--- a/crates/sesamebarrow_routing/tests/decisions/fleet.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/fleet.rs
@@ -34,6 +34,7 @@
 
 pub fn parameters() -> Parameters {
     Parameters {
+        stop_limit: Duration::from_millis(7_700),
         budget: budget::Limit {
             ratio: 0.2,
             slack: 52.0,
--- a/crates/sesamebarrow_trial/src/containment/instance.rs
+++ b/crates/sesamebarrow_trial/src/containment/instance.rs
@@ -35,6 +35,7 @@
 /// Returns the parameters of the simulated instances.
 pub fn parameters() -> Parameters {
     Parameters {
+        stop_limit: Duration::from_millis(7_700),
         budget: budget::Limit {
             ratio: 0.2,
             slack: 50.0,
--- a/crates/sesamebarrow_trial/src/placement.rs
+++ b/crates/sesamebarrow_trial/src/placement.rs
@@ -544,6 +544,7 @@
 fn parameters(cfg: &Experiment) -> Parameters {
     let window = Duration::from_secs(10);
     Parameters {
+        stop_limit: Duration::from_millis(7_700),
         budget: budget::Limit {
             ratio: 0.2,
             slack: 52.0,
