Log and count what shows that a request said not to have run did not run

Each send of a request and each piece of evidence that withdraws one are kept in one place (sends), from which the number of possible runs follows. `upstream refused` says whether the refusal bears the signature of a run, and whether its connection had carried a request with that id before. Connections that fail are counted by error: a second answer is 'unexpected message'.

No decision changes: what withdraws a send is the same as before.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -25,6 +25,7 @@
 use crate::quarantine;
 use crate::reply::Refusal;
 use crate::selection::{self, AttemptHistory};
+use crate::sends::Evidence;
 use crate::shared::Shared;
 use crate::telemetry;
 
@@ -134,13 +135,13 @@
         if shared.log_limiter.allow(true) {
             log::info!(
                 request = job.id.as_str(), target = target.name().as_str(), outcome,
-                sent = history.sent; "attempt ended"
+                sent = history.sends.count(); "attempt ended"
             );
         }
         // Once the request may have run, the refusal must not say that it has not, whatever
         // later attempts return.
         if !matches!(last_refusal, Some(Refusal::Unknown(_) | Refusal::TimedOut))
-            || history.possible_runs == 0
+            || history.sends.possible_runs() == 0
         {
             last_refusal = Some(refusal);
         }
@@ -155,7 +156,7 @@
     refusal: Refusal,
 ) -> Refusal {
     match last_refusal {
-        Some(earlier) if history.possible_runs > 0 => earlier,
+        Some(earlier) if history.sends.possible_runs() > 0 => earlier,
         _ => refusal,
     }
 }
@@ -182,19 +183,19 @@
     {
         return false;
     }
-    if history.possible_runs > 0
-        && (!job.policy.may_repeat || history.possible_runs >= job.policy.max_attempts)
+    if history.sends.possible_runs() > 0
+        && (!job.policy.may_repeat || history.sends.possible_runs() >= job.policy.max_attempts)
     {
         return false;
     }
-    let is_trial_over = history.is_trial && history.sent > 0;
+    let is_trial_over = history.is_trial && history.sends.count() > 0;
     if is_trial_over || history.crashes >= MAX_CRASHES_PER_REQUEST {
         return false;
     }
     if history.crashes > 0 && quarantine::is_suspected(shared, job) {
         return false;
     }
-    if history.sent == history.refused_stopping {
+    if history.sends.count() == history.refused_stopping {
         // No upstream was sent the request yet, so the next attempt is not a retry.
         return true;
     }
@@ -274,7 +275,7 @@
         }
     };
     // A forwarded request was already counted by the instance that forwarded it.
-    if history.sent == 0 && !job.policy.from_instance {
+    if history.sends.count() == 0 && !job.policy.from_instance {
         let now = shared.now();
         let mut board = shared.board();
         let instances = board.instance_count();
@@ -285,10 +286,10 @@
     attempt.sent_at = shared.now();
     attempt.record_sent(job);
     if history.has_permit {
-        limit::count_send(job, history.sent);
+        limit::count_send(job, history.sends.count());
     }
-    history.sent += 1;
-    history.possible_runs += 1;
+    history.sends.record();
+    attempt.repeats_send = connection.record_send(&job.id);
     job.reservation.set_consumed(true);
     let sent = tokio::select! {
         sent = tokio::time::timeout(job.time_left(), connection.send(req)) => sent,
@@ -300,8 +301,7 @@
     let response = match sent {
         Ok(Ok(response)) => response,
         Ok(Err(pool::Error::NotSent)) => {
-            history.possible_runs -= 1;
-            job.reservation.set_consumed(history.possible_runs > 0);
+            withdraw_send(job, history, Evidence::NotWritten);
             attempt.record_not_run(job);
             attempt.end(AttemptOutcome::Broken);
             return AttemptResult::NotRun("connection-closed", MIN_RETRY_AFTER);
@@ -321,6 +321,13 @@
     classify(shared, job, target, history, attempt, response)
 }
 
+/// Records that the latest send of `job` has not run and will not.
+fn withdraw_send(job: &Job, history: &mut AttemptHistory, evidence: Evidence) {
+    history.sends.withdraw(evidence);
+    job.reservation
+        .set_consumed(history.sends.possible_runs() > 0);
+}
+
 fn build_upstream_request(
     shared: &Shared,
     job: &Job,
@@ -404,14 +411,12 @@
         }
         return match refusal_kind {
             hop::RefusalKind::NotRun => {
-                history.possible_runs -= 1;
-                job.reservation.set_consumed(history.possible_runs > 0);
+                withdraw_send(job, history, Evidence::RefusedThere);
                 let after = head::read_refusal_delay(&parts.headers);
                 AttemptResult::NotRun("refused-there", after.max(MIN_RETRY_AFTER))
             }
             hop::RefusalKind::Harmful => {
-                history.possible_runs -= 1;
-                job.reservation.set_consumed(history.possible_runs > 0);
+                withdraw_send(job, history, Evidence::RefusedThere);
                 AttemptResult::Harmful
             }
             hop::RefusalKind::Unknown => AttemptResult::Broken("broken-there"),
@@ -426,8 +431,11 @@
                 // A second copy of it on this connection could not be told from the answer to another request.
                 attempt.idle_time = None;
             }
-            history.possible_runs -= 1;
-            job.reservation.set_consumed(history.possible_runs > 0);
+            let evidence = match names_request {
+                true => Evidence::NamedRefusal,
+                false => Evidence::UnnamedRefusal,
+            };
+            withdraw_send(job, history, evidence);
             // hyper closes the connection unless it can read the rest of the body at once.
             drop(body);
             attempt.record_not_run(job);
@@ -482,7 +490,8 @@
     if shared.log_limiter.allow(true) {
         log::info!(
             request = job.id.as_str(), upstream = attempt.target_name().as_str(),
-            status = parts.status.as_u16(), names_request, new_connection = is_new;
+            status = parts.status.as_u16(), names_request, new_connection = is_new,
+            signed = head::is_signed(&parts.headers), sent_before = attempt.repeats_send;
             "upstream refused"
         );
     }
--- a/crates/sesamebarrow_gateway/src/lib.rs
+++ b/crates/sesamebarrow_gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod reply;
 pub mod run;
 pub mod selection;
+pub mod sends;
 pub mod server;
 pub mod settings;
 pub mod shared;
--- a/crates/sesamebarrow_gateway/src/log_limit.rs
+++ b/crates/sesamebarrow_gateway/src/log_limit.rs
@@ -13,11 +13,15 @@
 /// Maximum number of lines per second for refused and failed requests.
 const MAX_FAILED_LINES_PER_SECOND: u32 = 300;
 
+/// Maximum number of lines per second that say why a request that was sent is said not to have run.
+const MAX_PROMISE_LINES_PER_SECOND: u32 = 100;
+
 /// The lines that may still be written in the current second.
 #[derive(Debug)]
 pub struct Limiter {
     answered_lines_left: AtomicU32,
     failed_lines_left: AtomicU32,
+    promise_lines_left: AtomicU32,
     dropped: AtomicU32,
 }
 
@@ -26,6 +30,7 @@
         Self {
             answered_lines_left: AtomicU32::new(MAX_ANSWERED_LINES_PER_SECOND),
             failed_lines_left: AtomicU32::new(MAX_FAILED_LINES_PER_SECOND),
+            promise_lines_left: AtomicU32::new(MAX_PROMISE_LINES_PER_SECOND),
             dropped: AtomicU32::new(0),
         }
     }
@@ -35,11 +40,20 @@
     /// Returns whether a line may be written, and counts it. `failed` selects the limit for
     /// refused and failed requests.
     pub fn allow(&self, failed: bool) -> bool {
-        let budget = if failed {
+        self.take(if failed {
             &self.failed_lines_left
         } else {
             &self.answered_lines_left
-        };
+        })
+    }
+
+    /// Returns whether a line about a promise may be written, and counts it. Such lines are few, and are not to be lost
+    /// among those of an overload.
+    pub fn allow_promise(&self) -> bool {
+        self.take(&self.promise_lines_left)
+    }
+
+    fn take(&self, budget: &AtomicU32) -> bool {
         let admitted = budget.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
             left.checked_sub(1)
         });
@@ -55,6 +69,8 @@
             .store(MAX_ANSWERED_LINES_PER_SECOND, Ordering::Relaxed);
         self.failed_lines_left
             .store(MAX_FAILED_LINES_PER_SECOND, Ordering::Relaxed);
+        self.promise_lines_left
+            .store(MAX_PROMISE_LINES_PER_SECOND, Ordering::Relaxed);
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
             log::warn!(dropped; "log lines dropped");
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -3,7 +3,7 @@
 //! The pool never resends a request. Each request is written to exactly one connection, and
 //! the error says whether any byte of it may have been sent.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
@@ -15,6 +15,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
+use sesamebarrow_routing::gossip::short_hash;
 use tokio::net::TcpStream;
 
 use crate::meter::{Meter, Metered, MeteredBody};
@@ -32,6 +33,9 @@
 /// Time by which an idle connection is given up before the peer would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Number of ids of requests that a connection remembers.
+const MAX_REMEMBERED_SENDS: usize = 32;
+
 /// A request received no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -72,6 +76,8 @@
     meter: Meter,
     /// Number of responses whose head was received.
     responses: u32,
+    /// Hashes of the ids of the requests that were sent, newest last; at most [`MAX_REMEMBERED_SENDS`].
+    sent: VecDeque<u32>,
 }
 
 impl Connection {
@@ -80,6 +86,17 @@
         self.responses <= 1
     }
 
+    /// Records that the request with this id is about to be sent. Returns whether one with this id was sent before.
+    pub fn record_send(&mut self, id: &str) -> bool {
+        let hash = short_hash(id);
+        let is_repeated = self.sent.contains(&hash);
+        if self.sent.len() >= MAX_REMEMBERED_SENDS {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(hash);
+        is_repeated
+    }
+
     /// Sends a request and returns the response, whose body is still being received.
     pub async fn send(
         &mut self,
@@ -145,6 +162,11 @@
             .map_err(io::Error::other)?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
+                // One of a few fixed texts.
+                metrics::counter!(
+                    "sesamebarrow_connections_failed_total", "error" => error.to_string()
+                )
+                .increment(1);
                 log::debug!(address:% = address, error:% = error; "pooled connection failed");
             }
         });
@@ -154,6 +176,7 @@
             sender,
             meter,
             responses: 0,
+            sent: VecDeque::new(),
         })
     }
 
--- a/crates/sesamebarrow_gateway/src/reply.rs
+++ b/crates/sesamebarrow_gateway/src/reply.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Returns whether it promises that the request has not run and will not.
+    pub fn promises_not_run(self) -> bool {
+        head::promises_not_run(self.status())
+    }
+
     /// Returns the delay after which the client may retry, if a retry makes sense.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
--- a/crates/sesamebarrow_gateway/src/selection.rs
+++ b/crates/sesamebarrow_gateway/src/selection.rs
@@ -17,6 +17,7 @@
 use crate::intake::Job;
 use crate::limit;
 use crate::reply::Refusal;
+use crate::sends::Sends;
 use crate::shared::Shared;
 
 /// Minimum estimated time that forwarding a request to another region must save.
@@ -48,12 +49,10 @@
     pub begun: u32,
     /// Number of these whose connection was refused.
     pub refused_connections: u32,
-    /// Number of attempts that were sent to a target, including those that did not run.
-    pub sent: u32,
+    /// The attempts that were sent to a target.
+    pub sends: Sends,
     /// Number of these that were refused by an instance that stops.
     pub refused_stopping: u32,
-    /// Number of attempts that may have run.
-    pub possible_runs: u32,
     /// Number of attempts whose upstream has crashed.
     pub crashes: u32,
     /// Whether the request is a trial of a quarantined part, which is sent once.
@@ -163,7 +162,7 @@
     let exhausted =
         region_allowed && local == Err(Rejection::NoUpstream) && !spec.tried_upstreams.is_empty();
     let may_repeat_there = job.policy.may_repeat
-        && (history.possible_runs > 0 || !job.spec.tried_upstreams.is_empty());
+        && (history.sends.possible_runs() > 0 || !job.spec.tried_upstreams.is_empty());
     if exhausted && may_repeat_there {
         // All upstreams were tried. The request may be repeated, so they may be tried again.
         spec.tried_upstreams.clear();
@@ -195,7 +194,7 @@
             spill::select_with_room(&mut board, now, &request, allowed)
         };
         let mut remote = select(&history.tried_regions);
-        if remote.is_err() && history.possible_runs > 0 && job.policy.may_repeat {
+        if remote.is_err() && history.sends.possible_runs() > 0 && job.policy.may_repeat {
             remote = select(&[]);
         }
         return remote.map(Target::Instance).map_err(|shortage| {
@@ -215,7 +214,11 @@
         )
     };
     let mut remote = select_instance(&history.tried_regions);
-    if remote.is_none() && local.is_err() && history.possible_runs > 0 && job.policy.may_repeat {
+    if remote.is_none()
+        && local.is_err()
+        && history.sends.possible_runs() > 0
+        && job.policy.may_repeat
+    {
         // All regions were tried. Other upstreams of theirs may continue.
         remote = select_instance(&[]);
     }
--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -271,9 +271,17 @@
     let mut history = AttemptHistory::default();
     let response = tokio::select! {
         biased;
-        response = exchange::make_attempts(shared, &job, &mut history) => response?,
-        () = shared.ends.cancelled() => {
-            return Err(if history.possible_runs > 0 { ENDED } else { Refusal::Stopping });
+        response = exchange::make_attempts(shared, &job, &mut history) => response,
+        () = shared.ends.cancelled() => Err(match history.sends.possible_runs() {
+            0 => Refusal::Stopping,
+            _ => ENDED,
+        }),
+    };
+    let response = match response {
+        Ok(response) => response,
+        Err(refusal) => {
+            record_promise(shared, &job, &history, refusal);
+            return Err(refusal);
         }
     };
     unless_ending(
@@ -284,6 +292,24 @@
     .await
 }
 
+/// Logs and counts that the caller of `job` is told that it has not run, with what shows that.
+fn record_promise(shared: &Shared, job: &Job, history: &AttemptHistory, refusal: Refusal) {
+    if !refusal.promises_not_run() {
+        return;
+    }
+    let sends = &history.sends;
+    metrics::counter!("sesamebarrow_promises_total", "evidence" => sends.weakest_evidence())
+        .increment(1);
+    if sends.count() > 0 && shared.log_limiter.allow_promise() {
+        log::info!(
+            request = job.id.as_str(), outcome:% = refusal, sends = sends.count(),
+            possible_runs = sends.possible_runs(), evidence = sends.evidence().as_str(),
+            forwarded = job.policy.from_instance;
+            "promised not run"
+        );
+    }
+}
+
 /// Refusal of a request that may have run when the process ends.
 const ENDED: Refusal = Refusal::Unknown("stopped");
 
--- a/crates/sesamebarrow_gateway/src/telemetry.rs
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -14,7 +14,7 @@
 ];
 
 /// Names and descriptions of the counters.
-const COUNTERS: [(&str, &str); 23] = [
+const COUNTERS: [(&str, &str); 25] = [
     (
         "sesamebarrow_log_lines_not_written_total",
         "Log lines that were not written, by reason.",
@@ -55,6 +55,14 @@
         "sesamebarrow_upstream_refusals_total",
         "Refusals of upstreams, by whether they name the request and whether the connection is new.",
     ),
+    (
+        "sesamebarrow_promises_total",
+        "Requests said not to have run, by the weakest evidence that one of their sends did not run.",
+    ),
+    (
+        "sesamebarrow_connections_failed_total",
+        "Connections to upstreams and instances that failed, by error.",
+    ),
     (
         "sesamebarrow_member_changes_total",
         "Instances that are new, run again or are heard again, by what showed it.",
