Believe a refusal only if it names the request alone and bears no sign of a run

What callers saw: 503 ('not run, come back') for an order that its upstream ran (REFUSED), with and without a hop.

Cause: asked whether a refusal could be a second copy; it let pass one that names no request if it was the first answer of its connection. First is not evidence: an upstream that refuses at the accept, or writes before it has read, then reads the request and runs it. Nor did it look at what stands beside 'not run': another name, a success, a failure, or the signature of a run.

Change: a refusal must name the request, and no other; must have a status of the pages (400, 408, 421, 429, 503); and must not be signed. What fails this is answered 502, and its connection is closed. What an upstream announces of itself (rest, leaving, limit) is still read from it: believing that sends less.

Price: an upstream that never names requests in refusals costs its callers 502 in place of 503.

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -78,8 +78,6 @@
     /// When the request was sent, or began to be connected.
     pub sent_at: Duration,
     request_id: SmolStr,
-    /// Whether a request with the same id was sent on the connection before.
-    pub repeats_send: bool,
     ended: bool,
     /// Counts the request in progress in another region.
     forwarded: Option<forwarded::Key>,
@@ -136,7 +134,6 @@
             started_at: Instant::now(),
             sent_at: shared.now(),
             request_id: job.id.clone(),
-            repeats_send: false,
             ended: false,
             forwarded,
             from_instance,
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -289,7 +289,6 @@
         limit::count_send(job, history.sends.count());
     }
     history.sends.record();
-    attempt.repeats_send = connection.record_send(&job.id);
     job.reservation.set_consumed(true);
     let sent = tokio::select! {
         sent = tokio::time::timeout(job.time_left(), connection.send(req)) => sent,
@@ -425,17 +424,8 @@
     }
     match head::classify_response(parts.status, &parts.headers, attempt.expected()) {
         ResponseKind::NotRun => {
-            let names_request = head::names_attempt(&parts.headers, &job.id);
-            record_refusal(shared, job, &attempt, &parts, names_request);
-            if !names_request {
-                // A second copy of it on this connection could not be told from the answer to another request.
-                attempt.idle_time = None;
-            }
-            let evidence = match names_request {
-                true => Evidence::NamedRefusal,
-                false => Evidence::UnnamedRefusal,
-            };
-            withdraw_send(job, history, evidence);
+            record_refusal(shared, job, &attempt, &parts);
+            withdraw_send(job, history, Evidence::NamedRefusal);
             // hyper closes the connection unless it can read the rest of the body at once.
             drop(body);
             attempt.record_not_run(job);
@@ -443,10 +433,10 @@
             AttemptResult::NotRun("refused-by-upstream", MIN_RETRY_AFTER)
         }
         ResponseKind::Unproven => {
-            record_refusal(shared, job, &attempt, &parts, false);
-            // Not one of those outcomes after which the connection is kept: a refusal on a new one is proven.
+            record_refusal(shared, job, &attempt, &parts);
+            // Not one of those outcomes after which the connection is kept: the request may be running.
             attempt.end(AttemptOutcome::Inconclusive);
-            AttemptResult::Broken("refusal-without-id")
+            AttemptResult::Broken("refusal-without-proof")
         }
         ResponseKind::Invalid => {
             attempt.end(AttemptOutcome::Broken);
@@ -479,19 +469,14 @@
 }
 
 /// Logs and counts the refusal of an upstream, with what shows that it answers this request.
-fn record_refusal(
-    shared: &Shared,
-    job: &Job,
-    attempt: &Attempt,
-    parts: &Parts,
-    names_request: bool,
-) {
+fn record_refusal(shared: &Shared, job: &Job, attempt: &Attempt, parts: &Parts) {
+    let names_request = head::names_attempt(&parts.headers, &job.id);
     let is_new = attempt.expected().is_first;
     if shared.log_limiter.allow(true) {
         log::info!(
             request = job.id.as_str(), upstream = attempt.target_name().as_str(),
             status = parts.status.as_u16(), names_request, new_connection = is_new,
-            signed = head::is_signed(&parts.headers), sent_before = attempt.repeats_send;
+            signed = head::is_signed(&parts.headers);
             "upstream refused"
         );
     }
--- a/crates/sesamebarrow_gateway/src/limit.rs
+++ b/crates/sesamebarrow_gateway/src/limit.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::http::response::Parts;
-use sesamebarrow_platform::head::{self, Expected, ResponseKind};
+use sesamebarrow_platform::head::{self, Expected};
 use sesamebarrow_routing::admit::SelectedUpstream;
 use sesamebarrow_routing::board::limit::{Effects, Permission};
 use sesamebarrow_routing::limit::message::{self, Observed, PermitAnswer, PermitRequest, States};
@@ -199,8 +199,7 @@
             Statement::Nothing
         }
     };
-    let kind = head::classify_response(parts.status, &parts.headers, expected);
-    let by_refusal = kind == ResponseKind::NotRun;
+    let by_refusal = head::says_not_run(parts.status, &parts.headers);
     let now = shared.now();
     let effects = shared
         .board()
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -3,7 +3,7 @@
 //! The pool never resends a request. Each request is written to exactly one connection, and
 //! the error says whether any byte of it may have been sent.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
@@ -15,7 +15,6 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
-use sesamebarrow_routing::gossip::short_hash;
 use tokio::net::TcpStream;
 
 use crate::meter::{Meter, Metered, MeteredBody};
@@ -33,9 +32,6 @@
 /// Time by which an idle connection is given up before the peer would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Number of ids of requests that a connection remembers.
-const MAX_REMEMBERED_SENDS: usize = 32;
-
 /// A request received no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -76,8 +72,6 @@
     meter: Meter,
     /// Number of responses whose head was received.
     responses: u32,
-    /// Hashes of the ids of the requests that were sent, newest last; at most [`MAX_REMEMBERED_SENDS`].
-    sent: VecDeque<u32>,
 }
 
 impl Connection {
@@ -86,17 +80,6 @@
         self.responses <= 1
     }
 
-    /// Records that the request with this id is about to be sent. Returns whether one with this id was sent before.
-    pub fn record_send(&mut self, id: &str) -> bool {
-        let hash = short_hash(id);
-        let is_repeated = self.sent.contains(&hash);
-        if self.sent.len() >= MAX_REMEMBERED_SENDS {
-            self.sent.pop_front();
-        }
-        self.sent.push_back(hash);
-        is_repeated
-    }
-
     /// Sends a request and returns the response, whose body is still being received.
     pub async fn send(
         &mut self,
@@ -176,7 +159,6 @@
             sender,
             meter,
             responses: 0,
-            sent: VecDeque::new(),
         })
     }
 
--- a/crates/sesamebarrow_gateway/src/sends.rs
+++ b/crates/sesamebarrow_gateway/src/sends.rs
@@ -10,11 +10,9 @@
 pub enum Evidence {
     /// The connection closed before anything of the request was written to it.
     NotWritten,
-    /// The upstream refused it, and named it.
+    /// The upstream refused it by name, on a connection that had carried no refusal of that name.
     NamedRefusal,
-    /// The upstream refused it, and named no request.
-    UnnamedRefusal,
-    /// The instance that it was forwarded to refused it.
+    /// The instance that it was forwarded to refused it by name. No connection between instances is used after a refusal.
     RefusedThere,
 }
 
@@ -58,7 +56,6 @@
     /// Returns the weakest evidence, for metrics; `unsent` if there was nothing to withdraw.
     pub fn weakest_evidence(&self) -> &'static str {
         let by_weakness = [
-            Evidence::UnnamedRefusal,
             Evidence::RefusedThere,
             Evidence::NamedRefusal,
             Evidence::NotWritten,
