Do not send a request on a connection on which its id was refused before

What callers saw: 503 for an order that ran, if its caller had sent it under the same id before and that send was refused by name on the same kept connection.

Cause: the id shows which request a refusal belongs to, not which send. A second copy of the first send's refusal stands where the answer to the second is due.

Change: a connection remembers the ids that were refused on it, and is not used for them again; after 64 refusals it is not kept. Any refusal by that name is then one of the send that is due. The price is one connection more for each 64 refusals.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -229,7 +229,10 @@
         }
     };
     let connect_time = timeout.min(job.time_left());
-    let connected = shared.pool.connect(address, connect_time).await;
+    let connected = shared
+        .pool
+        .connect_for(address, &job.id, connect_time)
+        .await;
     let mut connection = match connected {
         Ok(connection) => connection,
         Err(error) => {
@@ -425,6 +428,9 @@
     match head::classify_response(parts.status, &parts.headers, attempt.expected()) {
         ResponseKind::NotRun => {
             record_refusal(shared, job, &attempt, &parts);
+            if let Some(connection) = &mut attempt.connection {
+                connection.record_refusal(&job.id);
+            }
             withdraw_send(job, history, Evidence::NamedRefusal);
             // hyper closes the connection unless it can read the rest of the body at once.
             drop(body);
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -15,6 +15,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
+use sesamebarrow_routing::gossip::short_hash;
 use tokio::net::TcpStream;
 
 use crate::meter::{Meter, Metered, MeteredBody};
@@ -32,6 +33,9 @@
 /// Time by which an idle connection is given up before the peer would close it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Maximum number of requests that are refused on one connection, which remembers each.
+const MAX_REFUSALS: usize = 64;
+
 /// A request received no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -72,6 +76,8 @@
     meter: Meter,
     /// Number of responses whose head was received.
     responses: u32,
+    /// Hashes of the ids of the requests that were refused on it. A second copy of such a refusal may still arrive.
+    refused: Vec<u32>,
 }
 
 impl Connection {
@@ -80,6 +86,16 @@
         self.responses <= 1
     }
 
+    /// Records that the request `id` was refused, so that it is not sent on this connection again.
+    pub fn record_refusal(&mut self, id: &str) {
+        self.refused.push(short_hash(id));
+    }
+
+    /// Returns whether a refusal of the request `id` could belong to an earlier request.
+    fn has_refused(&self, id: &str) -> bool {
+        self.refused.contains(&short_hash(id))
+    }
+
     /// Sends a request and returns the response, whose body is still being received.
     pub async fn send(
         &mut self,
@@ -123,7 +139,21 @@
 impl Pool {
     /// Returns an idle connection to `address`, or opens one within `timeout`.
     pub async fn connect(&self, address: SocketAddr, timeout: Duration) -> io::Result<Connection> {
-        if let Some(connection) = self.take_idle(address) {
+        if let Some(connection) = self.take_idle(address, |_| true) {
+            return Ok(connection);
+        }
+        self.open(address, timeout).await
+    }
+
+    /// Returns a connection as [`Self::connect`] does, on which the request `id` was not refused before. A refusal by that
+    /// name is then one of the request that is sent next.
+    pub async fn connect_for(
+        &self,
+        address: SocketAddr,
+        id: &str,
+        timeout: Duration,
+    ) -> io::Result<Connection> {
+        if let Some(connection) = self.take_idle(address, |c| !c.has_refused(id)) {
             return Ok(connection);
         }
         self.open(address, timeout).await
@@ -159,6 +189,7 @@
             sender,
             meter,
             responses: 0,
+            refused: Vec::new(),
         })
     }
 
@@ -196,13 +227,21 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes the newest idle connection to `address` that `may_use` accepts.
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        may_use: impl Fn(&Connection) -> bool,
+    ) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
-        while let Some(idle_connection) = connections.pop() {
-            if idle_connection.expires_at > now && idle_connection.connection.sender.is_ready() {
-                return Some(idle_connection.connection);
+        for index in (0..connections.len()).rev() {
+            let idle_connection = &connections[index];
+            if idle_connection.expires_at <= now || !idle_connection.connection.sender.is_ready() {
+                connections.remove(index);
+            } else if may_use(&idle_connection.connection) {
+                return Some(connections.remove(index).connection);
             }
         }
         None
@@ -215,7 +254,7 @@
         let Some(idle_time) = idle_time else {
             return;
         };
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || connection.refused.len() >= MAX_REFUSALS {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
