Believe a refusal between instances only if it names the request

What callers saw: 503 for a forwarded order that ran.

Evidence: an_order_that_ran_is_not_refused_by_an_unnamed_refusal_between_instances, a connection between instances that answers so once the request has run: 503 before, 502 now.

Change: it must name the attempt. Instances name it since; beside an instance of an earlier version, what that one refuses is answered 502 for as long as both run.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -398,8 +398,7 @@
     {
         // `Cancelled` closes the connection, since the response body was not read.
         attempt.end(AttemptOutcome::Cancelled);
-        // Instances of earlier versions name no attempt.
-        if head::names_other_attempt(&parts.headers, &job.id) {
+        if !head::names_attempt(&parts.headers, &job.id) {
             return AttemptResult::Broken("foreign-answer");
         }
         if let Target::Instance(remote) = target
