Leave streams that may outlast a stop to another instance from its start on

Cause: in the notice a request was taken however long it may last, since its client could not know of the stop. For a stream that is the worse choice: it is lost after seven seconds, and could have begun at another instance 20 ms later.

Change: while an instance drains it takes a stream only if it is expected to end before the limit: by the average time for each output token of complete streams on its route, and half as much again; by its time-out if none was complete. If no other instance is known to be ready, the notice holds as before.

--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -170,7 +170,11 @@
     let timeout = client_timeout
         .saturating_sub(RESPONSE_MARGIN)
         .min(route.timeout);
-    if !may_accept(shared, timeout) {
+    let (prompt_tokens, output_tokens) = request_head.tokens.unwrap_or((0, DEFAULT_OUTPUT_TOKENS));
+    let output_tokens = request_head
+        .output_tokens_hint
+        .map_or(output_tokens, |h| h.min(output_tokens));
+    if !may_accept(shared, &route, timeout, output_tokens) {
         return Err(Refusal::Stopping);
     }
     let reservation = match &customer {
@@ -183,10 +187,6 @@
     let random = rand::random();
     let service = route.pick_service(random).clone();
     let priority = priority(&route, customer.as_deref());
-    let (prompt_tokens, output_tokens) = request_head.tokens.unwrap_or((0, DEFAULT_OUTPUT_TOKENS));
-    let output_tokens = request_head
-        .output_tokens_hint
-        .map_or(output_tokens, |h| h.min(output_tokens));
     let mut headers = HeaderMap::with_capacity(parts.headers.len());
     for (name, value) in &parts.headers {
         if head::may_forward(name) {
@@ -253,9 +253,24 @@
     Ok((config, route, customer))
 }
 
-/// Returns whether this instance may accept a client's request that takes up to `timeout`.
-fn may_accept(shared: &Shared, timeout: Duration) -> bool {
-    may_accept_within(shared, timeout, shared.settings.shutdown.notice)
+/// Returns whether this instance may accept a client's request that takes up to `timeout`. A stream that is expected to
+/// outlast a stop is left to another instance from the start of the stop on.
+fn may_accept(shared: &Shared, route: &Route, timeout: Duration, output_tokens: u64) -> bool {
+    let notice = shared.settings.shutdown.notice;
+    let expected = {
+        let board = shared.board();
+        if board.draining_since.is_none() {
+            return true;
+        }
+        let is_left =
+            route.kind == RequestKind::Streaming && board.has_ready_instance(shared.now());
+        let expected = board.stream_paces.expected(&route.name, output_tokens);
+        is_left.then(|| expected.map_or(timeout, |e| e.min(timeout)))
+    };
+    match expected {
+        Some(expected) => may_accept_within(shared, expected, Duration::ZERO),
+        None => may_accept_within(shared, timeout, notice),
+    }
 }
 
 /// Returns whether this instance may accept a forwarded request that takes up to `timeout`. Other instances can take
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -251,6 +251,11 @@
         // A stream without events shows nothing of what its upstream does at the first one.
         let is_success = StatusCode::from_u16(self.status).is_ok_and(|s| s.is_success());
         if is_success && self.events.parser.events() > 0 {
+            let (took, tokens) = (self.job.started_at.elapsed(), self.job.spec.output_tokens);
+            let route = &self.job.policy.route;
+            let mut board = self.shared.board();
+            board.stream_paces.record(route, took, tokens);
+            drop(board);
             quarantine::record_answer(&self.shared, &self.job);
         }
         self.record_end("whole");
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -14,6 +14,7 @@
 use crate::cold;
 use crate::config::{Config, Route};
 use crate::correction::WaitCorrection;
+use crate::drain::StreamPaces;
 use crate::forwarded::Forwarded;
 use crate::gossip::short_hash;
 use crate::holder;
@@ -135,6 +136,8 @@
     pub wait_corrections: HashMap<SmolStr, WaitCorrection>,
     /// Moving average of the request duration in milliseconds, by service.
     pub request_durations_ms: HashMap<SmolStr, f64>,
+    /// How long streams take, by route.
+    pub stream_paces: StreamPaces,
     /// Number of requests by the name of their route, for routes that are restricted to
     /// regions.
     pub route_requests: HashMap<SmolStr, u64>,
@@ -189,6 +192,7 @@
             budget: RetryBudget::new(parameters.budget),
             wait_corrections: HashMap::new(),
             request_durations_ms: HashMap::new(),
+            stream_paces: StreamPaces::default(),
             route_requests: HashMap::new(),
             rng: StdRng::seed_from_u64(rng_seed),
             heartbeat: 0,
@@ -219,6 +223,11 @@
         self.draining_since.map(|at| now.saturating_sub(at))
     }
 
+    /// Returns whether another instance is known that takes requests while this one drains.
+    pub fn has_ready_instance(&self, now: Duration) -> bool {
+        self.members.ready(now).next().is_some()
+    }
+
     /// Activates a configuration unless the active one is as new or newer. Returns whether
     /// it was activated.
     pub fn apply_config(&mut self, now: Duration, config: Config) -> bool {
--- a/crates/sesamebarrow_routing/tests/decisions/drain.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/drain.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use sesamebarrow_routing::drain::{self, Schedule};
+use sesamebarrow_routing::drain::{self, Schedule, StreamPaces};
+use smol_str::SmolStr;
 
 use crate::fleet::{Fleet, config, ms, route};
 
@@ -46,6 +47,34 @@
 // Regression test (run hunt-bed8-3): taken 25 ms before the end, it was cut off.
 drain_test!(request_just_before_the_end_is_refused, 7_675, 2_000, false);
 
+#[test]
+fn duration_of_a_stream_is_expected_by_its_route_and_tokens() {
+    let mut paces = StreamPaces::default();
+    let route = SmolStr::new("summary");
+    assert_eq!(paces.expected(&route, 100), None);
+    for _ in 0..50 {
+        paces.record(&route, ms(2_000), 100);
+    }
+    let expected = |tokens| {
+        paces
+            .expected(&route, tokens)
+            .expect("streams were complete")
+    };
+    // Few streams take longer than half as long again as the average.
+    assert!((ms(2_900)..ms(3_100)).contains(&expected(100)));
+    assert!((ms(5_900)..ms(6_100)).contains(&expected(200)));
+    assert_eq!(paces.expected("other", 100), None);
+}
+
+#[test]
+fn stated_tokens_without_bound_give_a_long_duration_or_none() {
+    let mut paces = StreamPaces::default();
+    let route = SmolStr::new("summary");
+    paces.record(&route, Duration::MAX, 0);
+    let expected = paces.expected(&route, u64::MAX);
+    assert!(expected.is_none_or(|e| e > ms(60_000)));
+}
+
 /// Time after the start of a stop by which other instances must know of it: the notice, in which requests that come
 /// anyway are still taken.
 const KNOWN_WITHIN: Duration = SCHEDULE.notice;
