--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -257,20 +257,15 @@
 /// outlast a stop is left to another instance from the start of the stop on.
 fn may_accept(shared: &Shared, route: &Route, timeout: Duration, output_tokens: u64) -> bool {
     let notice = shared.settings.shutdown.notice;
-    let expected = {
-        let board = shared.board();
-        if board.draining_since.is_none() {
-            return true;
-        }
-        let is_left =
-            route.kind == RequestKind::Streaming && board.has_ready_instance(shared.now());
-        let expected = board.stream_paces.expected(&route.name, output_tokens);
-        is_left.then(|| expected.map_or(timeout, |e| e.min(timeout)))
-    };
-    match expected {
-        Some(expected) => may_accept_within(shared, expected, Duration::ZERO),
-        None => may_accept_within(shared, timeout, notice),
+    let is_stream = route.kind == RequestKind::Streaming;
+    if !is_stream || !shared.board().has_ready_instance(shared.now()) {
+        return may_accept_within(shared, timeout, notice);
     }
+    let board = shared.board();
+    let expected = board.stream_paces.expected(&route.name, output_tokens);
+    drop(board);
+    let duration = expected.map_or(timeout, |e| e.min(timeout));
+    may_accept_within(shared, duration, Duration::ZERO)
 }
 
 /// Returns whether this instance may accept a forwarded request that takes up to `timeout`. Other instances can take
