--- a/crates/sesamebarrow_gateway/src/log_limit.rs
+++ b/crates/sesamebarrow_gateway/src/log_limit.rs
@@ -1,5 +1,5 @@
 //! Limits the number of log lines per second about ended and refused requests and failed attempts,
-//! separately for answered and for failed requests, so that a burst of requests neither floods the
+//! separately for answered and for failed requests and for what shows that a request did not run, so that a burst of requests neither floods the
 //! log nor uses processor time that requests need.
 //!
 //! Not limited are `rate exceeded`, `stream broken`, `stream resumed`, and `attempt ended` for a
