Expect the duration of a stream by what streams differ, and forget removed routes

(1) A stopping instance expected a stream to take half as long again as the average; where lengths are estimates that are right at the median only, one in seven takes longer, and is cut: few_streams_take_longer_than_expected fails with that factor. Now the average plus three mean deviations, both per output token and route. Routes that are no longer in force are forgotten with the configuration (test), by a set of names, where each name was compared with each route before.

--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -262,7 +262,7 @@
         return may_accept_within(shared, timeout, notice);
     }
     let board = shared.board();
-    let expected = board.stream_paces.expected(&route.name, output_tokens);
+    let expected = board.stream_durations.expected(&route.name, output_tokens);
     drop(board);
     let duration = expected.map_or(timeout, |e| e.min(timeout));
     may_accept_within(shared, duration, Duration::ZERO)
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -254,7 +254,7 @@
             let (took, tokens) = (self.job.started_at.elapsed(), self.job.spec.output_tokens);
             let route = &self.job.policy.route;
             let mut board = self.shared.board();
-            board.stream_paces.record(route, took, tokens);
+            board.stream_durations.record(route, took, tokens);
             drop(board);
             quarantine::record_answer(&self.shared, &self.job);
         }
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -14,7 +14,7 @@
 use crate::cold;
 use crate::config::{Config, Route};
 use crate::correction::WaitCorrection;
-use crate::drain::StreamPaces;
+use crate::drain::StreamDurations;
 use crate::forwarded::Forwarded;
 use crate::gossip::short_hash;
 use crate::holder;
@@ -137,7 +137,7 @@
     /// Moving average of the request duration in milliseconds, by service.
     pub request_durations_ms: HashMap<SmolStr, f64>,
     /// How long streams take, by route.
-    pub stream_paces: StreamPaces,
+    pub stream_durations: StreamDurations,
     /// Number of requests by the name of their route, for routes that are restricted to
     /// regions.
     pub route_requests: HashMap<SmolStr, u64>,
@@ -192,7 +192,7 @@
             budget: RetryBudget::new(parameters.budget),
             wait_corrections: HashMap::new(),
             request_durations_ms: HashMap::new(),
-            stream_paces: StreamPaces::default(),
+            stream_durations: StreamDurations::default(),
             route_requests: HashMap::new(),
             rng: StdRng::seed_from_u64(rng_seed),
             heartbeat: 0,
@@ -238,8 +238,10 @@
         {
             return false;
         }
+        let routes: HashSet<&str> = config.routes.iter().map(|r| r.name.as_str()).collect();
         self.route_requests
-            .retain(|name, _| config.routes.iter().any(|r| r.name == *name));
+            .retain(|name, _| routes.contains(name.as_str()));
+        self.stream_durations.retain(|name| routes.contains(name));
         let limits = config
             .customers
             .iter()
--- a/crates/sesamebarrow_routing/src/drain.rs
+++ b/crates/sesamebarrow_routing/src/drain.rs
@@ -18,37 +18,49 @@
 /// sent by clients that could have learned of the shutdown.
 const ACCEPT_FRACTION: f64 = 0.9;
 
-/// Weight of the latest stream in the average pace of its route.
-const PACE_GAIN: f64 = 0.1;
+/// Weight of the latest stream in the averages of its route.
+const DURATION_GAIN: f64 = 0.1;
 
-/// Factor from the average duration of streams to one that few exceed.
-const DURATION_MARGIN: f64 = 1.5;
+/// Number of mean deviations above the average that few streams exceed.
+const DEVIATIONS: f64 = 3.0;
+
+/// Milliseconds for each output token, from the receipt of a request to the end of its stream.
+#[derive(Clone, Copy, Debug)]
+struct TokenTime {
+    average: f64,
+    /// Average distance from the average.
+    deviation: f64,
+}
 
 /// How long complete streams took, by the name of their route.
 #[derive(Clone, Debug, Default)]
-pub struct StreamPaces {
-    /// Milliseconds for each output token, from the receipt of the request to the end of the stream.
-    ms_per_token: HashMap<SmolStr, f64>,
-}
+pub struct StreamDurations(HashMap<SmolStr, TokenTime>);
 
-impl StreamPaces {
+impl StreamDurations {
     /// Records that a stream of `output_tokens` was complete after `took`.
     pub fn record(&mut self, route: &SmolStr, took: Duration, output_tokens: u64) {
         // CAST: far below 2^53.
-        let ms_per_token = took.as_secs_f64() * 1_000.0 / output_tokens.max(1) as f64;
-        let average = self
-            .ms_per_token
-            .entry(route.clone())
-            .or_insert(ms_per_token);
-        *average += PACE_GAIN * (ms_per_token - *average);
+        let ms = took.as_secs_f64() * 1_000.0 / output_tokens.max(1) as f64;
+        let time = self.0.entry(route.clone()).or_insert(TokenTime {
+            average: ms,
+            deviation: ms / 2.0,
+        });
+        let distance = ms - time.average;
+        time.average += DURATION_GAIN * distance;
+        time.deviation += DURATION_GAIN * (distance.abs() - time.deviation);
     }
 
     /// Returns a duration that few streams of `output_tokens` exceed; `None` if none was complete yet.
     pub fn expected(&self, route: &str, output_tokens: u64) -> Option<Duration> {
-        let ms_per_token = self.ms_per_token.get(route)?;
+        let time = self.0.get(route)?;
         // CAST: far below 2^53.
-        let seconds = ms_per_token * output_tokens as f64 * DURATION_MARGIN / 1_000.0;
-        Duration::try_from_secs_f64(seconds).ok()
+        let ms = (time.average + DEVIATIONS * time.deviation) * output_tokens as f64;
+        Duration::try_from_secs_f64(ms / 1_000.0).ok()
+    }
+
+    /// Forgets the routes of which `is_in_force` is false.
+    pub fn retain(&mut self, is_in_force: impl Fn(&str) -> bool) {
+        self.0.retain(|route, _| is_in_force(route));
     }
 }
 
