Check a promise against the sends of its request where it leaves

Now a refusal passes one function before it goes to a caller or another instance; one that promises though a send may have run becomes 502, with an error in the log.

--- a/crates/sesamebarrow_gateway/src/reply.rs
+++ b/crates/sesamebarrow_gateway/src/reply.rs
@@ -7,6 +7,7 @@
 use sesamebarrow_platform::head;
 
 use crate::relay::{self, Body};
+use crate::sends::Sends;
 
 /// Time after which a client may retry at another instance if this one stops.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -67,6 +68,14 @@
         head::promises_not_run(self.status())
     }
 
+    /// Returns the refusal of a request that was sent as `sends` say: one that promises nothing if one of them may have run.
+    pub fn after(self, sends: &Sends) -> Self {
+        match self.promises_not_run() && sends.possible_runs() > 0 {
+            true => Self::Unknown("may-have-run"),
+            false => self,
+        }
+    }
+
     /// Returns the delay after which the client may retry, if a retry makes sense.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -280,8 +280,16 @@
     let response = match response {
         Ok(response) => response,
         Err(refusal) => {
-            record_promise(shared, &job, &history, refusal);
-            return Err(refusal);
+            let answered = refusal.after(&history.sends);
+            if answered != refusal {
+                log::error!(
+                    request = job.id.as_str(), outcome:% = refusal,
+                    sends = history.sends.count(), evidence = history.sends.evidence().as_str();
+                    "promise without evidence"
+                );
+            }
+            record_promise(shared, &job, &history, answered);
+            return Err(answered);
         }
     };
     unless_ending(
