Answer a request whose first bytes came with the one before, in a stop

Cause: the HTTP library holds bytes that it has read behind a request. Between two requests nothing tells that it holds any, and closing the connection drops them.

Change: if the library has ended a connection between two requests and hands back bytes that it has not used, the connection is served once more, and these are read first. The stop then waits for the rest of the head, as for any other. Not so behind an answer that says that the connection closes: its client may send that request elsewhere already, and it would run twice.

--- a/crates/sesamebarrow_gateway/src/inbound.rs
+++ b/crates/sesamebarrow_gateway/src/inbound.rs
@@ -143,12 +143,23 @@
 pub struct Tracked<T> {
     stream: T,
     progress: Arc<Progress>,
+    /// Bytes that were read and not used, which are read first.
+    unused: Bytes,
 }
 
 impl<T> Tracked<T> {
     /// Follows the bytes of `stream`.
     pub fn new(stream: T, progress: Arc<Progress>) -> Self {
-        Self { stream, progress }
+        Self {
+            stream,
+            progress,
+            unused: Bytes::new(),
+        }
+    }
+
+    /// Returns the stream, of which `unused` is read first.
+    pub fn with_unused(self, unused: Bytes) -> Self {
+        Self { unused, ..self }
     }
 
     /// Returns the stream.
@@ -170,6 +181,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.unused.is_empty() && buf.remaining() > 0 {
+            let count = self.unused.len().min(buf.remaining());
+            let unused = self.unused.split_to(count);
+            buf.put_slice(&unused);
+            self.progress.record_read(count);
+            return Poll::Ready(Ok(()));
+        }
         let filled = buf.filled().len();
         let has_room = buf.remaining() > 0;
         let result = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
--- a/crates/sesamebarrow_gateway/src/server.rs
+++ b/crates/sesamebarrow_gateway/src/server.rs
@@ -96,33 +96,55 @@
             })
         })
     };
-    let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
+    let mut http = http1::Builder::new();
+    http.timer(TokioTimer::new())
         // This timeout covers both the idle time before a request and the receipt of its head;
         // `Limits::head_timeout` is not used.
         .header_read_timeout(limits.idle_timeout + IDLE_SLACK)
-        .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES) * 2)
-        .serve_connection(TokioIo::new(stream), service);
+        .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES) * 2);
     let close_idle = shared.close_idle.clone();
     shared.inbound_connections.spawn(async move {
         let end_guard = EndGuard(progress.clone());
-        let ended = serve_connection(&mut connection, &progress, close_idle).await;
-        drop(end_guard);
-        if let Err(error) = ended {
-            log::debug!(error:% = error; "inbound connection failed");
+        let mut stream = stream;
+        loop {
+            let mut connection = http.serve_connection(TokioIo::new(stream), service.clone());
+            let ended = serve_connection(&mut connection, &progress, close_idle.clone()).await;
+            let parts = connection.into_parts();
+            stream = parts.io.into_inner();
+            match ended {
+                // The HTTP library has read the beginning of a request with the one before.
+                Ok(End::Idle) if !parts.read_buf.is_empty() && !progress.peer_closed() => {
+                    stream = stream.with_unused(parts.read_buf);
+                }
+                Ok(_) => break,
+                Err(error) => {
+                    log::debug!(error:% = error; "inbound connection failed");
+                    break;
+                }
+            }
         }
+        drop(end_guard);
         if !progress.peer_closed() {
-            linger(connection.into_parts().io.into_inner().into_inner()).await;
+            linger(stream.into_inner()).await;
         }
     });
 }
 
+/// How the HTTP library ended a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// It was closed between two requests, of which the first was answered without a word of closing.
+    Idle,
+    /// It was closed with an answer that says so, or by its peer.
+    Said,
+}
+
 /// Serves the requests of a connection until it ends. Once `close_idle` is cancelled, it ends when it owes no answer.
 async fn serve_connection<S, B>(
     connection: &mut http1::Connection<TokioIo<Tracked<Metered<TcpStream>>>, S>,
     progress: &Progress,
     close_idle: CancellationToken,
-) -> hyper::Result<()>
+) -> hyper::Result<End>
 where
     S: HttpService<Incoming, ResBody = B> + Unpin,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -137,10 +159,11 @@
     });
     let mut unused = std::pin::pin!(None);
     let (mut is_closing, mut is_last) = (false, false);
+    let mut end = End::Said;
     poll_fn(|cx| {
         loop {
             if let Poll::Ready(ended) = connection.poll_without_shutdown(cx) {
-                return Poll::Ready(ended);
+                return Poll::Ready(ended.map(|()| end));
             }
             if is_last {
                 return Poll::Pending;
@@ -160,7 +183,8 @@
                 }
                 // The HTTP library would drop the part of a head that it holds.
                 Stage::Receiving => return Poll::Pending,
-                Stage::Idle | Stage::Handling | Stage::Answering => {}
+                Stage::Idle => end = End::Idle,
+                Stage::Handling | Stage::Answering => {}
             }
             is_last = true;
             Pin::new(&mut *connection).graceful_shutdown();
