Log of how many targets a stream came, its blocks without an id and whether its connection was new

Callers of a stream with a piece that no run made saw a complete answer.

`without_id` counts the blocks of fields without an id, `parts` the targets that sent a part, `new_connection` says whether the connection of the last one was new. No decision changes.

--- a/crates/sesamebarrow_gateway/src/event_stream.rs
+++ b/crates/sesamebarrow_gateway/src/event_stream.rs
@@ -68,6 +68,8 @@
     is_after_cr: bool,
     open_event: Option<OpenEvent>,
     events: u64,
+    /// Number of blocks of fields without an id.
+    without_id: u64,
     resume_point: ResumePoint,
 }
 
@@ -81,6 +83,7 @@
             is_after_cr: false,
             open_event: None,
             events: 0,
+            without_id: 0,
             resume_point,
         }
     }
@@ -88,9 +91,9 @@
     /// Prepares for another upstream that continues the stream at the resume point. Drops the event
     /// that is not complete.
     pub fn restart(&mut self) {
-        let events = self.events;
+        let (events, without_id) = (self.events, self.without_id);
         *self = Self::new(std::mem::take(&mut self.resume_point));
-        self.events = events;
+        (self.events, self.without_id) = (events, without_id);
     }
 
     /// Parses the next bytes. Returns the largest offset in `chunk` at which neither an event nor a
@@ -130,6 +133,11 @@
         self.events
     }
 
+    /// Returns the number of blocks of fields without an id, whether they are events or not.
+    pub fn without_id(&self) -> u64 {
+        self.without_id
+    }
+
     /// Returns where the stream may be continued after its last complete event.
     pub fn resume_point(&self) -> &ResumePoint {
         &self.resume_point
@@ -176,6 +184,7 @@
         let Some(event) = self.open_event.take() else {
             return;
         };
+        self.without_id += u64::from(!matches!(event.id, Some(Some(_))));
         match event.id {
             Some(Some(id)) => self.resume_point = ResumePoint::After(id),
             Some(None) => self.resume_point = ResumePoint::Nowhere,
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -148,6 +148,7 @@
         AttemptOutcome::Whole
     };
     let target = response.attempt.target_name().clone();
+    let is_new_connection = response.attempt.expected().is_first;
     response.attempt.end(outcome);
     // Something in front of a crashed upstream may answer with a server error.
     if !status.is_server_error() {
@@ -158,6 +159,7 @@
         status: status.as_u16(),
         outcome: "whole",
         framing: response.framing,
+        is_new_connection,
         stream: None,
     };
     record_end(shared, job, &end);
@@ -202,6 +204,8 @@
     pub outcome: &'static str,
     /// What ends the body of the response.
     pub framing: Framing,
+    /// Whether the connection had carried no response before.
+    pub is_new_connection: bool,
     /// Properties of a stream.
     pub stream: Option<StreamEnd<'a>>,
 }
@@ -211,6 +215,10 @@
 pub struct StreamEnd<'a> {
     /// Number of complete events that were received.
     pub events: u64,
+    /// Number of blocks without an id that were received.
+    pub without_id: u64,
+    /// Number of targets that sent a part of the stream.
+    pub parts: u32,
     /// Where in an event the stream ended.
     pub position: Position,
     /// Times at which events were relayed.
@@ -234,7 +242,9 @@
             customer = job.policy.customer.as_deref().unwrap_or("none"), target = end.target,
             status = end.status, outcome = end.outcome, millis, first_ms, pause_ms, left_ms,
             hopped = job.policy.from_instance, framing, ended_at,
-            events = end.stream.map_or(0, |s| s.events);
+            events = end.stream.map_or(0, |s| s.events),
+            without_id = end.stream.map_or(0, |s| s.without_id),
+            parts = end.stream.map_or(1, |s| s.parts), new_connection = end.is_new_connection;
             "request ended"
         );
     }
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -63,6 +63,8 @@
         ),
         job: Arc::new(job),
         target,
+        parts: 1,
+        is_new_connection: response.attempt.expected().is_first,
         state: StreamState::Receiving(response.body, Some(Box::new(response.attempt))),
         history: Some(history),
         status: parts.status.as_u16(),
@@ -194,6 +196,10 @@
     encoder: Option<Encoder>,
     /// Name of the upstream or instance that sends the stream.
     target: SmolStr,
+    /// Number of targets that have sent a part of it.
+    parts: u32,
+    /// Whether the target's connection had carried no response before.
+    is_new_connection: bool,
     timing: StreamTiming,
     /// When something was last received from the target.
     heard_at: Instant,
@@ -206,8 +212,11 @@
             status: self.status,
             outcome,
             framing: self.framing,
+            is_new_connection: self.is_new_connection,
             stream: Some(StreamEnd {
                 events: self.events.parser.events(),
+                without_id: self.events.parser.without_id(),
+                parts: self.parts,
                 position: self.events.parser.position(),
                 timing: &self.timing,
             }),
@@ -353,6 +362,8 @@
                         this.history = Some(history);
                         this.target = response.attempt.target_name().clone();
                         this.framing = response.framing;
+                        this.parts += 1;
+                        this.is_new_connection = response.attempt.expected().is_first;
                         this.heard_at = response.heard_at;
                         this.decoder =
                             hop::is_numbered(response.head.headers()).then(Decoder::default);
