Relay only events of an upstream's stream, and end none as complete after foreign bytes

Cause: the parser took each line for a field and each blank line for the end of an event, as the standard asks of readers. So any bytes that end with a blank line left a stream between two events, and its end, whatever framed it, was a whole answer. On routes that may not be resumed, bytes were relayed before anything had looked at them.

Change: the parser stops at the first bytes that no sound upstream writes: a line that is no UTF-8 or no field, a block without a field of the standard, an event without an id among others with ids or the reverse, an id that does not follow the one before (numbers rise, others differ). What comes after them is not relayed, and the stream counts as broken off: it goes on elsewhere after its last event where its route allows that, else its caller sees the break. A resumed part must follow the last id too, so another run is not joined. Events are held until they are complete on every route; one above 64 KiB of a route that may not be resumed is relayed in parts, as before. `stream broken` says what was foreign, so `without_id` leaves the log again.

--- a/crates/sesamebarrow_gateway/src/event_stream.rs
+++ b/crates/sesamebarrow_gateway/src/event_stream.rs
@@ -4,6 +4,9 @@
 //! the positions at which a stream may be cut, the id after which it may be resumed, and whether it
 //! has ended inside an event. Lines end with LF, CRLF or CR, and a stream may start with a byte
 //! order mark. Its memory is bounded whatever it is fed.
+//!
+//! The standard has readers ignore what they do not know, so that any bytes can be read as some stream. The parser
+//! instead stops at [`Foreign`] bytes, which no sound upstream writes.
 
 use hyper::HeaderMap;
 use hyper::header::CONTENT_TYPE;
@@ -47,12 +50,46 @@
     Nowhere,
 }
 
+/// What shows that bytes are no part of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Foreign {
+    /// A line is not encoded in UTF-8.
+    Encoding,
+    /// A line is neither a field nor a comment, or a block has no field of the standard.
+    Field,
+    /// An event bears no id in a stream whose events bear ids, or bears one in a stream without.
+    Naming,
+    /// The id of an event does not follow that of the one before.
+    Order,
+}
+
+/// Which ids the events of a stream bear.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ids {
+    /// Any, or none.
+    Any,
+    /// Each event bears one, which is larger than the one before if both are numbers, or none does.
+    Increasing,
+}
+
+/// The id of an event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum EventId {
+    Sendable(SmolStr),
+    /// A header cannot carry it.
+    NotSendable,
+    /// Resets the last id.
+    Empty,
+}
+
 /// Fields of an event that is not complete yet.
 #[derive(Clone, Debug, Default)]
 struct OpenEvent {
+    /// Whether it has a field that the standard defines.
+    is_known: bool,
     has_data: bool,
-    /// `Some(None)` if the id resets the last id or cannot be sent.
-    id: Option<Option<SmolStr>>,
+    id: Option<EventId>,
 }
 
 /// An incremental parser of one event stream.
@@ -66,40 +103,48 @@
     is_first_line: bool,
     /// Whether the last byte was a CR, so that a LF belongs to the same line end.
     is_after_cr: bool,
+    /// The last bytes of the current line, if they are an incomplete character.
+    cut_char: Vec<u8>,
+    ids: Ids,
+    /// Whether events bear ids; `None` before the first one.
+    has_ids: Option<bool>,
+    /// Set once and for all at the first bytes that are foreign. Nothing after them is parsed.
+    foreign: Option<Foreign>,
     open_event: Option<OpenEvent>,
     events: u64,
-    /// Number of blocks of fields without an id.
-    without_id: u64,
     resume_point: ResumePoint,
 }
 
 impl Parser {
-    /// Creates a parser for a stream that continues at `resume_point`.
-    pub fn new(resume_point: ResumePoint) -> Self {
+    /// Creates a parser for a stream that continues at `resume_point` and whose events bear `ids`.
+    pub fn new(ids: Ids, resume_point: ResumePoint) -> Self {
         Self {
             line: Vec::new(),
             is_line_cut: false,
             is_first_line: true,
             is_after_cr: false,
+            cut_char: Vec::new(),
+            ids,
+            has_ids: matches!(resume_point, ResumePoint::After(_)).then_some(true),
+            foreign: None,
             open_event: None,
             events: 0,
-            without_id: 0,
             resume_point,
         }
     }
 
     /// Prepares for another upstream that continues the stream at the resume point. Drops the event
-    /// that is not complete.
+    /// that is not complete, and foreign bytes.
     pub fn restart(&mut self) {
-        let (events, without_id) = (self.events, self.without_id);
-        *self = Self::new(std::mem::take(&mut self.resume_point));
-        (self.events, self.without_id) = (events, without_id);
+        let (events, has_ids) = (self.events, self.has_ids);
+        *self = Self::new(self.ids, std::mem::take(&mut self.resume_point));
+        (self.events, self.has_ids) = (events, has_ids);
     }
 
-    /// Parses the next bytes. Returns the largest offset in `chunk` at which neither an event nor a
-    /// line is open.
+    /// Parses the next bytes, up to those that are foreign. Returns the largest offset in `chunk` at which neither an event
+    /// nor a line is open.
     pub fn push(&mut self, chunk: &[u8]) -> Option<usize> {
-        if chunk.is_empty() {
+        if chunk.is_empty() || self.foreign.is_some() {
             return None;
         }
         let mut boundary = None;
@@ -112,6 +157,9 @@
             let line_end = start + length;
             self.extend_line(&chunk[start..line_end]);
             self.end_line();
+            if self.foreign.is_some() {
+                return boundary;
+            }
             start = line_end + 1;
             if chunk[line_end] == b'\r' {
                 match chunk.get(start) {
@@ -133,9 +181,9 @@
         self.events
     }
 
-    /// Returns the number of blocks of fields without an id, whether they are events or not.
-    pub fn without_id(&self) -> u64 {
-        self.without_id
+    /// Returns what shows that the bytes after the last boundary are no part of the stream.
+    pub fn foreign(&self) -> Option<Foreign> {
+        self.foreign
     }
 
     /// Returns where the stream may be continued after its last complete event.
@@ -155,16 +203,47 @@
     }
 
     fn is_closed(&self) -> bool {
-        self.open_event.is_none() && self.line.is_empty()
+        self.foreign.is_none() && self.open_event.is_none() && self.line.is_empty()
     }
 
     fn extend_line(&mut self, bytes: &[u8]) {
+        if !self.check_encoding(bytes) {
+            self.foreign = Some(Foreign::Encoding);
+        }
         let kept = bytes.len().min(MAX_LINE_HEAD_BYTES - self.line.len());
         self.line.extend_from_slice(&bytes[..kept]);
         self.is_line_cut |= kept < bytes.len();
     }
 
+    /// Returns whether the line is encoded in UTF-8 as far as `bytes`, which follow what was checked before.
+    fn check_encoding(&mut self, mut bytes: &[u8]) -> bool {
+        while !self.cut_char.is_empty()
+            && let Some((first, rest)) = bytes.split_first()
+        {
+            bytes = rest;
+            self.cut_char.push(*first);
+            match std::str::from_utf8(&self.cut_char) {
+                Ok(_) => self.cut_char.clear(),
+                Err(error) if error.error_len().is_none() => {}
+                Err(_) => return false,
+            }
+        }
+        match std::str::from_utf8(bytes) {
+            Ok(_) => true,
+            Err(error) => {
+                self.cut_char.extend(&bytes[error.valid_up_to()..]);
+                error.error_len().is_none()
+            }
+        }
+    }
+
     fn end_line(&mut self) {
+        if !self.cut_char.is_empty() {
+            self.foreign.get_or_insert(Foreign::Encoding);
+        }
+        if self.foreign.is_some() {
+            return;
+        }
         let line = std::mem::take(&mut self.line);
         let is_cut = std::mem::take(&mut self.is_line_cut);
         let is_first = std::mem::take(&mut self.is_first_line);
@@ -174,7 +253,9 @@
             self.end_event();
         } else if text[0] != b':' {
             let event = self.open_event.get_or_insert_default();
-            read_field(event, text, is_cut);
+            if !read_field(event, text, is_cut) {
+                self.foreign = Some(Foreign::Field);
+            }
         }
         self.line = line;
         self.line.clear();
@@ -184,19 +265,57 @@
         let Some(event) = self.open_event.take() else {
             return;
         };
-        self.without_id += u64::from(!matches!(event.id, Some(Some(_))));
+        self.foreign = self.find_foreign(&event);
+        if self.foreign.is_some() {
+            return;
+        }
+        if event.has_data {
+            self.has_ids = Some(matches!(&event.id, Some(id) if *id != EventId::Empty));
+        }
         match event.id {
-            Some(Some(id)) => self.resume_point = ResumePoint::After(id),
-            Some(None) => self.resume_point = ResumePoint::Nowhere,
+            Some(EventId::Sendable(id)) => self.resume_point = ResumePoint::After(id),
+            Some(_) => self.resume_point = ResumePoint::Nowhere,
             None if event.has_data => self.resume_point = ResumePoint::Nowhere,
             None => {}
         }
         self.events += u64::from(event.has_data);
     }
+
+    /// Returns what shows that `event` is no event of this stream.
+    fn find_foreign(&self, event: &OpenEvent) -> Option<Foreign> {
+        if !event.is_known {
+            return Some(Foreign::Field);
+        }
+        if self.ids == Ids::Any {
+            return None;
+        }
+        let bears_id = event.id.as_ref().is_some_and(|id| *id != EventId::Empty);
+        let is_named = event.has_data || event.id.is_some();
+        if is_named && self.has_ids.is_some_and(|has_ids| has_ids != bears_id) {
+            return Some(Foreign::Naming);
+        }
+        match (&self.resume_point, &event.id) {
+            (ResumePoint::After(last), Some(EventId::Sendable(id))) if !follows(last, id) => {
+                Some(Foreign::Order)
+            }
+            _ => None,
+        }
+    }
 }
 
-/// Reads a field into `event`; `is_cut` says that its value is longer than `line`.
-fn read_field(event: &mut OpenEvent, line: &[u8], is_cut: bool) {
+/// Returns whether an event with `id` may follow the one with the id `last`.
+fn follows(last: &str, id: &str) -> bool {
+    let is_number = |text: &str| text.bytes().all(|b| b.is_ascii_digit());
+    if !is_number(last) {
+        return id != last;
+    }
+    let (last, next) = (last.trim_start_matches('0'), id.trim_start_matches('0'));
+    // Numbers may have any length.
+    is_number(id) && (next.len(), next) > (last.len(), last)
+}
+
+/// Reads a field into `event`; `is_cut` says that its value is longer than `line`. Returns whether it is one.
+fn read_field(event: &mut OpenEvent, line: &[u8], is_cut: bool) -> bool {
     let colon = memchr::memchr(b':', line);
     let (name, value) = match colon {
         Some(colon) => (&line[..colon], &line[colon + 1..]),
@@ -205,18 +324,28 @@
     match name {
         b"data" => event.has_data = true,
         // The standard ignores an id that contains NUL.
-        b"id" if !value.contains(&0) => {
-            event.id = Some(if is_cut { None } else { to_header_text(value) });
-        }
-        _ => {}
+        b"id" if !value.contains(&0) => event.id = Some(read_id(value, is_cut)),
+        b"id" | b"event" | b"retry" => {}
+        _ => return colon.is_some() && is_token(name),
     }
+    event.is_known = true;
+    true
 }
 
-/// Returns an id as it can be sent in a header; `None` if it is empty or cannot be sent.
-fn to_header_text(id: &[u8]) -> Option<SmolStr> {
-    let text = std::str::from_utf8(id).ok()?.trim_matches([' ', '\t']);
-    let is_sendable = text
-        .bytes()
-        .all(|b| b == b'\t' || (b' '..=b'~').contains(&b));
-    (is_sendable && !text.is_empty()).then(|| SmolStr::new(text))
+/// Returns whether `name` may be the name of a field that the standard does not define.
+fn is_token(name: &[u8]) -> bool {
+    let is_name_byte = |b: &u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    !name.is_empty() && name.iter().all(is_name_byte)
+}
+
+fn read_id(value: &[u8], is_cut: bool) -> EventId {
+    let value = value.trim_ascii();
+    let is_sendable = |b: &u8| *b == b'\t' || (b' '..=b'~').contains(b);
+    match std::str::from_utf8(value) {
+        Ok("") if !is_cut => EventId::Empty,
+        Ok(text) if !is_cut && value.iter().all(is_sendable) => {
+            EventId::Sendable(SmolStr::new(text))
+        }
+        _ => EventId::NotSendable,
+    }
 }
--- a/crates/sesamebarrow_gateway/src/framing.rs
+++ b/crates/sesamebarrow_gateway/src/framing.rs
@@ -2,7 +2,7 @@
 //!
 //! | body | ends in order | ends with an error |
 //! |---|---|---|
-//! | event stream, inside an event | broken off | broken off |
+//! | event stream, inside an event or after foreign bytes | broken off | broken off |
 //! | event stream without an event, framed by its connection | broken off | broken off |
 //! | any other, framed by its connection | complete if the upstream's process still runs, else broken off | broken off |
 //! | any other | complete | broken off |
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -215,8 +215,6 @@
 pub struct StreamEnd<'a> {
     /// Number of complete events that were received.
     pub events: u64,
-    /// Number of blocks without an id that were received.
-    pub without_id: u64,
     /// Number of targets that sent a part of the stream.
     pub parts: u32,
     /// Where in an event the stream ended.
@@ -243,7 +241,6 @@
             status = end.status, outcome = end.outcome, millis, first_ms, pause_ms, left_ms,
             hopped = job.policy.from_instance, framing, ended_at,
             events = end.stream.map_or(0, |s| s.events),
-            without_id = end.stream.map_or(0, |s| s.without_id),
             parts = end.stream.map_or(1, |s| s.parts), new_connection = end.is_new_connection;
             "request ended"
         );
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -19,7 +19,7 @@
 
 use crate::attempt::Attempt;
 use crate::crash;
-use crate::event_stream::{self, BYTE_ORDER_MARK, Parser, ResumePoint};
+use crate::event_stream::{self, BYTE_ORDER_MARK, Foreign, Ids, Parser, ResumePoint};
 use crate::exchange::{self, UpstreamResponse};
 use crate::framing::{self, Framing};
 use crate::hop;
@@ -80,15 +80,19 @@
 /// Maximum size of an event of a resumable stream, which is held back until it is complete.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Size above which an event of any other stream is relayed before it is complete.
+const MAX_HELD_EVENT_BYTES: usize = 64 * 1024;
+
 /// An event is larger than [`MAX_EVENT_BYTES`], or there is no memory for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("event is too large")]
 struct EventTooLarge;
 
-/// Holds back events that are not complete, so that a stream can be resumed at another upstream.
+/// Holds back events that are not complete, so that a stream can be resumed at another upstream and foreign bytes are
+/// not relayed.
 #[derive(Debug)]
 struct EventBuffer {
-    /// Whether only complete events are relayed; otherwise, bytes are relayed as they arrive.
+    /// Whether only complete events are relayed; otherwise, those that are too large to be held are relayed in parts.
     complete_events_only: bool,
     parser: Parser,
     /// Bytes of an incomplete event.
@@ -102,10 +106,12 @@
 
 impl EventBuffer {
     fn new(complete_events_only: bool, last_id: Option<SmolStr>, held: Held) -> Self {
+        // An upstream of any other stream begins anew, whatever its caller has received.
+        let last_id = last_id.filter(|id| complete_events_only && !id.is_empty());
         let resume_point = last_id.map_or(ResumePoint::Start, ResumePoint::After);
         Self {
             complete_events_only,
-            parser: Parser::new(resume_point),
+            parser: Parser::new(Ids::Increasing, resume_point),
             partial: BytesMut::new(),
             held,
             is_start_of_part: false,
@@ -114,32 +120,50 @@
 
     /// Adds a chunk and returns the bytes that can be relayed.
     fn push(&mut self, chunk: Bytes) -> Result<Bytes, EventTooLarge> {
-        let boundary = self.parser.push(&chunk);
-        if !self.complete_events_only {
-            return Ok(chunk);
-        }
-        let held = self.partial.len();
-        self.partial.extend_from_slice(&chunk);
-        let Some(offset) = boundary else {
-            let fits = self.partial.len() <= MAX_EVENT_BYTES;
-            let fits = fits && self.held.follow(self.partial.capacity()).is_ok();
-            return if fits {
-                Ok(Bytes::new())
-            } else {
-                Err(EventTooLarge)
-            };
+        let Some(offset) = self.parser.push(&chunk) else {
+            return self.hold(&chunk);
         };
-        let mut complete = self.partial.split_to(held + offset).freeze();
-        if self.partial.is_empty() {
-            // `split_to` leaves the rest of the buffer's memory in it.
-            self.partial = BytesMut::new();
+        let mut complete = chunk.slice(..offset);
+        if !self.partial.is_empty() {
+            self.partial.extend_from_slice(&complete);
+            // Its memory is counted until the rest of `chunk` is held.
+            complete = std::mem::take(&mut self.partial).freeze();
         }
-        // Never fails: the buffer has shrunk.
-        let _ = self.held.follow(self.partial.len());
         if std::mem::take(&mut self.is_start_of_part) && complete.starts_with(BYTE_ORDER_MARK) {
             complete.advance(BYTE_ORDER_MARK.len());
         }
-        Ok(complete)
+        let early = self.hold(&chunk[offset..])?;
+        if early.is_empty() {
+            return Ok(complete);
+        }
+        Ok([complete, early].concat().into())
+    }
+
+    /// Holds bytes of an event that is not complete, and returns those that must be relayed nevertheless.
+    fn hold(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLarge> {
+        if self.foreign().is_some() {
+            return Ok(Bytes::new());
+        }
+        self.partial.extend_from_slice(bytes);
+        let max_bytes = match self.complete_events_only {
+            true => MAX_EVENT_BYTES,
+            false => MAX_HELD_EVENT_BYTES,
+        };
+        let fits = self.partial.len() <= max_bytes;
+        if fits && self.held.follow(self.partial.capacity()).is_ok() {
+            return Ok(Bytes::new());
+        }
+        if self.complete_events_only {
+            return Err(EventTooLarge);
+        }
+        // Never fails: nothing is held.
+        let _ = self.held.follow(0);
+        Ok(std::mem::take(&mut self.partial).freeze())
+    }
+
+    /// Returns what shows that bytes that were received are no part of the stream.
+    fn foreign(&self) -> Option<Foreign> {
+        self.parser.foreign()
     }
 
     /// Returns whether another target can continue the stream without repeating an event.
@@ -215,7 +239,6 @@
             is_new_connection: self.is_new_connection,
             stream: Some(StreamEnd {
                 events: self.events.parser.events(),
-                without_id: self.events.parser.without_id(),
                 parts: self.parts,
                 position: self.events.parser.position(),
                 timing: &self.timing,
@@ -350,6 +373,15 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = self.get_mut();
         loop {
+            if let Some(foreign) = this.events.foreign()
+                && matches!(this.state, StreamState::Receiving(..))
+            {
+                telemetry::count_foreign_bytes(foreign);
+                if this.recover(&format!("foreign bytes: {foreign}")) {
+                    continue;
+                }
+                return this.fail(cx, "broken");
+            }
             let polled = match &mut this.state {
                 StreamState::Done => return Poll::Ready(None),
                 StreamState::Failing => {
--- a/crates/sesamebarrow_gateway/src/telemetry.rs
+++ b/crates/sesamebarrow_gateway/src/telemetry.rs
@@ -5,6 +5,7 @@
 use metrics::Unit;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
+use crate::event_stream::Foreign;
 use crate::shared::Shared;
 
 /// Upper bounds of the latency buckets, in seconds. They include the users' targets of 0.4, 0.5
@@ -14,7 +15,7 @@
 ];
 
 /// Names and descriptions of the counters.
-const COUNTERS: [(&str, &str); 25] = [
+const COUNTERS: [(&str, &str); 26] = [
     (
         "sesamebarrow_log_lines_not_written_total",
         "Log lines that were not written, by reason.",
@@ -27,6 +28,10 @@
         "sesamebarrow_answer_ends_total",
         "Ends of answers, by framing, position in the event stream and outcome.",
     ),
+    (
+        "sesamebarrow_foreign_bytes_total",
+        "Event streams in which bytes were received that are no part of one, by what shows it.",
+    ),
     (
         "sesamebarrow_broken_answers_total",
         "Answers that broke off, by whether their upstream had crashed.",
@@ -234,6 +239,12 @@
     metrics::counter!("sesamebarrow_resends_total", "outcome" => outcome).increment(1);
 }
 
+/// Counts a stream in which `foreign` bytes were received.
+pub fn count_foreign_bytes(foreign: Foreign) {
+    let kind: &str = foreign.into();
+    metrics::counter!("sesamebarrow_foreign_bytes_total", "kind" => kind).increment(1);
+}
+
 /// Updates the gauges from the board.
 pub fn update_gauges(shared: &Shared) {
     let now = shared.now();
--- a/crates/sesamebarrow_node/src/relay.rs
+++ b/crates/sesamebarrow_node/src/relay.rs
@@ -12,7 +12,7 @@
 use hyper::{HeaderMap, Response};
 use memchr::memmem;
 use serde::Serialize;
-use sesamebarrow_gateway::event_stream::{self, Position, ResumePoint};
+use sesamebarrow_gateway::event_stream::{self, Ids, Position, ResumePoint};
 use tokio::sync::mpsc;
 
 /// Maximum number of chunks of a response that are buffered for the caller.
@@ -154,7 +154,8 @@
     pub fn new(fields: &HeaderMap) -> Self {
         let is_event_stream = event_stream::is_event_stream(fields);
         Self {
-            events: is_event_stream.then(|| event_stream::Parser::new(ResumePoint::Start)),
+            events: is_event_stream
+                .then(|| event_stream::Parser::new(Ids::Any, ResumePoint::Start)),
             tail: Vec::new(),
         }
     }
