Take an untyped success on a streaming route for an event stream

Only the media type told a stream from a plain answer.

The kind of the route decides now where the upstream says nothing; an upstream that says another type is taken at its word. The kind goes with a forwarded request; an instance of an earlier version does not send it and checks as before. Ids are only asked for on streaming routes, whose contract has them.

--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -54,6 +54,9 @@
     route: SmolStr,
     customer: Option<SmolStr>,
     may_repeat: bool,
+    /// Earlier versions do not say it.
+    #[serde(default)]
+    streams: bool,
     resumable: bool,
     max_attempts: u32,
     priority: u8,
@@ -122,6 +125,7 @@
         route: job.policy.route.clone(),
         customer: job.policy.customer.clone(),
         may_repeat: job.policy.may_repeat,
+        streams: job.policy.streams,
         resumable: job.policy.resumable,
         // Only the first instance decides whether to retry after an attempt that may have run.
         max_attempts: 1,
@@ -253,6 +257,7 @@
             route: envelope.route,
             customer: envelope.customer,
             may_repeat: envelope.may_repeat,
+            streams: envelope.streams,
             resumable: envelope.resumable,
             max_attempts: envelope.max_attempts,
             priority: envelope.priority,
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -53,6 +53,8 @@
     pub customer: Option<SmolStr>,
     /// Whether it may be retried although an earlier attempt may have run.
     pub may_repeat: bool,
+    /// Whether its response is an event stream, unless it says otherwise.
+    pub streams: bool,
     /// Whether its response is a stream that another upstream can resume.
     pub resumable: bool,
     /// Maximum number of attempts that may run it.
@@ -205,6 +207,7 @@
             route: route.name.clone(),
             customer: customer.as_ref().map(|c| c.name.clone()),
             may_repeat: route.may_repeat(),
+            streams: route.kind == RequestKind::Streaming,
             resumable: route.kind == RequestKind::Streaming && route.resumable,
             max_attempts: route.max_attempts,
             priority,
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body as HttpBody;
-use hyper::header::{CONTENT_LENGTH, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Method, Response};
 use sesamebarrow_platform::head;
 use sesamebarrow_routing::upstream::AttemptOutcome;
@@ -94,7 +94,7 @@
     mut history: AttemptHistory,
     response: UpstreamResponse,
 ) -> Result<Response<Body>, Refusal> {
-    if event_stream::is_event_stream(response.head.headers()) {
+    if is_stream(&job, &response.head) {
         return Ok(stream::build_response(shared, job, history, response));
     }
     let mut response = response;
@@ -126,6 +126,13 @@
     }
 }
 
+/// Returns whether the response to `job` is an event stream.
+pub fn is_stream(job: &Job, head: &Response<()>) -> bool {
+    let is_untyped = !head.headers().contains_key(CONTENT_TYPE);
+    let is_implied = job.policy.streams && head.status().is_success() && is_untyped;
+    is_implied || event_stream::is_event_stream(head.headers())
+}
+
 async fn read_body(response: &mut UpstreamResponse, held: &mut Held) -> Result<Bytes, BodyError> {
     let UpstreamResponse { body, heard_at, .. } = response;
     let body = collect(body, held, || *heard_at = Instant::now()).await?;
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -19,12 +19,12 @@
 
 use crate::attempt::Attempt;
 use crate::crash;
-use crate::event_stream::{self, BYTE_ORDER_MARK, Foreign, Ids, Parser, ResumePoint};
+use crate::event_stream::{BYTE_ORDER_MARK, Foreign, Ids, Parser, ResumePoint};
 use crate::exchange::{self, UpstreamResponse};
 use crate::framing::{self, Framing};
 use crate::hop;
 use crate::hop::numbering::{Decoder, Encoder};
-use crate::intake::Job;
+use crate::intake::{Job, RequestPolicy};
 use crate::memory::Held;
 use crate::meter::MeteredBody;
 use crate::quarantine;
@@ -56,11 +56,7 @@
     let body = StreamBody {
         shared: shared.clone(),
         deadline: Box::pin(tokio::time::sleep_until(job.deadline.into())),
-        events: EventBuffer::new(
-            job.policy.resumable,
-            job.last_event.clone(),
-            job.held.another(),
-        ),
+        events: EventBuffer::new(&job.policy, job.last_event.clone(), job.held.another()),
         job: Arc::new(job),
         target,
         parts: 1,
@@ -105,13 +101,18 @@
 }
 
 impl EventBuffer {
-    fn new(complete_events_only: bool, last_id: Option<SmolStr>, held: Held) -> Self {
+    fn new(policy: &RequestPolicy, last_id: Option<SmolStr>, held: Held) -> Self {
+        let complete_events_only = policy.resumable;
+        let ids = match policy.streams {
+            true => Ids::Increasing,
+            false => Ids::Any,
+        };
         // An upstream of any other stream begins anew, whatever its caller has received.
         let last_id = last_id.filter(|id| complete_events_only && !id.is_empty());
         let resume_point = last_id.map_or(ResumePoint::Start, ResumePoint::After);
         Self {
             complete_events_only,
-            parser: Parser::new(Ids::Increasing, resume_point),
+            parser: Parser::new(ids, resume_point),
             partial: BytesMut::new(),
             held,
             is_start_of_part: false,
@@ -359,8 +360,8 @@
 }
 
 /// Returns whether the response to a resumed request is a part of its stream.
-fn continues_stream(head: &Response<()>) -> bool {
-    head.status().is_success() && event_stream::is_event_stream(head.headers())
+fn continues_stream(job: &Job, head: &Response<()>) -> bool {
+    head.status().is_success() && relay::is_stream(job, head)
 }
 
 impl HttpBody for StreamBody {
@@ -390,7 +391,9 @@
                 }
                 StreamState::Resuming(future) => match future.as_mut().poll(cx) {
                     Poll::Pending => Poll::Pending,
-                    Poll::Ready((history, Ok(response))) if continues_stream(&response.head) => {
+                    Poll::Ready((history, Ok(response)))
+                        if continues_stream(&this.job, &response.head) =>
+                    {
                         this.history = Some(history);
                         this.target = response.attempt.target_name().clone();
                         this.framing = response.framing;
