Break off a plain answer that contains the head of another one

Nothing frames the two apart, but the second one's head names an attempt or is signed, which no body of a sound upstream holds at the start of a status line.

Such an answer is broken off: retried where it may be repeated, else 502. Other bytes after such an answer cannot be told from it; a stream's can, by what an event is.

--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -136,7 +136,10 @@
 async fn read_body(response: &mut UpstreamResponse, held: &mut Held) -> Result<Bytes, BodyError> {
     let UpstreamResponse { body, heard_at, .. } = response;
     let body = collect(body, held, || *heard_at = Instant::now()).await?;
-    if response.framing == Framing::Connection && !response.attempt.confirm_end().await {
+    if response.framing != Framing::Connection {
+        return Ok(body);
+    }
+    if head::contains_response(&body) || !response.attempt.confirm_end().await {
         return Err(BodyError);
     }
     Ok(body)
