Tell all of a limit also where the receiver is not the owner in its own view

What callers saw: where the instances' views of the owner differed, only the instance whose answer named a limit and the one that it told were bound. The others learned it from the digests in later datagrams, and sent without permits until then.

Cause: the receiver of an observation told the others only if it was the owner in its own view, and the sender told nobody else.

Change: the receiver that learns the beginning of a limit from another tells all whom it hears from. It is idempotent for those that know it.

--- a/crates/sesamebarrow_routing/src/board/limit.rs
+++ b/crates/sesamebarrow_routing/src/board/limit.rs
@@ -292,7 +292,12 @@
             by_refusal: observed.by_refusal,
         };
         let (owner, _) = self.limit_owner(now, observed.run);
-        self.apply_observation(now, observation, owner)
+        let mut effects = self.apply_observation(now, observation, owner);
+        // The sender takes this instance for the owner, and tells no other.
+        if owner != Owner::Own && effects.changes.iter().any(|(_, c)| *c == Change::Limited) {
+            effects.messages = self.limit_messages_to_all(now, observed.run);
+        }
+        effects
     }
 
     fn apply_observation(
--- a/crates/sesamebarrow_routing/tests/decisions/limit_owners.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/limit_owners.rs
@@ -201,6 +201,33 @@
     );
 }
 
+#[test]
+fn instance_that_is_taken_for_the_owner_tells_all_of_a_limit() {
+    let mut region = Region::new(6);
+    let (now, key) = (region.fleet.process_time(0), region.key(0));
+    let board = &region.fleet.instances[0].board;
+    let run = board.upstreams.all[key].run_hash;
+    let other = (0..6)
+        .find(|index| {
+            let now = region.fleet.process_time(*index);
+            let board = &region.fleet.instances[*index].board;
+            board.limit_owner(now, run).0 != Owner::Own
+        })
+        .expect("only one is the owner");
+    let observed = Observed {
+        run,
+        rate: Some(5.0),
+        by_refusal: false,
+    };
+    let board = &mut region.fleet.instances[other].board;
+    let effects = board.handle_observed(now, &observed);
+    region.deliver(other, effects, all);
+    for instance in &region.fleet.instances {
+        let limit = instance.board.limits.in_force(run);
+        assert!(limit.is_some(), "{}", instance.board.identity.name);
+    }
+}
+
 #[test]
 fn limit_is_kept_when_its_owner_ends_and_starts_again() {
     let mut region = Region::new(6);
