Number the permits of a limit by a shared clock while instances are cut off

What callers saw: an upstream with a limit was sent two to three times what it allows in 4 s when the instances of its region heard no other.

Change: whoever reaches less than five sevenths of the instances grants slots. They are numbered by the time since 1970 at 1.4 times the limit, each instance that may share the limit owns every n-th one by its weight for the upstream, and they lapse 0.2 s and one interval after they are due. All sides together have the same slots, however many sides there are. A change between slots and the bucket starts both empty. An owner or deputy counts as reached whom it has heard from since it began to grant. The bucket of a deputy holds one permit, not two. Instances that know lost ones count them.

Tried, not kept: to let an owner count from nobody at the start of a limit.

--- a/crates/sesamebarrow_routing/src/board/limit.rs
+++ b/crates/sesamebarrow_routing/src/board/limit.rs
@@ -1,10 +1,13 @@
 //! Selects the owners of limited upstreams, and handles the messages of [`crate::limit`].
 //!
 //! The owner of an upstream is the ready instance of its region with the highest rendezvous weight among those
-//! that are heard from. Instances that are not heard from may have an owner of their own. The owner then uses
-//! [`SPLIT_RATIO`] times the part of the instances that it reaches, so that the sum over all sides stays below
-//! that ratio. While all are heard from, but the owner does not answer some, a deputy grants them what the
-//! ratio leaves.
+//! that are heard from. Instances that are not heard from may have an owner of their own. The owner then grants
+//! the slots ([`crate::limit::slot`]) of the instances that it reaches, [`SPLIT_RATIO`] times the limit for all
+//! together, so that the sum over all sides stays below that ratio. While all are heard from, but the owner does
+//! not answer some, a deputy grants them what the ratio leaves.
+//!
+//! Whoever begins to grant reaches those that it has heard from since then. It would otherwise count instances that
+//! a cut has just separated from it, and each of them might do so.
 
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -13,12 +16,12 @@
 
 use crate::board::Board;
 use crate::gossip::short_hash;
-use crate::limit::bucket::Bucket;
 use crate::limit::message::{
     Decision, MAX_STATES, Observed, PermitAnswer, PermitRequest, State, States, is_valid,
 };
+use crate::limit::slot::Slots;
 use crate::limit::{Change, MIN_RATE, Observation, Statement};
-use crate::member::Member;
+use crate::member::{GOSSIP_INTERVAL, Member};
 use crate::rendezvous;
 use crate::token::Body;
 use crate::upstream::Key;
@@ -28,11 +31,7 @@
 const SPLIT_RATIO: f64 = 1.4;
 
 /// Largest number of instances for which the system is designed.
-const MAX_INSTANCES: f64 = 350.0;
-
-/// Part of a limit that an instance grants that has heard from no other since its start, although there are some:
-/// so little that the sum over all instances stays below [`SPLIT_RATIO`] if none hears from another.
-const ISOLATED_SHARE: f64 = SPLIT_RATIO / MAX_INSTANCES;
+const MAX_INSTANCES: usize = 350;
 
 /// Time after which an instance that is not the owner may be asked again, because the views of the instances
 /// have become the same.
@@ -41,6 +40,18 @@
 /// Time for which an owner that did not answer is not asked.
 const SILENT_TIME: Duration = Duration::from_secs(2);
 
+/// The part of a limit that an instance may grant.
+enum Part {
+    /// The whole limit.
+    Whole,
+    /// The slots of some instances.
+    Slots(Slots),
+    /// So many times the limit, as a deputy.
+    Deputy(f64),
+    /// Nothing.
+    None,
+}
+
 /// The instance that keeps the bucket of a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Owner {
@@ -96,36 +107,75 @@
         (best.1, silent > best.0)
     }
 
-    /// Returns the part of a limit that this instance may grant as its owner, or as a deputy of an owner that
-    /// does not answer all.
-    fn limit_share(&self, now: Duration, is_deputy: bool) -> f64 {
-        if self.members.all.is_empty() && self.parameters.expects_others {
-            return ISOLATED_SHARE;
-        }
-        // CAST: the number of instances is small.
-        let reached = self.limit_members(now).count() as f64 + 1.0;
+    /// Returns the part of a limit that this instance, which has granted since `since`, may grant as its owner, or
+    /// as a deputy of an owner that does not answer all.
+    fn limit_part(
+        &self,
+        now: Duration,
+        run: u64,
+        rate: f64,
+        since: Duration,
+        is_deputy: bool,
+    ) -> Part {
+        let is_reached = |m: &Member| m.keeps_limits && m.silence(now) <= now.saturating_sub(since);
+        let region = &self.identity.region;
+        let alive = self.members.alive(now).filter(|m| m.region == *region);
+        let reached = alive.filter(|m| is_reached(m)).count() + 1;
         let expected = self.expected_limit_members(now);
         let domains = self.region_domains().count();
-        match (reached >= expected, is_deputy) {
-            (true, true) => (SPLIT_RATIO - 1.0) / (domains.max(2) - 1) as f64,
-            (false, true) => 0.0,
-            (true, false) => 1.0,
-            (false, false) => (SPLIT_RATIO * reached / expected).min(1.0),
+        if is_deputy {
+            return match reached >= expected {
+                // CAST: the number of domains is small.
+                true => Part::Deputy((SPLIT_RATIO - 1.0) / (domains.max(2) - 1) as f64),
+                false => Part::None,
+            };
         }
+        // CAST: the number of instances is small.
+        if SPLIT_RATIO * reached as f64 >= expected as f64 {
+            return Part::Whole;
+        }
+        let weight = |name_hash: u32| rendezvous::weight_of_hashes(run, name_hash.into());
+        let known = self.known_limit_members(now).map(|m| {
+            let granted = self.members.is_alive(m, now) && is_reached(m);
+            (weight(m.name_hash), granted)
+        });
+        let lost = self.members.lost_in(region);
+        let lost = lost.map(|name| (weight(short_hash(name)), false));
+        let own = (weight(self.name_hash()), true);
+        let mut instances: Vec<_> = known.chain(lost).chain([own]).collect();
+        let unknown = expected.saturating_sub(instances.len()) as u64;
+        let unknown = (0..unknown).map(|n| (rendezvous::weight_of_hashes(run, !n), false));
+        instances.extend(unknown);
+        Part::Slots(Slots::new(instances, rate * SPLIT_RATIO))
+    }
+
+    /// Returns the other instances of this region that may share its limits, without those that are lost.
+    fn known_limit_members(&self, now: Duration) -> impl Iterator<Item = &Member> {
+        let is_gone =
+            move |m: &Member| m.draining_since.is_some() && !self.members.is_alive(m, now);
+        let region = &self.identity.region;
+        let in_region = self
+            .members
+            .all
+            .values()
+            .filter(move |m| m.region == *region);
+        in_region.filter(move |m| !is_gone(m))
     }
 
     /// Returns the number of instances that may share the limits of this region, this one included. Failure
     /// domains of which nothing is known since the start of this process count like the known ones.
-    fn expected_limit_members(&self, now: Duration) -> f64 {
+    fn expected_limit_members(&self, now: Duration) -> usize {
+        let knows_none = self.members.all.is_empty() && self.members.lost_count() == 0;
+        if knows_none && self.parameters.expects_others {
+            return MAX_INSTANCES;
+        }
         let region = &self.identity.region;
-        let in_region = self.members.all.values().filter(|m| m.region == *region);
-        let is_gone = |m: &&Member| m.draining_since.is_some() && !self.members.is_alive(m, now);
-        let gone = in_region.clone().filter(is_gone).count();
-        // CAST: the number of instances is small.
-        let known = (self.region_instance_count() - gone) as f64;
-        if self.members.lost_count_in(region) > 0 {
+        let lost = self.members.lost_count_in(region);
+        let known = self.known_limit_members(now).count() + lost + 1;
+        if lost > 0 {
             return known;
         }
+        let in_region = self.members.all.values().filter(|m| m.region == *region);
         let is_known = |domain: &&SmolStr| {
             let hash = short_hash(domain);
             **domain == self.identity.domain
@@ -133,7 +183,7 @@
         };
         let domains = self.region_domains().count();
         let known_domains = self.region_domains().filter(is_known).count().max(1);
-        known * domains as f64 / known_domains as f64
+        (known * domains).div_ceil(known_domains)
     }
 
     /// Returns the failure domains of this region.
@@ -180,12 +230,31 @@
         urgency: u8,
         is_deputy: bool,
     ) -> Result<(), Duration> {
-        let share = self.limit_share(now, is_deputy);
         let Some(limit) = self.limits.in_force_mut(run) else {
             return Ok(());
         };
-        let rate = limit.rate.unwrap_or_default().max(MIN_RATE) * share;
-        limit.bucket.take(now, rate, urgency)
+        let since = limit.begin_granting(now);
+        let rate = limit.rate.unwrap_or_default().max(MIN_RATE);
+        let part = self.limit_part(now, run, rate, since, is_deputy);
+        let clock = Duration::from_millis(self.identity.incarnation) + now;
+        let Some(limit) = self.limits.in_force_mut(run) else {
+            return Ok(());
+        };
+        let result = match &part {
+            Part::Whole => return limit.bucket.take(now, rate, urgency),
+            Part::Slots(slots) => limit.bucket.take_slot(now, clock, slots, urgency),
+            Part::Deputy(share) => limit.bucket.take_as_deputy(now, rate * share, urgency),
+            Part::None => {
+                limit.bucket.clear(now);
+                Err(SILENT_TIME)
+            }
+        };
+        // The part of an instance that began to grant a short time ago grows with each round.
+        let is_new = now.saturating_sub(since) < self.members.alive_timeout();
+        result.map_err(|due_in| match is_new {
+            true => due_in.min(GOSSIP_INTERVAL),
+            false => due_in,
+        })
     }
 
     /// Decides about a request of another instance.
@@ -310,6 +379,13 @@
         let Some(change) = self.limits.observe(now, observation, is_owner) else {
             return Effects::default();
         };
+        // Upstreams do not count what is sent until a cut that is going on has been noticed.
+        if let Some(limit) = self.limits.in_force_mut(observation.run)
+            && is_owner
+            && change == Change::Limited
+        {
+            limit.granting_since = Some(Duration::ZERO);
+        }
         let spreads = is_owner && change != Change::LimitChanged;
         let messages = match spreads {
             true => self.limit_messages_to_all(now, observation.run),
@@ -379,8 +455,11 @@
         let mut limits = std::mem::take(&mut self.limits);
         let unused = limits.all_mut().filter(|(_, l)| l.bucket.is_unused(now));
         for (run, limit) in unused {
-            if self.limit_owner(now, run).0 != Owner::Own {
-                limit.bucket = Bucket::empty(now);
+            match self.limit_owner(now, run).0 {
+                Owner::Own => {
+                    limit.begin_granting(now);
+                }
+                Owner::Other(_) => limit.end_granting(now),
             }
         }
         let upstreams = &self.upstreams.all;
--- a/crates/sesamebarrow_routing/src/limit.rs
+++ b/crates/sesamebarrow_routing/src/limit.rs
@@ -15,7 +15,7 @@
 //! | a new run of the upstream | it has no limit |
 //! | no bucket at this instance | ask the owner; sending without an answer is not allowed |
 //! | a new owner | it begins with an empty bucket |
-//! | instances that are not heard from | the owner uses the part of the limit that its side of a split may have |
+//! | instances that are not heard from | the owner grants the slots of its side of a split ([`slot`]) |
 //! | refused by the owner | nothing as urgent or less is asked for until the time that it gave |
 //!
 //! A refusal says when a permit is due for the request, so that those who come back do not come together.
@@ -27,6 +27,7 @@
 
 pub mod bucket;
 pub mod message;
+pub mod slot;
 
 /// Answers without a limit, one after the other, that end it.
 pub const FIRST_END_EVIDENCE: u32 = 2;
@@ -110,6 +111,8 @@
     end_evidence: u32,
     /// The bucket, of which this instance is the owner or a deputy.
     pub bucket: Bucket,
+    /// Since when this instance has granted permits, as the owner or a deputy; `None` while it does not.
+    pub granting_since: Option<Duration>,
     pause: Option<Pause>,
 }
 
@@ -134,10 +137,25 @@
             unnamed: 0,
             end_evidence: FIRST_END_EVIDENCE,
             bucket: Bucket::empty(now),
+            granting_since: None,
             pause: None,
         }
     }
 
+    /// Begins to grant permits, unless this instance does already. Returns since when it has.
+    pub(crate) fn begin_granting(&mut self, now: Duration) -> Duration {
+        *self.granting_since.get_or_insert_with(|| {
+            self.bucket = Bucket::empty(now);
+            now
+        })
+    }
+
+    /// Stops granting permits.
+    pub(crate) fn end_granting(&mut self, now: Duration) {
+        self.granting_since = None;
+        self.bucket = Bucket::empty(now);
+    }
+
     /// Begins a limit that was named again or for the first time.
     fn begin(&mut self, now: Duration, rate: f64, serial: u32) {
         let renamed = self.serial > 0 && now.saturating_sub(self.learned_at) < RENAMED_TIME;
@@ -151,7 +169,7 @@
         self.named_at = now;
         self.named_by = [false; 2];
         self.unnamed = 0;
-        self.bucket = Bucket::empty(now);
+        self.end_granting(now);
         self.pause = None;
     }
 
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -510,7 +510,13 @@
 
     /// Returns the number of lost members of `region`.
     pub fn lost_count_in(&self, region: &str) -> usize {
-        self.lost.values().filter(|l| l.region == region).count()
+        self.lost_in(region).count()
+    }
+
+    /// Returns the names of the lost members of `region`.
+    pub fn lost_in(&self, region: &str) -> impl Iterator<Item = &SmolStr> {
+        let of_region = self.lost.iter().filter(move |(_, l)| l.region == region);
+        of_region.map(|(name, _)| name)
     }
 
     /// Selects the addresses that receive this round's datagram: members, including those
--- a/crates/sesamebarrow_routing/tests/decisions/limit_owners.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/limit_owners.rs
@@ -201,6 +201,79 @@
     );
 }
 
+#[rstest]
+#[case::twenty_at_8(20.0, 8)]
+#[case::two_at_40(2.0, 40)]
+#[case::twenty_at_40(20.0, 40)]
+#[case::hundred_at_117(100.0, 117)]
+fn instances_that_hear_no_other_use_a_limit_also_after_a_lull(
+    #[case] rate: f64,
+    #[case] count: usize,
+) {
+    let mut region = Region::new(count);
+    region.observe(0, Statement::Limit(rate), all);
+    region.load(Duration::from_secs(5), all);
+    let sent = region.load(Duration::from_secs(60), |_, _| false);
+    assert!(most_in_4s(&sent) <= allowed(rate), "{}", most_in_4s(&sent));
+    assert!(sent.len() as f64 >= 0.85 * rate * 60.0, "{}", sent.len());
+    let lull_end = region.fleet.now + Duration::from_secs(30);
+    while region.fleet.now < lull_end {
+        region.fleet.step(|_, _| false);
+    }
+    let sent = region.load(Duration::from_secs(10), |_, _| false);
+    assert!(most_in_4s(&sent) <= allowed(rate), "{}", most_in_4s(&sent));
+    assert!(sent.len() as f64 >= 0.85 * rate * 10.0, "{}", sent.len());
+}
+
+#[rstest]
+#[case::one_at_12_in_3(1.0, 12, 3)]
+#[case::one_at_40_in_10(1.0, 40, 10)]
+#[case::quarter_at_40_in_4(0.25, 40, 4)]
+#[case::twenty_at_40_in_10(20.0, 40, 10)]
+#[case::twenty_at_41_in_5(20.0, 41, 5)]
+fn sides_of_any_number_together_keep_to_a_limit_and_use_it(
+    #[case] rate: f64,
+    #[case] count: usize,
+    #[case] sides: usize,
+) {
+    let mut region = Region::new(count);
+    region.observe(0, Statement::Limit(rate), all);
+    region.load(Duration::from_secs(5), all);
+    let same_side = |from, to| from % sides == to % sides;
+    let sent = region.load(Duration::from_secs(60), same_side);
+    assert!(most_in_4s(&sent) <= allowed(rate), "{}", most_in_4s(&sent));
+    assert!(sent.len() as f64 >= 0.85 * rate * 60.0, "{}", sent.len());
+}
+
+#[test]
+fn instance_that_is_cut_from_the_owner_only_gets_permits_of_a_deputy() {
+    let rate = 20.0;
+    let mut region = Region::new(6);
+    region.observe(0, Statement::Limit(rate), all);
+    let now = region.fleet.process_time(0);
+    let run = region.fleet.instances[0].board.upstreams.all[region.key(0)].run_hash;
+    let owner = match region.fleet.instances[0].board.limit_owner(now, run).0 {
+        Owner::Own => 0,
+        Owner::Other(ip) => region.index_of(ip),
+    };
+    let cut = (owner + 1) % 6;
+    let reaches = |from, to| (from, to) != (owner, cut) && (from, to) != (cut, owner) || from == to;
+    let mut granted = 0;
+    let mut sent = Vec::new();
+    let until = region.fleet.now + Duration::from_secs(30);
+    while region.fleet.now < until {
+        region.fleet.step(reaches);
+        for index in [owner, cut] {
+            if region.take(index, reaches) {
+                sent.push(region.fleet.now);
+                granted += usize::from(index == cut);
+            }
+        }
+    }
+    assert!(most_in_4s(&sent) <= allowed(rate), "{}", most_in_4s(&sent));
+    assert!(granted as f64 >= 0.8 * 0.4 * rate * 30.0, "{granted}");
+}
+
 #[test]
 fn instance_that_is_taken_for_the_owner_tells_all_of_a_limit() {
     let mut region = Region::new(6);
--- a/crates/sesamebarrow_routing/tests/decisions/limits.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/limits.rs
@@ -4,6 +4,7 @@
 
 use rstest::rstest;
 use sesamebarrow_routing::limit::bucket::Bucket;
+use sesamebarrow_routing::limit::slot::Slots;
 use sesamebarrow_routing::limit::{self, Change, Limits, Observation};
 
 use crate::fleet::ms;
@@ -152,3 +153,49 @@
     assert!(served[0] > 2 * served[1], "{served:?}");
     assert!(served[1] * 8 >= served[0], "{served:?}");
 }
+
+#[rstest]
+#[case::half_a_second(0.5)]
+#[case::seven(7.0)]
+#[case::hundred(100.0)]
+fn each_slot_is_granted_by_one_side(#[case] rate: f64) {
+    let start = Duration::from_millis(1_790_000_000_000);
+    let of_side = |side: u64| Slots::new((0..9).map(|weight| (weight, weight % 3 == side)), rate);
+    let mut due: Vec<Duration> = (0..3)
+        .flat_map(|side| {
+            let slots = of_side(side);
+            let times = std::iter::successors(Some(start), move |at| Some(slots.next_after(*at)));
+            times.skip(1).take(30).collect::<Vec<_>>()
+        })
+        .collect();
+    due.sort();
+    let interval = Duration::from_secs_f64(1.0 / rate);
+    for pair in due.windows(2) {
+        let apart = pair[1] - pair[0];
+        assert!(apart.abs_diff(interval) < ms(1), "{apart:?}");
+    }
+}
+
+#[test]
+fn slots_that_nobody_takes_lapse_and_turns_add_no_permit() {
+    let slots = Slots::new([(0, true), (1, false)], 4.0);
+    let clock = Duration::from_secs(1_790_000_000);
+    let mut bucket = Bucket::empty(START);
+    let mut now = START;
+    let mut take = |after: Duration| {
+        now += after;
+        let clock = clock + now;
+        std::iter::repeat_with(|| bucket.take_slot(now, clock, &slots, 0))
+            .take_while(Result::is_ok)
+            .count()
+    };
+    assert_eq!(take(Duration::ZERO), 0, "nothing that was due before");
+    assert_eq!(take(Duration::from_secs(60)), 1, "only the last one");
+    let mut granted = 0;
+    for _ in 0..1_000 {
+        now += ms(10);
+        granted += u32::from(bucket.take_slot(now, clock + now, &slots, 0).is_ok());
+        granted += u32::from(bucket.take(now, 2.0, 0).is_ok());
+    }
+    assert!(granted <= 20, "{granted}");
+}
