Ask an instance for permits whose readiness is not known lately

What callers saw: in a fleet of more than 100 instances an upstream with a limit was sent up to twice what it allows in 4 s while all instances heard each other, in the first 20 s after they had started.

Cause: news that an instance is ready take 10 to 20 s to reach all of a large fleet. Until then those that did not know it took the next one for the owner, and each owner that heard from all granted the whole limit.

Change: an instance whose last news, that it is not ready, are older than 1 s may be the owner, and is asked. If it is not ready it says so, and is not asked for 1 s. Instances of earlier versions take that answer for a refusal.

--- a/crates/sesamebarrow_routing/src/board/limit.rs
+++ b/crates/sesamebarrow_routing/src/board/limit.rs
@@ -1,7 +1,8 @@
 //! Selects the owners of limited upstreams, and handles the messages of [`crate::limit`].
 //!
 //! The owner of an upstream is the ready instance of its region with the highest rendezvous weight among those
-//! that are heard from. Instances that are not heard from may have an owner of their own. The owner then grants
+//! that are heard from. One of which it is not known lately whether it is ready is asked, and says so if it is not.
+//! Instances that are not heard from may have an owner of their own. The owner then grants
 //! the slots ([`crate::limit::slot`]) of the instances that it reaches, [`SPLIT_RATIO`] times the limit for all
 //! together, so that the sum over all sides stays below that ratio. While all are heard from, but the owner does
 //! not answer some, a deputy grants them what the ratio leaves.
@@ -40,6 +41,9 @@
 /// Time for which an owner that did not answer is not asked.
 const SILENT_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which an instance that said that it is not ready is not asked.
+const DECLINED_TIME: Duration = Duration::from_secs(1);
+
 /// The part of a limit that an instance may grant.
 enum Part {
     /// The whole limit.
@@ -96,7 +100,7 @@
         let own = self.is_ready().then(|| weight(self.name_hash()));
         let mut best = (own, Owner::Own);
         let mut silent = None;
-        for member in self.limit_members(now).filter(|m| m.is_ready()) {
+        for member in self.limit_members(now).filter(|m| m.may_own_limits(now)) {
             let weight = Some(weight(member.name_hash));
             if now < member.silent_owner_until {
                 silent = silent.max(weight);
@@ -270,6 +274,9 @@
             due_in_ms: due_in.as_millis() as u32,
         };
         let run = request.run;
+        if !self.is_ready() {
+            return answer(Decision::NotReady, OTHER_OWNER_TIME);
+        }
         if self.limits.in_force(run).is_none() {
             return answer(Decision::Unlimited, Duration::ZERO);
         }
@@ -296,6 +303,14 @@
             Decision::Granted => Permission::Granted,
             // The owner does not know yet what this instance does. It learns it with the next datagram.
             Decision::Unlimited => Permission::Refused(OTHER_OWNER_TIME),
+            Decision::NotReady => {
+                if let (Owner::Other(ip), _) = self.limit_owner(now, request.run)
+                    && let Some(member) = self.members.all.values_mut().find(|m| m.ip() == ip)
+                {
+                    member.declined_owner_until = now + DECLINED_TIME;
+                }
+                Permission::Refused(OTHER_OWNER_TIME)
+            }
             Decision::Refused => {
                 let due_in = Duration::from_millis(answer.due_in_ms.into());
                 let urgency = u8::try_from(request.urgency).unwrap_or(u8::MAX);
--- a/crates/sesamebarrow_routing/src/limit/message.rs
+++ b/crates/sesamebarrow_routing/src/limit/message.rs
@@ -44,6 +44,8 @@
     Granted = 1,
     /// The upstream has no limit, as far as the owner knows.
     Unlimited = 2,
+    /// The asked instance is not ready, and owns nothing. Earlier versions take it for a refusal.
+    NotReady = 3,
 }
 
 /// Tells the owner what an answer said.
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -43,6 +43,9 @@
 /// Time for which a datagram may have been in transit that was sent before its sender began to drain.
 const MAX_TRANSIT_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which the owners of limits are selected by the news that a member is not ready.
+const NOT_READY_LIFETIME: Duration = Duration::from_secs(1);
+
 /// Maximum number of members in one datagram that have begun to drain.
 const MAX_STOPS: usize = 12;
 
@@ -160,6 +163,8 @@
     pub config_version: u64,
     /// Time until which it is not asked for permits, because it did not answer.
     pub silent_owner_until: Duration,
+    /// Time until which it is not asked for permits, because it said that it is not ready.
+    pub declined_owner_until: Duration,
     /// Time until which it is not asked as a dispatcher, because it did not answer.
     pub silent_dispatcher_until: Duration,
     /// When the run of `record` was first heard of.
@@ -185,6 +190,13 @@
         self.record.ready && self.draining_since.is_none()
     }
 
+    /// Returns whether it may own limits. Records take long to reach all instances of a large fleet, so one that was
+    /// not ready some time ago may be by now.
+    pub fn may_own_limits(&self, now: Duration) -> bool {
+        let may_be_ready = self.record.ready || self.run_heard.silence(now) > NOT_READY_LIFETIME;
+        may_be_ready && self.draining_since.is_none() && now >= self.declined_owner_until
+    }
+
     /// Returns for how long it has been draining; `None` if it is not known to.
     pub fn draining_for(&self, now: Duration) -> Option<Duration> {
         self.draining_since.map(|at| now.saturating_sub(at))
--- a/crates/sesamebarrow_routing/src/member/news.rs
+++ b/crates/sesamebarrow_routing/src/member/news.rs
@@ -106,6 +106,7 @@
             config_version: 0,
             judges_suspects: true,
             silent_owner_until: Duration::ZERO,
+            declined_owner_until: Duration::ZERO,
             silent_dispatcher_until: Duration::ZERO,
             keeps_limits: true,
             run_known_since: now,
--- a/crates/sesamebarrow_routing/tests/decisions/limit_owners.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/limit_owners.rs
@@ -160,6 +160,7 @@
 #[case::one_at_6(1.0, 6)]
 #[case::one_at_40(1.0, 40)]
 #[case::twenty_at_8(20.0, 8)]
+#[case::twenty_at_117(20.0, 117)]
 fn all_instances_together_keep_to_a_limit_and_use_it(#[case] rate: f64, #[case] count: usize) {
     let mut region = Region::new(count);
     region.observe(count - 1, Statement::Limit(rate), all);
@@ -301,6 +302,35 @@
     }
 }
 
+#[test]
+fn instance_that_says_that_it_is_not_ready_is_not_asked_again_at_once() {
+    let mut region = Region::new(6);
+    region.observe(0, Statement::Limit(5.0), all);
+    let now = region.fleet.process_time(0);
+    let key = region.key(0);
+    let run = region.fleet.instances[0].board.upstreams.all[key].run_hash;
+    let owner_of = |region: &Region, index: usize| match region.fleet.instances[index]
+        .board
+        .limit_owner(now, run)
+        .0
+    {
+        Owner::Own => index,
+        Owner::Other(ip) => region.index_of(ip),
+    };
+    let owner = owner_of(&region, 0);
+    let other = (owner + 1) % 6;
+    region.fleet.instances[owner].board.discovery_done = false;
+    assert!(!region.take(other, all));
+    let next = owner_of(&region, other);
+    assert_ne!(next, owner);
+    region.load(Duration::from_secs(2), |_, to| to != other);
+    let board = &region.fleet.instances[other].board;
+    let name = &region.fleet.instances[owner].board.identity.name;
+    let member = &board.members.all[name.as_str()];
+    let later = region.fleet.process_time(other);
+    assert!(member.may_own_limits(later), "its news are too old");
+}
+
 #[test]
 fn limit_is_kept_when_its_owner_ends_and_starts_again() {
     let mut region = Region::new(6);
