--- a/crates/sesamebarrow_routing/tests/decisions/limit_owners.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/limit_owners.rs
@@ -160,6 +160,7 @@
 #[case::one_at_6(1.0, 6)]
 #[case::one_at_40(1.0, 40)]
 #[case::twenty_at_8(20.0, 8)]
+#[case::twenty_at_117(20.0, 117)]
 fn all_instances_together_keep_to_a_limit_and_use_it(#[case] rate: f64, #[case] count: usize) {
     let mut region = Region::new(count);
     region.observe(count - 1, Statement::Limit(rate), all);
@@ -201,6 +202,135 @@
     );
 }
 
+#[rstest]
+#[case::twenty_at_8(20.0, 8)]
+#[case::two_at_40(2.0, 40)]
+#[case::twenty_at_40(20.0, 40)]
+#[case::hundred_at_117(100.0, 117)]
+fn instances_that_hear_no_other_use_a_limit_also_after_a_lull(
+    #[case] rate: f64,
+    #[case] count: usize,
+) {
+    let mut region = Region::new(count);
+    region.observe(0, Statement::Limit(rate), all);
+    region.load(Duration::from_secs(5), all);
+    let sent = region.load(Duration::from_secs(60), |_, _| false);
+    assert!(most_in_4s(&sent) <= allowed(rate), "{}", most_in_4s(&sent));
+    assert!(sent.len() as f64 >= 0.85 * rate * 60.0, "{}", sent.len());
+    let lull_end = region.fleet.now + Duration::from_secs(30);
+    while region.fleet.now < lull_end {
+        region.fleet.step(|_, _| false);
+    }
+    let sent = region.load(Duration::from_secs(10), |_, _| false);
+    assert!(most_in_4s(&sent) <= allowed(rate), "{}", most_in_4s(&sent));
+    assert!(sent.len() as f64 >= 0.85 * rate * 10.0, "{}", sent.len());
+}
+
+#[rstest]
+#[case::one_at_12_in_3(1.0, 12, 3)]
+#[case::one_at_40_in_10(1.0, 40, 10)]
+#[case::quarter_at_40_in_4(0.25, 40, 4)]
+#[case::twenty_at_40_in_10(20.0, 40, 10)]
+#[case::twenty_at_41_in_5(20.0, 41, 5)]
+fn sides_of_any_number_together_keep_to_a_limit_and_use_it(
+    #[case] rate: f64,
+    #[case] count: usize,
+    #[case] sides: usize,
+) {
+    let mut region = Region::new(count);
+    region.observe(0, Statement::Limit(rate), all);
+    region.load(Duration::from_secs(5), all);
+    let same_side = |from, to| from % sides == to % sides;
+    let sent = region.load(Duration::from_secs(60), same_side);
+    assert!(most_in_4s(&sent) <= allowed(rate), "{}", most_in_4s(&sent));
+    assert!(sent.len() as f64 >= 0.85 * rate * 60.0, "{}", sent.len());
+}
+
+#[test]
+fn instance_that_is_cut_from_the_owner_only_gets_permits_of_a_deputy() {
+    let rate = 20.0;
+    let mut region = Region::new(6);
+    region.observe(0, Statement::Limit(rate), all);
+    let now = region.fleet.process_time(0);
+    let run = region.fleet.instances[0].board.upstreams.all[region.key(0)].run_hash;
+    let owner = match region.fleet.instances[0].board.limit_owner(now, run).0 {
+        Owner::Own => 0,
+        Owner::Other(ip) => region.index_of(ip),
+    };
+    let cut = (owner + 1) % 6;
+    let reaches = |from, to| (from, to) != (owner, cut) && (from, to) != (cut, owner) || from == to;
+    let mut granted = 0;
+    let mut sent = Vec::new();
+    let until = region.fleet.now + Duration::from_secs(30);
+    while region.fleet.now < until {
+        region.fleet.step(reaches);
+        for index in [owner, cut] {
+            if region.take(index, reaches) {
+                sent.push(region.fleet.now);
+                granted += usize::from(index == cut);
+            }
+        }
+    }
+    assert!(most_in_4s(&sent) <= allowed(rate), "{}", most_in_4s(&sent));
+    assert!(granted as f64 >= 0.8 * 0.4 * rate * 30.0, "{granted}");
+}
+
+#[test]
+fn instance_that_is_taken_for_the_owner_tells_all_of_a_limit() {
+    let mut region = Region::new(6);
+    let (now, key) = (region.fleet.process_time(0), region.key(0));
+    let board = &region.fleet.instances[0].board;
+    let run = board.upstreams.all[key].run_hash;
+    let other = (0..6)
+        .find(|index| {
+            let now = region.fleet.process_time(*index);
+            let board = &region.fleet.instances[*index].board;
+            board.limit_owner(now, run).0 != Owner::Own
+        })
+        .expect("only one is the owner");
+    let observed = Observed {
+        run,
+        rate: Some(5.0),
+        by_refusal: false,
+    };
+    let board = &mut region.fleet.instances[other].board;
+    let effects = board.handle_observed(now, &observed);
+    region.deliver(other, effects, all);
+    for instance in &region.fleet.instances {
+        let limit = instance.board.limits.in_force(run);
+        assert!(limit.is_some(), "{}", instance.board.identity.name);
+    }
+}
+
+#[test]
+fn instance_that_says_that_it_is_not_ready_is_not_asked_again_at_once() {
+    let mut region = Region::new(6);
+    region.observe(0, Statement::Limit(5.0), all);
+    let now = region.fleet.process_time(0);
+    let key = region.key(0);
+    let run = region.fleet.instances[0].board.upstreams.all[key].run_hash;
+    let owner_of = |region: &Region, index: usize| match region.fleet.instances[index]
+        .board
+        .limit_owner(now, run)
+        .0
+    {
+        Owner::Own => index,
+        Owner::Other(ip) => region.index_of(ip),
+    };
+    let owner = owner_of(&region, 0);
+    let other = (owner + 1) % 6;
+    region.fleet.instances[owner].board.discovery_done = false;
+    assert!(!region.take(other, all));
+    let next = owner_of(&region, other);
+    assert_ne!(next, owner);
+    region.load(Duration::from_secs(2), |_, to| to != other);
+    let board = &region.fleet.instances[other].board;
+    let name = &region.fleet.instances[owner].board.identity.name;
+    let member = &board.members.all[name.as_str()];
+    let later = region.fleet.process_time(other);
+    assert!(member.may_own_limits(later), "its news are too old");
+}
+
 #[test]
 fn limit_is_kept_when_its_owner_ends_and_starts_again() {
     let mut region = Region::new(6);
