Estimate upstreams that refuse as full, and leave out those at whose address another answers

Cause: an upstream that refuses is always empty, so each first attempt went to it. AttemptOutcome::Refused changed nothing that is known of it, and a 421 was handled as any other refusal.

Change: a refusal for want of capacity adds to the estimate of the upstream, for requests of that size or more, until time or complete answers show otherwise; from the number in progress at the refusal on it counts as full, so that one request finds out, then two. The region's report leaves out what refuses beside others. The dispatcher notes the sizes of the requests that it placed. A 421 that names its request takes the upstream out until the store names another address or run, or its entry has outlived the time in which silent entries lapse. Refusals whose reason lies in the request (400, 408, time budget used up) show nothing. Refusals with a time are kept as before.

--- a/crates/sesamebarrow_gateway/src/admin.rs
+++ b/crates/sesamebarrow_gateway/src/admin.rs
@@ -66,6 +66,8 @@
                 "fault_ratio": u.availability.failure_ratio, "leaving": u.availability.leaving,
                 "rest_ms": u.availability.rest_until.saturating_sub(now).as_millis() as u64,
                 "ramp": u.availability.ramp,
+                "refusal_level": u.availability.refusals.level(now, u.in_progress, u64::MAX),
+                "misdirected_ms": u.availability.misdirected_until.saturating_sub(now).as_millis() as u64,
             })
         })
         .collect();
--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -296,7 +296,10 @@
         }
         let reusable = matches!(
             outcome,
-            AttemptOutcome::Whole | AttemptOutcome::Refused | AttemptOutcome::Failed
+            AttemptOutcome::Whole
+                | AttemptOutcome::Refused
+                | AttemptOutcome::Rejected
+                | AttemptOutcome::Failed
         );
         let now = self.shared.now();
         let mut board = self.shared.board();
@@ -337,6 +340,11 @@
             }
         }
         drop(board);
+        if outcome == AttemptOutcome::Misdirected
+            && let Target::Upstream(selected) = &self.target
+        {
+            self.shared.pool.close_idle(selected.address);
+        }
         if let Some(connection) = self.connection.take()
             && reusable
             && !leaving
--- a/crates/sesamebarrow_gateway/src/dispatch.rs
+++ b/crates/sesamebarrow_gateway/src/dispatch.rs
@@ -212,6 +212,7 @@
         address: entry.address,
         request_load,
         estimated_wait: Duration::from_millis(answer.wait_ms.into()),
+        refusal_wait: Duration::ZERO,
     };
     drop(board);
     Ok((selected, place))
--- a/crates/sesamebarrow_gateway/src/dispatch/place.rs
+++ b/crates/sesamebarrow_gateway/src/dispatch/place.rs
@@ -87,6 +87,8 @@
             AttemptOutcome::Broken => Event::Broken,
             AttemptOutcome::Unreachable => Event::Unreachable,
             AttemptOutcome::Refused => Event::Refused,
+            AttemptOutcome::Rejected => Event::Withdrawn,
+            AttemptOutcome::Misdirected => Event::Misdirected,
             AttemptOutcome::Whole => Event::Completed,
             AttemptOutcome::Silent | AttemptOutcome::Cancelled | AttemptOutcome::Inconclusive => {
                 self.end
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -434,7 +434,7 @@
             // hyper closes the connection unless it can read the rest of the body at once.
             drop(body);
             attempt.record_not_run(job);
-            attempt.end(AttemptOutcome::Refused);
+            attempt.end(refusal_outcome(job, parts.status));
             AttemptResult::NotRun("refused-by-upstream", MIN_RETRY_AFTER)
         }
         ResponseKind::Unproven => {
@@ -473,6 +473,19 @@
     }
 }
 
+/// Returns what a refusal that names its request shows of the upstream.
+fn refusal_outcome(job: &Job, status: StatusCode) -> AttemptOutcome {
+    match status {
+        StatusCode::MISDIRECTED_REQUEST => AttemptOutcome::Misdirected,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+            if job.time_left() >= MIN_TIME_LEFT =>
+        {
+            AttemptOutcome::Refused
+        }
+        _ => AttemptOutcome::Rejected,
+    }
+}
+
 /// Logs and counts the refusal of an upstream, with what shows that it answers this request.
 fn record_refusal(shared: &Shared, job: &Job, attempt: &Attempt, parts: &Parts) {
     let names_request = head::names_attempt(&parts.headers, &job.id);
--- a/crates/sesamebarrow_gateway/src/selection.rs
+++ b/crates/sesamebarrow_gateway/src/selection.rs
@@ -175,7 +175,8 @@
         });
     }
     if let Ok(selected) = &local
-        && selected.estimated_wait < MIN_FORWARDING_GAIN + board.parameters.region_delay * 2
+        && selected.estimated_wait + selected.refusal_wait
+            < MIN_FORWARDING_GAIN + board.parameters.region_delay * 2
     {
         return Ok(Target::Upstream(selected.clone()));
     }
@@ -224,7 +225,8 @@
     }
     match (local, remote) {
         (Ok(selected), Some(remote))
-            if remote.estimated_wait + MIN_FORWARDING_GAIN < selected.estimated_wait =>
+            if remote.estimated_wait + MIN_FORWARDING_GAIN
+                < selected.estimated_wait + selected.refusal_wait =>
         {
             Ok(Target::Instance(remote))
         }
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -61,6 +61,8 @@
     pub request_load: RequestLoad,
     /// Estimated time until the first event.
     pub estimated_wait: Duration,
+    /// Further wait that the upstream's recent refusals imply.
+    pub refusal_wait: Duration,
 }
 
 /// Why no upstream of the region accepts a request.
@@ -115,6 +117,10 @@
 /// failure ratio.
 const FAILURE_PENALTY_MS: f64 = 4_000.0;
 
+/// Milliseconds for which a request is expected to wait at an upstream that has just refused one; scales with
+/// [`crate::refusal::Refusals::level`].
+const REFUSAL_WAIT_MS: f64 = 500.0;
+
 /// Fraction of the target latency that the estimated wait may take. The rest covers the way
 /// back to the client.
 const MAX_TARGET_FRACTION: f64 = 0.85;
@@ -152,6 +158,9 @@
     key: Key,
     /// Estimated milliseconds until the first event.
     wait_ms: f64,
+    /// Further milliseconds that its recent refusals imply. They do not reject a request: nothing is known of the
+    /// upstream's queue, and only another request shows whether it still refuses.
+    refusal_ms: f64,
     /// Milliseconds used to compare upstreams: the wait plus all penalties.
     cost_ms: f64,
     request_load: RequestLoad,
@@ -187,6 +196,7 @@
         address: upstream.entry.address,
         request_load: best.request_load,
         estimated_wait: Duration::from_secs_f64(best.wait_ms / 1_000.0),
+        refusal_wait: Duration::from_secs_f64(best.refusal_ms / 1_000.0),
     })
 }
 
@@ -305,11 +315,12 @@
     board.config.as_ref()?.services.get(service)?.engine
 }
 
-/// Returns whether an upstream is ready, does not leave and is neither unverified nor being evacuated.
+/// Returns whether an upstream is ready, does not leave, is at its address and is neither unverified nor being evacuated.
 fn accepts_requests(board: &Board, now: Duration, upstream: &Upstream) -> bool {
     upstream.entry.ready
         && !upstream.availability.leaving
         && !upstream.is_unverified(now)
+        && now >= upstream.availability.misdirected_until
         && !board.evacuated.contains(&upstream.entry.domain)
 }
 
@@ -420,10 +431,13 @@
     let own = f64::from(upstream.outstanding(now).saturating_sub(forwarded));
     let free_tokens = max_tokens - tokens(used_tokens);
     let token_places = f64::from(forwarded) + free_tokens.max(0.0) / tokens(request_tokens.max(1));
+    let refusal_ms = refusal_ms(now, upstream, request_tokens);
     ScoredUpstream {
         key,
         wait_ms,
+        refusal_ms,
         cost_ms: wait_ms
+            + refusal_ms
             + tokens(repeated_tokens) / prefill_per_ms * REPEATED_PREFILL_WEIGHT
             + non_preferred_penalty_ms
             + upstream.availability.failure_ratio * FAILURE_PENALTY_MS,
@@ -500,10 +514,12 @@
     let outstanding = upstream.outstanding(now);
     let wait_ms = (f64::from(outstanding) + 1.0) / f64::from(slots) * REQUEST_MS_WITHOUT_ENGINE;
     let max_outstanding = slots.saturating_mul(MAX_PER_SLOT_WITHOUT_ENGINE);
+    let refusal_ms = refusal_ms(now, upstream, 0);
     ScoredUpstream {
         key,
         wait_ms,
-        cost_ms: wait_ms + upstream.availability.failure_ratio * FAILURE_PENALTY_MS,
+        refusal_ms,
+        cost_ms: wait_ms + refusal_ms + upstream.availability.failure_ratio * FAILURE_PENALTY_MS,
         request_load: RequestLoad::default(),
         full: outstanding >= max_outstanding,
         places: max_outstanding
@@ -511,6 +527,12 @@
     }
 }
 
+/// Returns the milliseconds for which a request of so many tokens is expected to wait, by what the upstream has refused.
+fn refusal_ms(now: Duration, upstream: &Upstream, tokens: u64) -> f64 {
+    let refusals = &upstream.availability.refusals;
+    refusals.level(now, upstream.in_progress, tokens) * REFUSAL_WAIT_MS
+}
+
 /// Load of a service in this region, for typical requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RegionLoad {
@@ -539,9 +561,21 @@
         urgency: u8::MAX,
         ..RequestSpec::default()
     };
-    let Ok(scored) = score_all(board, now, &request) else {
+    let Ok(mut scored) = score_all(board, now, &request) else {
         return RegionLoad::default();
     };
+    // What refuses has no room, unless nothing else has: then as much as it had when it refused.
+    let refusing_bound = |s: &ScoredUpstream| {
+        let upstream = &board.upstreams.all[s.key];
+        let refusals = &upstream.availability.refusals;
+        refusals.refusing_bound(now, upstream.in_progress, s.request_load.kv_tokens)
+    };
+    if scored.iter().any(|s| refusing_bound(s).is_none()) {
+        scored.retain(|s| refusing_bound(s).is_none());
+    }
+    for s in &mut scored {
+        s.places = refusing_bound(s).map_or(s.places, |bound| s.places.min(bound));
+    }
     let room = scored
         .iter()
         .fold(0u32, |sum, s| sum.saturating_add(s.places));
@@ -554,7 +588,11 @@
         };
     }
     // CAST: the number of upstreams is small.
-    let mean_ms = not_full.iter().map(|s| s.wait_ms).sum::<f64>() / not_full.len() as f64;
+    let mean_ms = not_full
+        .iter()
+        .map(|s| s.wait_ms + s.refusal_ms)
+        .sum::<f64>()
+        / not_full.len() as f64;
     RegionLoad {
         wait: Duration::from_secs_f64(mean_ms / 1_000.0),
         usable_upstreams: not_full.len(),
--- a/crates/sesamebarrow_routing/src/availability.rs
+++ b/crates/sesamebarrow_routing/src/availability.rs
@@ -5,7 +5,9 @@
 //! | complete answer | consecutive failures end; a ramp doubles |
 //! | failure, broken answer, no answer in time | the failure ratio rises; from the second in a row on, the upstream is ejected |
 //! | no connection | the same from the first on; it also counts as cold, with nothing cached |
-//! | refusal without a time | none; its reported load says how full it is |
+//! | refusal without a time | for a while it is estimated as full ([`crate::refusal`]) |
+//! | refusal for a reason that lies in the request | none |
+//! | another upstream is at its address | it is not chosen until its entry changes or has outlived silence, then begins a ramp |
 //! | refusal with a time | it rests until the latest time named, then begins a ramp |
 //! | answer of an upstream that leaves | it is never chosen again in this run, even as the last one |
 //! | cancelled by the client | none |
@@ -17,6 +19,7 @@
 
 use std::time::Duration;
 
+use crate::refusal::Refusals;
 use crate::upstream::AttemptOutcome;
 
 /// Number of consecutive failures after which an upstream is ejected; an unreachable
@@ -45,6 +48,13 @@
 /// Number of concurrent requests at which a ramp ends.
 const RAMP_END: u32 = 64;
 
+/// Time for which an upstream is not chosen after another one answered at its address. The entry of an upstream that is
+/// gone lapses within it, so one that is still published then may be right again.
+const FIRST_MISDIRECTION: Duration = Duration::from_secs(10);
+
+/// Maximum number of doublings of that time, one for each time that the entry was wrong again.
+const MAX_MISDIRECTION_DOUBLINGS: u32 = 3;
+
 /// What an upstream announces in an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Notice {
@@ -67,6 +77,8 @@
     Resting(Duration),
     /// It leaves.
     Leaving,
+    /// Another upstream is at its address.
+    Misdirected,
 }
 
 /// A change that operators want to know of.
@@ -79,6 +91,8 @@
     Resting,
     /// The first request after a rest was answered.
     Back,
+    /// Another upstream is at its address.
+    Misdirected,
 }
 
 /// What the answers of one run of an upstream say about it.
@@ -97,6 +111,12 @@
     pub ejected_until: Duration,
     /// Moving average of the fraction of answers that failed, 0 to 1.
     pub failure_ratio: f64,
+    /// What its refusals for want of capacity say.
+    pub refusals: Refusals,
+    /// Time until which it is not chosen, since another upstream is at its address.
+    pub misdirected_until: Duration,
+    /// How often in a row another upstream was found at its address.
+    pub misdirections: u32,
 }
 
 impl Availability {
@@ -105,6 +125,8 @@
     pub fn verdict(&self, now: Duration, in_progress: u32) -> Verdict {
         if self.leaving {
             Verdict::Leaving
+        } else if now < self.misdirected_until {
+            Verdict::Misdirected
         } else if now < self.rest_until {
             Verdict::Resting(self.rest_until - now)
         } else if self.ramp.is_some_and(|max| in_progress >= max) {
@@ -144,9 +166,11 @@
             | AttemptOutcome::Unreachable
             | AttemptOutcome::Broken
             | AttemptOutcome::Silent => true,
-            AttemptOutcome::Refused | AttemptOutcome::Cancelled | AttemptOutcome::Inconclusive => {
-                return None;
-            }
+            AttemptOutcome::Misdirected => return self.record_misdirection(now),
+            AttemptOutcome::Refused
+            | AttemptOutcome::Rejected
+            | AttemptOutcome::Cancelled
+            | AttemptOutcome::Inconclusive => return None,
         };
         let newest = if failed { 1.0 } else { 0.0 };
         self.failure_ratio += FAILURE_RATIO_GAIN * (newest - self.failure_ratio);
@@ -156,14 +180,52 @@
         }
         self.consecutive_failures = 0;
         // Answers to requests that were sent before the rest say nothing about its end.
-        if now < self.rest_until {
+        if now < self.rest_until || now < self.misdirected_until {
             return None;
         }
+        self.misdirections = 0;
         let max = self.ramp?;
         self.ramp = (max < RAMP_END).then(|| max * 2);
         (max == 1).then_some(Change::Back)
     }
 
+    /// Records what the end of an attempt shows of the upstream's capacity, for a request with so many tokens beside
+    /// `in_progress` others of this instance. While it rests, the time that it named says more.
+    pub fn observe_capacity(
+        &mut self,
+        now: Duration,
+        outcome: AttemptOutcome,
+        in_progress: u32,
+        tokens: u64,
+    ) {
+        match outcome {
+            AttemptOutcome::Refused if now >= self.rest_until => {
+                self.refusals.observe_refusal(now, in_progress, tokens);
+            }
+            AttemptOutcome::Whole => self.refusals.observe_answer(now, tokens),
+            _ => {}
+        }
+    }
+
+    /// Records that another upstream answered at the address.
+    fn record_misdirection(&mut self, now: Duration) -> Option<Change> {
+        // Requests that were sent together are one observation.
+        if now < self.misdirected_until {
+            return None;
+        }
+        let doublings = self.misdirections.min(MAX_MISDIRECTION_DOUBLINGS);
+        self.misdirections += 1;
+        self.misdirected_until = now + FIRST_MISDIRECTION * 2_u32.pow(doublings);
+        self.ramp = Some(1);
+        Some(Change::Misdirected)
+    }
+
+    /// Records that the upstream's address is known anew.
+    pub fn readmit(&mut self) {
+        self.misdirected_until = Duration::ZERO;
+        self.misdirections = 0;
+    }
+
     fn eject(&mut self, now: Duration, outcome: AttemptOutcome) {
         self.consecutive_failures += 1;
         let doublings = self
--- a/crates/sesamebarrow_routing/src/board/dispatch.rs
+++ b/crates/sesamebarrow_routing/src/board/dispatch.rs
@@ -43,6 +43,8 @@
     /// Run and prompt of each request that was granted a place and has shown no first event, by the address of
     /// its instance and its id.
     granted: HashMap<HolderId, (u64, Vec<PromptPart>)>,
+    /// Prompt and output tokens of each request that holds a place, which its refusal is about.
+    tokens: HashMap<HolderId, u64>,
 }
 
 /// An answer and the address of the instance that asked.
@@ -264,6 +266,8 @@
                     admit::engine_of(self, service).map_or(0, |e| e.kv_capacity_tokens);
                 let prompt = req.prompt();
                 let id = (from.to_bits(), req.id);
+                let tokens = u64::from(req.prompt_tokens) + u64::from(req.output_tokens);
+                self.dispatch.tokens.insert(id, tokens);
                 // A request that is sent again gets the same place.
                 let granted = self.dispatch.granted.get(&id);
                 if !prompt.is_empty() && granted.is_none_or(|(known, _)| *known != run) {
@@ -307,6 +311,11 @@
                     prefill_tokens: prompt_tokens - cached,
                     repeated_tokens: 0,
                     failure_ratio: u.availability.failure_ratio,
+                    refusal_level: u.availability.refusals.level(
+                        now,
+                        u.outstanding(now),
+                        prompt_tokens + u64::from(req.output_tokens),
+                    ),
                 }
             })
             .collect();
@@ -344,6 +353,8 @@
             let Some(key) = self.upstreams.key_of_run(hold.run) else {
                 continue;
             };
+            let id = (from.to_bits(), hold.id);
+            self.dispatch.tokens.insert(id, hold.kv_tokens.into());
             let service = &self.upstreams.all[key].entry.service;
             let Some(pause) = self.dispatch.pauses.get(service).copied() else {
                 continue;
@@ -356,9 +367,17 @@
     }
 
     fn handle_notice(&mut self, now: Duration, from: Ipv4Addr, notice: &Notice) {
-        let granted = self.dispatch.granted.remove(&(from.to_bits(), notice.id));
-        if matches!(notice.event(), Event::Refused | Event::Withdrawn)
-            && let Some((run, prompt)) = granted
+        let id = (from.to_bits(), notice.id);
+        let granted = self.dispatch.granted.remove(&id);
+        let tokens = match notice.event() {
+            Event::Started => self.dispatch.tokens.get(&id).copied(),
+            _ => self.dispatch.tokens.remove(&id),
+        };
+        let tokens = tokens.unwrap_or_default();
+        if matches!(
+            notice.event(),
+            Event::Refused | Event::Withdrawn | Event::Misdirected
+        ) && let Some((run, prompt)) = granted
             && let Some(key) = self.upstreams.key_of_run(run)
         {
             self.upstreams.record_prompt_not_read(key, &prompt);
@@ -379,6 +398,7 @@
             Event::Failed => AttemptOutcome::Failed,
             Event::Unreachable => AttemptOutcome::Unreachable,
             Event::Refused => AttemptOutcome::Refused,
+            Event::Misdirected => AttemptOutcome::Misdirected,
             Event::Completed => AttemptOutcome::Whole,
             Event::Broken => AttemptOutcome::Broken,
             Event::Other | Event::Started | Event::Ended | Event::Withdrawn => return,
@@ -387,7 +407,10 @@
             && let Some(key) = self.upstreams.key_of_run(run)
             && let Some(upstream) = self.upstreams.all.get_mut(key)
         {
-            upstream.availability.observe_outcome(now, outcome);
+            let outstanding = upstream.outstanding(now);
+            let availability = &mut upstream.availability;
+            availability.observe_capacity(now, outcome, outstanding, tokens);
+            availability.observe_outcome(now, outcome);
             if outcome == AttemptOutcome::Unreachable {
                 upstream.cache.clear();
             }
@@ -409,6 +432,7 @@
         let services = &self.dispatch.services;
         let holds = |id: &HolderId| services.values().any(|s| s.holds(*id));
         self.dispatch.granted.retain(|id, _| holds(id));
+        self.dispatch.tokens.retain(|id, _| holds(id));
     }
 
     /// Records the capacity that a dispatcher's answer states.
--- a/crates/sesamebarrow_routing/src/dispatch.rs
+++ b/crates/sesamebarrow_routing/src/dispatch.rs
@@ -87,6 +87,8 @@
     pub repeated_tokens: u64,
     /// Part of its recent answers that failed.
     pub failure_ratio: f64,
+    /// How full its recent refusals show it to be, from 0 to 1.
+    pub refusal_level: f64,
 }
 
 /// A decision of the dispatcher.
--- a/crates/sesamebarrow_routing/src/dispatch/bid.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/bid.rs
@@ -24,6 +24,9 @@
 /// Penalty in milliseconds for an engine whose recent answers all failed; scales with the failure ratio.
 const FAILURE_PENALTY_MS: f64 = 4_000.0;
 
+/// Penalty in milliseconds for an engine that has just refused a request; scales with the level of its refusals.
+const REFUSAL_WAIT_MS: f64 = 500.0;
+
 /// Number of tokens before a token at which attention to them takes as long as all other work on it, in dense
 /// models of the sizes that are served by several engines. An error of a factor of two changes the estimate of
 /// usual prompts by a tenth.
@@ -154,4 +157,5 @@
         + repeated_ms * REPEATED_WEIGHT
         + held * HELD_WEIGHT_MS
         + candidate.failure_ratio * FAILURE_PENALTY_MS
+        + candidate.refusal_level * REFUSAL_WAIT_MS
 }
--- a/crates/sesamebarrow_routing/src/dispatch/message.rs
+++ b/crates/sesamebarrow_routing/src/dispatch/message.rs
@@ -167,6 +167,8 @@
     Broken = 7,
     /// It was never sent. Dispatchers of earlier versions read it as [`Self::Other`], which ends it too.
     Withdrawn = 8,
+    /// Another upstream is at the address. Dispatchers of earlier versions read it as [`Self::Other`].
+    Misdirected = 9,
 }
 
 /// An event of a request that holds a place.
--- a/crates/sesamebarrow_routing/src/lib.rs
+++ b/crates/sesamebarrow_routing/src/lib.rs
@@ -3,7 +3,7 @@
 //! A [`Board`] holds what the instance knows: the configuration ([`config`]), the other
 //! instances ([`member`]), the token buckets of customers ([`quota`], [`holder`]) and the
 //! upstreams with their load ([`upstream`]), what their answers say about them
-//! ([`availability`]), the limits that they name ([`limit`]) and the requests that crash them
+//! ([`availability`], [`refusal`]), the limits that they name ([`limit`]) and the requests that crash them
 //! ([`quarantine`]). [`memory`] bounds what requests hold.
 //! [`forwarded`] counts what other regions do for this one.
 //! [`admit`], [`spill`] and [`place`] decide where requests and clients go;
@@ -38,6 +38,7 @@
 pub mod place;
 pub mod quarantine;
 pub mod quota;
+pub mod refusal;
 pub mod rendezvous;
 pub mod spill;
 pub mod token;
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -165,8 +165,13 @@
     Whole,
     /// The answer reported a failure of the upstream.
     Failed,
-    /// The upstream refused the request and did not run it.
+    /// The upstream refused the request for want of capacity and did not run it.
     Refused,
+    /// The upstream did not run the request for a reason that lies in the request: it was malformed, or its time budget
+    /// had passed.
+    Rejected,
+    /// Another upstream is at the address. It did not run the request.
+    Misdirected,
     /// No connection could be established.
     Unreachable,
     /// The connection ended before the answer was complete.
@@ -297,6 +302,8 @@
             upstream.cache.clear();
             upstream.availability = upstream.availability.of_new_run();
             upstream.reported_load = None;
+        } else if upstream.entry.address != entry.address {
+            upstream.availability.readmit();
         }
         // A restarted upstream may be cold without having published it yet.
         let min_cold = if restarted { warmup } else { Duration::ZERO };
@@ -323,6 +330,8 @@
                 false => removed.availability,
                 true => removed.availability.of_new_run(),
             };
+            // The upstream has written its entry again.
+            upstream.availability.readmit();
         }
         let key = self.all.insert(upstream);
         self.keys_by_id.insert(id, key);
@@ -478,6 +487,8 @@
             upstream.prefill_tokens = upstream
                 .prefill_tokens
                 .saturating_sub(request_load.prefill_tokens);
+            let refusals = &mut upstream.availability.refusals;
+            refusals.observe_start(upstream.in_progress, request_load.kv_tokens);
         }
     }
 
@@ -533,6 +544,9 @@
             upstream.cold_until = upstream.cold_until.max(now + warmup);
             upstream.cache.clear();
         }
-        upstream.availability.observe_outcome(now, outcome)
+        let (in_progress, tokens) = (upstream.in_progress, request_load.kv_tokens);
+        let availability = &mut upstream.availability;
+        availability.observe_capacity(now, outcome, in_progress, tokens);
+        availability.observe_outcome(now, outcome)
     }
 }
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -42,5 +42,7 @@
 mod quarantine;
 #[path = "decisions/refills.rs"]
 mod refills;
+#[path = "decisions/refusals.rs"]
+mod refusals;
 #[path = "decisions/repeated_requests.rs"]
 mod repeated_requests;
