Tell all instances that one is ready again, as its stop was told

Evidence, by a trace in the tests (since removed): 5 s after a restart in 120 instances, all of those that do not take it for ready hold a record of its new run from the time in which it discovered the others and said that it is not ready (44 hold it after 1.1 s, 29 after 5 s, 13 after 9.9 s).

(1) That a run became ready was told by its own datagrams only, to 7 in 400 ms, and by one record of another instance in each datagram, while its stop, and 'not ready' in the first second at ten rounds a second, spread faster. (2) Times before the start of a process were clamped to its start. A restarted instance that learned of a stop 8 s ago took it for one that began at its own start, and told all others of it as a recent one; so the old stop hit the new run. (3) A relayed record said 'ready' though its relayer knew that it drains.

An instance has one newest transition, a stop or a start; a start takes the place of the stop before it. Datagrams name up to 12 of the last 4 s, those that were sent least first, at most eight for each doubling of the fleet; in large fleets they take the place of ages, the fields around a list included. Stops keep their field, so that earlier versions read them; starts have their own. A start ends a stop only if it seems 1.3 s later (ages grow when relayed), and a stop that seems older than the start is of the run before. Starts do not count as a sign of life. Starts of stops are kept as ages. Relayed records say what the relayer knows.

--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -148,6 +148,8 @@
     pub heartbeat: u64,
     /// Time at which this instance began to drain, which it does before its process ends.
     pub draining_since: Option<Duration>,
+    /// Time of the first gossip round in which this instance was ready.
+    ready_since: Option<Duration>,
     /// Time at which the store last failed, or answered again after a failure, for this or
     /// another instance.
     pub last_store_outage_at: Option<Duration>,
@@ -197,6 +199,7 @@
             rng: StdRng::seed_from_u64(rng_seed),
             heartbeat: 0,
             draining_since: None,
+            ready_since: None,
             last_store_outage_at: None,
             store_answers: true,
             revision: 0,
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -7,6 +7,7 @@
 use crate::board::{Board, REPUBLISH_GRACE};
 use crate::gossip::{Datagram, Record, ReportedLoads, ServiceLoad, UpstreamLoad, short_hash};
 use crate::holder;
+use crate::member::transition::TRANSITION_NEWS_TIME;
 use crate::member::{DISCOVERY_GOSSIP_INTERVAL, GOSSIP_INTERVAL};
 use crate::upstream::{ReportedLoad, Upstream};
 
@@ -36,6 +37,9 @@
         self.forget_places(now);
         self.sum_other_loads(now);
         holder::update_buckets(self, now);
+        if self.is_ready() {
+            self.ready_since.get_or_insert(now);
+        }
         Datagram {
             sender: Record {
                 heartbeat: self.heartbeat,
@@ -53,6 +57,7 @@
             reported_loads: None,
             leaving_runs: Vec::new(),
             recent_stops: None,
+            recent_starts: None,
             seen_heartbeat: 0,
             // CAST: bounded by `REPUBLISH_GRACE`.
             store_outage_age_ms: self
@@ -86,6 +91,9 @@
     /// Returns this instance's record without its heartbeat.
     fn own_record(&self, now: Duration) -> Record {
         let draining = self.draining_for(now);
+        let ready = self.ready_since.filter(|_| self.is_ready());
+        let ready = ready.map(|at| now.saturating_sub(at));
+        let ready = ready.filter(|time| *time < TRANSITION_NEWS_TIME);
         Record {
             name: self.identity.name.to_string(),
             domain_hash: short_hash(&self.identity.domain),
@@ -94,6 +102,8 @@
             ready: self.is_ready(),
             // CAST: stopping takes seconds.
             draining_time_ms: draining.map_or(0, |d| d.as_millis().max(1) as u32),
+            // CAST: bounded by `TRANSITION_NEWS_TIME`.
+            ready_time_ms: ready.map_or(0, |d| d.as_millis().max(1) as u32),
             store_answers: self.store_answers,
             keeps_buckets: true,
             dispatches: true,
@@ -117,10 +127,11 @@
             true => self.upstreams.leaving_runs().collect(),
             false => Vec::new(),
         };
-        datagram.recent_stops = self.members.recent_stops(now, &mut self.rng);
-        let stops = datagram.recent_stops.as_ref();
-        let stops = stops.map_or(0, |s| s.instance_hashes.len());
-        datagram.heard_ages = self.members.recent_ages(now, stops, &mut self.rng);
+        let transitions = self.members.recent_transitions(now, &mut self.rng);
+        let places = transitions.places();
+        datagram.recent_stops = transitions.stops;
+        datagram.recent_starts = transitions.starts;
+        datagram.heard_ages = self.members.recent_ages(now, places, &mut self.rng);
     }
 
     /// Returns the loads that upstreams reported recently to this or other instances.
--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -100,6 +100,9 @@
     /// Whether it has forwarded requests to other regions recently.
     #[prost(bool, tag = "15")]
     pub forwards: bool,
+    /// Milliseconds since it became ready, if that was a short time ago; 0 otherwise.
+    #[prost(uint32, tag = "16")]
+    pub ready_time_ms: u32,
 }
 
 /// How long ago instances were last heard from, directly or through other instances; in
@@ -183,6 +186,9 @@
     /// Which other instances have begun to drain recently, and how long ago.
     #[prost(message, optional, tag = "15")]
     pub recent_stops: Option<HeardAges>,
+    /// Which other instances have become ready recently, and how long ago. None is in `recent_stops` as well.
+    #[prost(message, optional, tag = "16")]
+    pub recent_starts: Option<HeardAges>,
 }
 
 /// Returns the hash that stands for a name in datagrams.
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -17,6 +17,7 @@
 pub mod change;
 pub mod last_known;
 mod news;
+pub mod transition;
 
 /// Time between two gossip rounds.
 pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(400);
@@ -34,18 +35,12 @@
 /// Longer than the network partitions that must be tolerated.
 pub const REMOVAL_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Time after the start of a member's stop in which other instances are told of it.
-const STOP_NEWS_TIME: Duration = Duration::from_secs(4);
-
-/// Time by which a stop may seem to have begun too early, since ages grow when they are relayed.
-const STOP_AGE_ERROR: Duration = Duration::from_millis(1_300);
+/// Time by which a stop or start may seem to have been too early, since ages grow when they are relayed.
+const RELAYED_AGE_ERROR: Duration = Duration::from_millis(1_300);
 
 /// Time for which a datagram may have been in transit that was sent before its sender began to drain.
 const MAX_TRANSIT_TIME: Duration = Duration::from_secs(2);
 
-/// Maximum number of members in one datagram that have begun to drain.
-const MAX_STOPS: usize = 12;
-
 /// Time for which a removed member counts as lost. Longer than any partition that is expected, since
 /// after it both sides of one would use the whole of each limit.
 pub const LOST_LIFETIME: Duration = Duration::from_secs(600);
@@ -162,10 +157,15 @@
     pub silent_owner_until: Duration,
     /// Time until which it is not asked as a dispatcher, because it did not answer.
     pub silent_dispatcher_until: Duration,
-    /// When the run of `record` was first heard of.
-    run_known_since: Duration,
-    /// When the run of `record` began to drain, if it is known to.
-    pub draining_since: Option<Duration>,
+    /// When the run of `record` was first known to run.
+    run_known_since: LastKnown,
+    /// When its newest run began to drain, if it is known to.
+    pub draining_since: Option<LastKnown>,
+    /// When its newest run became ready, if that was heard of; that may be a run after that of `record`. `None` once
+    /// a later record says that it is not ready.
+    ready_since: Option<LastKnown>,
+    /// Number of datagrams that have contained the newest of its transitions.
+    transition_sends: usize,
     /// Whether it keeps the limits of upstreams ([`crate::limit`]); instances of earlier versions do not. Unknown
     /// ones count as of this version.
     pub keeps_limits: bool,
@@ -182,19 +182,13 @@
 
     /// Returns whether it takes requests, as far as is known.
     pub fn is_ready(&self) -> bool {
-        self.record.ready && self.draining_since.is_none()
+        let was_ready = self.record.ready || self.ready_since.is_some();
+        was_ready && self.draining_since.is_none()
     }
 
     /// Returns for how long it has been draining; `None` if it is not known to.
     pub fn draining_for(&self, now: Duration) -> Option<Duration> {
-        self.draining_since.map(|at| now.saturating_sub(at))
-    }
-
-    /// Records that the run of `record` began to drain at `began_at`. Older news of it never make it ready again.
-    fn record_draining(&mut self, began_at: Duration) {
-        // Ages grow each time that they are relayed, so the latest start is the most exact one.
-        let latest = self.draining_since.map_or(began_at, |at| at.max(began_at));
-        self.draining_since = Some(latest);
+        self.draining_since.map(|at| at.silence(now))
     }
 
     /// Takes the member for ready again if it was last heard from after a stop that lasts up to `stop_time` must have
@@ -203,18 +197,18 @@
         let Some(began_at) = self.draining_since else {
             return;
         };
-        if now.saturating_sub(self.silence(now)) > began_at + stop_time {
+        if self.silence(now) + stop_time < began_at.silence(now) {
             self.draining_since = None;
-            self.run_known_since = now;
+            self.run_known_since = LastKnown::new(now, Duration::ZERO);
             self.record.draining_time_ms = 0;
             self.record.ready = true;
         }
     }
 
-    /// Records that the member itself has said, at `said_at`, that it does not drain. What was heard before may have
+    /// Records that the member itself has said, `age` ago, that it does not drain. What was heard before may have
     /// been of the run before.
-    fn refute_draining(&mut self, said_at: Duration) {
-        let is_refuted = |at: &Duration| *at + MAX_TRANSIT_TIME < said_at;
+    fn refute_draining(&mut self, now: Duration, age: Duration) {
+        let is_refuted = |at: &LastKnown| at.silence(now) > age + MAX_TRANSIT_TIME;
         self.draining_since = self.draining_since.filter(|at| !is_refuted(at));
     }
 
@@ -230,6 +224,11 @@
         Record {
             age_tenths: Some(to_tenths(age + RELAY_AGE_INCREMENT)),
             run_age_tenths: to_tenths(run_age),
+            ready: self.is_ready(),
+            draining_time_ms: match self.is_ready() {
+                true => 0,
+                false => self.record.draining_time_ms,
+            },
             ..self.record.clone()
         }
     }
@@ -294,7 +293,7 @@
     /// Returns no instances; their stops last up to `stop_limit`.
     pub fn new(stop_limit: Duration) -> Self {
         Self {
-            stop_time: stop_limit + STOP_AGE_ERROR,
+            stop_time: stop_limit + RELAYED_AGE_ERROR,
             ..Self::default()
         }
     }
@@ -345,25 +344,10 @@
     /// Records that an instance has refused a request because it stops.
     pub fn record_stopping(&mut self, now: Duration, name: &str) {
         if let Some(member) = self.all.get_mut(name) {
-            member.draining_since.get_or_insert(now);
+            member.record_draining(now, Duration::ZERO);
         }
     }
 
-    /// Returns which other instances have begun to drain a short time ago, for one datagram. Records alone would not
-    /// reach all instances before they stop.
-    pub fn recent_stops(&self, now: Duration, rng: &mut impl Rng) -> Option<HeardAges> {
-        let age = |m: &Member| m.draining_for(now).filter(|age| *age < STOP_NEWS_TIME);
-        let recent = self.alive(now).filter_map(|m| Some((m.name_hash, age(m)?)));
-        let recent = recent.sample(rng, MAX_STOPS);
-        (!recent.is_empty()).then(|| HeardAges {
-            instance_hashes: recent.iter().map(|(hash, _)| *hash).collect(),
-            age_tenths: recent
-                .iter()
-                .map(|(_, age)| to_tenths(*age + RELAY_AGE_INCREMENT))
-                .collect(),
-        })
-    }
-
     /// Returns the load of a service in `region`, or `None` if there is no recent report.
     pub fn service_load(
         &self,
@@ -449,6 +433,9 @@
         if let Some(stops) = &datagram.recent_stops {
             self.apply_stops(now, waited, stops);
         }
+        if let Some(starts) = &datagram.recent_starts {
+            self.apply_starts(now, waited, own_name, starts);
+        }
         let Some(member) = self.all.get_mut(datagram.sender.name.as_str()) else {
             return;
         };
@@ -564,15 +551,14 @@
 
     /// Returns when members were last heard from, for one datagram; `None` unless there are
     /// many members. They are the more recent ones of a random selection: every member is
-    /// selected often, and news spread faster than old ages. The news of `stops` instances that drain take the place of
-    /// as many ages.
+    /// selected often, and news spread faster than old ages. Transitions take the place of `taken_places` ages.
     pub fn recent_ages(
         &self,
         now: Duration,
-        stops: usize,
+        taken_places: usize,
         rng: &mut impl Rng,
     ) -> Option<HeardAges> {
-        let max_ages = self.limits().max_ages.saturating_sub(stops);
+        let max_ages = self.limits().max_ages.saturating_sub(taken_places);
         if max_ages == 0 {
             return None;
         }
--- a/crates/sesamebarrow_routing/src/member/news.rs
+++ b/crates/sesamebarrow_routing/src/member/news.rs
@@ -20,10 +20,43 @@
     pub run_age: Duration,
 }
 
-/// Returns when the run of `news` began to drain; `None` if its record does not say that it does.
-fn draining_since(now: Duration, news: &News<'_>) -> Option<Duration> {
-    let draining = Duration::from_millis(news.record.draining_time_ms.into());
-    (!draining.is_zero()).then(|| now.saturating_sub(draining.saturating_add(news.run_age)))
+impl News<'_> {
+    /// Returns the time since the run began to drain; `None` if its record does not say that it does.
+    fn draining_age(&self) -> Option<Duration> {
+        self.age_of(self.record.draining_time_ms)
+    }
+
+    /// Returns the time since the run became ready; `None` if its record does not say that it did recently.
+    fn ready_age(&self) -> Option<Duration> {
+        let age = self.age_of(self.record.ready_time_ms);
+        age.filter(|_| self.record.ready)
+    }
+
+    fn age_of(&self, elapsed_ms: u32) -> Option<Duration> {
+        let elapsed = Duration::from_millis(elapsed_ms.into());
+        (!elapsed.is_zero()).then(|| elapsed.saturating_add(self.run_age))
+    }
+}
+
+impl Member {
+    /// Applies what the record of `news` says of its run, which is that of `record`: whether it is ready or drains.
+    fn apply_readiness(&mut self, now: Duration, news: &News<'_>) {
+        if let Some(age) = news.draining_age() {
+            if news.evidence == Evidence::Datagram || self.is_after_start(now, age) {
+                self.record_draining(now, age);
+            }
+            return;
+        }
+        let is_own_word = news.evidence == Evidence::Datagram;
+        if is_own_word {
+            self.refute_draining(now, news.run_age);
+        }
+        if let Some(age) = news.ready_age() {
+            self.record_start(now, age);
+        } else if !news.record.ready && (is_own_word || self.is_start_before(now, news.run_age)) {
+            self.ready_since = None;
+        }
+    }
 }
 
 impl Members {
@@ -71,14 +104,13 @@
         member.record = record.clone();
         member.region = region;
         if !is_same_run {
-            member.run_known_since = now;
-            member.draining_since = None;
-        }
-        if let Some(began_at) = draining_since(now, news) {
-            member.record_draining(began_at);
-        } else if news.evidence == Evidence::Datagram {
-            member.refute_draining(now.saturating_sub(news.run_age));
+            member.run_known_since = LastKnown::new(now, news.run_age);
+            let is_later = |at: &LastKnown| {
+                news.evidence == Evidence::Record && at.silence(now) < news.run_age
+            };
+            member.draining_since = member.draining_since.filter(is_later);
         }
+        member.apply_readiness(now, news);
         member.last_heard.update(now, news.age);
         if is_same_run {
             member.run_heard.update(now, news.run_age);
@@ -108,30 +140,16 @@
             silent_owner_until: Duration::ZERO,
             silent_dispatcher_until: Duration::ZERO,
             keeps_limits: true,
-            run_known_since: now,
-            draining_since: draining_since(now, news),
+            run_known_since: LastKnown::new(now, news.run_age),
+            draining_since: news.draining_age().map(|age| LastKnown::new(now, age)),
+            ready_since: news.ready_age().map(|age| LastKnown::new(now, age)),
+            transition_sends: 0,
         };
         self.all.insert(SmolStr::new(&record.name), member);
         self.lost.remove(record.name.as_str());
         self.last_joined = now;
     }
 
-    /// Applies the times since other instances began to drain.
-    pub(super) fn apply_stops(&mut self, now: Duration, waited: Duration, stops: &HeardAges) {
-        let tenths = stops.instance_hashes.iter().copied().zip(&stops.age_tenths);
-        let age_by_hash: HashMap<u32, u32> = tenths.map(|(hash, t)| (hash, *t)).collect();
-        for member in self.all.values_mut() {
-            let Some(tenths) = age_by_hash.get(&member.name_hash) else {
-                continue;
-            };
-            let began_at = now.saturating_sub(from_tenths(*tenths) + waited);
-            // Otherwise, it may have been the run before.
-            if began_at > member.run_known_since {
-                member.record_draining(began_at);
-            }
-        }
-    }
-
     /// Applies the times since other instances were known to run.
     pub(super) fn apply_ages(
         &mut self,
@@ -157,7 +175,12 @@
                 member.end_stop(now, stop_time);
             }
         }
-        for name_hash in age_by_hash.into_keys() {
+        self.add_unknown(age_by_hash.into_keys());
+    }
+
+    /// Notes instances of which no record is known, to ask for it.
+    pub(super) fn add_unknown(&mut self, name_hashes: impl Iterator<Item = u32>) {
+        for name_hash in name_hashes {
             if self.unknown_instances.len() < MAX_REQUESTED_RECORDS
                 && !self.unknown_instances.contains(&name_hash)
             {
--- a/crates/sesamebarrow_routing/tests/decisions/drain.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/drain.rs
@@ -5,6 +5,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use sesamebarrow_routing::drain::{self, Schedule, StreamDurations};
+use sesamebarrow_routing::gossip::Datagram;
 use smol_str::SmolStr;
 
 use crate::fleet::{Fleet, config, ms, route};
@@ -195,6 +196,84 @@
     assert_eq!(believers(&fleet, 0), 5);
 }
 
+fn fleet_of_six() -> Fleet {
+    let domains = [("a", 3), ("b", 3)];
+    let mut fleet = Fleet::new(&domains, config(&[], vec![route("r", &[])]));
+    fleet.advance(ms(8_000));
+    fleet
+}
+
+fn start_to_drain(fleet: &mut Fleet, index: usize) {
+    let now = fleet.process_time(index);
+    fleet.instances[index].board.draining_since = Some(now);
+}
+
+/// Returns a datagram that the instance at `from` writes now.
+fn datagram_of(fleet: &mut Fleet, from: usize) -> Datagram {
+    let now = fleet.process_time(from);
+    let to = fleet.instances[from + 1].board.identity.ip;
+    let board = &mut fleet.instances[from].board;
+    let mut datagram = board.begin_gossip_round(now);
+    board.complete_datagram(now, &mut datagram, to);
+    datagram
+}
+
+#[test]
+fn stop_before_the_start_of_a_process_is_not_told_as_a_new_one() {
+    let mut fleet = fleet_of_six();
+    start_to_drain(&mut fleet, 0);
+    fleet.advance(ms(6_000));
+    fleet.restart(1);
+    fleet.advance(ms(1_000));
+    let (name, now) = (
+        fleet.instances[0].board.identity.name.clone(),
+        fleet.process_time(1),
+    );
+    let member = &fleet.instances[1].board.members.all[&name];
+    let draining = member.draining_for(now);
+    assert!(draining >= Some(ms(6_500)), "draining for {draining:?}");
+    assert_eq!(datagram_of(&mut fleet, 1).recent_stops, None);
+}
+
+/// Defines a test of a datagram that the instance at 1 writes after `$before`, and that all others read after `$after`;
+/// `$believers` of five then take the instance at 0 for ready, and know its newest run.
+macro_rules! late_datagram_test {
+    ($($name:ident: $before:expr, $after:expr, $believers:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut fleet = fleet_of_six();
+            let (before, after): (fn(&mut Fleet), fn(&mut Fleet)) = ($before, $after);
+            before(&mut fleet);
+            let (datagram, written_at) = (datagram_of(&mut fleet, 1), fleet.now);
+            let transitions = (&datagram.recent_stops, &datagram.recent_starts);
+            assert!(transitions != (&None, &None), "the datagram names no transition");
+            after(&mut fleet);
+            assert_eq!(believers(&fleet, 0), $believers);
+            let waited = fleet.now - written_at;
+            let newest = fleet.instances[0].board.identity.clone();
+            for index in 2..6 {
+                let now = fleet.process_time(index);
+                let board = &mut fleet.instances[index].board;
+                board.handle_datagram(now, waited, &datagram);
+                let known = &board.members.all[&newest.name].record;
+                assert_eq!(known.incarnation, newest.incarnation);
+            }
+            assert_eq!(believers(&fleet, 0), $believers);
+        }
+    )*};
+}
+
+late_datagram_test! {
+    late_news_of_a_stop_do_not_take_a_restarted_instance_out:
+        |fleet| { start_to_drain(fleet, 0); fleet.advance(ms(1_000)); },
+        |fleet| { fleet.advance(ms(3_000)); fleet.restart(0); fleet.advance(ms(3_000)); },
+        5;
+    late_news_of_a_start_do_not_bring_a_stopping_instance_back:
+        |fleet| { fleet.restart(0); fleet.advance(ms(2_000)); },
+        |fleet| { start_to_drain(fleet, 0); fleet.advance(ms(1_000)); },
+        0;
+}
+
 /// Defines a test of a fleet of three times `$count` instances, of which `$at_once` start again in each of `$seconds`
 /// after their stops.
 macro_rules! restart_test {
--- a/crates/sesamebarrow_routing/tests/decisions/members.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/members.rs
@@ -216,3 +216,28 @@
         assert_eq!(known.min(), Some(fleet.instances.len()));
     }
 }
+
+/// As above, while two instances begin to stop in each second and as many start again.
+#[test]
+fn datagrams_of_a_large_fleet_with_restarts_stay_within_6_kb_per_second() {
+    let mut fleet = large_fleet();
+    fleet.advance(ms(8_000));
+    let stops: Vec<usize> = (0..24).map(|n| n * 19 % 342).collect();
+    let (mut bytes, mut started_at) = (0, fleet.now);
+    for half_second in 0..24 {
+        if half_second == 16 {
+            (bytes, started_at) = (fleet.sent_bytes, fleet.now);
+        }
+        let now = fleet.process_time(stops[half_second]);
+        fleet.instances[stops[half_second]].board.draining_since = Some(now);
+        if half_second >= 16 {
+            fleet.restart(stops[half_second - 16]);
+        }
+        add_load(&mut fleet);
+        fleet.advance(ms(500));
+    }
+    let seconds = (fleet.now - started_at).as_secs_f64();
+    let bytes_per_s = (fleet.sent_bytes - bytes) as f64 / seconds / fleet.instances.len() as f64;
+    println!("{bytes_per_s:.0} B/s with restarts");
+    assert!(bytes_per_s <= 6_000.0, "{bytes_per_s:.0} B/s");
+}
