--- a/crates/sesamebarrow_standin/src/upstream.rs
+++ b/crates/sesamebarrow_standin/src/upstream.rs
@@ -14,7 +14,7 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -45,8 +45,15 @@
     Cut,
     /// Responds after one second.
     Late,
+    /// Crashes in the middle of a plain response that only its connection frames. The kernel closes that in order.
+    Crash,
+    /// Writes [`NOISE`] before the last events of a stream.
+    Noise,
 }
 
+/// Bytes that are no event, though a blank line ends them.
+pub const NOISE: &str = "what is this\n\n";
+
 /// Requests that an upstream has received.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Seen {
@@ -160,6 +167,8 @@
             "silent" => Fault::Silent,
             "cut" => Fault::Cut,
             "late" => Fault::Late,
+            "crash" => Fault::Crash,
+            "noise" => Fault::Noise,
             _ => return http::text(StatusCode::BAD_REQUEST, "unknown fault\n"),
         };
         self.set_fault(fault);
@@ -176,19 +185,19 @@
         self.record_request(&parts, &body);
         let harmful = lock(&self.0.harmful).clone();
         if harmful.is_some_and(|text| body.contains(&text) || parts.uri.path().contains(&text)) {
-            self.0.crashed.notify_one();
-            // Lets the listener close first.
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            self.crash().await;
             return truncated_response();
         }
         let fault = *lock(&self.0.fault);
         match fault {
             Fault::Silent => std::future::pending().await,
             Fault::Late => tokio::time::sleep(LATE_RESPONSE_DELAY).await,
-            Fault::None | Fault::Cut => {}
+            Fault::Crash => self.crash().await,
+            Fault::None | Fault::Cut | Fault::Noise => {}
         }
         match self.0.kind {
             Kind::Plain if fault == Fault::Cut => truncated_response(),
+            Kind::Plain if fault == Fault::Crash => short_response(),
             Kind::Plain if let Some(response) = requested_response(parts.uri.path()) => response,
             Kind::Plain => {
                 let padding = " ".repeat(requested_padding(&body));
@@ -197,11 +206,18 @@
             }
             Kind::Model { token_interval } => {
                 let tokens = requested_tokens(&body);
-                stream_tokens(running, tokens, token_interval, fault == Fault::Cut)
+                stream_tokens(running, tokens, token_interval, fault)
             }
         }
     }
 
+    /// Stops to accept connections for a while.
+    async fn crash(&self) {
+        self.0.crashed.notify_one();
+        // Lets the listener close first.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
     fn record_request(&self, parts: &hyper::http::request::Parts, body: &str) {
         if !self.0.record {
             return;
@@ -268,13 +284,15 @@
 }
 
 /// Streams `tokens` tokens as server-sent events, or only half of them and no final event
-/// if `truncate` is set.
+/// under [`Fault::Cut`].
 fn stream_tokens(
     running: RunningGuard,
     tokens: u32,
     token_interval: Duration,
-    truncate: bool,
+    fault: Fault,
 ) -> Response<Body> {
+    let truncate = fault == Fault::Cut;
+    let noise = if fault == Fault::Noise { NOISE } else { "" };
     let end = if truncate { tokens / 2 } else { tokens };
     let stream = stream::unfold((running, 0), move |(running, sent)| async move {
         if sent < end {
@@ -288,7 +306,7 @@
             return None;
         }
         let final_events =
-            format!("data: {{\"usage\":{{\"total_tokens\":{tokens}}}}}\n\ndata: [DONE]\n\n");
+            format!("{noise}data: {{\"usage\":{{\"total_tokens\":{tokens}}}}}\n\ndata: [DONE]\n\n");
         Some((
             Ok(Frame::data(Bytes::from(final_events))),
             (running, sent + 1),
@@ -307,3 +325,11 @@
     let parts = [Ok(Frame::data(Bytes::from("{\"ok\":"))), Err(BodyAborted)];
     Response::new(BodyExt::boxed(StreamBody::new(stream::iter(parts))))
 }
+
+/// Returns a response that ends after its first bytes, in order. HTTP/1.0 has no chunks, so only its connection frames it.
+fn short_response() -> Response<Body> {
+    let parts = [Ok(Frame::data(Bytes::from("{\"ok\":")))];
+    let mut response = Response::new(BodyExt::boxed(StreamBody::new(stream::iter(parts))));
+    *response.version_mut() = Version::HTTP_10;
+    response
+}
--- a/crates/sesamebarrow_standin/tests/processes.rs
+++ b/crates/sesamebarrow_standin/tests/processes.rs
@@ -10,7 +10,7 @@
 use sesamebarrow_standin::deploy::SECRET;
 use sesamebarrow_standin::http::{self, ReceivedResponse};
 use sesamebarrow_standin::process::wait_until;
-use sesamebarrow_standin::upstream::Fault;
+use sesamebarrow_standin::upstream::{Fault, NOISE};
 use sesamebarrow_standin::{DeploymentSpec, Fleet};
 use sesamebarrow_wire::auth::FleetKeys;
 use tempfile::TempDir;
--- a/crates/sesamebarrow_standin/tests/processes/input_and_responses.rs
+++ b/crates/sesamebarrow_standin/tests/processes/input_and_responses.rs
@@ -19,6 +19,33 @@
     }
 );
 
+process_test!(
+    bytes_that_are_no_event_are_not_relayed_as_part_of_a_stream,
+    env,
+    {
+        env.fleet.upstreams[0].set_fault(Fault::Noise);
+        let response = send_prompt(env.fleet.instance(0).http, KEY, 4).await?;
+        assert!(!response.complete, "it looks complete: {}", response.text());
+        assert!(!response.text().contains(NOISE), "{}", response.text());
+    }
+);
+
+process_test!(
+    plain_response_of_an_upstream_that_crashes_and_closes_in_order_does_not_look_complete,
+    env,
+    {
+        let http = env.fleet.instance(0).http;
+        env.fleet.upstreams[1].set_fault(Fault::Crash);
+        let ticket = fetch_ticket(http).await?;
+        let order = send_payout(http, &ticket, "{\"order\":1}").await?;
+        assert!(
+            !(order.complete && order.status.is_success()),
+            "it looks complete: {}",
+            order.text()
+        );
+    }
+);
+
 process_test!(
     bad_input_gets_a_clear_error_and_disturbs_no_other_request,
     env,
