Relay only events, and confirm unframed ends, at the callers' interface

Cause: chunks were relayed whatever the parser found in them, and the end of a connection counted as the end of an answer. Now a chunk is relayed up to its last sound event once bytes in it are foreign, and the stream breaks off; an answer that only its connection frames is whole if its upstream still accepts one. A stream shows its end by its final event, so it need not wait for that. Ids are not asked for here: the final event of this interface has none.

--- a/crates/sesamebarrow_node/src/attempt.rs
+++ b/crates/sesamebarrow_node/src/attempt.rs
@@ -9,6 +9,7 @@
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use sesamebarrow_gateway::event_stream;
+use sesamebarrow_gateway::framing::Framing;
 use sesamebarrow_gateway::meter::MeteredBody;
 use sesamebarrow_gateway::pool::{self, Connection};
 use sesamebarrow_policy::Refusal;
@@ -21,6 +22,12 @@
 /// Maximum number of idle connections kept open to one upstream.
 pub const MAX_IDLE_CONNECTIONS: usize = 32;
 
+/// Maximum time to connect to the upstream of a response that only its connection frames, at its end.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Time for which that connection must stay open.
+const CONFIRM_SETTLING_TIME: Duration = Duration::from_millis(50);
+
 /// A request as it is sent to the target. It contains no credential.
 #[derive(Clone, Debug)]
 pub struct OutboundRequest {
@@ -78,6 +85,8 @@
     pub length: Option<u64>,
     /// Number of bytes of the body that are still to come, if known.
     remaining: Option<u64>,
+    /// Address of the upstream if only the end of its connection ends the body.
+    unframed_from: Option<SocketAddr>,
     body: BodySource,
 }
 
@@ -155,10 +164,12 @@
             } else {
                 body.size_hint().exact()
             };
+            let is_unframed = Framing::of(&head.headers, &body) == Framing::Connection;
             let idle_time = pool::idle_time(&head.headers);
             let fields = crate::credential::response_fields(&head.headers);
             let body = BodySource::Upstream(body, Some((connection, idle_time)));
-            let response = TargetResponse::new(outbound, head.status, fields, length, body);
+            let mut response = TargetResponse::new(outbound, head.status, fields, length, body);
+            response.unframed_from = is_unframed.then_some(address);
             SendOutcome::Response(Box::new(response))
         }
         Err(pool::Error::NotSent) => SendOutcome::NotSent,
@@ -239,10 +250,26 @@
             fields,
             length,
             remaining: if has_no_body { Some(0) } else { length },
+            unframed_from: None,
             body,
         }
     }
 
+    /// Returns whether the end of the body is known to be the end of the response. The connections of a process that has
+    /// ended are closed in order too, so the upstream of an unframed response must still accept one.
+    pub async fn confirm_end(&self, pool: &pool::Pool) -> bool {
+        let Some(address) = self.unframed_from else {
+            return true;
+        };
+        let listening = pool.probe_listening(
+            address,
+            CONFIRM_TIMEOUT,
+            CONFIRM_SETTLING_TIME,
+            MAX_IDLE_CONNECTIONS,
+        );
+        listening.await == pool::Listening::Yes
+    }
+
     /// Returns whether all bytes of the body were received, though perhaps not yet its end. The HTTP library
     /// drops the body for the caller then.
     pub fn has_all_bytes(&self) -> bool {
--- a/crates/sesamebarrow_node/src/exchange.rs
+++ b/crates/sesamebarrow_node/src/exchange.rs
@@ -263,13 +263,20 @@
                 },
             };
             match part {
-                BodyPart::Chunk(bytes) => {
-                    tracker.update(&bytes);
-                    if tx.send(Part::Chunk(bytes)).await.is_err() {
+                BodyPart::Chunk(mut bytes) => {
+                    let received = bytes.len();
+                    bytes.truncate(tracker.update(&bytes));
+                    let is_foreign = bytes.len() < received;
+                    if !bytes.is_empty() && tx.send(Part::Chunk(bytes)).await.is_err() {
                         return Err(Abort::CallerDisconnected);
                     }
+                    if is_foreign {
+                        drop(tx);
+                        self.finish_interrupted(true).await;
+                        return Ok(());
+                    }
                 }
-                BodyPart::End if tracker.is_complete() => {
+                BodyPart::End if is_complete(&self.node, &tracker, &target_response).await => {
                     target_response.finish(&self.node.pool);
                     let tokens = tokens_used(status, &tracker);
                     let response = None;
@@ -427,6 +434,11 @@
     }
 }
 
+/// Returns whether a response whose body has ended is complete.
+async fn is_complete(node: &Node, tracker: &ResponseTracker, response: &TargetResponse) -> bool {
+    tracker.is_complete() && (tracker.has_final_event() || response.confirm_end(&node.pool).await)
+}
+
 /// Returns the tokens that the request used. Error responses use none.
 fn tokens_used(status: StatusCode, tracker: &ResponseTracker) -> Option<u64> {
     if status.is_client_error() || status.is_server_error() {
@@ -448,13 +460,15 @@
     loop {
         match target_response.next(stall).await {
             BodyPart::Chunk(bytes) => {
-                tracker.update(&bytes);
+                if tracker.update(&bytes) < bytes.len() {
+                    return None;
+                }
                 body.extend_from_slice(&bytes);
                 if body.len() > node.settings.request.max_kept_bytes {
                     return None;
                 }
             }
-            BodyPart::End if tracker.is_complete() => {
+            BodyPart::End if is_complete(&node, &tracker, &target_response).await => {
                 let tokens = tokens_used(target_response.status, &tracker);
                 target_response.finish(&node.pool);
                 return Some((body.freeze(), tokens));
--- a/crates/sesamebarrow_node/src/relay.rs
+++ b/crates/sesamebarrow_node/src/relay.rs
@@ -160,16 +160,26 @@
         }
     }
 
-    /// Processes a chunk of the body.
-    pub fn update(&mut self, chunk: &[u8]) {
+    /// Processes a chunk of the body. Returns the number of its bytes that may be relayed; fewer than all if the others are no
+    /// part of the event stream, which ends there.
+    pub fn update(&mut self, chunk: &[u8]) -> usize {
         let Some(events) = &mut self.events else {
-            return;
+            return chunk.len();
         };
-        events.push(chunk);
+        let boundary = events.push(chunk);
+        if events.foreign().is_some() {
+            return boundary.unwrap_or(0);
+        }
         let start = chunk.len().saturating_sub(TAIL_BYTES);
         self.tail.extend_from_slice(&chunk[start..]);
         let surplus = self.tail.len().saturating_sub(TAIL_BYTES);
         self.tail.drain(..surplus);
+        chunk.len()
+    }
+
+    /// Returns whether a response that is complete shows it by its own content, whatever frames it.
+    pub fn has_final_event(&self) -> bool {
+        self.events.is_some()
     }
 
     /// Returns whether a response that ends here is complete. An event stream must contain
--- a/crates/sesamebarrow_node/tests/units.rs
+++ b/crates/sesamebarrow_node/tests/units.rs
@@ -156,3 +156,15 @@
         .expect("a whole body");
     assert_eq!(body.to_bytes(), "paid");
 }
+
+#[rstest]
+#[case::text(b"data: {}\n\nwhat is this\n\ndata: [DONE]\n\n", 10)]
+#[case::bytes_that_are_no_text(b"data: {}\n\ndata: \xff\n\ndata: [DONE]\n\n", 10)]
+#[case::second_answer(b"data: {}\n\ndata: [DONE]\n\nHTTP/1.1 200 OK\r\n\r\n", 24)]
+#[case::repeated_ids(b"id: 1\ndata: {}\n\nid: 1\ndata: [DONE]\n\n", 36)]
+fn bytes_that_are_no_event_are_not_relayed(#[case] stream: &[u8], #[case] relayed: usize) {
+    let events = fields(&[(CONTENT_TYPE.as_str(), "text/event-stream")]);
+    let mut tracker = ResponseTracker::new(&events);
+    assert_eq!(tracker.update(stream), relayed);
+    assert_eq!(tracker.is_complete(), relayed == stream.len());
+}
