--- a/crates/sesamebarrow_node/src/accept.rs
+++ b/crates/sesamebarrow_node/src/accept.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Version};
@@ -227,15 +227,16 @@
     req: Request<RequestBody>,
 ) -> Result<Response<Body>, Problem> {
     let reads_chunks = req.version() > Version::HTTP_10;
+    let max_bytes = node.settings.request.max_kept_bytes;
     let response = route(node, id, req).await?;
     if reads_chunks || response.body().size_hint().exact().is_some() {
         return Ok(response);
     }
     // The caller could not tell a body that breaks off from a complete one.
     let (parts, body) = response.into_parts();
-    let body = body.collect().await.map_err(|relay::Interrupted| {
-        Problem::from_refusal(&Refusal::unknown(Reason::UpstreamFailed))
-    })?;
+    let body = Limited::new(body, max_bytes).collect().await;
+    let body =
+        body.map_err(|_| Problem::from_refusal(&Refusal::unknown(Reason::UpstreamFailed)))?;
     Ok(Response::from_parts(parts, relay::full(body.to_bytes())))
 }
 
--- a/crates/sesamebarrow_node/src/attempt.rs
+++ b/crates/sesamebarrow_node/src/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use sesamebarrow_gateway::event_stream;
-use sesamebarrow_gateway::framing::Framing;
+use sesamebarrow_gateway::framing::{self, Framing};
 use sesamebarrow_gateway::meter::MeteredBody;
 use sesamebarrow_gateway::pool::{self, Connection};
 use sesamebarrow_policy::Refusal;
@@ -157,6 +157,10 @@
         return SendOutcome::NotSent;
     };
     match connection.send(req).await {
+        // An encoded body is not the one that was asked for.
+        Ok(response) if framing::has_transfer_coding(response.headers()) => {
+            SendOutcome::Interrupted
+        }
         Ok(response) => {
             let (head, body) = response.into_parts();
             let length = if outbound.method == Method::HEAD {
