Ask for an id of each event, break off when ids go back, and end no stream by a part without events

A repeated event is dropped and the stream resumed as before; - a resumed part without an event, which only its connection frames or which names no type, ended the stream as whole; - two, listed, empty or unreadable media types passed by the checks: on a streaming route such a success is an event stream; - up to 64 KiB pieces of a long line that is no field were relayed: a line shows by its first 256 bytes whether it is one; - hexadecimal and opaque ids, of which some are decimal, were broken off though sound.

Two tests stay known red: an opaque id before numbers is relayed before it can be told, though the stream breaks off; and a second answer at the callers' interface, whose answers bear no mark.

--- a/crates/sesamebarrow_gateway/src/event_stream.rs
+++ b/crates/sesamebarrow_gateway/src/event_stream.rs
@@ -8,8 +8,11 @@
 //! The standard has readers ignore what they do not know, so that any bytes can be read as some stream. The parser
 //! instead stops at [`Foreign`] bytes, which no sound upstream writes.
 
+use std::cmp::Ordering;
+
 use hyper::HeaderMap;
 use hyper::header::CONTENT_TYPE;
+use sesamebarrow_platform::head;
 use smol_str::SmolStr;
 
 /// Byte order mark, which the standard ignores at the start of a stream only.
@@ -25,6 +28,15 @@
     media_type.is_some_and(|v| v.trim().eq_ignore_ascii_case("text/event-stream"))
 }
 
+/// Returns whether the headers name one media type that can be read.
+pub fn states_media_type(headers: &HeaderMap) -> bool {
+    let mut types = headers.get_all(CONTENT_TYPE).iter();
+    let text = types.next().and_then(|v| v.to_str().ok()).unwrap_or("");
+    let media_type = text.split(';').next().unwrap_or("");
+    let is_one = media_type.contains('/') && !media_type.contains(',');
+    is_one && types.next().is_none()
+}
+
 /// Position of a stream's end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -58,9 +70,11 @@
     Encoding,
     /// A line is neither a field nor a comment, or a block has no field of the standard.
     Field,
-    /// An event bears no id in a stream whose events bear ids, or bears one in a stream without.
-    Naming,
-    /// The id of an event does not follow that of the one before.
+    /// An event bears no id.
+    NoId,
+    /// The id of an event is that of the one before.
+    Repeated,
+    /// The id of an event does not follow that of the one before, of which either may be foreign.
     Order,
 }
 
@@ -69,7 +83,7 @@
 pub enum Ids {
     /// Any, or none.
     Any,
-    /// Each event bears one, which is larger than the one before if both are numbers, or none does.
+    /// Each event bears one, which is larger than the one before if both are numbers.
     Increasing,
 }
 
@@ -106,8 +120,6 @@
     /// The last bytes of the current line, if they are an incomplete character.
     cut_char: Vec<u8>,
     ids: Ids,
-    /// Whether events bear ids; `None` before the first one.
-    has_ids: Option<bool>,
     /// Set once and for all at the first bytes that are foreign. Nothing after them is parsed.
     foreign: Option<Foreign>,
     open_event: Option<OpenEvent>,
@@ -125,7 +137,6 @@
             is_after_cr: false,
             cut_char: Vec::new(),
             ids,
-            has_ids: matches!(resume_point, ResumePoint::After(_)).then_some(true),
             foreign: None,
             open_event: None,
             events: 0,
@@ -136,9 +147,9 @@
     /// Prepares for another upstream that continues the stream at the resume point. Drops the event
     /// that is not complete, and foreign bytes.
     pub fn restart(&mut self) {
-        let (events, has_ids) = (self.events, self.has_ids);
+        let events = self.events;
         *self = Self::new(self.ids, std::mem::take(&mut self.resume_point));
-        (self.events, self.has_ids) = (events, has_ids);
+        self.events = events;
     }
 
     /// Parses the next bytes, up to those that are foreign. Returns the largest offset in `chunk` at which neither an event
@@ -207,12 +218,34 @@
     }
 
     fn extend_line(&mut self, bytes: &[u8]) {
-        if !self.check_encoding(bytes) {
+        let kept = bytes.len().min(MAX_LINE_HEAD_BYTES - self.line.len());
+        let (kept, rest) = bytes.split_at(kept);
+        self.line.extend_from_slice(kept);
+        self.extend_encoded(kept);
+        if !rest.is_empty() && !std::mem::replace(&mut self.is_line_cut, true) {
+            let text = self.line_text();
+            if text[0] != b':' && !is_field(text) {
+                self.foreign.get_or_insert(Foreign::Field);
+            }
+        }
+        self.extend_encoded(rest);
+    }
+
+    /// Returns what the line holds so far, without a byte order mark at the start of the stream.
+    fn line_text(&self) -> &[u8] {
+        let mark = if self.is_first_line {
+            BYTE_ORDER_MARK
+        } else {
+            b""
+        };
+        self.line.strip_prefix(mark).unwrap_or(&self.line)
+    }
+
+    /// Checks the encoding of `bytes` unless something foreign came before them.
+    fn extend_encoded(&mut self, bytes: &[u8]) {
+        if self.foreign.is_none() && !self.check_encoding(bytes) {
             self.foreign = Some(Foreign::Encoding);
         }
-        let kept = bytes.len().min(MAX_LINE_HEAD_BYTES - self.line.len());
-        self.line.extend_from_slice(&bytes[..kept]);
-        self.is_line_cut |= kept < bytes.len();
     }
 
     /// Returns whether the line is encoded in UTF-8 as far as `bytes`, which follow what was checked before.
@@ -269,9 +302,6 @@
         if self.foreign.is_some() {
             return;
         }
-        if event.has_data {
-            self.has_ids = Some(matches!(&event.id, Some(id) if *id != EventId::Empty));
-        }
         match event.id {
             Some(EventId::Sendable(id)) => self.resume_point = ResumePoint::After(id),
             Some(_) => self.resume_point = ResumePoint::Nowhere,
@@ -290,32 +320,42 @@
             return None;
         }
         let bears_id = event.id.as_ref().is_some_and(|id| *id != EventId::Empty);
-        let is_named = event.has_data || event.id.is_some();
-        if is_named && self.has_ids.is_some_and(|has_ids| has_ids != bears_id) {
-            return Some(Foreign::Naming);
+        let needs_id = event.has_data || event.id.is_some();
+        if needs_id && !bears_id {
+            return Some(Foreign::NoId);
         }
         match (&self.resume_point, &event.id) {
-            (ResumePoint::After(last), Some(EventId::Sendable(id))) if !follows(last, id) => {
-                Some(Foreign::Order)
-            }
+            (ResumePoint::After(last), Some(EventId::Sendable(id))) => compare_ids(last, id),
             _ => None,
         }
     }
 }
 
-/// Returns whether an event with `id` may follow the one with the id `last`.
-fn follows(last: &str, id: &str) -> bool {
-    let is_number = |text: &str| text.bytes().all(|b| b.is_ascii_digit());
-    if !is_number(last) {
-        return id != last;
+/// Returns what shows that an event with `id` does not follow the one with the id `last`. Decimal numbers increase, others
+/// differ, and hexadecimal numbers follow no other text.
+fn compare_ids(last: &str, id: &str) -> Option<Foreign> {
+    let is_decimal = |text: &str| text.bytes().all(|b| b.is_ascii_digit());
+    let is_hexadecimal = |text: &str| text.bytes().all(|b| b.is_ascii_hexdigit());
+    if last == id {
+        return Some(Foreign::Repeated);
+    }
+    if is_decimal(last) && is_decimal(id) {
+        let (last, id) = (last.trim_start_matches('0'), id.trim_start_matches('0'));
+        // Numbers may have any length.
+        return match (id.len(), id).cmp(&(last.len(), last)) {
+            Ordering::Greater => None,
+            Ordering::Equal => Some(Foreign::Repeated),
+            Ordering::Less => Some(Foreign::Order),
+        };
     }
-    let (last, next) = (last.trim_start_matches('0'), id.trim_start_matches('0'));
-    // Numbers may have any length.
-    is_number(id) && (next.len(), next) > (last.len(), last)
+    (is_hexadecimal(last) != is_hexadecimal(id)).then_some(Foreign::Order)
 }
 
 /// Reads a field into `event`; `is_cut` says that its value is longer than `line`. Returns whether it is one.
 fn read_field(event: &mut OpenEvent, line: &[u8], is_cut: bool) -> bool {
+    if !is_field(line) {
+        return false;
+    }
     let colon = memchr::memchr(b':', line);
     let (name, value) = match colon {
         Some(colon) => (&line[..colon], &line[colon + 1..]),
@@ -326,16 +366,23 @@
         // The standard ignores an id that contains NUL.
         b"id" if !value.contains(&0) => event.id = Some(read_id(value, is_cut)),
         b"id" | b"event" | b"retry" => {}
-        _ => return colon.is_some() && is_token(name),
+        _ => return true,
     }
     event.is_known = true;
     true
 }
 
+/// Returns whether `line`, or its first bytes, can be a field.
+fn is_field(line: &[u8]) -> bool {
+    let colon = memchr::memchr(b':', line);
+    let name = &line[..colon.unwrap_or(line.len())];
+    matches!(name, b"data" | b"id" | b"event" | b"retry") || colon.is_some() && is_other_name(name)
+}
+
 /// Returns whether `name` may be the name of a field that the standard does not define.
-fn is_token(name: &[u8]) -> bool {
+fn is_other_name(name: &[u8]) -> bool {
     let is_name_byte = |b: &u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
-    !name.is_empty() && name.iter().all(is_name_byte)
+    !name.is_empty() && name.iter().all(is_name_byte) && !head::is_mark_of_response(name)
 }
 
 fn read_id(value: &[u8], is_cut: bool) -> EventId {
--- a/crates/sesamebarrow_gateway/src/framing.rs
+++ b/crates/sesamebarrow_gateway/src/framing.rs
@@ -15,6 +15,8 @@
 use hyper::body::Body;
 use hyper::header::TRANSFER_ENCODING;
 
+pub use sesamebarrow_platform::head::has_transfer_coding;
+
 use crate::event_stream::Position;
 use crate::meter::MeteredBody;
 
--- a/crates/sesamebarrow_gateway/src/relay.rs
+++ b/crates/sesamebarrow_gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body as HttpBody;
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{HeaderMap, Method, Response};
 use sesamebarrow_platform::head;
 use sesamebarrow_routing::upstream::AttemptOutcome;
@@ -126,10 +126,11 @@
     }
 }
 
-/// Returns whether the response to `job` is an event stream.
-pub fn is_stream(job: &Job, head: &Response<()>) -> bool {
-    let is_untyped = !head.headers().contains_key(CONTENT_TYPE);
-    let is_implied = job.policy.streams && head.status().is_success() && is_untyped;
+/// Returns whether the response to `job` is an event stream. On a streaming route a success is one unless it names another
+/// media type.
+fn is_stream(job: &Job, head: &Response<()>) -> bool {
+    let names_type = event_stream::states_media_type(head.headers());
+    let is_implied = job.policy.streams && head.status().is_success() && !names_type;
     is_implied || event_stream::is_event_stream(head.headers())
 }
 
--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -19,7 +19,7 @@
 
 use crate::attempt::Attempt;
 use crate::crash;
-use crate::event_stream::{BYTE_ORDER_MARK, Foreign, Ids, Parser, ResumePoint};
+use crate::event_stream::{self, BYTE_ORDER_MARK, Foreign, Ids, Parser, Position, ResumePoint};
 use crate::exchange::{self, UpstreamResponse};
 use crate::framing::{self, Framing};
 use crate::hop;
@@ -90,11 +90,15 @@
 struct EventBuffer {
     /// Whether only complete events are relayed; otherwise, those that are too large to be held are relayed in parts.
     complete_events_only: bool,
+    /// Whether they are relayed to another instance, which checks them again.
+    is_hop: bool,
     parser: Parser,
     /// Bytes of an incomplete event.
     partial: BytesMut,
     /// The memory that `partial` holds.
     held: Held,
+    /// Number of complete events of earlier parts.
+    events_before: u64,
     /// Whether nothing of a part that another target continues has been relayed. Inside the joined
     /// stream its byte order mark would belong to the name of its first field.
     is_start_of_part: bool,
@@ -112,9 +116,11 @@
         let resume_point = last_id.map_or(ResumePoint::Start, ResumePoint::After);
         Self {
             complete_events_only,
+            is_hop: policy.from_instance,
             parser: Parser::new(ids, resume_point),
             partial: BytesMut::new(),
             held,
+            events_before: 0,
             is_start_of_part: false,
         }
     }
@@ -142,10 +148,13 @@
 
     /// Holds bytes of an event that is not complete, and returns those that must be relayed nevertheless.
     fn hold(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLarge> {
-        if self.foreign().is_some() {
-            return Ok(Bytes::new());
-        }
         self.partial.extend_from_slice(bytes);
+        match self.foreign() {
+            // The other instance must not resume the stream either.
+            Some(Foreign::Order) if self.is_hop => return Ok(self.partial.split().freeze()),
+            Some(_) => return Ok(Bytes::new()),
+            None => {}
+        }
         let max_bytes = match self.complete_events_only {
             true => MAX_EVENT_BYTES,
             false => MAX_HELD_EVENT_BYTES,
@@ -167,9 +176,20 @@
         self.parser.foreign()
     }
 
-    /// Returns whether another target can continue the stream without repeating an event.
+    /// Returns whether another target can continue the stream without repeating or skipping an event.
     fn can_resume(&self) -> bool {
-        self.complete_events_only && *self.parser.resume_point() != ResumePoint::Nowhere
+        // The last id may be the foreign one.
+        let is_after_last = self.foreign() != Some(Foreign::Order);
+        let is_known = *self.parser.resume_point() != ResumePoint::Nowhere;
+        self.complete_events_only && is_after_last && is_known
+    }
+
+    /// Returns the position that the current part has reached.
+    fn position(&self) -> Position {
+        match self.parser.position() {
+            Position::Between if self.parser.events() == self.events_before => Position::Start,
+            position => position,
+        }
     }
 
     /// Returns the id of the last complete event.
@@ -186,6 +206,7 @@
         // Never fails: nothing is held.
         let _ = self.held.follow(0);
         self.parser.restart();
+        self.events_before = self.parser.events();
         self.is_start_of_part = true;
     }
 }
@@ -241,7 +262,7 @@
             stream: Some(StreamEnd {
                 events: self.events.parser.events(),
                 parts: self.parts,
-                position: self.events.parser.position(),
+                position: self.events.position(),
                 timing: &self.timing,
             }),
         };
@@ -316,7 +337,7 @@
         }
         self.end_attempt(AttemptOutcome::Broken);
         let (framing, ended_at): (&str, &str) =
-            (self.framing.into(), self.events.parser.position().into());
+            (self.framing.into(), self.events.position().into());
         log::info!(
             request = self.job.id.as_str(),
             event = self.events.last_id().map_or("none", SmolStr::as_str), framing, ended_at, error;
@@ -360,8 +381,8 @@
 }
 
 /// Returns whether the response to a resumed request is a part of its stream.
-fn continues_stream(job: &Job, head: &Response<()>) -> bool {
-    head.status().is_success() && relay::is_stream(job, head)
+fn continues_stream(head: &Response<()>) -> bool {
+    head.status().is_success() && event_stream::is_event_stream(head.headers())
 }
 
 impl HttpBody for StreamBody {
@@ -391,9 +412,7 @@
                 }
                 StreamState::Resuming(future) => match future.as_mut().poll(cx) {
                     Poll::Pending => Poll::Pending,
-                    Poll::Ready((history, Ok(response)))
-                        if continues_stream(&this.job, &response.head) =>
-                    {
+                    Poll::Ready((history, Ok(response))) if continues_stream(&response.head) => {
                         this.history = Some(history);
                         this.target = response.attempt.target_name().clone();
                         this.framing = response.framing;
@@ -463,7 +482,7 @@
                     .decoder
                     .as_ref()
                     .is_none_or(Decoder::is_between_records)
-                    && framing::is_stream_complete(this.framing, this.events.parser.position()) =>
+                    && framing::is_stream_complete(this.framing, this.events.position()) =>
                 {
                     if this.framing != Framing::Connection {
                         return this.complete();
--- a/crates/sesamebarrow_gateway/tests/event_stream.rs
+++ b/crates/sesamebarrow_gateway/tests/event_stream.rs
@@ -81,8 +81,6 @@
     id_alone_moves_the_resume_point: b"id: 1\ndata: a\n\nid: 7\n\n" => 1, Between, after("7"), 0;
     other_fields_come_first: b"weight-versions: 3\nid: 4\ndata: a\n\n" => 1, Between, after("4"), 0;
     id_of_an_open_event_is_not_a_resume_point: b"id: 1\ndata: a\n\nid: 2\n" => 1, Inside, after("1"), 6;
-    event_without_id_cannot_be_resumed_after: b"data: a\n\ndata: b\n\n" => 2, Between, ResumePoint::Nowhere, 0;
-    empty_id_cannot_be_resumed_after: b"data: a\n\nid\ndata: b\n\n" => 2, Between, ResumePoint::Nowhere, 0;
     id_with_nul_is_ignored: b"id: 1\nid: 2\0\ndata: a\n\n" => 1, Between, after("1"), 0;
     id_that_no_header_can_carry: b"id: \xc3\xa9\ndata: a\n\n" => 1, Between, ResumePoint::Nowhere, 0;
     id_as_part_of_another_name: b"id: 1\nidx: 2\ndata: a\n\n" => 1, Between, after("1"), 0;
@@ -119,15 +117,32 @@
     bytes_that_are_no_utf8: b"id: 1\ndata: a\n\nid: 2\ndata: \xff\n\n" => Encoding, 1, 15;
     character_that_a_line_end_cuts: b"id: 1\ndata: a\xe6\x97\n\n" => Encoding, 0, 0;
     comment_that_is_no_utf8: b": \xc3\x28\n" => Encoding, 0, 0;
-    event_without_id_among_others: b"id: 1\ndata: a\n\ndata: b\n\n" => Naming, 1, 15;
-    event_with_an_empty_id_among_others: b"id: 1\ndata: a\n\nid\ndata: b\n\n" => Naming, 1, 15;
-    event_with_id_among_others_without: b"data: a\n\nid: 1\ndata: b\n\n" => Naming, 1, 9;
-    repeated_id: b"id: 7\ndata: a\n\nid: 7\ndata: a\n\n" => Order, 1, 15;
+    event_without_id_among_others: b"id: 1\ndata: a\n\ndata: b\n\n" => NoId, 1, 15;
+    event_with_an_empty_id_among_others: b"id: 1\ndata: a\n\nid\ndata: b\n\n" => NoId, 1, 15;
+    event_without_id_before_others: b"data: a\n\nid: 1\ndata: b\n\n" => NoId, 0, 0;
+    event_with_an_empty_id_before_others: b"id:\ndata: a\n\nid: 1\ndata: b\n\n" => NoId, 0, 0;
+    long_line_that_is_no_field: &[b'x'; 300] => Field, 0, 0;
+    mark_of_an_answer_is_no_field: b"id: 1\ndata: HTTP/1.1 200 OK\r\nAttempt-Id: 9\r\n\r\n" => Field, 0, 0;
+    repeated_id: b"id: 7\ndata: a\n\nid: 7\ndata: a\n\n" => Repeated, 1, 15;
     lower_id: b"id: 10\ndata: a\n\nid: 9\ndata: b\n\n" => Order, 1, 16;
-    repeated_id_with_zeros: b"id: 7\ndata: a\n\nid: 007\ndata: b\n\n" => Order, 1, 15;
+    repeated_id_with_zeros: b"id: 7\ndata: a\n\nid: 007\ndata: b\n\n" => Repeated, 1, 15;
     text_as_id_among_numbers: b"id: 7\ndata: a\n\nid: x\ndata: b\n\n" => Order, 1, 15;
-    repeated_id_that_is_no_number: b"id: x\ndata: a\n\nid: x\ndata: b\n\n" => Order, 1, 15;
-    repeated_id_without_data: b"id: 7\ndata: a\n\nid: 7\n\n" => Order, 1, 15;
+    repeated_id_that_is_no_number: b"id: x\ndata: a\n\nid: x\ndata: b\n\n" => Repeated, 1, 15;
+    repeated_id_without_data: b"id: 7\ndata: a\n\nid: 7\n\n" => Repeated, 1, 15;
+}
+
+#[test]
+fn events_without_ids_cannot_be_resumed_after() {
+    for stream in [
+        &b"data: a\n\ndata: b\n\n"[..],
+        b"id: 1\ndata: a\n\ndata: b\n\n",
+        b"id: 1\ndata: a\n\nid\ndata: b\n\n",
+    ] {
+        let mut parser = Parser::new(Ids::Any, ResumePoint::Start);
+        assert_eq!(parser.push(stream), Some(stream.len()));
+        assert_eq!((parser.events(), parser.position()), (2, Position::Between));
+        assert_eq!(parser.resume_point(), &ResumePoint::Nowhere);
+    }
 }
 
 #[test]
@@ -147,7 +162,7 @@
 fn part_without_ids_after_an_id_is_foreign() {
     let mut parser = Parser::new(Ids::Increasing, after("4"));
     parser.push(b"data: a\n\n");
-    assert_eq!(parser.foreign(), Some(Foreign::Naming));
+    assert_eq!(parser.foreign(), Some(Foreign::NoId));
 }
 
 #[test]
