--- a/crates/sesamebarrow_routing/src/limit/slot.rs
+++ b/crates/sesamebarrow_routing/src/limit/slot.rs
@@ -32,7 +32,7 @@
 
     /// Returns when the first slot after `at` that is granted here is due; both are times since 1970.
     pub fn next_after(&self, at: Duration) -> Duration {
-        // CAST: times since 1970 are positive, and rates far below 2^20 a second.
+        // CAST: saturates at the times and rates that a peer may state.
         let first = (at.as_secs_f64() * self.rate) as u64;
         let cycle = self.granted.len() as u64;
         let is_granted = |number: &u64| self.granted[(number % cycle) as usize];
@@ -40,7 +40,7 @@
             let seconds = number as f64 / self.rate;
             Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
         };
-        let numbers = (first..=first + cycle + 1).filter(is_granted);
+        let numbers = (first..=first.saturating_add(cycle + 1)).filter(is_granted);
         let mut due = numbers.map(due_at);
         due.find(|due| *due > at).unwrap_or(Duration::MAX)
     }
