Ask for ids only of the events of a success

By reading the diff once more: an upstream's error on a streaming route may come as events without ids, and was broken off since, though its upstream sent it whole. The contract of ids is one of streams; errors keep the checks of syntax.

--- a/crates/sesamebarrow_gateway/src/stream.rs
+++ b/crates/sesamebarrow_gateway/src/stream.rs
@@ -24,7 +24,7 @@
 use crate::framing::{self, Framing};
 use crate::hop;
 use crate::hop::numbering::{Decoder, Encoder};
-use crate::intake::{Job, RequestPolicy};
+use crate::intake::Job;
 use crate::memory::Held;
 use crate::meter::MeteredBody;
 use crate::quarantine;
@@ -56,7 +56,7 @@
     let body = StreamBody {
         shared: shared.clone(),
         deadline: Box::pin(tokio::time::sleep_until(job.deadline.into())),
-        events: EventBuffer::new(&job.policy, job.last_event.clone(), job.held.another()),
+        events: EventBuffer::new(&job, parts.status),
         job: Arc::new(job),
         target,
         parts: 1,
@@ -105,9 +105,12 @@
 }
 
 impl EventBuffer {
-    fn new(policy: &RequestPolicy, last_id: Option<SmolStr>, held: Held) -> Self {
+    fn new(job: &Job, status: StatusCode) -> Self {
+        let policy = &job.policy;
+        let (last_id, held) = (job.last_event.clone(), job.held.another());
         let complete_events_only = policy.resumable;
-        let ids = match policy.streams {
+        // An error may come as any events.
+        let ids = match policy.streams && status.is_success() {
             true => Ids::Increasing,
             false => Ids::Any,
         };
