--- a/review/kit-2/src/bin/forgotten_quarantine.rs
+++ b/review/kit-2/src/bin/forgotten_quarantine.rs
@@ -2,18 +2,16 @@
 //! same moment and start again; requests with the part still come. Usage: `forgotten_quarantine FOLDER`, with `TROUBLE=0`
 //! for instances that are not killed.
 
-use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitCode, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::process::ExitCode;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use review_kit_2::client;
 use review_kit_2::deployment::Deployment;
+use review_kit_2::fragile::Runners;
 use review_kit_2::record::Record;
-use review_kit_2::runner;
 use review_kit_2::store::Store;
 
 /// `contactMs`.
@@ -23,9 +21,6 @@
 /// Time between two requests with the part, once it has crashed five runners.
 const HARMFUL_GAP: Duration = Duration::from_secs(7);
 const HARMFUL_REQUESTS: usize = 5;
-/// Time after which a runner that has crashed is back ("some seconds"), and its former entry lapses.
-const RUNNER_BACK: Duration = Duration::from_millis(2_500);
-const ENTRY_LAPSES: Duration = Duration::from_millis(3_600);
 const PART: &str = "badbadbad";
 const HOST: &str = "front.example";
 const SERVICE: &str = "reparto-llm";
@@ -43,105 +38,12 @@
     )
 }
 
-/// What runners have said.
-#[derive(Default)]
-struct Seen {
-    /// When requests with the part reached runners, and their ids.
-    arrivals: Vec<(f64, String)>,
-    /// When runners crashed.
-    crashes: Vec<f64>,
-}
-
-/// The runners, each a process that is started again some seconds after it has crashed.
-struct Runners {
-    record: Record,
-    store: Arc<Store>,
-    seen: Mutex<Seen>,
-    children: Mutex<Vec<Child>>,
-    boots: AtomicUsize,
-    stop: AtomicBool,
-}
-
-impl Runners {
-    fn keep_up(self: &Arc<Self>, region: &'static str) {
-        let runners = self.clone();
-        thread::spawn(move || {
-            while !runners.stop.load(Ordering::Relaxed) {
-                if runners.run_once(region).is_none() {
-                    return;
-                }
-                thread::sleep(RUNNER_BACK);
-            }
-        });
-    }
-
-    /// Runs a runner until it ends.
-    fn run_once(self: &Arc<Self>, region: &str) -> Option<()> {
-        let boot = self.boots.fetch_add(1, Ordering::Relaxed);
-        let id = format!("i-{region}-{boot:03}");
-        let program = std::env::current_exe().ok()?.with_file_name("fragile_runner");
-        let mut child = Command::new(program).args([id.as_str(), PART]).stdout(Stdio::piped()).spawn().ok()?;
-        let out = child.stdout.take()?;
-        let pid = child.id();
-        self.children.lock().expect("not poisoned").push(child);
-        let key = format!("servers/{id}");
-        for line in BufReader::new(out).lines().map_while(Result::ok) {
-            self.record.line(&format!("runner {id}: {line}"));
-            let (word, rest) = line.split_once(' ').unwrap_or((&line, ""));
-            let at = self.record.seconds();
-            let mut seen = self.seen.lock().expect("not poisoned");
-            match word {
-                "HARMFUL" => seen.arrivals.push((at, rest.to_owned())),
-                "CRASH" => seen.crashes.push(at),
-                "LISTEN" => {
-                    let born = 1_700_000_000_000 + boot as u64;
-                    let entry = runner::entry(SERVICE, rest.parse().ok()?, &format!("{region}-a"), "ready", born);
-                    drop(seen);
-                    self.store.put(&key, &entry);
-                }
-                _ => {}
-            }
-        }
-        let mut children = self.children.lock().expect("not poisoned");
-        if let Some(index) = children.iter().position(|c| c.id() == pid) {
-            let _ = children.swap_remove(index).wait();
-        }
-        let store = self.store.clone();
-        thread::spawn(move || {
-            thread::sleep(ENTRY_LAPSES);
-            store.remove(&key);
-        });
-        Some(())
-    }
-
-    fn crashes(&self) -> Vec<f64> {
-        let mut crashes = self.seen.lock().expect("not poisoned").crashes.clone();
-        crashes.sort_by(f64::total_cmp);
-        crashes
-    }
-
-    fn end(&self) {
-        self.stop.store(true, Ordering::Relaxed);
-        for child in self.children.lock().expect("not poisoned").iter_mut() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
 fn run(folder: PathBuf, trouble: bool) -> Result<bool, String> {
     let record = Record::begin(&folder).map_err(|e| e.to_string())?;
     record.show(&format!("trouble: {trouble}"));
     let store = Store::start(&record, 50, 1).map_err(|e| e.to_string())?;
     store.put("op/config", &config());
-    let runners = Arc::new(Runners {
-        record: record.clone(),
-        store: store.clone(),
-        seen: Mutex::default(),
-        children: Mutex::default(),
-        boots: AtomicUsize::new(0),
-        stop: AtomicBool::new(false),
-    });
+    let runners = Runners::new(&record, &store, SERVICE, PART);
     for (region, _) in REGIONS {
         (0..RUNNERS_PER_REGION).for_each(|_| runners.keep_up(region));
     }
--- a/review/kit-2/src/lib.rs
+++ b/review/kit-2/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 pub mod deployment;
+pub mod fragile;
 pub mod http;
 pub mod record;
 pub mod runner;
