--- a/review/kit-2/src/bin/catalog_gap.rs
+++ b/review/kit-2/src/bin/catalog_gap.rs
@@ -1,13 +1,15 @@
 //! While the store is slow, it drops its history, and an evacuation is confirmed while the instances that read the store
-//! read it again in pages. Usage: `catalog_gap FOLDER`, with `TROUBLE=0` for a store that is not slow.
+//! read it again in pages. Usage: `catalog_gap FOLDER`, with `TROUBLE=0` for a store that is not slow and drops
+//! nothing, and `TIMING=random` for an evacuation at any moment while runners leave.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
+use review_kit_2::Random;
 use review_kit_2::client;
 use review_kit_2::deployment::Deployment;
 use review_kit_2::record::Record;
@@ -96,14 +98,35 @@
         leave(leaving[leaving.len() - 2]);
         thread::sleep(Duration::from_secs(1));
     }
-    // The instances that read the store hear of it after 120 ms, and ask again 75 to 150 ms later. Their first page is as
-    // of the moment 120 ms after that, their second page 240 ms later.
-    thread::sleep(Duration::from_millis(470));
-    store.put("op/evacuate/piura-a", "{}");
-    let evacuated_at = record.seconds();
-    leave(leaving[leaving.len() - 1]);
+    let dropped_at = record.seconds();
+    let evacuated_at = if std::env::var("TIMING").is_ok_and(|v| v == "random") {
+        // Ten runners leave one after the other, and the evacuation comes at any moment meanwhile.
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let mut random = Random::new(now.map_or(1, |d| u64::from(d.subsec_nanos())));
+        let evacuation = (random.next_unit() * 10.0) as usize;
+        let mut evacuated_at = 0.0;
+        for step in 0..10 {
+            thread::sleep(Duration::from_millis(60));
+            if step == evacuation {
+                store.put("op/evacuate/piura-a", "{}");
+                evacuated_at = record.seconds();
+            }
+            thread::sleep(Duration::from_millis(60));
+            leave(leaving[leaving.len() - 10 + step]);
+        }
+        evacuated_at
+    } else {
+        // The instances that read the store hear of it after 120 ms, and ask again 75 to 150 ms later. Their first page is
+        // as of the moment 120 ms after that, their second page 240 ms later.
+        thread::sleep(Duration::from_millis(470));
+        store.put("op/evacuate/piura-a", "{}");
+        let evacuated_at = record.seconds();
+        leave(leaving[leaving.len() - 1]);
+        evacuated_at
+    };
     if trouble {
-        thread::sleep(SLOW_FOR - Duration::from_millis(1_770));
+        let slow_since = dropped_at - 1.3;
+        thread::sleep(Duration::from_secs_f64((slow_since + SLOW_FOR.as_secs_f64() - record.seconds()).max(0.0)));
         store.set_manner(Manner { answer_time: Duration::from_millis(4), lost: 0.0 });
     }
     let slow_until = record.seconds();
--- a/review/kit-2/src/bin/fragile_runner.rs
+++ b/review/kit-2/src/bin/fragile_runner.rs
@@ -1,5 +1,6 @@
 //! A runner that crashes when it begins to write an answer on a prompt with a certain part. It says on its standard output
-//! where it listens, what arrives and what it runs. Usage: `fragile_runner ID PART [ADDRESS]`.
+//! where it listens, what arrives and what it runs. Usage: `fragile_runner ID PART [ADDRESS]`. With `CRASH=after` it
+//! crashes 30 ms after a whole answer instead.
 
 use std::io::{BufReader, Write};
 use std::net::{TcpListener, TcpStream};
@@ -38,7 +39,8 @@
              attempt-id: {attempt}\r\nserver-stamp: {id}.{attempt}\r\nserver-load: 1,0,128\r\n\r\n"
         );
         stream.write_all(head.as_bytes()).ok()?;
-        if is_harmful {
+        let crashes_after = std::env::var("CRASH").is_ok_and(|v| v == "after");
+        if is_harmful && !crashes_after {
             say(&format!("CRASH {attempt}"));
             std::process::abort();
         }
@@ -48,6 +50,11 @@
             thread::sleep(Duration::from_millis(20));
         }
         stream.write_all(b"0\r\n\r\n").ok()?;
+        if is_harmful {
+            thread::sleep(Duration::from_millis(30));
+            say(&format!("CRASH {attempt}"));
+            std::process::abort();
+        }
     }
     None
 }
--- a/review/kit-2/src/bin/long_prompts.rs
+++ b/review/kit-2/src/bin/long_prompts.rs
@@ -1,6 +1,6 @@
 //! A part of a prompt crashes each runner that begins to answer it. The prompts of the caller, sound or not, have more
 //! parts than the product tells apart. Usage: `long_prompts FOLDER`, with `TROUBLE=0` for runners that the part does not
-//! crash.
+//! crash. `PARTS` sets the number of parts, `CRASH=after` lets runners crash just after the end of their answer.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -109,11 +109,11 @@
     Ok(late <= MOST)
 }
 
-/// Returns a prompt whose parts are shared but the last one; the 20th is `part`.
+/// Returns a prompt whose parts are shared but the last one; the one in the middle is `part`.
 fn prompt(part: &str, own: u64) -> String {
     let count = std::env::var("PARTS").ok().and_then(|v| v.parse().ok()).unwrap_or(PARTS);
     let parts = (1..count).map(|number| match number {
-        20 => format!("{part}:225"),
+        _ if number == count / 2 => format!("{part}:225"),
         _ => format!("{:x}:225", 0xc0de_0000_u64 + number as u64),
     });
     parts.chain([format!("{own:x}:225")]).collect::<Vec<_>>().join(",")
