--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,13 @@
 root=$(cd "$folder/../.." && pwd)
 program="$root/target/review-2/release/lost_answers"
 [ -x "$program" ] || { echo "run review/build-2.sh first"; exit 2; }
-ROOT="$root" "$program" "$folder"
+end_all() {
+    # Only after an early end; otherwise the program has ended all that it started.
+    kill "$case_pid" 2>/dev/null
+    sed -n 's/.* started, pid //p' "$folder/record.txt" | while read -r pid; do kill -s KILL "$pid" 2>/dev/null; done
+    exit 2
+}
+trap end_all INT TERM HUP
+ROOT="$root" "$program" "$folder" &
+case_pid=$!
+wait "$case_pid"
--- a/review/kit-2/src/bin/unknown_cold.rs
+++ b/review/kit-2/src/bin/unknown_cold.rs
@@ -73,6 +73,7 @@
         let mut child =
             Command::new(program).args([&self.id, "none", &address]).stdout(Stdio::piped()).spawn().ok()?;
         let out = child.stdout.take()?;
+        record.line(&format!("runner {} started, pid {}", self.id, child.id()));
         *self.child.lock().expect("not poisoned") = Some(child);
         let (runner, record) = (self.clone(), record.clone());
         thread::spawn(move || {
--- a/review/kit-2/src/deployment.rs
+++ b/review/kit-2/src/deployment.rs
@@ -85,13 +85,15 @@
             .create(true)
             .append(true)
             .open(self.folder.join(format!("{name}.log")))?;
-        Command::new(&self.program)
+        let child = Command::new(&self.program)
             .args(["routed", "--settings"])
             .arg(settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
-            .spawn()
+            .spawn()?;
+        self.record.line(&format!("{name} started, pid {}", child.id()));
+        Ok(child)
     }
 
     /// Returns where the instance at `index` serves clients.
--- a/review/kit-2/src/fragile.rs
+++ b/review/kit-2/src/fragile.rs
@@ -75,6 +75,7 @@
         let mut child = Command::new(program).args([id.as_str(), self.part]).stdout(Stdio::piped()).spawn().ok()?;
         let out = child.stdout.take()?;
         let pid = child.id();
+        self.record.line(&format!("runner {id} started, pid {pid}"));
         self.children.lock().expect("not poisoned").push(child);
         let key = format!("servers/{id}");
         for line in BufReader::new(out).lines().map_while(Result::ok) {
