--- a/review/kit-2/src/bin/catalog_gap.rs
+++ b/review/kit-2/src/bin/catalog_gap.rs
@@ -39,7 +39,9 @@
          \"canResume\":false,\"allowedRegions\":[]}}"
     );
     let service = |name: &str| {
-        format!("{{\"name\":\"{name}\",\"healthPath\":\"/healthz\",\"maxConns\":110,\"warmupS\":0,\"warmupPerS\":0}}")
+        format!(
+            "{{\"name\":\"{name}\",\"healthPath\":\"/healthz\",\"maxConns\":110,\"warmupS\":0,\"warmupPerS\":0}}"
+        )
     };
     format!(
         "{{\"version\":1,\"routes\":[{route}],\"services\":[{},{}],\"limits\":{{\"maxHeaderBytes\":16384,\
@@ -61,13 +63,15 @@
         for (service, count) in [("pagos-app", 2), ("reparto-llm", 18)] {
             for number in 0..count {
                 let id = format!("i-{service}-{region}-{number:02}");
-                let runner = Runner::start(&record, &id, &format!("{region}-a")).map_err(|e| e.to_string())?;
+                let runner = Runner::start(&record, &id, &format!("{region}-a"))
+                    .map_err(|e| e.to_string())?;
                 store.put(&format!("servers/{id}"), &runner.entry(service, "ready"));
                 runners.push((runner, service));
             }
         }
     }
-    let mut deployment = Deployment::start(&record, store.address, &REGIONS).map_err(|e| e.to_string())?;
+    let mut deployment =
+        Deployment::start(&record, store.address, &REGIONS).map_err(|e| e.to_string())?;
     if !deployment.wait_until_ready(Duration::from_secs(15)) {
         return Err("the instances are not ready".to_owned());
     }
@@ -80,14 +84,20 @@
         return Err("not every instance serves before the disruption".to_owned());
     }
     if trouble {
-        store.set_manner(Manner { answer_time: SLOW, lost: 0.0 });
+        store.set_manner(Manner {
+            answer_time: SLOW,
+            lost: 0.0,
+        });
         thread::sleep(Duration::from_millis(300));
     }
     // Planned work: the last two runners leave, one after the other.
     let mut leaving: Vec<_> = runners.iter().collect();
     leaving.sort_by_key(|(runner, _)| runner.id.clone());
     let leave = |(runner, service): &(Arc<Runner>, &str)| {
-        store.put(&format!("servers/{}", runner.id), &runner.entry(service, "draining"));
+        store.put(
+            &format!("servers/{}", runner.id),
+            &runner.entry(service, "draining"),
+        );
     };
     if trouble {
         store.mute_watches();
@@ -126,8 +136,13 @@
     };
     if trouble {
         let slow_since = dropped_at - 1.3;
-        thread::sleep(Duration::from_secs_f64((slow_since + SLOW_FOR.as_secs_f64() - record.seconds()).max(0.0)));
-        store.set_manner(Manner { answer_time: Duration::from_millis(4), lost: 0.0 });
+        thread::sleep(Duration::from_secs_f64(
+            (slow_since + SLOW_FOR.as_secs_f64() - record.seconds()).max(0.0),
+        ));
+        store.set_manner(Manner {
+            answer_time: Duration::from_millis(4),
+            lost: 0.0,
+        });
     }
     let slow_until = record.seconds();
     let stop = Arc::new(AtomicBool::new(false));
@@ -137,7 +152,12 @@
             scope.spawn(move || {
                 let mut number = 0;
                 while !stop.load(Ordering::Relaxed) {
-                    send(record, deployment, index, &format!("{}-{number}", deployment.instances[index].name));
+                    send(
+                        record,
+                        deployment,
+                        index,
+                        &format!("{}-{number}", deployment.instances[index].name),
+                    );
                     number += 1;
                     thread::sleep(Duration::from_millis(250));
                 }
@@ -154,7 +174,11 @@
     let mut late = std::collections::BTreeMap::new();
     for (runner, _) in runners.iter().filter(|(r, _)| r.zone == "piura-a") {
         for run in runner.runs().iter().filter(|run| run.at > bound_at) {
-            let machine = run.attempt.rsplit_once('-').map_or("?", |(m, _)| m).to_owned();
+            let machine = run
+                .attempt
+                .rsplit_once('-')
+                .map_or("?", |(m, _)| m)
+                .to_owned();
             *late.entry(machine).or_insert(0) += 1;
         }
     }
@@ -166,7 +190,11 @@
 }
 
 fn send(record: &Record, deployment: &Deployment, index: usize, attempt: &str) {
-    let headers = [("host", HOST), ("attempt-id", attempt), ("deadline-ms", "3000")];
+    let headers = [
+        ("host", HOST),
+        ("attempt-id", attempt),
+        ("deadline-ms", "3000"),
+    ];
     let answer = client::send(
         deployment.front(index),
         "GET",
@@ -175,11 +203,17 @@
         b"",
         Duration::from_secs(3),
     );
-    record.line(&format!("{attempt} sent to {}: {}", deployment.instances[index].name, client::describe(&answer)));
+    record.line(&format!(
+        "{attempt} sent to {}: {}",
+        deployment.instances[index].name,
+        client::describe(&answer)
+    ));
 }
 
 fn main() -> ExitCode {
-    let folder = std::env::args().nth(1).map_or_else(|| PathBuf::from("."), PathBuf::from);
+    let folder = std::env::args()
+        .nth(1)
+        .map_or_else(|| PathBuf::from("."), PathBuf::from);
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     match run(folder, trouble) {
         Ok(true) => {
--- a/review/kit-2/src/bin/forgotten_quarantine.rs
+++ b/review/kit-2/src/bin/forgotten_quarantine.rs
@@ -49,7 +49,8 @@
     }
     thread::sleep(Duration::from_millis(500));
     let result = Deployment::start(&record, store.address, &REGIONS).map_err(|e| e.to_string());
-    let result = result.and_then(|mut deployment| play(&record, &mut deployment, &runners, trouble));
+    let result =
+        result.and_then(|mut deployment| play(&record, &mut deployment, &runners, trouble));
     runners.end();
     result
 }
@@ -74,7 +75,15 @@
     thread::scope(|scope| {
         for number in 0..2 * count {
             let deployment = &*deployment;
-            scope.spawn(move || send(record, deployment, number % count, &format!("harmful-first-{number}"), PART));
+            scope.spawn(move || {
+                send(
+                    record,
+                    deployment,
+                    number % count,
+                    &format!("harmful-first-{number}"),
+                    PART,
+                )
+            });
         }
     });
     thread::sleep(Duration::from_millis(500));
@@ -82,7 +91,10 @@
     let Some(fifth_at) = crashes.get(4).copied() else {
         return Err(format!("only {} runners crashed at first", crashes.len()));
     };
-    record.show(&format!("{} crashes; the fifth at {fifth_at:.3} s", crashes.len()));
+    record.show(&format!(
+        "{} crashes; the fifth at {fifth_at:.3} s",
+        crashes.len()
+    ));
     thread::sleep(Duration::from_secs(8));
     let mut in_touch_from = 0.0;
     if trouble {
@@ -96,9 +108,21 @@
     }
     thread::sleep(Duration::from_secs_f64(CONTACT_S + 1.0));
     for number in 0..HARMFUL_REQUESTS {
-        send(record, deployment, number * 3 % count, &format!("harmful-later-{number}"), PART);
+        send(
+            record,
+            deployment,
+            number * 3 % count,
+            &format!("harmful-later-{number}"),
+            PART,
+        );
         for index in 0..count {
-            send(record, deployment, index, &format!("sound-later-{number}-{index}"), "aa");
+            send(
+                record,
+                deployment,
+                index,
+                &format!("sound-later-{number}-{index}"),
+                "aa",
+            );
         }
         if number + 1 < HARMFUL_REQUESTS {
             thread::sleep(HARMFUL_GAP);
@@ -109,7 +133,11 @@
     }
     let bound_at = (fifth_at + CONTACT_S).max(in_touch_from);
     let seen = runners.seen.lock().expect("not poisoned");
-    let late: Vec<_> = seen.arrivals.iter().filter(|(at, _)| *at > bound_at).collect();
+    let late: Vec<_> = seen
+        .arrivals
+        .iter()
+        .filter(|(at, _)| *at > bound_at)
+        .collect();
     record.show(&format!(
         "{} requests with the part reached runners later than {bound_at:.3} s, sent by machines in touch: {late:?}; {MOST} \
          may; {} crashes in all",
@@ -120,7 +148,9 @@
 }
 
 fn send(record: &Record, deployment: &Deployment, index: usize, attempt: &str, part: &str) -> u16 {
-    let own = attempt.bytes().fold(17u64, |n, b| n.wrapping_mul(131).wrapping_add(u64::from(b)));
+    let own = attempt
+        .bytes()
+        .fold(17u64, |n, b| n.wrapping_mul(131).wrapping_add(u64::from(b)));
     let prefix = format!("{part}:2520,{:x}:3780,{:x}:2890", own >> 8, own);
     let headers = [
         ("host", HOST),
@@ -138,12 +168,22 @@
         attempt.as_bytes(),
         Duration::from_secs(5),
     );
-    record.line(&format!("{attempt} sent to {}: {}", deployment.instances[index].name, client::describe(&answer)));
-    answer.ok().flatten().filter(|m| m.is_whole).map_or(0, |m| m.status())
+    record.line(&format!(
+        "{attempt} sent to {}: {}",
+        deployment.instances[index].name,
+        client::describe(&answer)
+    ));
+    answer
+        .ok()
+        .flatten()
+        .filter(|m| m.is_whole)
+        .map_or(0, |m| m.status())
 }
 
 fn main() -> ExitCode {
-    let folder = std::env::args().nth(1).map_or_else(|| PathBuf::from("."), PathBuf::from);
+    let folder = std::env::args()
+        .nth(1)
+        .map_or_else(|| PathBuf::from("."), PathBuf::from);
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     match run(folder, trouble) {
         Ok(true) => {
--- a/review/kit-2/src/bin/fragile_runner.rs
+++ b/review/kit-2/src/bin/fragile_runner.rs
@@ -31,8 +31,14 @@
             http::write_response(&mut stream, "421 Misdirected Request", &headers, b"").ok()?;
             continue;
         }
-        let is_harmful = req.header("prompt-prefix").split(',').any(|p| p.trim().split(':').next() == Some(part));
-        say(&format!("{} {attempt}", if is_harmful { "HARMFUL" } else { "RUN" }));
+        let is_harmful = req
+            .header("prompt-prefix")
+            .split(',')
+            .any(|p| p.trim().split(':').next() == Some(part));
+        say(&format!(
+            "{} {attempt}",
+            if is_harmful { "HARMFUL" } else { "RUN" }
+        ));
         thread::sleep(READING);
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\
@@ -46,7 +52,9 @@
         }
         for number in 1..=3 {
             let event = format!("id: {number}\ndata: words {number}\n\n");
-            stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).ok()?;
+            stream
+                .write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())
+                .ok()?;
             thread::sleep(Duration::from_millis(20));
         }
         stream.write_all(b"0\r\n\r\n").ok()?;
--- a/review/kit-2/src/bin/long_prompts.rs
+++ b/review/kit-2/src/bin/long_prompts.rs
@@ -48,7 +48,12 @@
     record.show(&format!("trouble: {trouble}"));
     let store = Store::start(&record, 50, 1).map_err(|e| e.to_string())?;
     store.put("op/config", &config());
-    let runners = Runners::new(&record, &store, SERVICE, if trouble { PART } else { "none" });
+    let runners = Runners::new(
+        &record,
+        &store,
+        SERVICE,
+        if trouble { PART } else { "none" },
+    );
     for (region, _) in REGIONS {
         (0..RUNNERS_PER_REGION).for_each(|_| runners.keep_up(region));
     }
@@ -59,14 +64,25 @@
     result
 }
 
-fn play(record: &Record, deployment: &mut Deployment, runners: &Arc<Runners>) -> Result<bool, String> {
+fn play(
+    record: &Record,
+    deployment: &mut Deployment,
+    runners: &Arc<Runners>,
+) -> Result<bool, String> {
     if !deployment.wait_until_ready(Duration::from_secs(15)) {
         return Err("the instances are not ready".to_owned());
     }
     thread::sleep(Duration::from_secs_f64(CONTACT_S));
     let count = deployment.instances.len();
     for index in 0..count {
-        if send(record, deployment, index, &format!("sound-first-{index}"), "aa") != 200 {
+        if send(
+            record,
+            deployment,
+            index,
+            &format!("sound-first-{index}"),
+            "aa",
+        ) != 200
+        {
             return Err("not every instance serves before the disruption".to_owned());
         }
     }
@@ -79,13 +95,25 @@
                     if stop.load(Ordering::Relaxed) {
                         break;
                     }
-                    send(record, deployment, index, &format!("sound-{index}-{number}"), "aa");
+                    send(
+                        record,
+                        deployment,
+                        index,
+                        &format!("sound-{index}-{number}"),
+                        "aa",
+                    );
                     thread::sleep(SOUND_GAP);
                 }
             });
         }
         for number in 0..HARMFUL_REQUESTS {
-            send(record, deployment, number * 3 % count, &format!("harmful-{number}"), PART);
+            send(
+                record,
+                deployment,
+                number * 3 % count,
+                &format!("harmful-{number}"),
+                PART,
+            );
             thread::sleep(HARMFUL_GAP);
         }
         stop.store(true, Ordering::Relaxed);
@@ -95,12 +123,19 @@
     }
     let crashes = runners.crashes();
     let Some(fifth_at) = crashes.get(4) else {
-        record.show(&format!("{} crashes; the bound holds from the fifth on", crashes.len()));
+        record.show(&format!(
+            "{} crashes; the bound holds from the fifth on",
+            crashes.len()
+        ));
         return Ok(true);
     };
     let bound_at = fifth_at + CONTACT_S;
     let seen = runners.seen.lock().expect("not poisoned");
-    let late = seen.arrivals.iter().filter(|(at, _)| *at > bound_at).count();
+    let late = seen
+        .arrivals
+        .iter()
+        .filter(|(at, _)| *at > bound_at)
+        .count();
     record.show(&format!(
         "{late} of {HARMFUL_REQUESTS} requests with the part reached runners later than {bound_at:.3} s, {CONTACT_S} s \
          after the fifth crash; {MOST} may; {} crashes in all",
@@ -111,16 +146,24 @@
 
 /// Returns a prompt whose parts are shared but the last one; the one in the middle is `part`.
 fn prompt(part: &str, own: u64) -> String {
-    let count = std::env::var("PARTS").ok().and_then(|v| v.parse().ok()).unwrap_or(PARTS);
+    let count = std::env::var("PARTS")
+        .ok()
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(PARTS);
     let parts = (1..count).map(|number| match number {
         _ if number == count / 2 => format!("{part}:225"),
         _ => format!("{:x}:225", 0xc0de_0000_u64 + number as u64),
     });
-    parts.chain([format!("{own:x}:225")]).collect::<Vec<_>>().join(",")
+    parts
+        .chain([format!("{own:x}:225")])
+        .collect::<Vec<_>>()
+        .join(",")
 }
 
 fn send(record: &Record, deployment: &Deployment, index: usize, attempt: &str, part: &str) -> u16 {
-    let own = attempt.bytes().fold(17u64, |n, b| n.wrapping_mul(131).wrapping_add(u64::from(b)));
+    let own = attempt
+        .bytes()
+        .fold(17u64, |n, b| n.wrapping_mul(131).wrapping_add(u64::from(b)));
     let prefix = prompt(part, own);
     let headers = [
         ("host", HOST),
@@ -138,12 +181,22 @@
         attempt.as_bytes(),
         Duration::from_secs(5),
     );
-    record.line(&format!("{attempt} sent to {}: {}", deployment.instances[index].name, client::describe(&answer)));
-    answer.ok().flatten().filter(|m| m.is_whole).map_or(0, |m| m.status())
+    record.line(&format!(
+        "{attempt} sent to {}: {}",
+        deployment.instances[index].name,
+        client::describe(&answer)
+    ));
+    answer
+        .ok()
+        .flatten()
+        .filter(|m| m.is_whole)
+        .map_or(0, |m| m.status())
 }
 
 fn main() -> ExitCode {
-    let folder = std::env::args().nth(1).map_or_else(|| PathBuf::from("."), PathBuf::from);
+    let folder = std::env::args()
+        .nth(1)
+        .map_or_else(|| PathBuf::from("."), PathBuf::from);
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     match run(folder, trouble) {
         Ok(true) => {
--- a/review/kit-2/src/bin/lost_answers.rs
+++ b/review/kit-2/src/bin/lost_answers.rs
@@ -28,7 +28,10 @@
 const REGIONS: [(&str, usize); 3] = [("akl", 3), ("wlg", 1), ("chc", 2)];
 const KEPT_KEY: &str = "key-that-stays";
 const DROPPED_KEY: &str = "key-that-goes";
-const USUAL: Manner = Manner { answer_time: Duration::from_millis(4), lost: 0.0 };
+const USUAL: Manner = Manner {
+    answer_time: Duration::from_millis(4),
+    lost: 0.0,
+};
 
 fn config(version: u64, keys: &[&str]) -> String {
     let route = format!(
@@ -59,24 +62,38 @@
     let mut runners = Vec::new();
     for (region, _) in REGIONS {
         let id = format!("i-{region}");
-        let runner = Runner::start(&record, &id, &format!("{region}-a")).map_err(|e| e.to_string())?;
-        store.put(&format!("servers/{id}"), &runner.entry("ticket-desk", "ready"));
+        let runner =
+            Runner::start(&record, &id, &format!("{region}-a")).map_err(|e| e.to_string())?;
+        store.put(
+            &format!("servers/{id}"),
+            &runner.entry("ticket-desk", "ready"),
+        );
         runners.push(runner);
     }
-    let mut deployment = Deployment::start(&record, store.address, &REGIONS).map_err(|e| e.to_string())?;
+    let mut deployment =
+        Deployment::start(&record, store.address, &REGIONS).map_err(|e| e.to_string())?;
     if !deployment.wait_until_ready(Duration::from_secs(15)) {
         return Err("the instances are not ready".to_owned());
     }
     thread::sleep(Duration::from_secs(6));
     for index in 0..deployment.instances.len() {
-        let answer = send(&record, &deployment, index, &format!("before-{index}"), DROPPED_KEY);
+        let answer = send(
+            &record,
+            &deployment,
+            index,
+            &format!("before-{index}"),
+            DROPPED_KEY,
+        );
         if answer != 200 {
             return Err("not every instance serves before the disruption".to_owned());
         }
     }
     for change in 0..CHANGES_BEFORE + CHANGES_DURING {
         if change == CHANGES_BEFORE && trouble {
-            store.set_manner(Manner { lost: LOST, ..USUAL });
+            store.set_manner(Manner {
+                lost: LOST,
+                ..USUAL
+            });
         }
         version += 3;
         store.put("op/config", &config(version, &both));
@@ -88,7 +105,9 @@
     version += 3;
     store.put("op/config", &config(version, &[KEPT_KEY]));
     let confirmed_at = record.seconds();
-    record.show(&format!("version {version} without the key confirmed at {confirmed_at:.3} s"));
+    record.show(&format!(
+        "version {version} without the key confirmed at {confirmed_at:.3} s"
+    ));
     // Both bounds: machines are in touch, and the version must be in force.
     let bound_at = (lost_until + CONTACT_S).max(confirmed_at + APPLY_S);
     let stop = AtomicBool::new(false);
@@ -104,7 +123,9 @@
                         }
                         let sent_at = record.seconds();
                         let attempt = format!("{}-{number}", deployment.instances[index].name);
-                        if send(record, deployment, index, &attempt, DROPPED_KEY) == 200 && sent_at > bound_at {
+                        if send(record, deployment, index, &attempt, DROPPED_KEY) == 200
+                            && sent_at > bound_at
+                        {
                             late.push(attempt);
                         }
                         thread::sleep(Duration::from_millis(100));
@@ -115,7 +136,9 @@
             .collect();
         thread::sleep(Duration::from_secs(15));
         stop.store(true, Ordering::Relaxed);
-        let late = senders.into_iter().flat_map(|s| s.join().unwrap_or_default());
+        let late = senders
+            .into_iter()
+            .flat_map(|s| s.join().unwrap_or_default());
         late.collect::<Vec<String>>()
     });
     if !deployment.all_run() {
@@ -125,7 +148,11 @@
     let ran: Vec<_> = runners.iter().flat_map(|r| r.runs()).collect();
     let mut by_machine: BTreeMap<String, (usize, f64)> = BTreeMap::new();
     for run in ran.iter().filter(|run| late.contains(&run.attempt)) {
-        let machine = run.attempt.rsplit_once('-').map_or("?", |(m, _)| m).to_owned();
+        let machine = run
+            .attempt
+            .rsplit_once('-')
+            .map_or("?", |(m, _)| m)
+            .to_owned();
         let entry = by_machine.entry(machine).or_default();
         *entry = (entry.0 + 1, run.at);
     }
@@ -162,7 +189,9 @@
 }
 
 fn main() -> ExitCode {
-    let folder = std::env::args().nth(1).map_or_else(|| PathBuf::from("."), PathBuf::from);
+    let folder = std::env::args()
+        .nth(1)
+        .map_or_else(|| PathBuf::from("."), PathBuf::from);
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     match run(folder, trouble) {
         Ok(true) => {
--- a/review/kit-2/src/bin/unknown_cold.rs
+++ b/review/kit-2/src/bin/unknown_cold.rs
@@ -68,10 +68,15 @@
 
     /// Starts the process, and records what it says until it ends.
     fn start(self: &Arc<Self>, record: &Record) -> Option<()> {
-        let program = std::env::current_exe().ok()?.with_file_name("fragile_runner");
+        let program = std::env::current_exe()
+            .ok()?
+            .with_file_name("fragile_runner");
         let address = self.address.to_string();
-        let mut child =
-            Command::new(program).args([&self.id, "none", &address]).stdout(Stdio::piped()).spawn().ok()?;
+        let mut child = Command::new(program)
+            .args([&self.id, "none", &address])
+            .stdout(Stdio::piped())
+            .spawn()
+            .ok()?;
         let out = child.stdout.take()?;
         record.line(&format!("runner {} started, pid {}", self.id, child.id()));
         *self.child.lock().expect("not poisoned") = Some(child);
@@ -81,7 +86,10 @@
                 record.line(&format!("runner {}: {line}", runner.id));
                 // The attempt's id ends with the time at which it was sent.
                 if let Some(("RUN", attempt)) = line.split_once(' ') {
-                    let sent_at = attempt.rsplit_once('-').and_then(|(_, t)| t.parse().ok()).unwrap_or(0.0);
+                    let sent_at = attempt
+                        .rsplit_once('-')
+                        .and_then(|(_, t)| t.parse().ok())
+                        .unwrap_or(0.0);
                     let arrival = (record.seconds(), sent_at);
                     runner.arrivals.lock().expect("not poisoned").push(arrival);
                 }
@@ -117,13 +125,17 @@
             let runner = Runner::new(format!("i-{region}-{number}"), format!("{region}-a"));
             let runner = Arc::new(runner.map_err(|e| e.to_string())?);
             runner.start(&record).ok_or("a runner does not start")?;
-            store.put(&format!("servers/{}", runner.id), &runner.entry(0, 1_700_000_000_000));
+            store.put(
+                &format!("servers/{}", runner.id),
+                &runner.entry(0, 1_700_000_000_000),
+            );
             runners.push(runner);
         }
     }
     thread::sleep(Duration::from_millis(300));
     let result = Deployment::start(&record, store.address, &REGIONS).map_err(|e| e.to_string());
-    let result = result.and_then(|mut deployment| play(&record, &mut deployment, &store, &runners, trouble));
+    let result =
+        result.and_then(|mut deployment| play(&record, &mut deployment, &store, &runners, trouble));
     runners.iter().for_each(|r| r.kill());
     result
 }
@@ -150,7 +162,12 @@
                     if stop.load(Ordering::Relaxed) {
                         break;
                     }
-                    send(record, deployment, index, &format!("a{number}-{request}-{:.3}", record.seconds()));
+                    send(
+                        record,
+                        deployment,
+                        index,
+                        &format!("a{number}-{request}-{:.3}", record.seconds()),
+                    );
                     thread::sleep(REQUEST_GAP);
                 }
             });
@@ -170,7 +187,9 @@
         thread::sleep(BACK_AFTER);
         let back_at = record.seconds();
         if crashes {
-            record.show(&format!("the runners of piura-a are back, cold for {WARMUP_S} s"));
+            record.show(&format!(
+                "the runners of piura-a are back, cold for {WARMUP_S} s"
+            ));
             for runner in fragile {
                 let _ = runner.start(record);
                 // It writes to the store as soon as that takes it.
@@ -206,9 +225,15 @@
     let mut held = true;
     for runner in fragile {
         let arrivals = runner.arrivals.lock().expect("not poisoned").clone();
-        let cold: Vec<(f64, f64)> =
-            arrivals.into_iter().filter(|(at, sent)| *sent >= back_at && *at <= cold_until).collect();
-        let within = |from: f64| cold.iter().filter(|(at, sent)| *sent >= from && *at <= from + 1.0).count();
+        let cold: Vec<(f64, f64)> = arrivals
+            .into_iter()
+            .filter(|(at, sent)| *sent >= back_at && *at <= cold_until)
+            .collect();
+        let within = |from: f64| {
+            cold.iter()
+                .filter(|(at, sent)| *sent >= from && *at <= from + 1.0)
+                .count()
+        };
         let windows = cold.iter().map(|(_, sent)| (within(*sent), *sent));
         let (most, from) = windows.max_by_key(|(count, _)| *count).unwrap_or((0, 0.0));
         record.show(&format!(
@@ -223,7 +248,9 @@
 }
 
 fn send(record: &Record, deployment: &Deployment, index: usize, attempt: &str) {
-    let own = attempt.bytes().fold(17u64, |n, b| n.wrapping_mul(131).wrapping_add(u64::from(b)));
+    let own = attempt
+        .bytes()
+        .fold(17u64, |n, b| n.wrapping_mul(131).wrapping_add(u64::from(b)));
     let prefix = format!("{:x}:119,{:x}:79,{own:x}:628", own % 40, own % 224 + 1_000);
     let headers = [
         ("host", HOST),
@@ -233,13 +260,25 @@
         ("token-count", "826,18"),
         ("prompt-prefix", prefix.as_str()),
     ];
-    let answer =
-        client::send(deployment.front(index), "POST", "/ask/1", &headers, b"why?", Duration::from_secs(12));
-    record.line(&format!("{attempt} sent to {}: {}", deployment.instances[index].name, client::describe(&answer)));
+    let answer = client::send(
+        deployment.front(index),
+        "POST",
+        "/ask/1",
+        &headers,
+        b"why?",
+        Duration::from_secs(12),
+    );
+    record.line(&format!(
+        "{attempt} sent to {}: {}",
+        deployment.instances[index].name,
+        client::describe(&answer)
+    ));
 }
 
 fn main() -> ExitCode {
-    let folder = std::env::args().nth(1).map_or_else(|| PathBuf::from("."), PathBuf::from);
+    let folder = std::env::args()
+        .nth(1)
+        .map_or_else(|| PathBuf::from("."), PathBuf::from);
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "both".to_owned());
     match run(folder, &trouble) {
         Ok(true) => {
--- a/review/kit-2/src/deployment.rs
+++ b/review/kit-2/src/deployment.rs
@@ -36,7 +36,11 @@
 
 impl Deployment {
     /// Starts `count` instances in each of `regions`, as (name, count), with their store at `store`.
-    pub fn start(record: &Record, store: SocketAddr, regions: &[(&str, usize)]) -> io::Result<Self> {
+    pub fn start(
+        record: &Record,
+        store: SocketAddr,
+        regions: &[(&str, usize)],
+    ) -> io::Result<Self> {
         let program = program()?;
         let process = std::process::id();
         let folder = std::env::temp_dir().join(format!("review-2-{process}"));
@@ -50,7 +54,9 @@
             record: record.clone(),
         };
         let network = [(process % 200) as u8 + 20, (process / 200 % 250) as u8 + 1];
-        let names = regions.iter().flat_map(|(r, n)| (1..=*n).map(move |i| (*r, i)));
+        let names = regions
+            .iter()
+            .flat_map(|(r, n)| (1..=*n).map(move |i| (*r, i)));
         let places: Vec<(String, String, Ipv4Addr)> = names
             .enumerate()
             .map(|(index, (region, number))| {
@@ -63,7 +69,10 @@
             .filter_map(|(r, _)| places.iter().find(|(_, region, _)| region == r))
             .map(|(_, _, ip)| format!("\"{ip}:{}\"", ports[3]))
             .collect();
-        let zones: String = regions.iter().map(|(r, _)| format!("\"{r}-a\" = \"{r}\"\n")).collect();
+        let zones: String = regions
+            .iter()
+            .map(|(r, _)| format!("\"{r}-a\" = \"{r}\"\n"))
+            .collect();
         for (name, region, ip) in places {
             let text = settings(&name, &region, ip, ports, &seeds.join(", "), &zones, store);
             let path = deployment.folder.join(format!("{name}.toml"));
@@ -92,7 +101,8 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        self.record.line(&format!("{name} started, pid {}", child.id()));
+        self.record
+            .line(&format!("{name} started, pid {}", child.id()));
         Ok(child)
     }
 
@@ -114,7 +124,8 @@
         let started_at = Instant::now();
         while started_at.elapsed() < limit {
             if (0..self.instances.len()).all(|index| self.is_ready(index)) {
-                self.record.show(&format!("all {} instances are ready", self.instances.len()));
+                self.record
+                    .show(&format!("all {} instances are ready", self.instances.len()));
                 return true;
             }
             std::thread::sleep(Duration::from_millis(50));
@@ -136,7 +147,10 @@
     /// Starts all processes again.
     pub fn restart_all(&mut self) -> io::Result<()> {
         for index in 0..self.instances.len() {
-            let (name, settings) = (self.instances[index].name.clone(), self.instances[index].settings.clone());
+            let (name, settings) = (
+                self.instances[index].name.clone(),
+                self.instances[index].settings.clone(),
+            );
             self.instances[index].child = self.launch(&name, &settings)?;
         }
         self.record.show("all instances started again");
--- a/review/kit-2/src/fragile.rs
+++ b/review/kit-2/src/fragile.rs
@@ -41,7 +41,12 @@
 
 impl Runners {
     /// Returns no runners of `service` yet, which `part` crashes.
-    pub fn new(record: &Record, store: &Arc<Store>, service: &'static str, part: &'static str) -> Arc<Self> {
+    pub fn new(
+        record: &Record,
+        store: &Arc<Store>,
+        service: &'static str,
+        part: &'static str,
+    ) -> Arc<Self> {
         Arc::new(Self {
             record: record.clone(),
             store: store.clone(),
@@ -71,8 +76,14 @@
     fn run_once(self: &Arc<Self>, region: &str) -> Option<()> {
         let boot = self.boots.fetch_add(1, Ordering::Relaxed);
         let id = format!("i-{region}-{boot:03}");
-        let program = std::env::current_exe().ok()?.with_file_name("fragile_runner");
-        let mut child = Command::new(program).args([id.as_str(), self.part]).stdout(Stdio::piped()).spawn().ok()?;
+        let program = std::env::current_exe()
+            .ok()?
+            .with_file_name("fragile_runner");
+        let mut child = Command::new(program)
+            .args([id.as_str(), self.part])
+            .stdout(Stdio::piped())
+            .spawn()
+            .ok()?;
         let out = child.stdout.take()?;
         let pid = child.id();
         self.record.line(&format!("runner {id} started, pid {pid}"));
@@ -88,7 +99,13 @@
                 "CRASH" => seen.crashes.push(at),
                 "LISTEN" => {
                     let born = 1_700_000_000_000 + boot as u64;
-                    let entry = runner::entry(self.service, rest.parse().ok()?, &format!("{region}-a"), "ready", born);
+                    let entry = runner::entry(
+                        self.service,
+                        rest.parse().ok()?,
+                        &format!("{region}-a"),
+                        "ready",
+                        born,
+                    );
                     drop(seen);
                     self.store.put(&key, &entry);
                 }
--- a/review/kit-2/src/http.rs
+++ b/review/kit-2/src/http.rs
@@ -92,7 +92,10 @@
         return Ok(None);
     };
     let mut body = Vec::new();
-    if message.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+    if message
+        .header("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
+    {
         message.is_whole = read_chunks(reader, &mut body)?;
     } else {
         body = vec![0; message.header("content-length").parse().unwrap_or(0)];
@@ -109,7 +112,10 @@
         return Ok(None);
     };
     let mut body = Vec::new();
-    if message.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+    if message
+        .header("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
+    {
         message.is_whole = read_chunks(reader, &mut body).unwrap_or(false);
     } else if let Ok(length) = message.header("content-length").parse() {
         body = vec![0; length];
--- a/review/kit-2/src/lib.rs
+++ b/review/kit-2/src/lib.rs
@@ -14,7 +14,8 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::with_capacity(bytes.len().div_ceil(3) * 4);
     for group in bytes.chunks(3) {
-        let number = group.iter().fold(0u32, |n, b| n << 8 | u32::from(*b)) << (8 * (3 - group.len()));
+        let number =
+            group.iter().fold(0u32, |n, b| n << 8 | u32::from(*b)) << (8 * (3 - group.len()));
         for place in 0..4 {
             if place <= group.len() {
                 let digit = (number >> (18 - 6 * place)) & 63;
--- a/review/kit-2/src/runner.rs
+++ b/review/kit-2/src/runner.rs
@@ -81,7 +81,10 @@
                 tenant: req.header("tenant").to_owned(),
                 tokens: req.header("token-count").to_owned(),
             };
-            self.record.line(&format!("runner {} in {} runs {attempt}", self.id, self.zone));
+            self.record.line(&format!(
+                "runner {} in {} runs {attempt}",
+                self.id, self.zone
+            ));
             self.runs.lock().expect("not poisoned").push(run);
             let stamp = format!("{}.{attempt}", self.id);
             let headers = [
--- a/review/kit-2/src/store.rs
+++ b/review/kit-2/src/store.rs
@@ -92,11 +92,14 @@
         let mut state = self.state();
         state.revision += 1;
         let revision = state.revision;
-        state.items.insert(key.to_owned(), (value.as_bytes().to_vec(), revision));
+        state
+            .items
+            .insert(key.to_owned(), (value.as_bytes().to_vec(), revision));
         state.changes.push((revision, key.to_owned(), false));
         drop(state);
         self.changed.notify_all();
-        self.record.line(&format!("store: {key} written, revision {revision}"));
+        self.record
+            .line(&format!("store: {key} written, revision {revision}"));
         revision
     }
 
@@ -111,7 +114,8 @@
         state.changes.push((revision, key.to_owned(), true));
         drop(state);
         self.changed.notify_all();
-        self.record.line(&format!("store: {key} removed, revision {revision}"));
+        self.record
+            .line(&format!("store: {key} removed, revision {revision}"));
     }
 
     /// Sets how it answers from now on.
@@ -157,7 +161,9 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(reader) = stream.try_clone() else { return };
+        let Ok(reader) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(reader);
         let mut stream = stream;
         while let Ok(Some(req)) = http::read_request(&mut reader) {
@@ -170,7 +176,8 @@
             if share > 0.0 && state.random.next_unit() < share {
                 state.lost += 1;
                 drop(state);
-                self.record.line(&format!("store: answer to {} lost", req.target()));
+                self.record
+                    .line(&format!("store: answer to {} lost", req.target()));
                 // The channel stays open and returns nothing further.
                 while let Ok(Some(_)) = http::read_request(&mut reader) {}
                 return;
@@ -210,7 +217,10 @@
         let state = self.state();
         let matching = state.items.iter();
         let matching = matching.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
-        let mut list: Vec<String> = matching.take(self.page_items + 1).map(|(k, i)| item(k, i)).collect();
+        let mut list: Vec<String> = matching
+            .take(self.page_items + 1)
+            .map(|(k, i)| item(k, i))
+            .collect();
         let more = list.len() > self.page_items;
         list.truncate(self.page_items);
         format!(
@@ -236,7 +246,9 @@
                     continue;
                 }
                 if *deleted {
-                    events.push(format!("{{\"key\":\"{key}\",\"rev\":{revision},\"deleted\":true}}"));
+                    events.push(format!(
+                        "{{\"key\":\"{key}\",\"rev\":{revision},\"deleted\":true}}"
+                    ));
                 } else if let Some(found) = state.items.get(key).filter(|i| i.1 == *revision) {
                     events.push(item(key, found));
                 }
@@ -244,17 +256,30 @@
             let now = Instant::now();
             if (!events.is_empty() && !state.is_mute) || now >= until {
                 let revision = if state.is_mute { after } else { state.revision };
-                let events = if state.is_mute { String::new() } else { events.join(",") };
-                return ("200 OK", format!("{{\"events\":[{events}],\"currentRev\":{revision}}}"));
+                let events = if state.is_mute {
+                    String::new()
+                } else {
+                    events.join(",")
+                };
+                return (
+                    "200 OK",
+                    format!("{{\"events\":[{events}],\"currentRev\":{revision}}}"),
+                );
             }
-            state = self.changed.wait_timeout(state, until - now).expect("not poisoned").0;
+            state = self
+                .changed
+                .wait_timeout(state, until - now)
+                .expect("not poisoned")
+                .0;
         }
     }
 }
 
 fn item(key: &str, (value, revision): &(Vec<u8>, u64)) -> String {
     let value = base64(value);
-    format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"rev\":{revision},\"createRev\":{revision},\"lease\":0}}")
+    format!(
+        "{{\"key\":\"{key}\",\"value\":\"{value}\",\"rev\":{revision},\"createRev\":{revision},\"lease\":0}}"
+    )
 }
 
 /// Decodes a percent-encoded value.
