--- a/crates/sesamebarrow_gateway/src/store.rs
+++ b/crates/sesamebarrow_gateway/src/store.rs
@@ -12,7 +12,8 @@
 use rand::RngExt;
 use sesamebarrow_platform::item::{self, Key};
 use sesamebarrow_platform::store as platform_store;
-use sesamebarrow_routing::catalog::{Catalog, Change, Item, Position};
+use sesamebarrow_routing::catalog::read::Pages;
+use sesamebarrow_routing::catalog::{Catalog, Change, Delta, Item, Position};
 use smol_str::SmolStr;
 
 use crate::meter::{Meter, Metered, MeteredBody};
@@ -28,6 +29,9 @@
 /// quarter of a second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum time for which the store holds a watch for changes that it has made already.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(250);
+
 /// Maximum size of a response of the store. A page has about a megabyte, and a third more in its encoding.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -56,6 +60,8 @@
     EraChanged(u16),
     #[error("the store answers in era {0}, which has ended")]
     EarlierEra(u16),
+    #[error("the store does not return the changes that were made while it was read")]
+    ChangesMissing,
     #[error("invalid response: {0}")]
     Response(#[from] platform_store::Error),
 }
@@ -95,7 +101,7 @@
         if let Error::EraChanged(era) = error {
             log::warn!(era, error:% = error; "reading the whole store again");
             metrics::counter!("sesamebarrow_store_eras_total").increment(1);
-        } else if matches!(error, Error::HistoryCompacted) {
+        } else if matches!(error, Error::HistoryCompacted | Error::ChangesMissing) {
             log::warn!(error:% = error; "reading the whole store again");
         } else {
             if !failed {
@@ -254,29 +260,34 @@
     client: &mut Client,
     era: &mut Option<u16>,
 ) -> Result<u64, Error> {
-    let mut items = std::collections::BTreeMap::new();
-    let mut first_revision = None;
+    let mut pages = Pages::default();
     let mut next_after = None;
     loop {
         let path = platform_store::range_path(platform_store::ALL_KEYS, next_after.as_deref());
         let body = call(shared, client, &path, Duration::ZERO, era).await?;
         let page = platform_store::decode_page(&body, era_or_known(shared, *era))?;
-        // The pages are not a consistent snapshot. The watch starts at the revision of the
-        // first page, so that it returns the changes made while the others were read.
-        let revision = *first_revision.get_or_insert(page.revision);
-        items.extend(page.items);
+        pages.add_page(page.items, page.revision);
         next_after = page.next;
-        if next_after.is_some() {
-            continue;
+        if next_after.is_none() {
+            break;
+        }
+    }
+    if let Some(since) = pages.missing_since() {
+        let path = platform_store::watch_path(platform_store::ALL_KEYS, since, CATCH_UP_WAIT);
+        let body = call(shared, client, &path, CATCH_UP_WAIT, era).await?;
+        let missing = platform_store::decode_watch_response(&body, era_or_known(shared, *era))?;
+        log::info!(
+            since, until = missing.revision, changes = missing.changes.len();
+            "store changed while it was read"
+        );
+        pages.add_changes(missing.changes, missing.revision);
+        if pages.missing_since().is_some() {
+            return Err(Error::ChangesMissing);
         }
-        let mut catalog = shared.catalog();
-        let changes = catalog.diff(&items, revision);
-        begin_era(shared, &catalog, revision);
-        apply(shared, &mut catalog, &changes);
-        catalog.advance_to(revision);
-        shared.board().revision = catalog.revision;
-        return Ok(revision);
     }
+    let read = pages.into_delta();
+    apply_delta(shared, &mut shared.catalog(), &read);
+    Ok(read.revision)
 }
 
 async fn watch(
@@ -300,7 +311,7 @@
 
 /// Prepares for the changes that lead to `revision`. If it is of a later era than the catalog, what the
 /// restored copy lacks is kept for a while, as after an outage: it is published again.
-pub fn begin_era(shared: &Shared, catalog: &Catalog, revision: u64) {
+fn begin_era(shared: &Shared, catalog: &Catalog, revision: u64) {
     let era = Position::unpack(revision).era;
     let mut board = shared.board();
     board.store_era = board.store_era.max(era);
@@ -310,7 +321,17 @@
     }
 }
 
-/// Applies changes to the catalog, and to the board those that are new to the catalog.
+/// Applies a delta to the catalog, and to the board what is new to the catalog.
+pub fn apply_delta(shared: &Shared, catalog: &mut Catalog, delta: &Delta) {
+    let since = catalog.revision;
+    let changes = catalog.changes_from(delta);
+    begin_era(shared, catalog, delta.revision);
+    apply(shared, catalog, &changes);
+    catalog.advance_by(delta, since);
+    shared.board().revision = catalog.revision;
+}
+
+/// Applies all changes that follow the catalog's revision, and to the board those that are new to the catalog.
 pub fn apply(shared: &Shared, catalog: &mut Catalog, changes: &[Change]) {
     for change in changes {
         let kept = kept_config(catalog, change);
--- a/crates/sesamebarrow_gateway/src/sync.rs
+++ b/crates/sesamebarrow_gateway/src/sync.rs
@@ -10,7 +10,7 @@
 use prost::Message;
 use rand::seq::IteratorRandom;
 use sesamebarrow_platform::item::{self, Key};
-use sesamebarrow_routing::catalog::{Delta, Item};
+use sesamebarrow_routing::catalog::{Delta, Gap, Item};
 use sesamebarrow_routing::member::Member;
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
@@ -56,6 +56,8 @@
     deletions: Vec<Deletion>,
     #[prost(bool, tag = "4")]
     full: bool,
+    #[prost(message, repeated, tag = "5")]
+    gaps: Vec<Gap>,
 }
 
 fn encode(delta: Delta) -> Bytes {
@@ -72,6 +74,7 @@
         revision: delta.revision,
         deletions: deletions.collect(),
         full: delta.full,
+        gaps: delta.gaps,
     };
     Bytes::from(response.encode_to_vec())
 }
@@ -91,6 +94,7 @@
         deleted: deletions.collect(),
         full: response.full,
         revision: response.revision,
+        gaps: response.gaps,
     })
 }
 
@@ -199,11 +203,7 @@
     let delta = decode(&response)?;
     let mut catalog = shared.catalog();
     if delta.revision > catalog.revision {
-        let changes = catalog.changes_from(&delta);
-        store::begin_era(shared, &catalog, delta.revision);
-        store::apply(shared, &mut catalog, &changes);
-        catalog.advance_to(delta.revision);
-        shared.board().revision = catalog.revision;
+        store::apply_delta(shared, &mut catalog, &delta);
     }
     for (key, item) in &delta.items {
         store::adopt_config(shared, &mut catalog, key, item);
--- a/crates/sesamebarrow_routing/src/catalog.rs
+++ b/crates/sesamebarrow_routing/src/catalog.rs
@@ -1,14 +1,16 @@
 //! The items published in the store, as one instance knows them: keys, values and
 //! revisions.
 //!
-//! The contents of a catalog depend only on the store's position. Of two catalogs the one
-//! with the later position is therefore correct and may replace the other. Instances that
-//! get no answer from the store copy the catalog from instances that do.
+//! The contents of a catalog depend only on the store's position: it contains all changes up to it and none
+//! after it. Of two catalogs the one with the later position is therefore correct and may replace the other.
+//! Instances that get no answer from the store copy the catalog from instances that do.
 //!
 //! A store that is restored from an older copy begins a new *era*, in which it gives out revisions
 //! again. A [`Position`] is the pair of era and revision. Fields named `revision` hold one, packed,
 //! so that instances of earlier versions, which know no eras, compare them alike.
 
+pub mod read;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use smol_str::SmolStr;
@@ -68,18 +70,41 @@
 pub struct Catalog {
     /// Items by key.
     pub items: BTreeMap<SmolStr, Item>,
-    /// Revision of the newest applied change; never decreases.
+    /// Revision of the newest applied change; never decreases. All earlier changes were applied too.
     pub revision: u64,
     /// Deletions after `deletions_since`, oldest first.
     deletions: VecDeque<(SmolStr, u64)>,
-    /// Revision after which all deletions are in `deletions`.
+    /// Revision after which all deletions are in `deletions`, except for `gaps`.
     deletions_since: u64,
+    /// Ranges of which not every deletion is in `deletions`, oldest first; at most [`MAX_GAPS`].
+    gaps: VecDeque<Gap>,
+}
+
+/// Revisions that a full read skipped. Items that were created and deleted between the two are in no deletion, so
+/// that an instance whose revision lies between them needs the full catalog.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Gap {
+    /// Revision before the read.
+    #[prost(uint64, tag = "1")]
+    pub after: u64,
+    /// Revision of the read.
+    #[prost(uint64, tag = "2")]
+    pub until: u64,
+}
+
+impl Gap {
+    fn contains(&self, revision: u64) -> bool {
+        self.after < revision && revision < self.until
+    }
 }
 
 /// Maximum number of deletions that are kept for other instances. An instance that lacks
 /// older ones receives the full catalog.
 const MAX_DELETIONS: usize = 512;
 
+/// Maximum number of gaps that are kept.
+const MAX_GAPS: usize = 32;
+
 /// The changes that another instance has not received.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Delta {
@@ -91,16 +116,18 @@
     pub full: bool,
     /// Revision that the receiver reaches by applying this delta.
     pub revision: u64,
+    /// Ranges of which `deleted` does not hold every deletion.
+    pub gaps: Vec<Gap>,
 }
 
 impl Catalog {
-    /// Applies a change. Returns false if it is not newer than what is known, also of a deletion, or if it
-    /// deletes an unknown item.
+    /// Applies a change that follows all changes applied before. Returns false if it is not newer than what is known,
+    /// also of a deletion, or if it deletes an unknown item. Such a deletion is recorded: other instances may know
+    /// the item.
     pub fn apply(&mut self, change: &Change) -> bool {
         let item_revision = self.items.get(&change.key).map(|i| i.revision);
         let known_revision = item_revision.or_else(|| self.deletion_revision(&change.key));
-        let is_known = known_revision.is_some_and(|known| change.revision <= known);
-        if is_known || (change.item.is_none() && item_revision.is_none()) {
+        if known_revision.is_some_and(|known| change.revision <= known) {
             return false;
         }
         match &change.item {
@@ -119,7 +146,7 @@
             }
         }
         self.revision = self.revision.max(change.revision);
-        true
+        change.item.is_some() || item_revision.is_some()
     }
 
     /// Returns the revision at which an item was last deleted, as far as that is known.
@@ -142,13 +169,35 @@
         if self.revision == 0 || era(revision) > era(self.deletions_since) {
             self.deletions.clear();
             self.deletions_since = revision;
+            self.gaps.clear();
         }
         self.revision = self.revision.max(revision);
     }
 
+    /// Records that all changes of `delta` were applied to this catalog, which was at revision `since`.
+    pub fn advance_by(&mut self, delta: &Delta, since: u64) {
+        self.advance_to(delta.revision);
+        let read = delta.full.then_some(Gap {
+            after: since,
+            until: delta.revision,
+        });
+        let gaps = delta.gaps.iter().copied().chain(read);
+        let new = gaps.filter(|gap| {
+            gap.until > gap.after && gap.until > self.deletions_since && !self.gaps.contains(gap)
+        });
+        self.gaps.extend(new.collect::<Vec<_>>());
+        while self.gaps.len() > MAX_GAPS
+            && let Some(oldest) = self.gaps.pop_front()
+        {
+            self.deletions_since = self.deletions_since.max(oldest.until);
+        }
+    }
+
     /// Returns the changes that an instance with revision `since` has not received.
     pub fn delta_since(&self, since: u64) -> Delta {
-        let full = since < self.deletions_since || since == 0;
+        let full = since < self.deletions_since
+            || since == 0
+            || self.gaps.iter().any(|gap| gap.contains(since));
         let items = self
             .items
             .iter()
@@ -164,6 +213,12 @@
             deleted: deletions.cloned().collect(),
             full,
             revision: self.revision,
+            gaps: self
+                .gaps
+                .iter()
+                .copied()
+                .filter(|gap| gap.until > since)
+                .collect(),
         }
     }
 
@@ -189,10 +244,18 @@
 
     /// Returns the changes that lead to `items`, a full read of the store at `revision`.
     ///
-    /// Items in this catalog that changed after `revision` are left as they are.
+    /// Items in this catalog that changed after `revision` are left as they are, and so are items that it no longer
+    /// has because it is at a later revision.
     pub fn diff(&self, items: &BTreeMap<SmolStr, Item>, revision: u64) -> Vec<Change> {
+        // A catalog at an earlier revision lacks the items that are new since then, one at a later revision those
+        // that were deleted since then.
+        let absent_since = if self.revision > revision {
+            self.revision
+        } else {
+            0
+        };
         let newer = items.iter().filter(|(key, item)| {
-            let known_revision = self.items.get(*key).map_or(0, |i| i.revision);
+            let known_revision = self.items.get(*key).map_or(absent_since, |i| i.revision);
             item.revision > known_revision
         });
         let mut changes: Vec<_> = newer
--- a/crates/sesamebarrow_routing/tests/decisions/catalogs.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/catalogs.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use sesamebarrow_routing::catalog::read::Pages;
 use sesamebarrow_routing::catalog::{Change, Item, Position};
 use sesamebarrow_routing::upstream::Entry;
 use sesamebarrow_routing::{Catalog, admit};
@@ -43,11 +44,22 @@
 
 /// Brings `behind` up to date with a delta from `ahead`.
 fn catch_up(behind: &mut Catalog, ahead: &Catalog) {
-    let delta = ahead.delta_since(behind.revision);
+    let (delta, since) = (ahead.delta_since(behind.revision), behind.revision);
     for change in behind.changes_from(&delta) {
         behind.apply(&change);
     }
-    behind.advance_to(delta.revision);
+    behind.advance_by(&delta, since);
+}
+
+/// Applies a read of the store, which has `items` at `revision`.
+fn read_store(catalog: &mut Catalog, items: &[Change], revision: u64) {
+    let mut pages = Pages::default();
+    pages.add_page(catalog_of(items).items, revision);
+    let (delta, since) = (pages.into_delta(), catalog.revision);
+    for change in catalog.changes_from(&delta) {
+        catalog.apply(&change);
+    }
+    catalog.advance_by(&delta, since);
 }
 
 #[test]
@@ -92,16 +104,20 @@
     assert!(behind.items.is_empty());
 }
 
+#[test]
+fn full_read_replaces_a_catalog_of_an_earlier_revision() {
+    let catalog = catalog_of(&[put("a", 1)]);
+    let read = catalog_of(&[put("b", 3)]);
+    let changes = catalog.diff(&read.items, 5);
+    assert_eq!(changes, [put("b", 3), delete("a", 5)]);
+}
+
 #[test]
 fn full_read_keeps_items_that_changed_after_it_began() {
-    let catalog = catalog_of(&[put("a", 1), put("late", 9)]);
+    let catalog = catalog_of(&[put("a", 1), put("b", 3), put("late", 9)]);
     let read = catalog_of(&[put("b", 3)]);
-    let keys: Vec<_> = catalog
-        .diff(&read.items, 5)
-        .into_iter()
-        .map(|c| c.key)
-        .collect();
-    assert_eq!(keys, ["b", "a"], "`a` is deleted, `late` is kept");
+    let changes = catalog.diff(&read.items, 5);
+    assert_eq!(changes, [delete("a", 5)], "`late` is kept");
 }
 
 /// Returns the catalog of a store after it was restored to `items` at `revision`.
@@ -351,3 +367,78 @@
     assert!(!catalog.apply(&put("a", 6)));
     assert!(catalog.apply(&put("a", 8)));
 }
+
+/// A read whose later page contains a newer change than its first one misses what changed in between on the first.
+#[test]
+fn read_in_pages_is_complete_only_with_the_changes_made_meanwhile() {
+    let mut pages = Pages::default();
+    let first = [put("b", 3), put("c", 4), put("moved", 5)];
+    pages.add_page(catalog_of(&first).items, 60);
+    pages.add_page(catalog_of(&[put("y", 62)]).items, 63);
+    assert_eq!(pages.missing_since(), Some(60));
+    let missing = [
+        put("a", 61),
+        put("y", 61),
+        delete("b", 62),
+        delete("moved", 62),
+        put("moved", 63),
+    ];
+    pages.add_changes(missing, 63);
+    assert_eq!(pages.missing_since(), None);
+    let delta = pages.into_delta();
+    let items: Vec<_> = delta
+        .items
+        .iter()
+        .map(|(k, i)| (&**k, i.revision))
+        .collect();
+    assert_eq!(items, [("a", 61), ("c", 4), ("moved", 63), ("y", 62)]);
+    assert_eq!(delta.revision, 63);
+}
+
+/// An instance hands on the deletion of an item that it never had to one that has it.
+#[test]
+fn deletion_of_an_item_that_the_sender_never_knew_is_handed_on() {
+    let mut store = catalog_of(&[put("old", 10)]);
+    let mut sender = store.clone();
+    store.apply(&put("short-lived", 11));
+    let mut receiver = store.clone();
+    store.apply(&delete("short-lived", 12));
+    catch_up(&mut sender, &store);
+    catch_up(&mut receiver, &sender);
+    assert_eq!(receiver.items, store.items);
+}
+
+/// A read does not show what was created and deleted since the catalog before it.
+#[test]
+fn deletion_that_a_read_skipped_is_made_good_by_the_full_catalog() {
+    let mut reader = catalog_of(&[put("old", 10)]);
+    let mut receiver = reader.clone();
+    receiver.apply(&put("short-lived", 12));
+    let before = reader.clone();
+    read_store(&mut reader, &[put("old", 10), put("new", 19)], 20);
+    let mut through_another = before.clone();
+    catch_up(&mut through_another, &reader);
+    for sender in [&reader, &through_another] {
+        let mut receiver = receiver.clone();
+        catch_up(&mut receiver, sender);
+        assert_eq!(receiver.items, reader.items);
+        assert!(!sender.delta_since(before.revision).full);
+        assert!(!sender.delta_since(20).full);
+    }
+}
+
+/// A read that took longer than another instance's changes needed to arrive brings back nothing that they deleted.
+#[test]
+fn read_that_is_older_than_the_catalog_does_not_bring_a_deleted_item_back() {
+    let mut catalog = Catalog::default();
+    let ahead = catalog_of(&[
+        put("kept", 40),
+        put("gone", 50),
+        delete("gone", 65),
+        put("new", 70),
+    ]);
+    catch_up(&mut catalog, &ahead);
+    read_store(&mut catalog, &[put("kept", 40), put("gone", 50)], 60);
+    assert_eq!(catalog.items, ahead.items);
+    assert_eq!(catalog.revision, 70);
+}
