Notice a lost answer of the store within the time in which all must be up to date

Cause: once each reader of the store has lost the answer to its watch, nothing but the watch's own time shows it, and that was 11.5 s. In touch means 6 s.

Change: watches wait for 3 s. A whole read that found changes is announced at once, as those of a watch are. A catalog that another instance does not hand over in time is asked of another one at once. `store lost` names the time.

--- a/crates/sesamebarrow_gateway/src/store.rs
+++ b/crates/sesamebarrow_gateway/src/store.rs
@@ -20,10 +20,11 @@
 use crate::shared::Shared;
 use crate::socket;
 
-/// Maximum time for which the store holds a watch open. It is long enough that watches without
-/// changes cost little, and short enough that a dead connection is noticed within a few seconds
-/// by the missing response.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Maximum time for which the store holds a watch open. A lost response is noticed [`CALL_TIMEOUT`] after it, and by
+/// nothing else: the connection stays open. Until then this instance, and those that learn from it, act on what they
+/// know. Noticing it and reading the store again must take less than the 6 s in which all instances are up to date
+/// again after the store had troubles.
+const WATCH_WAIT: Duration = Duration::from_secs(3);
 
 /// Maximum time for a response, in addition to the wait of a watch. A slow store takes a
 /// quarter of a second.
@@ -50,8 +51,8 @@
     Call(#[from] hyper::Error),
     #[error("response body failed: {0}")]
     Body(Box<dyn std::error::Error + Send + Sync>),
-    #[error("no response in time")]
-    TimedOut,
+    #[error("no response within {0:?}")]
+    TimedOut(Duration),
     #[error("unexpected status {0}")]
     Status(StatusCode),
     #[error("the changes since the last revision are no longer available")]
@@ -229,9 +230,10 @@
         let body = body.map_err(Error::Body)?.to_bytes();
         Ok::<_, Error>((status, era, body))
     };
-    let (status, answered_era, body) = tokio::time::timeout(wait + CALL_TIMEOUT, round_trip)
+    let limit = wait + CALL_TIMEOUT;
+    let (status, answered_era, body) = tokio::time::timeout(limit, round_trip)
         .await
-        .map_err(|_| Error::TimedOut)??;
+        .map_err(|_| Error::TimedOut(limit))??;
     if let Some(answered) = answered_era.filter(|answered| *answered < shared.catalog().era()) {
         return Err(Error::EarlierEra(answered));
     }
@@ -286,7 +288,12 @@
         }
     }
     let read = pages.into_delta();
-    apply_delta(shared, &mut shared.catalog(), &read);
+    let mut catalog = shared.catalog();
+    let known = catalog.revision;
+    apply_delta(shared, &mut catalog, &read);
+    if catalog.revision > known {
+        shared.catalog_updated.notify_one();
+    }
     Ok(read.revision)
 }
 
--- a/crates/sesamebarrow_gateway/src/sync.rs
+++ b/crates/sesamebarrow_gateway/src/sync.rs
@@ -8,10 +8,8 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
-use rand::seq::IteratorRandom;
 use sesamebarrow_platform::item::{self, Key};
 use sesamebarrow_routing::catalog::{Delta, Gap, Item};
-use sesamebarrow_routing::member::Member;
 use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -157,35 +155,36 @@
 
 /// Fetches the catalog from another instance whenever one has newer items.
 pub async fn follow(shared: Arc<Shared>) {
+    let mut failed: Option<SmolStr> = None;
     loop {
         shared.catalog_outdated.notified().await;
         if shared.board().is_store_reader(shared.now()) && shared.catalog().revision > 0 {
             tokio::time::sleep(OWN_WATCH_GRACE).await;
         }
-        let port = shared.settings.listen.sync.port();
-        let source = {
-            let board = shared.board();
-            let (revision, version) = (board.revision, board.config_version());
-            let now = shared.now();
-            let is_newer = |m: &&Member| m.revision > revision || m.config_version > version;
-            let newer = board.members.alive(now).filter(is_newer);
-            newer
-                .choose(&mut rand::rng())
-                .map(|m| (m.record.name.clone(), m.ip()))
-        };
+        let source = shared
+            .board()
+            .select_newer_instance(shared.now(), failed.as_deref());
         let Some((name, ip)) = source else {
             continue;
         };
-        let address = SocketAddr::new(ip.into(), port);
-        match tokio::time::timeout(TRANSFER_TIMEOUT, fetch_catalog(&shared, address)).await {
+        let address = SocketAddr::new(ip.into(), shared.settings.listen.sync.port());
+        failed = match tokio::time::timeout(TRANSFER_TIMEOUT, fetch_catalog(&shared, address)).await
+        {
             Ok(Ok(revision)) => {
                 log::info!(instance = name.as_str(), changed = revision; "catalog taken from instance");
+                None
             }
             Ok(Err(error)) => {
                 log::warn!(instance = name.as_str(), error:% = error; "cannot fetch catalog from instance");
+                Some(name)
             }
-            Err(_) => log::warn!(instance = name.as_str(); "fetching the catalog timed out"),
-        }
+            Err(_) => {
+                log::warn!(instance = name.as_str(); "fetching the catalog timed out");
+                // Another instance may have it; the next gossip may be a round away.
+                shared.catalog_outdated.notify_one();
+                Some(name)
+            }
+        };
     }
 }
 
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use smol_str::SmolStr;
 
@@ -474,6 +475,25 @@
         peers.any(|m| m.record.store_answers && m.draining_since.is_none())
     }
 
+    /// Returns the name and the address of an instance that knows newer items or a newer configuration, another
+    /// than `failed` if there is one.
+    pub fn select_newer_instance(
+        &mut self,
+        now: Duration,
+        failed: Option<&str>,
+    ) -> Option<(SmolStr, Ipv4Addr)> {
+        let (revision, version) = (self.revision, self.config_version());
+        let is_newer = |m: &&Member| m.revision > revision || m.config_version > version;
+        let newer: Vec<_> = self.members.alive(now).filter(is_newer).collect();
+        let others = newer
+            .iter()
+            .filter(|m| Some(m.record.name.as_str()) != failed);
+        let selected = others
+            .choose(&mut self.rng)
+            .or_else(|| newer.iter().choose(&mut self.rng))?;
+        Some((SmolStr::new(&selected.record.name), selected.ip()))
+    }
+
     /// Returns the addresses of the other instances in this region that are alive.
     pub fn region_peers(&self, now: Duration) -> Vec<Ipv4Addr> {
         let peers = self
--- a/crates/sesamebarrow_routing/tests/decisions/members.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/members.rs
@@ -241,3 +241,33 @@
     println!("{bytes_per_s:.0} B/s with restarts");
     assert!(bytes_per_s <= 6_000.0, "{bytes_per_s:.0} B/s");
 }
+
+/// An instance that does not answer must not be asked again while another one has what is new.
+#[test]
+fn another_source_is_asked_after_one_that_failed() {
+    let mut fleet = fleet(2);
+    fleet.advance(ms(1_500));
+    for ahead in [1, 2] {
+        fleet.instances[ahead].board.revision = 7;
+    }
+    fleet.advance(ms(1_500));
+    let now = fleet.process_time(0);
+    let names = [1, 2].map(|index| fleet.instances[index].board.identity.name.clone());
+    let board = &mut fleet.instances[0].board;
+    for _ in 0..20 {
+        let (name, _) = board
+            .select_newer_instance(now, Some(&names[0]))
+            .expect("one");
+        assert_eq!(name, names[1]);
+    }
+    board
+        .members
+        .all
+        .get_mut(&names[1])
+        .expect("known")
+        .revision = 0;
+    let (name, _) = board
+        .select_newer_instance(now, Some(&names[0]))
+        .expect("one");
+    assert_eq!(name, names[0], "it is the only one");
+}
