Blame each part of a prompt, however many it has

Cause: above 32 shared parts one suspect stood for all long prompts of a customer. Sound answers acquitted the harmful prompt, and its blame fell on sound ones.

Change: every shared part is a suspect. Of more than 33 that nothing acquits, those that were blamed once are remembered apart from the cases, bounded, until a second crash blames them. Blame of one crash is packed, with its own allowance.

--- a/crates/sesamebarrow_policy/tests/board.rs
+++ b/crates/sesamebarrow_policy/tests/board.rs
@@ -150,11 +150,12 @@
     let fingerprint = rendezvous::weight_of_hashes(1, customer);
     let suspects = Suspects::of_request(customer, fingerprint, &[]);
     let blame = Blame {
-        suspect: suspects.all[0],
+        suspect: suspects.iter().next().expect("the fingerprint"),
         run,
         earlier_crashes: 0,
         customer,
         request: suspects.request,
+        one_of_many: false,
     };
     BlameEntry::new(blame, Duration::ZERO)
 }
--- a/crates/sesamebarrow_routing/src/board/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/board/quarantine.rs
@@ -8,7 +8,7 @@
 
 use crate::board::Board;
 use crate::quarantine::allowance::Rate;
-use crate::quarantine::message::{BlameEntry, Blames, MAX_ENTRIES, OrderEntry, Orders};
+use crate::quarantine::message::{self, BlameEntry, Blames, MAX_ENTRIES, OrderEntry, Orders};
 use crate::quarantine::{Order, Suspect, Suspects};
 use crate::rendezvous;
 use crate::token::Body;
@@ -64,9 +64,14 @@
         let members = self.members.alive(now).filter(|m| m.judges_suspects);
         let members = members.map(|m| (weight(m.name_hash), Judge::Other(m.ip())));
         let own = (weight(self.name_hash()), Judge::Own);
-        let mut ranked: Vec<_> = members.chain([own]).collect();
-        ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
-        ranked.truncate(JUDGES);
+        let mut ranked: Vec<(u64, Judge)> = Vec::with_capacity(JUDGES + 1);
+        for candidate in members.chain([own]) {
+            let index = ranked.partition_point(|(weight, _)| *weight >= candidate.0);
+            if index < JUDGES {
+                ranked.insert(index, candidate);
+                ranked.truncate(JUDGES);
+            }
+        }
         ranked.into_iter().map(|(_, judge)| judge).collect()
     }
 
@@ -97,15 +102,15 @@
         }
         let mut messages = Vec::new();
         for (ip, entries) in by_receiver {
-            let chunks = entries.chunks(MAX_ENTRIES).map(<[_]>::to_vec);
-            messages.extend(chunks.map(|entries| (ip, Body::Blames(Blames { entries }))));
+            let packed = message::pack_blame(entries).into_iter();
+            messages.extend(packed.map(|blames| (ip, Body::Blames(blames))));
         }
         messages
     }
 
     /// Handles blame for suspects that this instance judges.
     pub fn handle_blames(&mut self, now: Duration, blames: &Blames) -> Effects {
-        let decoded = blames.entries.iter().filter_map(|e| e.decode());
+        let decoded = blames.entries.iter().flat_map(BlameEntry::decode_all);
         let orders: Vec<Order> = decoded
             .filter_map(|(blame, age)| self.quarantine.record_blame(now, age, blame))
             .collect();
--- a/crates/sesamebarrow_routing/src/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/quarantine.rs
@@ -13,6 +13,9 @@
 //! | all blame comes from one customer's requests | the order binds only this customer, until others meet crashes |
 //! | some time after an order | one request of the fleet is a trial; each further delay is longer |
 //!
+//! A crash under a long prompt that no answer acquits blames many parts, most of which never come again. They are
+//! remembered apart ([`once::Once`]) until a second crash blames them too, so that they displace nothing.
+//!
 //! The last part of a prompt belongs to its request alone and is not blamed. The instances with the highest
 //! rendezvous weights for a suspect, its judges, collect blame from all others. Orders are sent to all instances,
 //! and again to those whose [`Quarantine::digest`] differs.
@@ -22,10 +25,12 @@
 
 use crate::quarantine::allowance::{Allowance, Rate};
 use crate::quarantine::case::Case;
+use crate::quarantine::once::Once;
 
 pub mod allowance;
 mod case;
 pub mod message;
+mod once;
 mod order;
 pub mod suspect;
 
@@ -62,21 +67,36 @@
 /// restarts and crashes again needs longer.
 const SAME_CRASH_TIME: Duration = Duration::from_millis(500);
 
-/// Maximum number of suspects whose last answer is kept.
-const MAX_ANSWERED: usize = 8_192;
+/// Maximum number of suspects whose last answer is kept; a long prompt has some thousands.
+const MAX_ANSWERED: usize = 32_768;
+
+/// Number of suspects up to which one crash under a request blames all of them at once. More are remembered apart
+/// until they are blamed again.
+const MANY_SUSPECTS: usize = 33;
 
-/// Maximum number of reports that are to be sent to the judges.
-const MAX_REPORTS: usize = 2_048;
+/// Maximum number of suspects in reports that are to be sent to the judges.
+const MAX_REPORTED: usize = 2_048;
+
+/// The same for those that are some of many.
+const MAX_REPORTED_OF_MANY: usize = 16_384;
 
 /// Maximum number of orders on suspects of one kind.
 const MAX_ORDERS: usize = 256;
 
-/// Rate of reports. The burst is that of a crash with a large batch; each takes about 140 bytes at three judges.
+/// Rate of suspects in reports. The burst is that of a crash with a large batch; each takes about 140 bytes at three
+/// judges.
 const REPORT_RATE: Rate = Rate {
     burst: 512.0,
     per_s: 12.0,
 };
 
+/// The same for those that are some of many. The burst is that of a few crashes under prompts as long as a request's
+/// head may be; each takes 24 bytes and more at three judges.
+const REPORT_OF_MANY_RATE: Rate = Rate {
+    burst: 8_192.0,
+    per_s: 64.0,
+};
+
 /// Times after which blame is sent to the judges again, since datagrams may be lost and judges restart.
 const REPORT_TIMES: [Duration; 7] = [
     Duration::ZERO,
@@ -101,6 +121,15 @@
     pub customer: u64,
     /// Hash that tells the request apart from others with the same suspect.
     pub request: u64,
+    /// Whether the suspect is one of more than [`MANY_SUSPECTS`] that nothing acquitted.
+    pub one_of_many: bool,
+}
+
+impl Blame {
+    /// Returns whether it is for the same crash as `other`.
+    fn is_of_same_crash(&self, other: &Self) -> bool {
+        (self.run, self.earlier_crashes) == (other.run, other.earlier_crashes)
+    }
 }
 
 /// Whether a request may be sent.
@@ -122,10 +151,12 @@
     earlier: u32,
 }
 
-/// Blame that is sent to the judges.
-#[derive(Clone, Copy, Debug)]
+/// Blame of one request that is sent to the judges.
+#[derive(Clone, Debug)]
 struct Report {
+    /// The blame of one of `suspects`.
     blame: Blame,
+    suspects: Vec<Suspect>,
     at: Duration,
     /// Number of times that it was sent.
     sent: usize,
@@ -136,15 +167,19 @@
 pub struct Quarantine {
     /// At most [`MAX_BLAMED`] of each kind. Without the suspects that an order binds.
     cases: HashMap<Suspect, Case>,
+    /// Suspects that were blamed for one crash, together with many others.
+    once: Once,
     /// When requests with a suspect were last answered completely; at most [`MAX_ANSWERED`].
     answered: HashMap<Suspect, Duration>,
     /// Orders, also those that were revoked; at most [`MAX_ORDERS`] of each kind.
     orders: HashMap<Suspect, Order>,
     /// Crashes that this instance has noticed, by run; at most [`MAX_RUNS`].
     runs: HashMap<u64, RunCrashes>,
-    /// Blame of this instance's own requests that is to be sent to the judges; at most [`MAX_REPORTS`].
+    /// Blame of this instance's own requests that is to be sent to the judges; with at most [`MAX_REPORTED`] and
+    /// [`MAX_REPORTED_OF_MANY`] suspects.
     reports: Vec<Report>,
     report_allowance: Allowance,
+    report_of_many_allowance: Allowance,
 }
 
 impl Quarantine {
@@ -161,7 +196,7 @@
         self.learn_crash(at, &blame);
         let (is_new, order) = self.collect(now, age, blame);
         if is_new {
-            self.add_report(at, blame);
+            self.add_report(at, blame, vec![blame.suspect]);
         }
         order
     }
@@ -180,13 +215,24 @@
             return (false, order.extend_to(blame.customer).then_some(*order));
         }
         if !self.cases.contains_key(&suspect) {
+            if blame.one_of_many && !self.once.is_of_another_crash(&blame) {
+                return (self.once.insert(at, blame), None);
+            }
             self.make_place_for_case(suspect.kind);
         }
         let case = self.cases.entry(suspect).or_default();
+        if let Some((at, first)) = self.once.remove(suspect) {
+            case.add(at, &first);
+        }
         let is_new = case.add(at, &blame);
-        if !is_new || case.counted(suspect.kind) < QUARANTINE_CRASHES {
+        let is_due = case.counted(suspect.kind) >= QUARANTINE_CRASHES;
+        // An order of the same moment must not displace another: requests with either are refused.
+        if !is_new || !is_due || !self.has_place_for_order(now, suspect) {
             return (is_new, None);
         }
+        let Some(case) = self.cases.get(&suspect) else {
+            return (is_new, None);
+        };
         let (customer, last_crash_at) = (case.only_customer(), case.last_at());
         self.cases.remove(&suspect);
         let known = self.orders.get(&suspect);
@@ -208,22 +254,24 @@
     /// the judges. Returns the orders that this leads to.
     pub fn record_crash(&mut self, now: Duration, run: u64, suspects: &Suspects) -> Vec<Order> {
         let earlier_crashes = self.count_crash(now, run);
-        let mut orders = Vec::new();
-        for suspect in suspects.all.iter().copied() {
-            if self.is_acquitted(suspect, now) {
-                continue;
-            }
-            let blame = Blame {
-                suspect,
-                run,
-                earlier_crashes,
-                customer: suspects.customer,
-                request: suspects.request,
-            };
-            self.add_report(now, blame);
-            orders.extend(self.record_blame(now, Duration::ZERO, blame));
-        }
-        orders
+        let blamed = suspects.iter().filter(|s| !self.is_acquitted(*s, now));
+        let blamed: Vec<Suspect> = blamed.collect();
+        let Some(first) = blamed.first() else {
+            return Vec::new();
+        };
+        let blame = Blame {
+            suspect: *first,
+            run,
+            earlier_crashes,
+            customer: suspects.customer,
+            request: suspects.request,
+            one_of_many: blamed.len() > MANY_SUSPECTS,
+        };
+        self.add_report(now, blame, blamed.clone());
+        let blames = blamed.into_iter().map(|suspect| Blame { suspect, ..blame });
+        blames
+            .filter_map(|blame| self.record_blame(now, Duration::ZERO, blame))
+            .collect()
     }
 
     /// Records that `run` was noticed to have crashed. Returns the number of its earlier crashes.
@@ -257,15 +305,26 @@
         }
     }
 
-    /// Schedules a report, in place of the one that was sent most often if there are too many.
-    fn add_report(&mut self, now: Duration, blame: Blame) {
-        if self.reports.len() >= MAX_REPORTS {
-            let indices = 0..self.reports.len();
-            let most_sent = indices.max_by_key(|index| self.reports[*index].sent);
-            most_sent.map(|index| self.reports.swap_remove(index));
+    /// Schedules a report, in place of those that were sent most often if there are too many.
+    fn add_report(&mut self, now: Duration, blame: Blame, suspects: Vec<Suspect>) {
+        let max = match blame.one_of_many {
+            true => MAX_REPORTED_OF_MANY,
+            false => MAX_REPORTED,
+        };
+        let is_same_form = |r: &Report| r.blame.one_of_many == blame.one_of_many;
+        let reported = self.reports.iter().filter(|r| is_same_form(r));
+        let mut total = suspects.len() + reported.map(|r| r.suspects.len()).sum::<usize>();
+        while total > max {
+            let reports = self.reports.iter().enumerate();
+            let of_form = reports.filter(|(_, r)| is_same_form(r));
+            let Some((index, _)) = of_form.max_by_key(|(_, r)| r.sent) else {
+                break;
+            };
+            total -= self.reports.swap_remove(index).suspects.len();
         }
         self.reports.push(Report {
             blame,
+            suspects,
             at: now,
             sent: 0,
         });
@@ -274,10 +333,14 @@
     /// Records a complete answer. Returns the orders that it revokes.
     pub fn record_answer(&mut self, now: Duration, suspects: &Suspects) -> Vec<Order> {
         let mut revoked = Vec::new();
-        for suspect in suspects.all.iter().copied() {
+        self.reports.retain_mut(|report| {
+            report.suspects.retain(|s| !suspects.contains(*s));
+            !report.suspects.is_empty()
+        });
+        for suspect in suspects.iter() {
             self.answered.insert(suspect, now);
             self.cases.remove(&suspect);
-            self.reports.retain(|r| r.blame.suspect != suspect);
+            self.once.remove(suspect);
             if let Some(order) = self.orders.get_mut(&suspect)
                 && order.in_force
             {
@@ -303,7 +366,7 @@
         if self.orders.is_empty() {
             return admission;
         }
-        for suspect in suspects.all.iter().copied() {
+        for suspect in suspects.iter() {
             let Some(order) = self.orders.get(&suspect) else {
                 continue;
             };
@@ -321,10 +384,10 @@
     /// Returns whether a request that met a crash must not be repeated: one of its suspects is blamed for
     /// several.
     pub fn is_suspected(&self, suspects: &Suspects) -> bool {
-        suspects.all.iter().any(|suspect| {
-            let case = self.cases.get(suspect);
+        suspects.iter().any(|suspect| {
+            let case = self.cases.get(&suspect);
             let crashes = case.map_or(0, |case| case.counted(suspect.kind));
-            crashes >= SUSPICION_CRASHES || self.orders.get(suspect).is_some_and(|o| o.in_force)
+            crashes >= SUSPICION_CRASHES || self.orders.get(&suspect).is_some_and(|o| o.in_force)
         })
     }
 
@@ -362,17 +425,31 @@
     }
 
     fn insert_order(&mut self, order: Order) {
-        let kind = order.suspect.kind;
-        let of_kind = || self.orders.values().filter(|o| o.suspect.kind == kind);
-        if of_kind().count() >= MAX_ORDERS && !self.orders.contains_key(&order.suspect) {
-            let oldest = of_kind().min_by_key(|o| (o.in_force, o.since));
-            if let Some(suspect) = oldest.map(|o| o.suspect) {
-                self.orders.remove(&suspect);
-            }
+        if let Some(oldest) = self.order_to_displace(order.suspect) {
+            let suspect = oldest.suspect;
+            self.orders.remove(&suspect);
         }
         self.orders.insert(order.suspect, order);
     }
 
+    /// Returns the order that makes place for one on `suspect`; `None` if there is place.
+    fn order_to_displace(&self, suspect: Suspect) -> Option<&Order> {
+        let of_kind = || {
+            self.orders
+                .values()
+                .filter(|o| o.suspect.kind == suspect.kind)
+        };
+        let is_full = of_kind().count() >= MAX_ORDERS && !self.orders.contains_key(&suspect);
+        let oldest = || of_kind().min_by_key(|o| (o.in_force, o.since));
+        is_full.then(oldest).flatten()
+    }
+
+    /// Returns whether an order on `suspect` displaces none that was given at `now`.
+    fn has_place_for_order(&self, now: Duration, suspect: Suspect) -> bool {
+        let displaced = self.order_to_displace(suspect);
+        displaced.is_none_or(|o| !o.in_force || o.since < now)
+    }
+
     /// Returns all orders, also those that were revoked.
     pub fn orders(&self) -> impl Iterator<Item = &Order> {
         self.orders.values()
@@ -398,12 +475,32 @@
         };
         let mut due: Vec<&mut Report> = self.reports.iter_mut().filter(is_due).collect();
         due.sort_by_key(|report| report.sent);
-        let allowed = self.report_allowance.take(now, REPORT_RATE, due.len());
-        due.truncate(allowed);
-        let mut taken = Vec::with_capacity(due.len());
+        let mut taken = Vec::new();
+        let mut is_exhausted = [false; 2];
         for report in due {
+            let one_of_many = report.blame.one_of_many;
+            let (allowance, rate) = match one_of_many {
+                true => (&mut self.report_of_many_allowance, REPORT_OF_MANY_RATE),
+                false => (&mut self.report_allowance, REPORT_RATE),
+            };
+            let is_exhausted = &mut is_exhausted[usize::from(one_of_many)];
+            if *is_exhausted || !allowance.take_all(now, rate, report.suspects.len()) {
+                // What was sent more often must not overtake it.
+                *is_exhausted = true;
+                continue;
+            }
             report.sent += 1;
-            taken.push((report.blame, now.saturating_sub(report.at)));
+            let (blame, age) = (report.blame, now.saturating_sub(report.at));
+            let suspects = report.suspects.iter();
+            taken.extend(suspects.map(|suspect| {
+                (
+                    Blame {
+                        suspect: *suspect,
+                        ..blame
+                    },
+                    age,
+                )
+            }));
         }
         self.reports.retain(|r| r.sent < REPORT_TIMES.len());
         taken
@@ -413,6 +510,7 @@
     pub fn remove_expired(&mut self, now: Duration) {
         if let Some(oldest) = now.checked_sub(BLAME_LIFETIME) {
             self.cases.retain(|_, case| case.remove_before(oldest));
+            self.once.remove_before(oldest);
             self.runs.retain(|_, crashes| crashes.last_at > oldest);
         }
         self.orders.retain(|_, order| !order.is_expired(now));
--- a/crates/sesamebarrow_routing/src/quarantine/message.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/message.rs
@@ -8,16 +8,22 @@
 /// Maximum number of entries in one message, so that its datagram stays below 512 bytes.
 pub const MAX_ENTRIES: usize = 10;
 
+/// Number of further suspects that take as much space as an entry without any: 8 bytes each, of 48.
+const SUSPECTS_PER_ENTRY: usize = 6;
+
+/// Space of one message with blame, in further suspects.
+const MAX_SUSPECTS: usize = MAX_ENTRIES * SUSPECTS_PER_ENTRY;
+
 /// Blame for the judges of its suspects.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Blames {
-    /// At most [`MAX_ENTRIES`].
+    /// At most [`MAX_ENTRIES`], or fewer if they have several suspects.
     #[prost(message, repeated, tag = "1")]
     pub entries: Vec<BlameEntry>,
 }
 
-/// One [`Blame`].
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+/// One [`Blame`], or several that differ in their suspects only.
+#[derive(Clone, PartialEq, prost::Message)]
 pub struct BlameEntry {
     /// Id of the suspect.
     #[prost(fixed64, tag = "1")]
@@ -40,6 +46,12 @@
     /// Number of earlier crashes of the run.
     #[prost(uint32, tag = "7")]
     pub earlier_crashes: u32,
+    /// Ids of further suspects of the same kind, which earlier versions ignore.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub more_suspects: Vec<u64>,
+    /// Whether the suspects are some of very many.
+    #[prost(bool, tag = "9")]
+    pub one_of_many: bool,
 }
 
 /// Orders, some of which may be new to the receiver.
@@ -130,11 +142,31 @@
             kind: blame.suspect.kind.into(),
             request: blame.request,
             earlier_crashes: blame.earlier_crashes,
+            more_suspects: Vec::new(),
+            one_of_many: blame.one_of_many,
         }
     }
 
-    /// Decodes the blame and its age; `None` if this version does not know the kind of its suspect.
-    pub fn decode(self) -> Option<(Blame, Duration)> {
+    /// Returns whether the suspects of `other` can be added to this entry.
+    fn has_same_crash(&self, other: &Self) -> bool {
+        let crash = |e: &Self| (e.run, e.earlier_crashes, e.customer, e.request);
+        let form = |e: &Self| (e.kind, e.age_ms, e.one_of_many);
+        crash(self) == crash(other) && form(self) == form(other)
+    }
+
+    /// Decodes all blame and its age; none if this version does not know the kind of the suspects.
+    pub fn decode_all(&self) -> impl Iterator<Item = (Blame, Duration)> {
+        let first = self.decode();
+        let more = self.more_suspects.iter().filter_map(move |id| {
+            let (mut blame, age) = first?;
+            blame.suspect.id = *id;
+            Some((blame, age))
+        });
+        first.into_iter().chain(more)
+    }
+
+    /// Decodes the blame of the first suspect and its age; `None` if this version does not know the kind of its suspect.
+    pub fn decode(&self) -> Option<(Blame, Duration)> {
         let blame = Blame {
             suspect: decode_suspect(self.kind, self.suspect)?,
             run: self.run,
@@ -145,11 +177,43 @@
                 0 => self.run,
                 request => request,
             },
+            one_of_many: self.one_of_many,
         };
         Some((blame, Duration::from_millis(self.age_ms.into())))
     }
 }
 
+/// Returns messages with `entries`, those of the same crash after each other as one.
+pub fn pack_blame(entries: Vec<BlameEntry>) -> Vec<Blames> {
+    let mut messages: Vec<Blames> = Vec::new();
+    // Space of the last message that is taken, in suspects.
+    let mut taken = 0;
+    for entry in entries {
+        let last = messages
+            .last_mut()
+            .and_then(|message| message.entries.last_mut());
+        if let Some(last) = last.filter(|last| last.has_same_crash(&entry))
+            && taken < MAX_SUSPECTS
+        {
+            last.more_suspects.push(entry.suspect);
+            taken += 1;
+            continue;
+        }
+        match messages.last_mut() {
+            Some(message) if taken + SUSPECTS_PER_ENTRY <= MAX_SUSPECTS => {
+                message.entries.push(entry);
+                taken += SUSPECTS_PER_ENTRY;
+            }
+            _ => {
+                let entries = vec![entry];
+                messages.push(Blames { entries });
+                taken = SUSPECTS_PER_ENTRY;
+            }
+        }
+    }
+    messages
+}
+
 impl OrderEntry {
     /// Encodes `order`.
     pub fn new(now: Duration, order: &Order) -> Self {
--- a/crates/sesamebarrow_routing/src/quarantine/suspect.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/suspect.rs
@@ -1,18 +1,15 @@
 //! The names under which a request can be blamed for the crash of an upstream.
 //!
-//! A new kind of name is an entry of [`Kind`] and a line in [`Suspects::of_request`]. All else, from blame to
+//! A new kind of name is an entry of [`Kind`] and a line in [`Suspects::iter`]. All else, from blame to
 //! trials, is the same for every kind.
 
+use std::sync::Arc;
+
 use crate::cache::PromptPart;
 use crate::rendezvous;
 
-/// Maximum number of parts of one prompt that are distinguished.
-const MAX_PARTS: usize = 32;
-
-/// Key of the id that replaces the parts of longer prompts.
-const LONG_PROMPTS: u64 = 1;
-
-/// Kind of a [`Suspect`]. Unknown kinds, from instances of later versions, are ignored.
+/// Kind of a [`Suspect`]. Unknown kinds, from instances of other versions, are ignored. Number 1 stood for all long
+/// prompts of a customer in an earlier version.
 #[derive(
     Clone,
     Copy,
@@ -30,8 +27,6 @@
 pub enum Kind {
     /// A part of prompts, by its id.
     Part = 0,
-    /// All prompts of one customer that have too many parts to be distinguished.
-    LongPrompt = 1,
     /// A request that comes again, by its fingerprint ([`crate::fingerprint`]).
     Request = 2,
 }
@@ -40,7 +35,7 @@
     /// Returns whether several different requests can have the same suspect.
     pub fn is_shared(self) -> bool {
         match self {
-            Self::Part | Self::LongPrompt => true,
+            Self::Part => true,
             Self::Request => false,
         }
     }
@@ -72,43 +67,44 @@
     pub fingerprint: u64,
     /// Hash of the fingerprint and the prompt. It tells apart requests that share a suspect.
     pub request: u64,
-    /// The suspects.
-    pub all: Vec<Suspect>,
+    /// Ids of the parts of the prompt, sorted and without duplicates, but for the last one.
+    parts: Arc<[u64]>,
 }
 
 impl Suspects {
     /// Returns the suspects of a customer's request with a fingerprint and a prompt.
     pub fn of_request(customer: u64, fingerprint: u64, prompt: &[PromptPart]) -> Self {
         let ids = prompt.iter().map(|part| part.id);
-        let mut all = vec![Suspect {
-            kind: Kind::Request,
-            id: fingerprint,
-        }];
-        all.extend(of_prompt(customer, prompt));
+        let shared = &prompt[..prompt.len().saturating_sub(1)];
+        let mut parts: Vec<u64> = shared.iter().map(|part| part.id).collect();
+        parts.sort_unstable();
+        parts.dedup();
         Self {
             customer,
             fingerprint,
             request: ids.fold(fingerprint, rendezvous::weight_of_hashes),
-            all,
+            parts: parts.into(),
         }
     }
-}
 
-/// Returns the shared parts of a prompt, which are all but the last. Prompts of a customer with more than
-/// [`MAX_PARTS`] share one suspect, so that made-up parts neither fill the tables nor hide a harmful one.
-fn of_prompt(customer: u64, prompt: &[PromptPart]) -> impl Iterator<Item = Suspect> {
-    let shared = &prompt[..prompt.len().saturating_sub(1)];
-    let (few, many) = match shared.len() <= MAX_PARTS {
-        true => (shared, None),
-        false => {
-            let id = rendezvous::weight_of_hashes(customer, LONG_PROMPTS);
-            let kind = Kind::LongPrompt;
-            (&[][..], Some(Suspect { kind, id }))
+    /// Returns all suspects, each once.
+    pub fn iter(&self) -> impl Iterator<Item = Suspect> {
+        let request = Suspect {
+            kind: Kind::Request,
+            id: self.fingerprint,
+        };
+        let part = |id: &u64| Suspect {
+            kind: Kind::Part,
+            id: *id,
+        };
+        std::iter::once(request).chain(self.parts.iter().map(part))
+    }
+
+    /// Returns whether `suspect` is one of them.
+    pub fn contains(&self, suspect: Suspect) -> bool {
+        match suspect.kind {
+            Kind::Request => suspect.id == self.fingerprint,
+            Kind::Part => self.parts.binary_search(&suspect.id).is_ok(),
         }
-    };
-    let part = |part: &PromptPart| Suspect {
-        kind: Kind::Part,
-        id: part.id,
-    };
-    few.iter().map(part).chain(many)
+    }
 }
--- a/crates/sesamebarrow_trial/src/containment.rs
+++ b/crates/sesamebarrow_trial/src/containment.rs
@@ -300,7 +300,7 @@
     /// Cancels the requests of an instance with a suspect that their upstreams have not begun to answer.
     fn cancel(&mut self, instance: usize, suspect: Suspect) {
         let is_cancelled = |r: &Request| {
-            let contains = r.suspects.all.contains(&suspect);
+            let contains = r.suspects.contains(suspect);
             r.harmful && r.instance == instance && contains && !r.is_trial
         };
         let ids: Vec<u64> = self
--- a/crates/sesamebarrow_trial/src/containment/exchange.rs
+++ b/crates/sesamebarrow_trial/src/containment/exchange.rs
@@ -117,6 +117,5 @@
     match suspect.kind {
         Kind::Part => suspect.id == HARMFUL_PART,
         Kind::Request => suspect.id >= HARMFUL_REQUESTS,
-        Kind::LongPrompt => false,
     }
 }
