Count an upstream as cold from its return on, not from its end

Cause: the mark of an unreachable upstream ended its warm-up time after the failed connection. Instances that do not own a cold upstream do not try it, so nothing renewed the mark.

Change: unreachable upstreams are absent, and cold, until a connection, an answer, a report or another instance shows that they can be reached, and for their warm-up time after that. Refused connections are told to the region; who is told checks. The return of the store is stamped before its contents are applied, and told with the revision.

Failed tries: only crashes with broken answers told on (an idle pool breaks no answer); times relayed by others (they grew with each relay).

--- a/crates/sesamebarrow_gateway/src/admin.rs
+++ b/crates/sesamebarrow_gateway/src/admin.rs
@@ -61,7 +61,7 @@
             json!({
                 "id": u.entry.id, "service": u.entry.service, "ready": u.entry.ready,
                 "running": u.in_progress, "unread": u.prefill_tokens, "memory": u.kv_tokens,
-                "outstanding": u.outstanding(now), "cold": u.is_cold(now),
+                "outstanding": u.outstanding(now), "cold": u.is_cold(now), "absent": u.absence.is_absent(),
                 "failures": u.availability.consecutive_failures,
                 "fault_ratio": u.availability.failure_ratio, "leaving": u.availability.leaving,
                 "rest_ms": u.availability.rest_until.saturating_sub(now).as_millis() as u64,
--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -180,6 +180,15 @@
         );
     }
 
+    /// Records that the upstream, if the target is one, has accepted a connection or answered in this attempt.
+    pub fn record_contact(&self) {
+        if let Target::Upstream(selected) = &self.target {
+            let now = self.shared.now();
+            let mut board = self.shared.board();
+            board.record_contact(now, selected.key, self.sent_at);
+        }
+    }
+
     /// Records that the request was not sent after all, or that the upstream has not run it.
     pub fn record_not_run(&self, job: &Job) {
         if let Target::Upstream(selected) = &self.target {
--- a/crates/sesamebarrow_gateway/src/crash.rs
+++ b/crates/sesamebarrow_gateway/src/crash.rs
@@ -1,4 +1,5 @@
-//! Finds out whether an upstream has crashed under a request whose answer broke off, and records it.
+//! Finds out whether an upstream has crashed under a request whose answer broke off, and whether one that was
+//! unreachable is back.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -52,12 +53,40 @@
         metrics::counter!("sesamebarrow_broken_answers_total", "crashed" => crashed_text)
             .increment(1);
         if crashed {
+            let now = shared.now();
+            let mut board = shared.board();
+            if let Some(key) = board.upstreams.key_of_run(endpoint.run) {
+                board.record_end(now, key);
+            }
+            drop(board);
             quarantine::record_crash(&shared, endpoint.run, &suspects);
         }
         crashed
     }))
 }
 
+/// Opens connections to absent upstreams from time to time, to find out whether they are back.
+pub fn probe_absent(shared: &Arc<Shared>) {
+    let now = shared.now();
+    let probes = shared.board().take_probes(now);
+    for (key, address, max_idle) in probes {
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let sent_at = shared.now();
+            let pool = &shared.pool;
+            let listening = pool.probe_listening(address, EXAMINE_TIMEOUT, SETTLING_TIME, max_idle);
+            match listening.await {
+                Listening::Yes => {
+                    log::info!(address:% = address; "absent upstream is back");
+                    shared.board().record_contact(shared.now(), key, sent_at);
+                }
+                Listening::No => shared.board().record_end(shared.now(), key),
+                Listening::Unknown => {}
+            }
+        });
+    }
+}
+
 /// Returns the ids of the parts of a prompt, which are no data of the request.
 fn format_parts(job: &Job) -> SmolStr {
     let ids = job.spec.prompt.iter().map(|part| format!("{:x}", part.id));
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -242,6 +242,12 @@
             );
             let is_refused = error.kind() == std::io::ErrorKind::ConnectionRefused;
             history.refused_connections += u32::from(is_refused);
+            if let Target::Upstream(selected) = target
+                && is_refused
+            {
+                let now = shared.now();
+                shared.board().record_end(now, selected.key);
+            }
             let is_cut_short =
                 error.kind() == std::io::ErrorKind::TimedOut && connect_time < timeout;
             attempt.end(match is_cut_short {
@@ -252,6 +258,9 @@
         }
     };
     if let Target::Upstream(selected) = target {
+        if connection.is_unused() {
+            attempt.record_contact();
+        }
         // What other answers said while the connection was opened.
         let now = shared.now();
         let may_send = admit::may_send(&shared.board(), now, selected.key);
@@ -367,6 +376,7 @@
 ) -> AttemptResult {
     let (mut parts, body) = response.into_parts();
     attempt.idle_time = pool::idle_time(&parts.headers);
+    attempt.record_contact();
     if let Target::Upstream(selected) = target {
         notice::record(shared, job, selected, &parts, attempt.expected());
         limit::record(
--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -10,7 +10,7 @@
 
 use crate::inbox::{Inbox, Received};
 use crate::shared::Shared;
-use crate::{dispatch, limit, notice, quarantine};
+use crate::{crash, dispatch, limit, notice, quarantine};
 
 /// Maximum size of a received datagram.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -45,7 +45,7 @@
     }
 }
 
-async fn send_round(shared: &Shared, socket: &UdpSocket) {
+async fn send_round(shared: &Arc<Shared>, socket: &UdpSocket) {
     let (port, own_ip) = (shared.settings.listen.gossip.port(), shared.identity.ip);
     let seeds: Vec<Ipv4Addr> = shared
         .settings
@@ -80,6 +80,7 @@
     // Not related to gossip; done here because rounds are regular.
     shared.pool.remove_expired();
     quarantine::send_blame(shared);
+    crash::probe_absent(shared);
     dispatch::place::renew_holds(shared);
     dispatch::log_summaries(shared);
 }
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -86,6 +86,11 @@
         self.responses <= 1
     }
 
+    /// Returns whether no response was received on it yet, so that it was opened a short time ago.
+    pub fn is_unused(&self) -> bool {
+        self.responses == 0
+    }
+
     /// Records that the request `id` was refused, so that it is not sent on this connection again.
     pub fn record_refusal(&mut self, id: &str) {
         self.refused.push(short_hash(id));
--- a/crates/sesamebarrow_gateway/src/store.rs
+++ b/crates/sesamebarrow_gateway/src/store.rs
@@ -166,17 +166,9 @@
 ) -> Result<std::convert::Infallible, Error> {
     let mut client = connect(shared).await?;
     let mut era = None;
-    let revision = read_all(shared, &mut client, &mut era).await?;
+    let revision = read_all(shared, &mut client, &mut era, *failed).await?;
     let recovered = std::mem::take(failed);
-    {
-        let mut board = shared.board();
-        board.store_answers = true;
-        if recovered {
-            // The outage lasted until now. Entries that expired during it may still be published
-            // again.
-            board.last_store_outage_at = Some(shared.now());
-        }
-    }
+    shared.board().store_answers = true;
     if recovered {
         log::info!(revision; "store regained");
     }
@@ -256,11 +248,13 @@
     era.unwrap_or_else(|| shared.catalog().era())
 }
 
-/// Reads all items and returns the revision after which to watch for changes.
+/// Reads all items and returns the revision after which to watch for changes. `recovered` says whether the store failed
+/// before.
 async fn read_all(
     shared: &Arc<Shared>,
     client: &mut Client,
     era: &mut Option<u16>,
+    recovered: bool,
 ) -> Result<u64, Error> {
     let mut pages = Pages::default();
     let mut next_after = None;
@@ -290,6 +284,10 @@
     let read = pages.into_delta();
     let mut catalog = shared.catalog();
     let known = catalog.revision;
+    if recovered {
+        // The outage lasted until now. Entries that expired during it may still be published again.
+        shared.board().last_store_outage_at = Some(shared.now());
+    }
     apply_delta(shared, &mut catalog, &read);
     if catalog.revision > known {
         shared.catalog_updated.notify_one();
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -3,13 +3,17 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use crate::admit;
-use crate::board::{Board, REPUBLISH_GRACE};
-use crate::gossip::{Datagram, Record, ReportedLoads, ServiceLoad, UpstreamLoad, short_hash};
+use rand::seq::IteratorRandom;
+
+use crate::board::{Board, REPUBLISH_GRACE, warmup};
+use crate::gossip::{
+    Datagram, Record, ReportedLoads, ServiceLoad, UpstreamAbsence, UpstreamLoad, short_hash,
+};
 use crate::holder;
 use crate::member::transition::TRANSITION_NEWS_TIME;
 use crate::member::{DISCOVERY_GOSSIP_INTERVAL, GOSSIP_INTERVAL};
 use crate::upstream::{ReportedLoad, Upstream};
+use crate::{absence, admit};
 
 /// Milliseconds that an instance adds to the age of a reported load before it sends it; at
 /// least the usual time in transit within a region.
@@ -58,16 +62,20 @@
             leaving_runs: Vec::new(),
             recent_stops: None,
             recent_starts: None,
+            absences: Vec::new(),
             seen_heartbeat: 0,
-            // CAST: bounded by `REPUBLISH_GRACE`.
-            store_outage_age_ms: self
-                .last_store_outage_at
-                .map(|at| now.saturating_sub(at))
-                .filter(|age| *age < REPUBLISH_GRACE)
-                .map_or(0, |age| age.as_millis().max(1) as u32),
+            store_outage_age_ms: self.store_outage_age_ms(now),
         }
     }
 
+    /// Returns the milliseconds since the last outage of the store; 0 if there was none recently.
+    fn store_outage_age_ms(&self, now: Duration) -> u32 {
+        let age = self.last_store_outage_at.map(|at| now.saturating_sub(at));
+        // CAST: bounded by `REPUBLISH_GRACE`.
+        age.filter(|age| *age < REPUBLISH_GRACE)
+            .map_or(0, |age| age.as_millis().max(1) as u32)
+    }
+
     /// Returns the reply to a datagram whose sender does not know this instance or asks for
     /// records, without the fields that depend on the receiver. A reply counts as a round of
     /// its own.
@@ -79,11 +87,13 @@
         reply
     }
 
-    /// Returns a datagram that only announces this instance's newest revision.
+    /// Returns a datagram that only announces this instance's newest revision, and what the receiver must know before
+    /// it applies the items.
     pub fn revision_datagram(&self, now: Duration) -> Datagram {
         Datagram {
             sender: self.own_record(now),
             revision: self.revision,
+            store_outage_age_ms: self.store_outage_age_ms(now),
             ..Datagram::default()
         }
     }
@@ -127,6 +137,10 @@
             true => self.upstreams.leaving_runs().collect(),
             false => Vec::new(),
         };
+        datagram.absences = match same_region {
+            true => self.absences(now),
+            false => Vec::new(),
+        };
         let transitions = self.members.recent_transitions(now, &mut self.rng);
         let places = transitions.places();
         datagram.recent_stops = transitions.stops;
@@ -156,8 +170,43 @@
         loads
     }
 
-    /// Applies the loads of a datagram that was written at `made_at`.
-    fn apply_reported_loads(&mut self, made_at: Duration, loads: &ReportedLoads) {
+    /// Returns news of upstreams whose process has ended, or that can be reached again; some of them if there are many.
+    fn absences(&mut self, now: Duration) -> Vec<UpstreamAbsence> {
+        let all = self.upstreams.all.values();
+        let news = all.filter_map(|u| Some((u.id_hash, u.absence.news(now)?)));
+        // CAST: bounded by `absence::NEWS_TIME`.
+        let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u32;
+        let encode = |(upstream_hash, news): (u32, absence::News)| UpstreamAbsence {
+            upstream_hash,
+            ended_age_ms: news.ended_at.map(age_ms),
+            back_age_ms: news.back_at.map(age_ms),
+        };
+        news.map(encode).sample(&mut self.rng, absence::MAX_NEWS)
+    }
+
+    /// Applies news of upstreams in a datagram. How long it has waited to be read is known as a bound only, and counts as
+    /// nothing: an upstream that is taken to be back too early would get too much.
+    fn apply_absences(&mut self, now: Duration, absences: &[UpstreamAbsence]) {
+        if absences.is_empty() {
+            return;
+        }
+        let at = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
+        let news = absences.iter().map(|absence| {
+            let news = absence::News {
+                ended_at: absence.ended_age_ms.map(at),
+                back_at: absence.back_age_ms.map(at),
+            };
+            (absence.upstream_hash, news)
+        });
+        let config = self.config.clone();
+        self.upstreams.record_absences(&news.collect(), |service| {
+            warmup(config.as_deref(), service)
+        });
+    }
+
+    /// Applies the loads of a datagram that may have waited to be read for up to `waited`.
+    fn apply_reported_loads(&mut self, now: Duration, waited: Duration, loads: &ReportedLoads) {
+        let made_at = now.saturating_sub(waited);
         let counts = loads.running.iter().zip(&loads.queued);
         let reports = loads
             .upstream_hashes
@@ -173,7 +222,11 @@
             };
             (*hash, (made_at.saturating_sub(age), load))
         });
-        self.upstreams.record_relayed_loads(&reports.collect());
+        let config = self.config.clone();
+        self.upstreams
+            .record_relayed_loads(now, &reports.collect(), |service| {
+                warmup(config.as_deref(), service)
+            });
     }
 
     /// Returns the load that this instance has put on upstreams; only the busiest ones if there
@@ -236,6 +289,12 @@
         if datagram.sender.name == own_name {
             return false;
         }
+        if datagram.store_outage_age_ms > 0 {
+            let age = Duration::from_millis(datagram.store_outage_age_ms.into()) + waited;
+            let at = now.saturating_sub(age);
+            self.last_store_outage_at =
+                Some(self.last_store_outage_at.map_or(at, |known| known.max(at)));
+        }
         // Only `revision_datagram` leaves the heartbeat at 0.
         if datagram.sender.heartbeat == 0 {
             self.members
@@ -244,16 +303,11 @@
         }
         self.members
             .apply_datagram(now, waited, own_name, datagram, region_of);
-        if datagram.store_outage_age_ms > 0 {
-            let age = Duration::from_millis(datagram.store_outage_age_ms.into()) + waited;
-            let at = now.saturating_sub(age);
-            self.last_store_outage_at =
-                Some(self.last_store_outage_at.map_or(at, |known| known.max(at)));
-        }
         self.sum_other_loads(now);
         if let Some(loads) = &datagram.reported_loads {
-            self.apply_reported_loads(now.saturating_sub(waited), loads);
+            self.apply_reported_loads(now, waited, loads);
         }
+        self.apply_absences(now, &datagram.absences);
         self.upstreams.record_leaving_runs(&datagram.leaving_runs);
         datagram.seen_heartbeat == 0 || !datagram.wanted_name_hashes.is_empty()
     }
--- a/crates/sesamebarrow_routing/src/gossip.rs
+++ b/crates/sesamebarrow_routing/src/gossip.rs
@@ -135,6 +135,20 @@
     pub ages_10_ms: Vec<u32>,
 }
 
+/// An upstream whose process has ended, or that can be reached again.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct UpstreamAbsence {
+    /// Hash of the upstream's id.
+    #[prost(fixed32, tag = "1")]
+    pub upstream_hash: u32,
+    /// Milliseconds since its process ended; `None` if that is not known.
+    #[prost(uint32, optional, tag = "2")]
+    pub ended_age_ms: Option<u32>,
+    /// Milliseconds since it was reached again; `None` if it was not.
+    #[prost(uint32, optional, tag = "3")]
+    pub back_age_ms: Option<u32>,
+}
+
 /// A datagram.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Datagram {
@@ -189,6 +203,9 @@
     /// Which other instances have become ready recently, and how long ago. None is in `recent_stops` as well.
     #[prost(message, optional, tag = "16")]
     pub recent_starts: Option<HeardAges>,
+    /// Upstreams whose process has ended lately, or that can be reached again; sent only to instances of the region.
+    #[prost(message, repeated, tag = "17")]
+    pub absences: Vec<UpstreamAbsence>,
 }
 
 /// Returns the hash that stands for a name in datagrams.
--- a/crates/sesamebarrow_routing/src/lib.rs
+++ b/crates/sesamebarrow_routing/src/lib.rs
@@ -17,6 +17,7 @@
 //! any fault in virtual time. All times are [`std::time::Duration`]s since the start of the
 //! process.
 
+pub mod absence;
 pub mod admit;
 pub mod availability;
 pub mod board;
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -6,6 +6,7 @@
 
 use smol_str::SmolStr;
 
+use crate::absence::{self, Absence};
 use crate::availability::{Availability, Change, Notice};
 use crate::cache::{PrefixCache, PromptPart};
 use crate::cold::SendWindow;
@@ -81,8 +82,10 @@
     /// The load that it reported last, when it did so, and how many requests this instance
     /// had in progress then.
     pub reported_load: Option<(Duration, ReportedLoad, u32)>,
-    /// Time until which it is cold.
+    /// Time until which it is cold, unless it is absent: it may come back cold at any time.
     pub cold_until: Duration,
+    /// Whether it could be reached lately.
+    pub absence: Absence,
     /// Recent requests sent while it was cold.
     pub cold_sends: SendWindow,
     /// What its answers say about it.
@@ -107,6 +110,7 @@
             id_hash: short_hash(&entry.id),
             run_hash: run_hash(&entry),
             cold_until: now + entry.cold_remaining,
+            absence: Absence::default(),
             era,
             unverified_until: Duration::ZERO,
             entry,
@@ -128,9 +132,22 @@
         now < self.unverified_until
     }
 
-    /// Returns whether it is cold.
+    /// Returns whether it is cold, or may be when it is reached.
     pub fn is_cold(&self, now: Duration) -> bool {
-        now < self.cold_until
+        now < self.cold_until || self.absence.is_absent()
+    }
+
+    /// Records that it cannot be reached, or that its process has `ended`. It may be cold once it can be reached, and have
+    /// nothing cached.
+    fn record_absence(&mut self, now: Duration, ended: bool, warmup: Duration) {
+        self.absence.observe_failure(now, ended);
+        self.cold_until = self.cold_until.max(now + warmup);
+        self.cache.clear();
+    }
+
+    /// Records that it can be reached again since `at` at the latest, and is cold for `warmup` from then on.
+    fn record_return(&mut self, at: Duration, warmup: Duration) {
+        self.cold_until = self.cold_until.max(at + warmup);
     }
 
     /// Returns the running and queued requests of all instances, as far as known.
@@ -277,12 +294,12 @@
     /// for which a restarted upstream then counts as cold.
     pub fn put(&mut self, now: Duration, mut entry: Entry, warmup: Duration, era: u16) {
         let Some(&key) = self.keys_by_id.get(&entry.id) else {
-            self.insert(now, entry, era);
+            self.insert(now, entry, warmup, era);
             return;
         };
         if self.all[key].entry.service != entry.service {
             self.remove(now, &entry.id, era);
-            self.insert(now, entry, era);
+            self.insert(now, entry, warmup, era);
             return;
         }
         let upstream = &mut self.all[key];
@@ -307,15 +324,22 @@
         }
         // A restarted upstream may be cold without having published it yet.
         let min_cold = if restarted { warmup } else { Duration::ZERO };
-        let cold_remaining = entry.cold_remaining.max(min_cold);
-        upstream.cold_until = now + cold_remaining;
+        let cold_until = now + entry.cold_remaining.max(min_cold);
+        upstream.cold_until = match upstream.absence.is_absent() && !restarted {
+            // It may have written the entry before it became unreachable.
+            true => upstream.cold_until.max(cold_until),
+            false => cold_until,
+        };
+        if restarted {
+            upstream.absence = Absence::default();
+        }
         // A run that drains does not become ready again; a restored store may say so.
         let still_ready = restarted || upstream.entry.ready;
         upstream.entry = entry;
         upstream.entry.ready &= still_ready;
     }
 
-    fn insert(&mut self, now: Duration, mut entry: Entry, era: u16) {
+    fn insert(&mut self, now: Duration, mut entry: Entry, warmup: Duration, era: u16) {
         let (id, service) = (entry.id.clone(), entry.service.clone());
         let removed = self.removed.remove(&id);
         let known_start = removed.as_ref().and_then(|r| r.started_at_ms);
@@ -330,6 +354,10 @@
                 false => removed.availability,
                 true => removed.availability.of_new_run(),
             };
+            if is_new_run {
+                // As in `put`.
+                upstream.record_return(now, warmup);
+            }
             // The upstream has written its entry again.
             upstream.availability.readmit();
         }
@@ -502,12 +530,20 @@
     }
 
     /// Records loads that upstreams reported to other instances, by the hashes of their ids.
-    /// Newer reports are kept.
-    pub fn record_relayed_loads(&mut self, reports: &HashMap<u32, (Duration, ReportedLoad)>) {
+    /// Newer reports are kept. `warmup` gives the time for which a service's upstreams are cold after their return.
+    pub fn record_relayed_loads(
+        &mut self,
+        now: Duration,
+        reports: &HashMap<u32, (Duration, ReportedLoad)>,
+        warmup: impl Fn(&str) -> Duration,
+    ) {
         for upstream in self.all.values_mut() {
             let Some(&(at, load)) = reports.get(&upstream.id_hash) else {
                 continue;
             };
+            if upstream.absence.observe_report(at) {
+                upstream.record_return(now, warmup(&upstream.entry.service));
+            }
             if upstream.reported_load.is_none_or(|known| known.0 < at) {
                 upstream.reported_load = Some((at, load, upstream.in_progress));
             }
@@ -521,9 +557,43 @@
         }
     }
 
+    /// Records that the process of an upstream has ended. `warmup` is the time for which it is cold after its start.
+    pub fn record_end(&mut self, now: Duration, key: Key, warmup: Duration) {
+        if let Some(upstream) = self.all.get_mut(key) {
+            upstream.record_absence(now, true, warmup);
+        }
+    }
+
+    /// Records that an upstream has accepted a connection, or answered a request, that was opened or sent at `sent_at` or
+    /// later. If it was absent, it is cold for `warmup`.
+    pub fn record_contact(&mut self, now: Duration, key: Key, sent_at: Duration, warmup: Duration) {
+        if let Some(upstream) = self.all.get_mut(key)
+            && upstream.absence.observe_contact(now, sent_at)
+        {
+            upstream.record_return(now, warmup);
+        }
+    }
+
+    /// Records what another instance knows of absent upstreams, by the hashes of their ids. `warmup` gives the time for
+    /// which a service's upstreams are cold after their return.
+    pub fn record_absences(
+        &mut self,
+        news: &HashMap<u32, absence::News>,
+        warmup: impl Fn(&str) -> Duration,
+    ) {
+        for upstream in self.all.values_mut() {
+            let Some(news) = news.get(&upstream.id_hash) else {
+                continue;
+            };
+            if let Some(back_at) = upstream.absence.merge(*news) {
+                upstream.record_return(back_at, warmup(&upstream.entry.service));
+            }
+        }
+    }
+
     /// Records that an attempt ended. After [`Self::record_prefill_done`], the caller must
     /// pass 0 as `request_load.prefill_tokens`, or the tokens are subtracted twice. `warmup`
-    /// is the minimum time for which an unreachable upstream then counts as cold. Returns what has
+    /// is the minimum time for which an unreachable upstream then counts as cold; see [`Absence`]. Returns what has
     /// changed about the upstream's availability.
     pub fn finish_attempt(
         &mut self,
@@ -540,9 +610,7 @@
             .saturating_sub(request_load.prefill_tokens);
         upstream.kv_tokens = upstream.kv_tokens.saturating_sub(request_load.kv_tokens);
         if outcome == AttemptOutcome::Unreachable {
-            // The upstream may have restarted, so that it is cold and has nothing cached.
-            upstream.cold_until = upstream.cold_until.max(now + warmup);
-            upstream.cache.clear();
+            upstream.record_absence(now, false, warmup);
         }
         let (in_progress, tokens) = (upstream.in_progress, request_load.kv_tokens);
         let availability = &mut upstream.availability;
--- a/crates/sesamebarrow_routing/tests/decisions/cold_upstreams.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/cold_upstreams.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sesamebarrow_routing::admit::{self, RequestSpec};
+use sesamebarrow_routing::upstream::{AttemptOutcome, Entry};
 
 use crate::fleet::{Fleet, MODEL, config, entry, ms, route};
 
@@ -153,3 +154,174 @@
     check_limit(&sent);
     assert!(sent.len() >= 3, "only {} requests sent", sent.len());
 }
+
+/// Time for which the upstreams of the fleet's service are cold.
+const WARMUP: Duration = Duration::from_secs(3);
+
+/// How instances find that an upstream does not answer.
+#[derive(Clone, Copy, PartialEq)]
+enum Failure {
+    /// Its address refuses connections.
+    Refused,
+    /// Nothing is answered in time.
+    Silent,
+}
+
+/// Sends a request at each instance of `senders` every 20 ms, while the upstream is down until `back_at` and the store
+/// says nothing. Returns when requests reached it.
+fn send_through_outage(
+    fleet: &mut Fleet,
+    senders: impl Fn(usize, Duration) -> bool,
+    failure: Failure,
+    back_at: Duration,
+    until: Duration,
+) -> Vec<Duration> {
+    let mut reached = Vec::new();
+    while fleet.now < until {
+        fleet.step(|_, _| true);
+        fleet.step(|_, _| true);
+        for index in 0..fleet.instances.len() {
+            let now = fleet.process_time(index);
+            let board = &mut fleet.instances[index].board;
+            for (key, ..) in board.take_probes(now) {
+                if fleet.now >= back_at {
+                    board.record_contact(now, key, now);
+                } else if failure == Failure::Refused {
+                    board.record_end(now, key);
+                }
+            }
+            if !senders(index, fleet.now) {
+                continue;
+            }
+            let request = RequestSpec {
+                service: MODEL.into(),
+                prompt_tokens: 500,
+                target_wait: ms(2_000),
+                ..RequestSpec::default()
+            };
+            let Ok(selected) = admit::select_upstream(board, now, &request) else {
+                continue;
+            };
+            let (key, load) = (selected.key, selected.request_load);
+            board.upstreams.start_attempt(now, key, load);
+            let is_back = fleet.now >= back_at;
+            if is_back {
+                board.record_contact(now, key, now);
+                reached.push(fleet.now);
+            } else if failure == Failure::Refused {
+                board.record_end(now, key);
+            }
+            let outcome = match is_back {
+                true => AttemptOutcome::Whole,
+                false => AttemptOutcome::Unreachable,
+            };
+            board
+                .upstreams
+                .finish_attempt(now, key, load, outcome, WARMUP);
+        }
+    }
+    reached
+}
+
+/// Defines a test of an upstream that is down for a time and comes back cold at the same address, without a word from
+/// the store.
+macro_rules! return_test {
+    ($($name:ident: $count:expr, $down:expr, $failure:expr, $senders:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut fleet = Fleet::new(&[("a", $count)], config(&[], vec![route("r", &[])]));
+            fleet.advance(ms(6_000));
+            publish(&mut fleet, Duration::ZERO);
+            let (down_at, back_at) = (fleet.now, fleet.now + ms($down));
+            let senders = |index: usize, at: Duration| $senders(index, at.saturating_sub(down_at));
+            let until = back_at + WARMUP;
+            let cold = send_through_outage(&mut fleet, senders, $failure, back_at, until);
+            check_limit(&cold);
+            let later = until + ms(3_000);
+            let warm = send_through_outage(&mut fleet, senders, $failure, back_at, later);
+            assert!(warm.len() > 50, "only {} requests sent later", warm.len());
+        }
+    )*};
+}
+
+return_test! {
+    upstream_that_is_back_while_it_still_counts_as_cold_is_not_overrun:
+        3, 2_000, Failure::Refused, |_, _| true;
+    upstream_that_is_back_long_after_its_end_is_not_overrun:
+        3, 8_000, Failure::Refused, |_, _| true;
+    upstream_that_was_silent_and_is_back_is_not_overrun:
+        3, 4_000, Failure::Silent, |_, _| true;
+    upstream_whose_end_only_one_instance_of_a_large_region_saw_is_not_overrun:
+        65, 4_000, Failure::Refused, |index, at| index == 0 || at >= ms(3_900);
+    upstream_whose_owner_has_no_requests_is_used_again:
+        3, 4_000, Failure::Refused, |index, _| index == 1;
+}
+
+#[test]
+fn upstream_that_never_failed_is_not_cold() {
+    let mut fleet = fleet();
+    fleet.advance(ms(4_000));
+    publish(&mut fleet, Duration::ZERO);
+    let now = fleet.now;
+    let sent = send_through_outage(
+        &mut fleet,
+        |_, _| true,
+        Failure::Refused,
+        now,
+        now + ms(1_000),
+    );
+    assert!(sent.len() > 100, "only {} requests sent", sent.len());
+}
+
+/// What an upstream wrote before its end may arrive after it.
+#[test]
+fn entry_that_was_written_before_the_end_does_not_make_an_upstream_warm() {
+    let mut fleet = fleet();
+    fleet.advance(ms(4_000));
+    publish(&mut fleet, Duration::ZERO);
+    let now = fleet.process_time(0);
+    let board = &mut fleet.instances[0].board;
+    let key = board.upstreams.key("up").expect("known");
+    board.record_end(now, key);
+    board.put_upstream(now, entry("up", "a", Duration::ZERO));
+    assert!(board.upstreams.all[key].is_cold(now + ms(60_000)));
+    let new_run = Entry {
+        started_at_ms: Some(2),
+        ..entry("up", "a", ms(1_000))
+    };
+    board.put_upstream(now + ms(60_000), new_run);
+    assert!(board.upstreams.all[key].is_cold(now + ms(62_900)));
+    assert!(!board.upstreams.all[key].is_cold(now + ms(63_100)));
+}
+
+/// The entry of an upstream lapses while it is down. Its new run may be published before it says that it is cold.
+#[test]
+fn new_run_of_an_upstream_whose_entry_had_lapsed_is_cold() {
+    let mut fleet = fleet();
+    fleet.advance(ms(4_000));
+    publish(&mut fleet, Duration::ZERO);
+    let now = fleet.process_time(0);
+    let board = &mut fleet.instances[0].board;
+    board.remove_upstream(now, "up");
+    let new_run = Entry {
+        started_at_ms: Some(2),
+        ..entry("up", "a", Duration::ZERO)
+    };
+    board.put_upstream(now, new_run);
+    let key = board.upstreams.key("up").expect("known");
+    assert!(board.upstreams.all[key].is_cold(now + ms(2_900)));
+}
+
+/// An answer that was on its way when the process ended shows nothing of its return.
+#[test]
+fn late_answer_of_an_ended_process_is_no_return() {
+    let mut fleet = fleet();
+    fleet.advance(ms(4_000));
+    publish(&mut fleet, Duration::ZERO);
+    let now = fleet.process_time(0);
+    let board = &mut fleet.instances[0].board;
+    let key = board.upstreams.key("up").expect("known");
+    board.record_end(now, key);
+    board.record_contact(now + ms(5), key, now - ms(10));
+    assert!(board.upstreams.all[key].is_cold(now + ms(60_000)));
+}
