Take no answer whose status is from 600 on

Callers got answers with a status that HTTP does not have (MIXED), as the HTTP library parses any three digits from 100 on.

Change: only statuses from 200 to 599 are final answers.

--- a/crates/sesamebarrow_gateway/src/framing.rs
+++ b/crates/sesamebarrow_gateway/src/framing.rs
@@ -15,7 +15,7 @@
 use hyper::body::Body;
 use hyper::header::TRANSFER_ENCODING;
 
-pub use sesamebarrow_platform::head::has_transfer_coding;
+pub use sesamebarrow_platform::head::{has_transfer_coding, is_final};
 
 use crate::event_stream::Position;
 use crate::meter::MeteredBody;
--- a/crates/sesamebarrow_node/src/attempt.rs
+++ b/crates/sesamebarrow_node/src/attempt.rs
@@ -157,8 +157,11 @@
         return SendOutcome::NotSent;
     };
     match connection.send(req).await {
-        // An encoded body is not the one that was asked for.
-        Ok(response) if framing::has_transfer_coding(response.headers()) => {
+        // An encoded body is not the one that was asked for, and without a status nothing is an answer.
+        Ok(response)
+            if framing::has_transfer_coding(response.headers())
+                || !framing::is_final(response.status()) =>
+        {
             SendOutcome::Interrupted
         }
         Ok(response) => {
@@ -229,6 +232,7 @@
     u16::try_from(code)
         .ok()
         .and_then(|c| StatusCode::from_u16(c).ok())
+        .filter(|status| framing::is_final(*status))
         .unwrap_or(StatusCode::BAD_GATEWAY)
 }
 
--- a/crates/sesamebarrow_standin/tests/foreign_bytes_review.rs
+++ b/crates/sesamebarrow_standin/tests/foreign_bytes_review.rs
@@ -170,6 +170,25 @@
         "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\nab";
 }
 
+/// Defines a test of an answer whose head holds no status.
+macro_rules! status_test {
+    ($($name:ident: $status:literal;)*) => {$(
+        #[tokio::test(flavor = "multi_thread")]
+        async fn $name() -> anyhow::Result<()> {
+            let first = concat!("HTTP/1.1 ", $status, " OK\r\ncontent-length: 4\r\n\r\npaid");
+            let env = TestEnv::start(Answer { first, repeated: "", crashes: false }).await?;
+            assert_eq!(env.send().await?.status, 502);
+            Ok(())
+        }
+    )*};
+}
+
+status_test! {
+    status_000_of_an_engine_is_not_relayed: "000";
+    status_600_of_an_engine_is_not_relayed: "600";
+    status_999_of_an_engine_is_not_relayed: "999";
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn foreign_bytes_of_a_stream_are_not_relayed() -> anyhow::Result<()> {
     let first = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: a\n\nwhat is this\n\ndata: [DONE]\n\n";
