Take only a connection opened in the attempt for a sign of return

An idle connection that had carried no answer yet, such as one kept from a probe, may be one to a host that has gone dark. Taking it ended the absence of the upstream. Domains that are evacuated get no probes either.

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -74,7 +74,8 @@
     pub connection: Option<Connection>,
     /// How long the connection may stay idle after the attempt; `None` if it must be closed.
     pub idle_time: Option<Duration>,
-    started_at: Instant,
+    /// When it began.
+    pub started_at: Instant,
     /// When the request was sent, or began to be connected.
     pub sent_at: Duration,
     request_id: SmolStr,
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -258,7 +258,7 @@
         }
     };
     if let Target::Upstream(selected) = target {
-        if connection.is_unused() {
+        if connection.is_opened_since(attempt.started_at) {
             attempt.record_contact();
         }
         // What other answers said while the connection was opened.
--- a/crates/sesamebarrow_gateway/src/pool.rs
+++ b/crates/sesamebarrow_gateway/src/pool.rs
@@ -76,6 +76,7 @@
     meter: Meter,
     /// Number of responses whose head was received.
     responses: u32,
+    opened_at: Instant,
     /// Hashes of the ids of the requests that were refused on it. A second copy of such a refusal may still arrive.
     refused: Vec<u32>,
 }
@@ -86,9 +87,9 @@
         self.responses <= 1
     }
 
-    /// Returns whether no response was received on it yet, so that it was opened a short time ago.
-    pub fn is_unused(&self) -> bool {
-        self.responses == 0
+    /// Returns whether it was opened at `time` or later.
+    pub fn is_opened_since(&self, time: Instant) -> bool {
+        self.opened_at >= time
     }
 
     /// Records that the request `id` was refused, so that it is not sent on this connection again.
@@ -194,6 +195,7 @@
             sender,
             meter,
             responses: 0,
+            opened_at: Instant::now(),
             refused: Vec::new(),
         })
     }
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -413,7 +413,10 @@
             let service = config.as_ref().and_then(|c| c.services.get(service));
             service.is_some_and(|s| s.cold_rate > 0.0)
         };
-        let is_used = |u: &Upstream| u.entry.ready && !u.availability.leaving;
+        let evacuated = &self.evacuated;
+        let is_used = |u: &Upstream| {
+            u.entry.ready && !u.availability.leaving && !evacuated.contains(&u.entry.domain)
+        };
         let all = self.upstreams.all.iter_mut();
         let due = all.filter(|(_, u)| is_limited(&u.entry.service) && is_used(u));
         let due = due.filter_map(|(key, u)| u.absence.take_probe(now).then_some(key));
