Send blame of prompts of any length, and ignore late news of a former run

A report with more suspects than the burst of its allowance was never sent and kept others of its kind from being sent; heads may be configured to be that long. Reports are now split. blame_of_a_prompt_of_any_length_is_sent needs it.

News of the end of an upstream that arrive after its new run was published made the new run absent, and cold for longer than it says. late_news_of_an_end_do_not_concern_the_new_run fails without the change.

--- a/crates/sesamebarrow_routing/src/absence.rs
+++ b/crates/sesamebarrow_routing/src/absence.rs
@@ -58,6 +58,14 @@
 }
 
 impl Absence {
+    /// Returns that of a run that has just been published. What others found earlier was another run.
+    pub fn of_new_run(now: Duration) -> Self {
+        Self {
+            reached_at: now,
+            ..Self::default()
+        }
+    }
+
     /// Returns whether it has not been reached since it was found to be unreachable.
     pub fn is_absent(&self) -> bool {
         self.since.is_some()
--- a/crates/sesamebarrow_routing/src/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/quarantine.rs
@@ -80,6 +80,9 @@
 /// The same for those that are some of many.
 const MAX_REPORTED_OF_MANY: usize = 16_384;
 
+/// Maximum number of suspects in one report, so that an allowance is never too small for it.
+const MAX_SUSPECTS_PER_REPORT: usize = 512;
+
 /// Maximum number of orders on suspects of one kind.
 const MAX_ORDERS: usize = 256;
 
@@ -267,7 +270,9 @@
             request: suspects.request,
             one_of_many: blamed.len() > MANY_SUSPECTS,
         };
-        self.add_report(now, blame, blamed.clone());
+        for suspects in blamed.chunks(MAX_SUSPECTS_PER_REPORT) {
+            self.add_report(now, blame, suspects.to_vec());
+        }
         let blames = blamed.into_iter().map(|suspect| Blame { suspect, ..blame });
         blames
             .filter_map(|blame| self.record_blame(now, Duration::ZERO, blame))
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -331,7 +331,7 @@
             false => cold_until,
         };
         if restarted {
-            upstream.absence = Absence::default();
+            upstream.absence = Absence::of_new_run(now);
         }
         // A run that drains does not become ready again; a restored store may say so.
         let still_ready = restarted || upstream.entry.ready;
@@ -356,6 +356,7 @@
             };
             if is_new_run {
                 // As in `put`.
+                upstream.absence = Absence::of_new_run(now);
                 upstream.record_return(now, warmup);
             }
             // The upstream has written its entry again.
--- a/crates/sesamebarrow_routing/tests/decisions/cold_upstreams.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/cold_upstreams.rs
@@ -294,6 +294,33 @@
     assert!(!board.upstreams.all[key].is_cold(now + ms(63_100)));
 }
 
+/// News of an end may be of the run before.
+#[test]
+fn late_news_of_an_end_do_not_concern_the_new_run() {
+    let mut fleet = fleet();
+    fleet.advance(ms(4_000));
+    publish(&mut fleet, Duration::ZERO);
+    let now = fleet.process_time(1);
+    let other = &mut fleet.instances[1].board;
+    let key = other.upstreams.key("up").expect("known");
+    other.record_end(now, key);
+    let ip = fleet.instances[0].board.identity.ip;
+    let other = &mut fleet.instances[1].board;
+    let mut news = other.begin_gossip_round(now);
+    other.complete_datagram(now, &mut news, ip);
+    let at = fleet.process_time(0) + ms(500);
+    let new_run = Entry {
+        started_at_ms: Some(2),
+        ..entry("up", "a", ms(1_000))
+    };
+    let board = &mut fleet.instances[0].board;
+    board.put_upstream(at, new_run);
+    news.absences[0].ended_age_ms = Some(600);
+    board.handle_datagram(at + ms(100), Duration::ZERO, &news);
+    let key = board.upstreams.key("up").expect("known");
+    assert!(!board.upstreams.all[key].is_cold(at + ms(3_100)));
+}
+
 /// The entry of an upstream lapses while it is down. Its new run may be published before it says that it is cold.
 #[test]
 fn new_run_of_an_upstream_whose_entry_had_lapsed_is_cold() {
--- a/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
@@ -488,6 +488,21 @@
     assert!(judge.blamed().count() < 10, "made-up parts fill no table");
 }
 
+/// A report that no allowance covers would never be sent, and keep others from being sent.
+#[test]
+fn blame_of_a_prompt_of_any_length_is_sent() {
+    let mut q = Quarantine::default();
+    crash(&mut q, START, 1, ROSA, &made_up(1, 12_000));
+    crash(&mut q, START, 2, ROSA, &made_up(2, 40));
+    let mut sent = 0;
+    for second in 0..200 {
+        sent += q
+            .take_due_reports(START + Duration::from_secs(second))
+            .len();
+    }
+    assert!(sent >= 12_000, "only {sent} suspects sent");
+}
+
 /// Without any answer, the parts that all requests share are as suspicious as the harmful one. They are freed by the
 /// first answer.
 #[test]
