--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -1,12 +1,11 @@
 //! The board: the tables on which one instance bases all routing decisions.
 
 use std::collections::{HashMap, HashSet};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rand::rngs::StdRng;
-use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use smol_str::SmolStr;
 
@@ -28,10 +27,12 @@
 use crate::token;
 use crate::upstream::{Entry, Key, Upstream, Upstreams};
 
+mod absence;
 pub mod dispatch;
 mod gossip;
 pub mod limit;
 pub mod quarantine;
+mod reader;
 
 /// Identifies this instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -80,10 +81,6 @@
 /// Request duration in milliseconds that is assumed before any was measured.
 const DEFAULT_REQUEST_DURATION_MS: f64 = 1_000.0;
 
-/// Number of instances per region that read the store. With two, updates still arrive while
-/// the failure of one is being detected.
-const STORE_READERS_PER_REGION: usize = 2;
-
 /// Fraction of an upstream's maximum number of connections that may be idle. Connections in
 /// use are bounded by its slots.
 const IDLE_CONNECTION_FRACTION: f64 = 0.5;
@@ -385,53 +382,6 @@
         }
     }
 
-    /// Returns how long upstreams of `service` are cold after their start.
-    pub fn warmup(&self, service: &str) -> Duration {
-        warmup(self.config.as_deref(), service)
-    }
-
-    /// Records that no process listens at the address of an upstream: it has ended.
-    pub fn record_end(&mut self, now: Duration, key: Key) {
-        let service = self.upstreams.all.get(key).map(|u| &u.entry.service);
-        let warmup = service.map_or(Duration::ZERO, |service| self.warmup(service));
-        self.upstreams.record_end(now, key, warmup);
-    }
-
-    /// Records that an upstream has accepted a connection, or answered a request, that was opened or sent at `sent_at` or
-    /// later.
-    pub fn record_contact(&mut self, now: Duration, key: Key, sent_at: Duration) {
-        let service = self.upstreams.all.get(key).map(|u| &u.entry.service);
-        let warmup = service.map_or(Duration::ZERO, |service| self.warmup(service));
-        self.upstreams.record_contact(now, key, sent_at, warmup);
-    }
-
-    /// Returns the absent upstreams that this instance should now open a connection to, since nothing else may show that
-    /// they are back: their address, and the number of idle connections that it may keep to them.
-    pub fn take_probes(&mut self, now: Duration) -> Vec<(Key, SocketAddr, usize)> {
-        let config = self.config.clone();
-        let is_limited = |service: &str| {
-            let service = config.as_ref().and_then(|c| c.services.get(service));
-            service.is_some_and(|s| s.cold_rate > 0.0)
-        };
-        let evacuated = &self.evacuated;
-        let is_used = |u: &Upstream| {
-            u.entry.ready && !u.availability.leaving && !evacuated.contains(&u.entry.domain)
-        };
-        let all = self.upstreams.all.iter_mut();
-        let due = all.filter(|(_, u)| is_limited(&u.entry.service) && is_used(u));
-        let due = due.filter_map(|(key, u)| u.absence.take_probe(now).then_some(key));
-        let due: Vec<Key> = due.collect();
-        let probe = |key: Key| {
-            let entry = &self.upstreams.all[key].entry;
-            (
-                key,
-                entry.address,
-                self.max_idle_connections(&entry.service),
-            )
-        };
-        due.into_iter().map(probe).collect()
-    }
-
     /// Returns how many idle connections this instance may keep to an upstream of
     /// `service`, so that the connections of all instances in the region fit its limit.
     pub fn max_idle_connections(&self, service: &str) -> usize {
@@ -489,52 +439,6 @@
         known + self.members.lost_count_in(region) + 1
     }
 
-    /// Returns whether this instance reads the store for its region. The instances with the
-    /// highest rendezvous weights do, among those that are alive, are not draining and get
-    /// answers from the store.
-    pub fn is_store_reader(&self, now: Duration) -> bool {
-        if !self.store_answers {
-            return false;
-        }
-        let weight = |name: &str| rendezvous::weight(self.identity.region.as_bytes(), name);
-        let own_weight = weight(&self.identity.name);
-        let higher = self.members.alive(now).filter(|m| {
-            m.region == self.identity.region
-                && m.record.store_answers
-                && m.draining_since.is_none()
-                && weight(&m.record.name) > own_weight
-        });
-        higher.count() < STORE_READERS_PER_REGION
-    }
-
-    /// Returns whether another instance of the region can read the store.
-    pub fn can_another_read_store(&self, now: Duration) -> bool {
-        let mut peers = self
-            .members
-            .alive(now)
-            .filter(|m| m.region == self.identity.region);
-        peers.any(|m| m.record.store_answers && m.draining_since.is_none())
-    }
-
-    /// Returns the name and the address of an instance that knows newer items or a newer configuration, another
-    /// than `failed` if there is one.
-    pub fn select_newer_instance(
-        &mut self,
-        now: Duration,
-        failed: Option<&str>,
-    ) -> Option<(SmolStr, Ipv4Addr)> {
-        let (revision, version) = (self.revision, self.config_version());
-        let is_newer = |m: &&Member| m.revision > revision || m.config_version > version;
-        let newer: Vec<_> = self.members.alive(now).filter(is_newer).collect();
-        let others = newer
-            .iter()
-            .filter(|m| Some(m.record.name.as_str()) != failed);
-        let selected = others
-            .choose(&mut self.rng)
-            .or_else(|| newer.iter().choose(&mut self.rng))?;
-        Some((SmolStr::new(&selected.record.name), selected.ip()))
-    }
-
     /// Returns the addresses of the other instances in this region that are alive.
     pub fn region_peers(&self, now: Duration) -> Vec<Ipv4Addr> {
         let peers = self
@@ -545,12 +449,6 @@
     }
 }
 
-/// Returns how long upstreams of `service` are cold after their start.
-fn warmup(config: Option<&Config>, service: &str) -> Duration {
-    let service = config.and_then(|c| c.services.get(service));
-    service.map_or(Duration::ZERO, |s| s.warmup)
-}
-
 /// Returns the number of different regions.
 fn region_count(regions: &HashMap<SmolStr, SmolStr>) -> usize {
     regions.values().collect::<HashSet<_>>().len().max(1)
--- a/crates/sesamebarrow_routing/src/board/gossip.rs
+++ b/crates/sesamebarrow_routing/src/board/gossip.rs
@@ -5,7 +5,8 @@
 
 use rand::seq::IteratorRandom;
 
-use crate::board::{Board, REPUBLISH_GRACE, warmup};
+use crate::board::absence::warmup;
+use crate::board::{Board, REPUBLISH_GRACE};
 use crate::gossip::{
     Datagram, Record, ReportedLoads, ServiceLoad, UpstreamAbsence, UpstreamLoad, short_hash,
 };
--- a/crates/sesamebarrow_routing/src/upstream.rs
+++ b/crates/sesamebarrow_routing/src/upstream.rs
@@ -1,12 +1,14 @@
 //! The upstreams of the region: their published entries, their load and their failures.
 
+mod contact;
+
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use smol_str::SmolStr;
 
-use crate::absence::{self, Absence};
+use crate::absence::Absence;
 use crate::availability::{Availability, Change, Notice};
 use crate::cache::{PrefixCache, PromptPart};
 use crate::cold::SendWindow;
@@ -137,19 +139,6 @@
         now < self.cold_until || self.absence.is_absent()
     }
 
-    /// Records that it cannot be reached, or that its process has `ended`. It may be cold once it can be reached, and have
-    /// nothing cached.
-    fn record_absence(&mut self, now: Duration, ended: bool, warmup: Duration) {
-        self.absence.observe_failure(now, ended);
-        self.cold_until = self.cold_until.max(now + warmup);
-        self.cache.clear();
-    }
-
-    /// Records that it can be reached again since `at` at the latest, and is cold for `warmup` from then on.
-    fn record_return(&mut self, at: Duration, warmup: Duration) {
-        self.cold_until = self.cold_until.max(at + warmup);
-    }
-
     /// Returns the running and queued requests of all instances, as far as known.
     pub fn outstanding(&self, now: Duration) -> u32 {
         let from_datagrams = self
@@ -558,40 +547,6 @@
         }
     }
 
-    /// Records that the process of an upstream has ended. `warmup` is the time for which it is cold after its start.
-    pub fn record_end(&mut self, now: Duration, key: Key, warmup: Duration) {
-        if let Some(upstream) = self.all.get_mut(key) {
-            upstream.record_absence(now, true, warmup);
-        }
-    }
-
-    /// Records that an upstream has accepted a connection, or answered a request, that was opened or sent at `sent_at` or
-    /// later. If it was absent, it is cold for `warmup`.
-    pub fn record_contact(&mut self, now: Duration, key: Key, sent_at: Duration, warmup: Duration) {
-        if let Some(upstream) = self.all.get_mut(key)
-            && upstream.absence.observe_contact(now, sent_at)
-        {
-            upstream.record_return(now, warmup);
-        }
-    }
-
-    /// Records what another instance knows of absent upstreams, by the hashes of their ids. `warmup` gives the time for
-    /// which a service's upstreams are cold after their return.
-    pub fn record_absences(
-        &mut self,
-        news: &HashMap<u32, absence::News>,
-        warmup: impl Fn(&str) -> Duration,
-    ) {
-        for upstream in self.all.values_mut() {
-            let Some(news) = news.get(&upstream.id_hash) else {
-                continue;
-            };
-            if let Some(back_at) = upstream.absence.merge(*news) {
-                upstream.record_return(back_at, warmup(&upstream.entry.service));
-            }
-        }
-    }
-
     /// Records that an attempt ended. After [`Self::record_prefill_done`], the caller must
     /// pass 0 as `request_load.prefill_tokens`, or the tokens are subtracted twice. `warmup`
     /// is the minimum time for which an unreachable upstream then counts as cold; see [`Absence`]. Returns what has
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -32,6 +32,8 @@
 mod liveness;
 #[path = "decisions/loads.rs"]
 mod loads;
+#[path = "decisions/long_prompts.rs"]
+mod long_prompts;
 #[path = "decisions/members.rs"]
 mod members;
 #[path = "decisions/memory.rs"]
