--- a/review/kit-3/src/bin/forgotten.rs
+++ b/review/kit-3/src/bin/forgotten.rs
@@ -22,7 +22,9 @@
 const CONTACT_S: f64 = 6.0;
 /// Requests with the part that may reach runners later than `contactMs` after the fifth crash.
 const ALLOWED: usize = 3;
-const RUNNERS: [&str; 8] = ["i-a1", "i-b2", "i-c3", "i-d4", "i-e5", "i-f6", "i-g7", "i-h8"];
+const RUNNERS: [&str; 8] = [
+    "i-a1", "i-b2", "i-c3", "i-d4", "i-e5", "i-f6", "i-g7", "i-h8",
+];
 const BURST: u32 = 24;
 const BURST_S: f64 = 8.0;
 const KILL_S: f64 = BURST_S + 3.0;
@@ -65,7 +67,9 @@
 fn run() -> std::io::Result<ExitCode> {
     let mut args = std::env::args().skip(1);
     let program = PathBuf::from(args.next().unwrap_or_default());
-    let record = Record::create(&PathBuf::from(args.next().unwrap_or_else(|| "record.txt".into())))?;
+    let record = Record::create(&PathBuf::from(
+        args.next().unwrap_or_else(|| "record.txt".into()),
+    ))?;
     let store = Store::start()?;
     store.write("op/config", Some(CONFIG));
     // When requests with the part have reached runners, each of which then crashes.
@@ -88,7 +92,13 @@
             warmup: Duration::ZERO,
             work_of,
         };
-        runners.push(Runner::start((id, "127.0.0.1"), ("reparto-llm", "lima-a"), &store, &record, behaviour)?);
+        runners.push(Runner::start(
+            (id, "127.0.0.1"),
+            ("reparto-llm", "lima-a"),
+            &store,
+            &record,
+            behaviour,
+        )?);
     }
     let zones = [("lima-a", "lima"); 3];
     let mut fleet = Fleet::start(program, &zones, store.address)?;
@@ -111,7 +121,10 @@
             record.line(&format!("{kind} {} sent to {to}", req.id));
             let answer = client::send(to, HOST, KEY, &req, |_| {});
             let (status, is_whole) = (answer.status, answer.is_whole);
-            record.line(&format!("{kind} {} answered {status} whole={is_whole}", req.id));
+            record.line(&format!(
+                "{kind} {} answered {status} whole={is_whole}",
+                req.id
+            ));
         })
     };
     let end = SINGLES_S + f64::from(SINGLES) * INTERVAL_S;
@@ -125,7 +138,10 @@
                     let req = request(false);
                     record.line(&format!("sound {} sent to {to}", req.id));
                     let answer = client::send(to, HOST, KEY, &req, |_| {});
-                    record.line(&format!("sound {} answered {} whole={}", req.id, answer.status, answer.is_whole));
+                    record.line(&format!(
+                        "sound {} answered {} whole={}",
+                        req.id, answer.status, answer.is_whole
+                    ));
                 });
                 n += 1;
                 thread::sleep(Duration::from_millis(250));
@@ -164,9 +180,15 @@
     let crashes: u64 = runners.iter().map(|r| r.crashes()).sum();
     let reached_at = reached_at.lock().map(|r| r.clone()).unwrap_or_default();
     // Each runner crashes at most once in the burst.
-    let early = reached_at.iter().filter(|at| **at < began_at + KILL_S).count();
+    let early = reached_at
+        .iter()
+        .filter(|at| **at < began_at + KILL_S)
+        .count();
     let from = began_at + BURST_S + 1.0 + CONTACT_S;
-    let late = reached_at.iter().filter(|at| **at > from.max(began_at + SINGLES_S - 0.5)).count();
+    let late = reached_at
+        .iter()
+        .filter(|at| **at > from.max(began_at + SINGLES_S - 0.5))
+        .count();
     record.say(&format!(
         "{crashes} crashes; {early} requests with the part have reached runners in the burst, and {late} later than \
          contactMs after it, from machines in touch; allowed are {ALLOWED}"
@@ -176,7 +198,11 @@
         return Ok(ExitCode::from(2));
     }
     let is_broken = late > ALLOWED;
-    record.say(if is_broken { "BUDGET is broken" } else { "BUDGET holds" });
+    record.say(if is_broken {
+        "BUDGET is broken"
+    } else {
+        "BUDGET holds"
+    });
     Ok(ExitCode::from(u8::from(is_broken)))
 }
 
--- a/review/kit-3/src/bin/pause.rs
+++ b/review/kit-3/src/bin/pause.rs
@@ -10,10 +10,10 @@
 
 use review_kit_3::client::{self, Request};
 use review_kit_3::fleet::Fleet;
+use review_kit_3::has_trouble;
 use review_kit_3::record::Record;
 use review_kit_3::runner::{Behaviour, Runner, Work};
 use review_kit_3::store::Store;
-use review_kit_3::has_trouble;
 
 const HOST: &str = "lumi.example";
 const KEY: &str = "k3y0of0rosa0000000000";
@@ -66,12 +66,18 @@
 fn run() -> std::io::Result<ExitCode> {
     let mut args = std::env::args().skip(1);
     let program = PathBuf::from(args.next().unwrap_or_default());
-    let record = Record::create(&PathBuf::from(args.next().unwrap_or_else(|| "record.txt".into())))?;
+    let record = Record::create(&PathBuf::from(
+        args.next().unwrap_or_else(|| "record.txt".into()),
+    ))?;
     let store = Store::start()?;
     store.write("op/config", Some(CONFIG));
     let crashed_at: Arc<Mutex<Vec<f64>>> = Arc::default();
     let mut runners = Vec::new();
-    for (id, ip) in [("i-a1", "127.0.0.1"), ("i-b2", "127.0.0.1"), ("i-c3", "127.0.0.1")] {
+    for (id, ip) in [
+        ("i-a1", "127.0.0.1"),
+        ("i-b2", "127.0.0.1"),
+        ("i-c3", "127.0.0.1"),
+    ] {
         let (crashed_at, seen) = (crashed_at.clone(), record.clone());
         let work_of = move |head: &review_kit_3::http::Head| {
             let prompt = head.header("prompt-prefix").unwrap_or("");
@@ -113,11 +119,17 @@
         let ahead = began_at + at - record.now();
         thread::sleep(Duration::from_secs_f64(ahead.max(0.0)));
         let is_late = at >= BASE_S + PAUSE_S;
-        let sounds = if tick % 5 == 0 && (at < BASE_S || is_late) { 3 } else { 0 };
+        let sounds = if tick.is_multiple_of(5) && (at < BASE_S || is_late) {
+            3
+        } else {
+            0
+        };
         let harmful = u32::from(is_late && has_trouble());
         for n in 0..sounds + harmful {
             let is_harmful = n >= sounds;
-            let to = callers[(tick as usize / 5 + n as usize + usize::from(is_harmful) * tick as usize) % callers.len()];
+            let to =
+                callers[(tick as usize / 5 + n as usize + usize::from(is_harmful) * tick as usize)
+                    % callers.len()];
             let (record, sound, sent) = (record.clone(), sound.clone(), harmful_sent.clone());
             threads.push(thread::spawn(move || {
                 let req = request(is_harmful);
@@ -134,7 +146,10 @@
                     200 => String::new(),
                     _ => String::from_utf8_lossy(&answer.body).into_owned(),
                 };
-                record.line(&format!("{kind} {} answered {status} whole={is_whole} began={began} {text}", req.id));
+                record.line(&format!(
+                    "{kind} {} answered {status} whole={is_whole} began={began} {text}",
+                    req.id
+                ));
                 if !is_harmful && let Ok(mut sound) = sound.lock() {
                     sound.push(Sound { sent_at, began });
                 }
@@ -150,9 +165,16 @@
     }
     let crashed_at = crashed_at.lock().map(|c| c.clone()).unwrap_or_default();
     let crashes: u64 = runners.iter().map(|r| r.crashes()).sum();
-    let sound = sound.lock().map(|mut s| std::mem::take(&mut *s)).unwrap_or_default();
+    let sound = sound
+        .lock()
+        .map(|mut s| std::mem::take(&mut *s))
+        .unwrap_or_default();
     let trouble_at = began_at + BASE_S + PAUSE_S;
-    let counted_crash = crashed_at.get(4).or(crashed_at.last()).copied().unwrap_or(trouble_at);
+    let counted_crash = crashed_at
+        .get(4)
+        .or(crashed_at.last())
+        .copied()
+        .unwrap_or(trouble_at);
     let from = counted_crash + 2.0 * CONTACT_S;
     let share = |of: &dyn Fn(&Sound) -> bool| {
         let of: Vec<&Sound> = sound.iter().filter(|s| of(s)).collect();
@@ -172,7 +194,11 @@
     }
     // Less than half as often.
     let is_broken = 2 * began * base < base_began * late;
-    record.say(if is_broken { "LOST is broken" } else { "LOST holds" });
+    record.say(if is_broken {
+        "LOST is broken"
+    } else {
+        "LOST holds"
+    });
     Ok(ExitCode::from(u8::from(is_broken)))
 }
 
--- a/review/kit-3/src/bin/recover.rs
+++ b/review/kit-3/src/bin/recover.rs
@@ -45,7 +45,9 @@
 fn run() -> std::io::Result<ExitCode> {
     let mut args = std::env::args().skip(1);
     let program = PathBuf::from(args.next().unwrap_or_default());
-    let record = Record::create(&PathBuf::from(args.next().unwrap_or_else(|| "record.txt".into())))?;
+    let record = Record::create(&PathBuf::from(
+        args.next().unwrap_or_else(|| "record.txt".into()),
+    ))?;
     let store = Store::start()?;
     store.write("op/config", Some(&CONFIG.replace("VERSION", "1")));
     let mut runners = Vec::new();
@@ -55,7 +57,13 @@
             warmup: Duration::ZERO,
             work_of: |_: &review_kit_3::http::Head| Work::Answer(10),
         };
-        runners.push(Runner::start((id, "127.0.0.1"), ("pagos-app", "lima-a"), &store, &record, behaviour)?);
+        runners.push(Runner::start(
+            (id, "127.0.0.1"),
+            ("pagos-app", "lima-a"),
+            &store,
+            &record,
+            behaviour,
+        )?);
     }
     let zones = [("lima-a", "lima"); 8];
     let mut fleet = Fleet::start(program, &zones, store.address)?;
@@ -71,7 +79,11 @@
         thread::spawn(move || {
             let mut threads = Vec::new();
             // Clients connect to machines that are up.
-            let up = if has_trouble() { &callers[SEEDS..] } else { &callers[..] };
+            let up = if has_trouble() {
+                &callers[SEEDS..]
+            } else {
+                &callers[..]
+            };
             for n in 0.. {
                 let at = f64::from(n) / REQUESTS_PER_S;
                 if at >= END_S {
@@ -96,7 +108,10 @@
                     let text = String::from_utf8_lossy(&answer.body).into_owned();
                     record.line(&format!("{} answered {} {text}", req.id, answer.status));
                     if let Ok(mut done) = done.lock() {
-                        done.push(Done { sent_at, status: answer.status });
+                        done.push(Done {
+                            sent_at,
+                            status: answer.status,
+                        });
                     }
                 }));
             }
@@ -133,8 +148,13 @@
     }
     let done = done.lock().map(|d| d.clone()).unwrap_or_default();
     let share = |from: f64, until: f64| {
-        let inside = done.iter().filter(|d| d.sent_at >= began_at + from && d.sent_at < began_at + until);
-        (inside.clone().filter(|d| d.status == 200).count(), inside.count())
+        let inside = done
+            .iter()
+            .filter(|d| d.sent_at >= began_at + from && d.sent_at < began_at + until);
+        (
+            inside.clone().filter(|d| d.status == 200).count(),
+            inside.count(),
+        )
     };
     let (served_before, before) = share(0.0, TROUBLE_S - 1.0);
     let (served, after) = share(BACK_S + RECOVER_S, END_S);
@@ -147,7 +167,11 @@
         return Ok(ExitCode::from(2));
     }
     let is_broken = 4 * served < after;
-    record.say(if is_broken { "RECOVER is broken" } else { "RECOVER holds" });
+    record.say(if is_broken {
+        "RECOVER is broken"
+    } else {
+        "RECOVER holds"
+    });
     Ok(ExitCode::from(u8::from(is_broken)))
 }
 
--- a/review/kit-3/src/bin/seeds_down.rs
+++ b/review/kit-3/src/bin/seeds_down.rs
@@ -46,22 +46,34 @@
         let inside = |a: &&Arrival| a.sent_at >= from && a.at <= from + 1.0;
         (arrivals.iter().filter(inside).count(), from)
     };
-    begins.map(count).max_by_key(|(n, _)| *n).unwrap_or_default()
+    begins
+        .map(count)
+        .max_by_key(|(n, _)| *n)
+        .unwrap_or_default()
 }
 
 fn run() -> std::io::Result<ExitCode> {
     let mut args = std::env::args().skip(1);
     let program = PathBuf::from(args.next().unwrap_or_default());
-    let record = Record::create(&PathBuf::from(args.next().unwrap_or_else(|| "record.txt".into())))?;
+    let record = Record::create(&PathBuf::from(
+        args.next().unwrap_or_else(|| "record.txt".into()),
+    ))?;
     let store = Store::start()?;
     store.write("op/config", Some(CONFIG));
     let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
     let (seen, clock) = (arrivals.clone(), record.clone());
     let work_of = move |head: &review_kit_3::http::Head| {
         // The path holds when the client sent the request.
-        let sent_at = head.target().rsplit('/').next().and_then(|s| s.parse().ok());
+        let sent_at = head
+            .target()
+            .rsplit('/')
+            .next()
+            .and_then(|s| s.parse().ok());
         if let (Some(sent_at), Ok(mut seen)) = (sent_at, seen.lock()) {
-            seen.push(Arrival { sent_at, at: clock.now() });
+            seen.push(Arrival {
+                sent_at,
+                at: clock.now(),
+            });
         }
         Work::Answer(10)
     };
@@ -70,7 +82,13 @@
         warmup: WARMUP,
         work_of,
     };
-    let runner = Runner::start(("i-a1", "127.0.0.1"), ("pagos-app", "lima-a"), &store, &record, behaviour)?;
+    let runner = Runner::start(
+        ("i-a1", "127.0.0.1"),
+        ("pagos-app", "lima-a"),
+        &store,
+        &record,
+        behaviour,
+    )?;
     let zones = [("lima-a", "lima"); 8];
     let mut fleet = Fleet::start(program, &zones, store.address)?;
     if !fleet.wait_until_ready(Duration::from_secs(15)) {
@@ -85,7 +103,11 @@
         thread::spawn(move || {
             let mut threads = Vec::new();
             // Clients connect to machines that are up.
-            let up = if has_trouble() { &callers[SEEDS..] } else { &callers[..] };
+            let up = if has_trouble() {
+                &callers[SEEDS..]
+            } else {
+                &callers[..]
+            };
             for n in 0.. {
                 let at = f64::from(n) / REQUESTS_PER_S;
                 if at >= END_S {
@@ -134,7 +156,9 @@
     }
     let _ = traffic.join();
     let arrivals = arrivals.lock().map(|a| a.clone()).unwrap_or_default();
-    let cold = arrivals.iter().filter(|a| a.at > stopped_at && a.at < stopped_at + 9.0);
+    let cold = arrivals
+        .iter()
+        .filter(|a| a.at > stopped_at && a.at < stopped_at + 9.0);
     let cold: Vec<Arrival> = cold.copied().collect();
     let (most, from) = most_in_a_second(&cold);
     record.say(&format!(
@@ -149,7 +173,11 @@
     }
     // CAST: a small number.
     let is_broken = most as f64 > BOUND;
-    record.say(if is_broken { "FAILBACK is broken" } else { "FAILBACK holds" });
+    record.say(if is_broken {
+        "FAILBACK is broken"
+    } else {
+        "FAILBACK holds"
+    });
     Ok(ExitCode::from(u8::from(is_broken)))
 }
 
--- a/review/kit-3/src/client.rs
+++ b/review/kit-3/src/client.rs
@@ -19,7 +19,11 @@
 /// Returns the status of the answer to `GET path`.
 pub fn get(mut stream: TcpStream, path: &str) -> Option<u16> {
     stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
-    write!(stream, "GET {path} HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n").ok()?;
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n"
+    )
+    .ok()?;
     let head = Head::read(&mut BufReader::new(stream)).ok()??;
     Some(head.status())
 }
@@ -47,7 +51,13 @@
 }
 
 /// Sends `req` to `to` and waits for the whole answer. Calls `on_first` at the first part of the body.
-pub fn send(to: SocketAddr, host: &str, key: &str, req: &Request, mut on_first: impl FnMut(u16)) -> Answer {
+pub fn send(
+    to: SocketAddr,
+    host: &str,
+    key: &str,
+    req: &Request,
+    mut on_first: impl FnMut(u16),
+) -> Answer {
     let mut answer = Answer::default();
     let Ok(mut stream) = TcpStream::connect_timeout(&to, Duration::from_secs(1)) else {
         return answer;
@@ -61,7 +71,11 @@
     for (name, value) in &req.headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
-    text.push_str(&format!("Content-Length: {}\r\n\r\n{}", req.body.len(), req.body));
+    text.push_str(&format!(
+        "Content-Length: {}\r\n\r\n{}",
+        req.body.len(),
+        req.body
+    ));
     if stream.write_all(text.as_bytes()).is_err() {
         return answer;
     }
--- a/review/kit-3/src/fleet.rs
+++ b/review/kit-3/src/fleet.rs
@@ -50,7 +50,10 @@
             fleet_seeds.push(format!("\"{}:{}\"", ip(index), ports[3]));
         }
         let seeds = fleet_seeds.join(", ");
-        let mut domains: Vec<String> = zones.iter().map(|(z, r)| format!("\"{z}\" = \"{r}\"")).collect();
+        let mut domains: Vec<String> = zones
+            .iter()
+            .map(|(z, r)| format!("\"{z}\" = \"{r}\""))
+            .collect();
         domains.sort();
         domains.dedup();
         let mut fleet = Self {
@@ -131,7 +134,9 @@
         let line = format!("seeds = [{}]", seeds.join(", "));
         let path = &self.instances[index].settings;
         let text = fs::read_to_string(path)?;
-        let lines = text.lines().map(|l| if l.starts_with("seeds") { &line } else { l });
+        let lines = text
+            .lines()
+            .map(|l| if l.starts_with("seeds") { &line } else { l });
         fs::write(path, lines.collect::<Vec<_>>().join("\n"))?;
         self.signal(index, "HUP");
         Ok(())
--- a/review/kit-3/src/http.rs
+++ b/review/kit-3/src/http.rs
@@ -60,7 +60,8 @@
     }
 
     pub fn is_chunked(&self) -> bool {
-        self.header("transfer-encoding").is_some_and(|t| t.contains("chunked"))
+        self.header("transfer-encoding")
+            .is_some_and(|t| t.contains("chunked"))
     }
 }
 
--- a/review/kit-3/src/lib.rs
+++ b/review/kit-3/src/lib.rs
@@ -12,7 +12,9 @@
 
 /// Returns the Unix time in milliseconds.
 pub fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/review/kit-3/src/runner.rs
+++ b/review/kit-3/src/runner.rs
@@ -95,7 +95,8 @@
             self.zone,
             unix_ms()
         );
-        self.store.write(&format!("servers/{}", self.id), Some(&entry));
+        self.store
+            .write(&format!("servers/{}", self.id), Some(&entry));
     }
 
     fn serve(self: Arc<Self>, listener: TcpListener) -> io::Result<()> {
@@ -130,7 +131,11 @@
     /// Ends the process; it starts again after its down time, with the same id and address.
     fn crash(self: &Arc<Self>, run: u64) {
         let next = run + 1;
-        if self.run.compare_exchange(run, next, Ordering::SeqCst, Ordering::SeqCst).is_err() {
+        if self
+            .run
+            .compare_exchange(run, next, Ordering::SeqCst, Ordering::SeqCst)
+            .is_err()
+        {
             return;
         }
         self.record.line(&format!("runner {} crashes", self.id));
@@ -189,7 +194,8 @@
                     )?;
                 }
                 Work::Crash => {
-                    self.record.line(&format!("run {id} at {}, harmful", self.id));
+                    self.record
+                        .line(&format!("run {id} at {}, harmful", self.id));
                     thread::sleep(Duration::from_millis(60));
                     self.crash(run);
                     return Ok(());
--- a/review/kit-3/src/store.rs
+++ b/review/kit-3/src/store.rs
@@ -62,7 +62,9 @@
         match &value {
             Some(value) => {
                 let created = state.items.get(key).map_or(rev, |i| i.2);
-                state.items.insert(key.to_owned(), (value.clone(), rev, created));
+                state
+                    .items
+                    .insert(key.to_owned(), (value.clone(), rev, created));
             }
             None => {
                 state.items.remove(key);
@@ -99,23 +101,35 @@
         let state = self.lock();
         let items = state.items.iter();
         let items = items.filter(|(k, _)| k.starts_with(&prefix) && **k > after);
-        let items: Vec<String> = items.map(|(k, (v, rev, created))| item(k, v, *rev, *created)).collect();
+        let items: Vec<String> = items
+            .map(|(k, (v, rev, created))| item(k, v, *rev, *created))
+            .collect();
         let rev = state.rev;
-        format!("{{\"items\":[{}],\"morePages\":false,\"currentRev\":{rev}}}", items.join(","))
+        format!(
+            "{{\"items\":[{}],\"morePages\":false,\"currentRev\":{rev}}}",
+            items.join(",")
+        )
     }
 
     fn watch(&self, target: &str) -> String {
-        let number = |name: &str| http::query_value(target, name).and_then(|v| v.parse::<u64>().ok());
+        let number =
+            |name: &str| http::query_value(target, name).and_then(|v| v.parse::<u64>().ok());
         let prefix = http::query_value(target, "prefix").unwrap_or_default();
         let after = number("after").unwrap_or_default();
         let until = Instant::now() + Duration::from_millis(number("waitMs").unwrap_or_default());
         let mut state = self.lock();
         loop {
-            let new = state.events.iter().filter(|e| e.rev > after && e.key.starts_with(&prefix));
+            let new = state
+                .events
+                .iter()
+                .filter(|e| e.rev > after && e.key.starts_with(&prefix));
             let new: Vec<String> = new
                 .map(|e| match &e.value {
                     Some(value) => item(&e.key, value, e.rev, e.rev),
-                    None => format!("{{\"key\":\"{}\",\"rev\":{},\"deleted\":true}}", e.key, e.rev),
+                    None => format!(
+                        "{{\"key\":\"{}\",\"rev\":{},\"deleted\":true}}",
+                        e.key, e.rev
+                    ),
                 })
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
@@ -131,5 +145,7 @@
 
 fn item(key: &str, value: &[u8], rev: u64, created: u64) -> String {
     let value = http::base64(value);
-    format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"rev\":{rev},\"createRev\":{created},\"lease\":0}}")
+    format!(
+        "{{\"key\":\"{key}\",\"value\":\"{value}\",\"rev\":{rev},\"createRev\":{created},\"lease\":0}}"
+    )
 }
