--- a/review/kit-3/src/bin/forgotten.rs
+++ b/review/kit-3/src/bin/forgotten.rs
@@ -101,7 +101,7 @@
         )?);
     }
     let zones = [("lima-a", "lima"); 3];
-    let mut fleet = Fleet::start(program, &zones, store.address)?;
+    let mut fleet = Fleet::start(program, &zones, zones.len(), store.address)?;
     if !fleet.wait_until_ready(Duration::from_secs(15)) {
         record.say("the instances are not ready in time");
         return Ok(ExitCode::from(2));
--- a/review/kit-3/src/bin/pause.rs
+++ b/review/kit-3/src/bin/pause.rs
@@ -98,7 +98,7 @@
         runners.push(Runner::start((id, ip), place, &store, &record, behaviour)?);
     }
     let zones = [("lima-a", "lima"), ("lima-a", "lima")];
-    let fleet = Fleet::start(program, &zones, store.address)?;
+    let fleet = Fleet::start(program, &zones, zones.len(), store.address)?;
     if !fleet.wait_until_ready(Duration::from_secs(15)) {
         record.say("the instances are not ready in time");
         return Ok(ExitCode::from(2));
--- a/review/kit-3/src/bin/recover.rs
+++ b/review/kit-3/src/bin/recover.rs
@@ -1,5 +1,5 @@
-//! All instances lose power. The machines that the seeds name are lost, the others come back. Checks that these serve
-//! again.
+//! All instances lose power. The machines that the seeds name are lost and replaced by spare ones, the others come back.
+//! Checks that they serve again.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -17,9 +17,14 @@
 const HOST: &str = "lumi.example";
 const KEY: &str = "k3y0of0rosa0000000000";
 const SEEDS: usize = 3;
+const MACHINES: usize = 8;
+/// Spare machines, which replace those of the seeds.
+const SPARE: usize = 3;
 const REQUESTS_PER_S: f64 = 40.0;
 const TROUBLE_S: f64 = 10.0;
-const BACK_S: f64 = TROUBLE_S + 0.5;
+const OTHERS_BACK_S: f64 = TROUBLE_S + 0.5;
+/// From then on as many machines run as before.
+const BACK_S: f64 = TROUBLE_S + 1.0;
 /// `seedLagS` of the settings: seeds are at most so old.
 const SEED_LAG_S: f64 = 3.0;
 /// `recoverS` of the settings.
@@ -65,8 +70,8 @@
             behaviour,
         )?);
     }
-    let zones = [("lima-a", "lima"); 8];
-    let mut fleet = Fleet::start(program, &zones, store.address)?;
+    let zones = [("lima-a", "lima"); MACHINES + SPARE];
+    let mut fleet = Fleet::start(program, &zones, MACHINES, store.address)?;
     if !fleet.wait_until_ready(Duration::from_secs(15)) {
         record.say("the instances are not ready in time");
         return Ok(ExitCode::from(2));
@@ -79,10 +84,10 @@
         thread::spawn(move || {
             let mut threads = Vec::new();
             // Clients connect to machines that are up.
-            let up = if has_trouble() {
-                &callers[SEEDS..]
-            } else {
-                &callers[..]
+            let before = &callers[..MACHINES];
+            let after = match has_trouble() {
+                true => &callers[SEEDS..],
+                false => before,
             };
             for n in 0.. {
                 let at = f64::from(n) / REQUESTS_PER_S;
@@ -91,6 +96,7 @@
                 }
                 let ahead = began_at + at - record.now();
                 thread::sleep(Duration::from_secs_f64(ahead.max(0.0)));
+                let up = if at < TROUBLE_S { before } else { after };
                 let (to, record, done) = (up[n as usize % up.len()], record.clone(), done.clone());
                 threads.push(thread::spawn(move || {
                     let sent_at = record.now();
@@ -127,15 +133,19 @@
     wait_until(TROUBLE_S);
     store.write("op/config", Some(&CONFIG.replace("VERSION", "4")));
     if has_trouble() {
-        for index in 0..zones.len() {
+        for index in 0..MACHINES {
             fleet.kill(index);
         }
         record.line("all instances have lost power");
+        wait_until(OTHERS_BACK_S);
+        for index in SEEDS..MACHINES {
+            fleet.start_instance(index)?;
+        }
         wait_until(BACK_S);
-        for index in SEEDS..zones.len() {
+        for index in MACHINES..zones.len() {
             fleet.start_instance(index)?;
         }
-        record.line("all but three machines are back");
+        record.line("five machines are back, and three spare ones replace the others");
         wait_until(TROUBLE_S + SEED_LAG_S);
         for index in SEEDS..zones.len() {
             fleet.change_seeds(index, &[SEEDS, SEEDS + 1, SEEDS + 2])?;
--- a/review/kit-3/src/fleet.rs
+++ b/review/kit-3/src/fleet.rs
@@ -38,8 +38,14 @@
 }
 
 impl Fleet {
-    /// Starts an instance in each of `zones`, which are pairs of a zone and its region.
-    pub fn start(program: PathBuf, zones: &[(&str, &str)], store: SocketAddr) -> io::Result<Self> {
+    /// Starts an instance in each of the first `started` of `zones`, which are pairs of a zone and its region. The others
+    /// are spare.
+    pub fn start(
+        program: PathBuf,
+        zones: &[(&str, &str)],
+        started: usize,
+        store: SocketAddr,
+    ) -> io::Result<Self> {
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let ports = choose_ports()?;
@@ -84,7 +90,7 @@
                 process: None,
             });
         }
-        for index in 0..fleet.instances.len() {
+        for index in 0..started.min(zones.len()) {
             fleet.start_instance(index)?;
         }
         Ok(fleet)
@@ -148,7 +154,7 @@
         self.instances.iter().flat_map(address).collect()
     }
 
-    /// Waits until all instances say that they are ready.
+    /// Waits until all instances that run say that they are ready.
     pub fn wait_until_ready(&self, timeout: Duration) -> bool {
         let until = Instant::now() + timeout;
         let is_ready = |i: &Instance| {
@@ -156,7 +162,12 @@
             let stream = address.ok().and_then(|a| TcpStream::connect(a).ok());
             stream.is_some_and(|s| client::get(s, "/readyz") == Some(200))
         };
-        while !self.instances.iter().all(is_ready) {
+        while !self
+            .instances
+            .iter()
+            .filter(|i| i.process.is_some())
+            .all(is_ready)
+        {
             if Instant::now() > until {
                 return false;
             }
