--- a/crates/sesamebarrow_gateway/src/crash.rs
+++ b/crates/sesamebarrow_gateway/src/crash.rs
@@ -88,7 +88,7 @@
 }
 
 /// Returns the ids of the parts of a prompt, which are no data of the request.
-fn format_parts(job: &Job) -> SmolStr {
+pub fn format_parts(job: &Job) -> SmolStr {
     let ids = job.spec.prompt.iter().map(|part| format!("{:x}", part.id));
     ids.collect::<Vec<_>>().join(",").into()
 }
--- a/crates/sesamebarrow_gateway/src/dispatch.rs
+++ b/crates/sesamebarrow_gateway/src/dispatch.rs
@@ -147,7 +147,7 @@
     let now = shared.now();
     let board = shared.board();
     let own_region = &board.identity.region;
-    if history.is_trial
+    if history.is_trial()
         || job.spec.prompt.len() > MAX_PARTS
         || !board.is_dispatched(&job.policy.service)
         || !job.residency.allows(own_region)
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -188,7 +188,7 @@
     {
         return false;
     }
-    let is_trial_over = history.is_trial && history.sends.count() > 0;
+    let is_trial_over = history.is_trial() && history.sends.count() > 0;
     if is_trial_over || history.crashes >= MAX_CRASHES_PER_REQUEST {
         return false;
     }
--- a/crates/sesamebarrow_gateway/src/quarantine.rs
+++ b/crates/sesamebarrow_gateway/src/quarantine.rs
@@ -1,51 +1,23 @@
 //! Refuses requests with a quarantined suspect, and exchanges evidence and orders with other
 //! instances. The decisions are in `sesamebarrow_routing::quarantine`.
 
-use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::sync::Arc;
 
 use sesamebarrow_routing::admit;
-use sesamebarrow_routing::board::quarantine::{Change, Effects, Judge};
-use sesamebarrow_routing::quarantine::message::{Blames, Orders, TrialGrant, TrialRequest};
+use sesamebarrow_routing::board::quarantine::{Change, Effects};
+use sesamebarrow_routing::quarantine::message::{Blames, Orders};
 use sesamebarrow_routing::quarantine::{Admission, Order, Suspect, Suspects};
 use sesamebarrow_routing::token::Body;
-use tokio::sync::oneshot;
 
+use crate::crash;
 use crate::intake::Job;
+use crate::quarantine::trial::Permit;
 use crate::reply::Refusal;
 use crate::selection::AttemptHistory;
 use crate::shared::Shared;
 
-/// Time within which the first judge of a suspect must answer; more than two round trips between regions.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// A request for a trial that has not been answered.
-struct PendingTrial {
-    suspect: Suspect,
-    tx: oneshot::Sender<bool>,
-}
-
-/// The requests for trials that have not been answered, by id. At most one for each suspect.
-#[derive(Default)]
-pub struct Trials {
-    next_id: AtomicU64,
-    pending: Mutex<HashMap<u64, PendingTrial>>,
-}
-
-impl Trials {
-    fn pending(&self) -> MutexGuard<'_, HashMap<u64, PendingTrial>> {
-        // A panic while the lock is held ends only one task. The table remains usable.
-        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-fn admission(shared: &Shared, job: &Job) -> Admission {
-    let now = shared.now();
-    shared.board().quarantine.admission(now, &job.suspects)
-}
+pub mod trial;
 
 /// Checks that `job` has no quarantined suspect, unless it is granted a trial.
 pub async fn admit(
@@ -53,28 +25,46 @@
     job: &Job,
     history: &mut AttemptHistory,
 ) -> Result<(), Refusal> {
-    if history.is_trial {
-        return Ok(());
+    if history.is_trial() {
+        return check_barred(shared, job, history);
     }
-    let suspect = match admission(shared, job) {
+    let now = shared.now();
+    let admission = shared.board().quarantine.admission(now, &job.suspects);
+    let trial = match admission {
         Admission::Allowed => return Ok(()),
-        Admission::Quarantined(suspect) => suspect,
-        Admission::TrialDue(suspect) => {
-            // A forwarded request is no trial: its first instance does not know that it may not repeat it.
-            let may_try = history.begun == 0 && !job.policy.from_instance && can_run(shared, job);
-            if may_try && ask_for_trial(shared, suspect).await {
-                log::info!(
-                    request = job.id.as_str(), kind:% = suspect.kind,
-                    suspect:% = format!("{:x}", suspect.id); "trial"
-                );
-                history.is_trial = true;
-                return Ok(());
-            }
-            suspect
-        }
+        Admission::Quarantined(suspect) => return Err(refuse(shared, job, suspect)),
+        Admission::TrialDue(trial) => trial,
     };
+    // A forwarded request is no trial: its first instance does not know that it may not repeat it.
+    let may_try = history.begun == 0 && !job.policy.from_instance && can_run(shared, job);
+    if may_try && let Some(permit) = trial::request(shared, &trial).await {
+        log::info!(
+            request = job.id.as_str(), suspects = trial::format(&trial.suspects).as_str(),
+            ambiguity = trial.ambiguity, parts = crash::format_parts(job).as_str();
+            "trial"
+        );
+        history.trial = Some(permit);
+    }
+    // While the judges were asked, another suspect may have been quarantined.
+    check_barred(shared, job, history)
+}
+
+fn check_barred(shared: &Shared, job: &Job, history: &AttemptHistory) -> Result<(), Refusal> {
+    match barred(shared, job, history) {
+        None => Ok(()),
+        Some(suspect) => Err(refuse(shared, job, suspect)),
+    }
+}
+
+/// Returns a quarantined suspect of `job` of which it is no trial.
+fn barred(shared: &Shared, job: &Job, history: &AttemptHistory) -> Option<Suspect> {
+    let tried = history.trial.as_ref().map_or(&[][..], Permit::tried);
+    shared.board().quarantine.barred(&job.suspects, tried)
+}
+
+fn refuse(shared: &Shared, job: &Job, suspect: Suspect) -> Refusal {
     log_refused(shared, job, suspect);
-    Err(Refusal::Harmful)
+    Refusal::Harmful
 }
 
 /// Returns whether an upstream of this region can run `job`, so that a trial is not granted in vain.
@@ -86,12 +76,9 @@
 
 /// Returns whether `job`, for which a target was selected, may still be sent.
 pub fn may_send(shared: &Shared, job: &Job, history: &AttemptHistory) -> bool {
-    if history.is_trial {
-        return true;
-    }
-    match admission(shared, job) {
-        Admission::Allowed => true,
-        Admission::Quarantined(suspect) | Admission::TrialDue(suspect) => {
+    match barred(shared, job, history) {
+        None => true,
+        Some(suspect) => {
             log_refused(shared, job, suspect);
             false
         }
@@ -130,49 +117,6 @@
     );
 }
 
-/// Asks the first judge of `suspect` for a trial. Returns whether it was granted.
-async fn ask_for_trial(shared: &Arc<Shared>, suspect: Suspect) -> bool {
-    let judges = shared.board().judges(shared.now(), suspect);
-    let ip = match judges.first() {
-        Some(Judge::Other(ip)) => *ip,
-        Some(Judge::Own) => return grant_trial(shared, suspect),
-        None => return false,
-    };
-    let trials = &shared.trials;
-    let id = trials.next_id.fetch_add(1, Ordering::Relaxed);
-    let (tx, rx) = oneshot::channel();
-    {
-        let mut pending = trials.pending();
-        if pending.values().any(|p| p.suspect == suspect) {
-            return false;
-        }
-        pending.insert(id, PendingTrial { suspect, tx });
-    }
-    let _guard = PendingGuard { trials, id };
-    let request = TrialRequest::new(id, suspect);
-    send(shared, ip, Body::TrialRequest(request));
-    let granted = tokio::time::timeout(ANSWER_TIMEOUT, rx).await;
-    matches!(granted, Ok(Ok(true)))
-}
-
-/// Forgets a request for a trial when it is answered, times out, or its client leaves.
-struct PendingGuard<'a> {
-    trials: &'a Trials,
-    id: u64,
-}
-
-impl Drop for PendingGuard<'_> {
-    fn drop(&mut self) {
-        self.trials.pending().remove(&self.id);
-    }
-}
-
-fn grant_trial(shared: &Shared, suspect: Suspect) -> bool {
-    let (granted, effects) = shared.board().grant_trial(shared.now(), suspect);
-    apply(shared, effects);
-    granted
-}
-
 /// Records that an upstream's `run` crashed under a request of this instance, and sends blame to the judges.
 pub fn record_crash(shared: &Shared, run: u64, suspects: &Suspects) {
     let now = shared.now();
@@ -211,23 +155,7 @@
     apply(shared, effects);
 }
 
-/// Handles a request for a trial, and returns the answer.
-pub fn handle_trial_request(shared: &Shared, request: TrialRequest) -> TrialGrant {
-    TrialGrant {
-        id: request.id,
-        granted: request.decode().is_some_and(|s| grant_trial(shared, s)),
-    }
-}
-
-/// Handles the answer to a request for a trial.
-pub fn handle_trial_grant(shared: &Shared, grant: TrialGrant) {
-    let pending = shared.trials.pending().remove(&grant.id);
-    if let Some(pending) = pending {
-        // Fails if the client left just now.
-        let _ = pending.tx.send(grant.granted);
-    }
-}
-
+/// Logs the changes of orders and sends the messages.
 fn apply(shared: &Shared, effects: Effects) {
     if !effects.changes.is_empty() {
         shared.quarantine_changed.send_replace(());
@@ -255,7 +183,8 @@
     log::warn!(
         change, kind:% = order.suspect.kind, suspect:% = format!("{:x}", order.suspect.id),
         all_customers = order.customer.is_none(), serial = order.serial, trials = order.trials,
-        crash_age_ms = crash_age.as_millis(); "quarantine changed"
+        crash_age_ms = crash_age.as_millis(), crashes = trial::format_crashes(order).as_str();
+        "quarantine changed"
     );
     metrics::counter!("sesamebarrow_quarantine_changes_total", "change" => change.to_owned())
         .increment(1);
--- a/crates/sesamebarrow_gateway/src/selection.rs
+++ b/crates/sesamebarrow_gateway/src/selection.rs
@@ -16,6 +16,7 @@
 use crate::dispatch::place::Place;
 use crate::intake::Job;
 use crate::limit;
+use crate::quarantine::trial::Permit;
 use crate::reply::Refusal;
 use crate::sends::Sends;
 use crate::shared::Shared;
@@ -55,8 +56,8 @@
     pub refused_stopping: u32,
     /// Number of attempts whose upstream has crashed.
     pub crashes: u32,
-    /// Whether the request is a trial of a quarantined part, which is sent once.
-    pub is_trial: bool,
+    /// The trials of quarantined suspects that were granted to the request, which is sent once then.
+    pub trial: Option<Permit>,
     /// Whether the next attempt goes to an upstream without limit, since several limited ones have refused it.
     pub skips_limited: bool,
     /// Whether a permit was taken for the next attempt, since its upstream has a limit.
@@ -68,6 +69,11 @@
 }
 
 impl AttemptHistory {
+    /// Returns whether the request is a trial of quarantined suspects.
+    pub fn is_trial(&self) -> bool {
+        self.trial.is_some()
+    }
+
     /// Waits until it is known whether the upstream of the last attempt has crashed.
     pub async fn finish_examination(&mut self) {
         if let Some(examination) = self.examination.take()
@@ -151,7 +157,7 @@
     };
     // Another instance may have named upstreams that it tried.
     spec.tried_upstreams.extend(&history.tried_upstreams);
-    spec.is_trial = history.is_trial;
+    spec.is_trial = history.is_trial();
     spec.skips_limited = history.skips_limited;
     let region_allowed = job.residency.allows(&board.identity.region);
     let mut local = if region_allowed {
@@ -168,7 +174,7 @@
         spec.tried_upstreams.clear();
         local = admit::select_upstream(&mut board, now, &spec);
     }
-    if job.policy.from_instance || history.is_trial {
+    if job.policy.from_instance || history.is_trial() {
         return local.map(Target::Upstream).map_err(|rejection| {
             log_rejection(shared, &board, job, &spec, (rejection.into(), None));
             to_refusal(rejection)
--- a/crates/sesamebarrow_gateway/src/shared.rs
+++ b/crates/sesamebarrow_gateway/src/shared.rs
@@ -17,7 +17,7 @@
 use crate::log_limit::Limiter;
 use crate::memory::Budget;
 use crate::pool::Pool;
-use crate::quarantine::Trials;
+use crate::quarantine::trial::Trials;
 use crate::settings::Settings;
 use crate::token::Tokens;
 
--- a/crates/sesamebarrow_gateway/src/token.rs
+++ b/crates/sesamebarrow_gateway/src/token.rs
@@ -340,10 +340,10 @@
         Ok(Some(Body::Blames(blames))) => quarantine::handle_blames(shared, &blames),
         Ok(Some(Body::Orders(orders))) => quarantine::handle_orders(shared, &orders),
         Ok(Some(Body::TrialRequest(request))) => {
-            let grant = quarantine::handle_trial_request(shared, request);
+            let grant = quarantine::trial::handle_request(shared, request);
             shared.tokens.send(from, Body::TrialGrant(grant));
         }
-        Ok(Some(Body::TrialGrant(grant))) => quarantine::handle_trial_grant(shared, grant),
+        Ok(Some(Body::TrialGrant(grant))) => quarantine::trial::handle_grant(shared, grant),
         Ok(Some(Body::PermitRequest(request))) => {
             let answer = limit::handle_permit_request(shared, &request, from);
             shared.tokens.send(from, Body::PermitAnswer(answer));
--- a/crates/sesamebarrow_policy/src/quarantine.rs
+++ b/crates/sesamebarrow_policy/src/quarantine.rs
@@ -52,20 +52,30 @@
     let refusal = Refusal::not_run(Reason::Harmful);
     match board.quarantine.admission(now, &request.suspects) {
         Admission::Allowed => Ok(()),
-        Admission::TrialDue(suspect) if may_try && makes_trials(board, suspect) => {
-            let Some(order) = board.quarantine.grant_trial(now, suspect) else {
+        Admission::Quarantined(_) => Err(refusal),
+        Admission::TrialDue(trial) => {
+            let may_try = may_try && trial.suspects.iter().all(|s| makes_trials(board, *s));
+            if !may_try {
                 return Err(refusal);
-            };
+            }
+            let grant = |suspect| board.quarantine.grant_trial(now, suspect);
+            let orders: Vec<Order> = trial.suspects.into_iter().filter_map(grant).collect();
             if let Some(request) = board.requests.get_mut(&id) {
                 request.is_trial = true;
             }
-            announce(board, Change::Trial, &[order]);
+            announce(board, Change::Trial, &orders);
             Ok(())
         }
-        Admission::Quarantined(_) | Admission::TrialDue(_) => Err(refusal),
     }
 }
 
+/// Releases suspects that are proven to be sound, and whose crashes others explain.
+fn release_explained(board: &mut Board) {
+    let now = board.now();
+    let released = board.quarantine.release_explained(now);
+    announce(board, Change::Explained, &released);
+}
+
 /// Returns whether a service has several live upstreams, in all regions together.
 fn has_several_upstreams(board: &Board, service: &str) -> bool {
     let is_live = |u: &&list::Upstream| u.service == service && u.state == list::State::Live;
@@ -107,6 +117,7 @@
     let run = token::customer_hash(&upstream.name);
     let orders = board.quarantine.record_crash(now, run, &suspects);
     announce(board, Change::Quarantined, &orders);
+    release_explained(board);
     member::send_heartbeats_now(board);
 }
 
@@ -150,6 +161,7 @@
         .collect();
     announce(board, Change::Quarantined, &orders);
     merge_orders(board, now, &heartbeat.orders);
+    release_explained(board);
     let digest = board.quarantine.digest();
     let link = member::find(board, from).and_then(|key| board.instances[key].link.as_mut());
     if let (Some(link), Some(theirs)) = (link, heartbeat.orders_digest) {
--- a/crates/sesamebarrow_routing/src/board/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/board/quarantine.rs
@@ -8,7 +8,7 @@
 
 use crate::board::Board;
 use crate::quarantine::allowance::Rate;
-use crate::quarantine::message::{self, BlameEntry, Blames, MAX_ENTRIES, OrderEntry, Orders};
+use crate::quarantine::message::{self, BlameEntry, Blames, MAX_ORDERS, OrderEntry, Orders};
 use crate::quarantine::{Order, Suspect, Suspects};
 use crate::rendezvous;
 use crate::token::Body;
@@ -43,6 +43,8 @@
     Trial,
     /// A complete answer at this instance revoked the order.
     Revoked,
+    /// This instance revoked the order: orders on others explain its crashes.
+    Explained,
     /// Another instance revoked the order.
     Unlearned,
 }
@@ -79,14 +81,21 @@
     pub fn record_crash(&mut self, now: Duration, run: u64, suspects: &Suspects) -> Effects {
         let orders = self.quarantine.record_crash(now, run, suspects);
         let mut effects = self.announce(now, Change::Quarantined, &orders);
+        effects.append(self.release_explained(now));
         effects.messages.extend(self.take_blame_messages(now));
         effects
     }
 
+    /// Releases proven suspects whose crashes others explain.
+    fn release_explained(&mut self, now: Duration) -> Effects {
+        let released = self.quarantine.release_explained(now);
+        self.announce_revoked(now, Change::Explained, &released)
+    }
+
     /// Records that a request with `suspects` was answered completely.
     pub fn record_answer(&mut self, now: Duration, suspects: &Suspects) -> Effects {
         let revoked = self.quarantine.record_answer(now, suspects);
-        self.announce_revoked(now, &revoked)
+        self.announce_revoked(now, Change::Revoked, &revoked)
     }
 
     /// Returns the blame to send now. Must be called in each gossip round.
@@ -114,7 +123,9 @@
         let orders: Vec<Order> = decoded
             .filter_map(|(blame, age)| self.quarantine.record_blame(now, age, blame))
             .collect();
-        self.announce(now, Change::Quarantined, &orders)
+        let mut effects = self.announce(now, Change::Quarantined, &orders);
+        effects.append(self.release_explained(now));
+        effects
     }
 
     /// Handles orders of another instance.
@@ -140,13 +151,22 @@
         if message.spread {
             effects.messages.extend(self.messages_to_all(now, &new));
         }
-        effects.append(self.announce_revoked(now, &revoked));
+        effects.append(self.announce_revoked(now, Change::Revoked, &revoked));
+        effects.append(self.release_explained(now));
         effects
     }
 
-    /// Grants a trial of a quarantined suspect if one is due. Returns whether it was granted.
-    pub fn grant_trial(&mut self, now: Duration, suspect: Suspect) -> (bool, Effects) {
-        let order = self.quarantine.grant_trial(now, suspect);
+    /// Grants a trial of a quarantined suspect to a request with this ambiguity, if one is due and no better request
+    /// has asked. Returns whether it was granted.
+    pub fn grant_trial(
+        &mut self,
+        now: Duration,
+        suspect: Suspect,
+        ambiguity: u32,
+    ) -> (bool, Effects) {
+        let is_preferred = self.quarantine.is_preferred(now, suspect, ambiguity);
+        let order = is_preferred.then(|| self.quarantine.grant_trial(now, suspect));
+        let order = order.flatten();
         let effects = self.announce(now, Change::Trial, order.as_slice());
         (order.is_some(), effects)
     }
@@ -166,11 +186,11 @@
         let mut orders: Vec<Order> = self.quarantine.orders().copied().collect();
         // An instance without any needs all of them, before it is ready.
         if digest != Some(0) {
-            let wanted = orders.len().div_ceil(MAX_ENTRIES);
+            let wanted = orders.len().div_ceil(MAX_ORDERS);
             let allowed = self.order_allowance.take(now, ORDER_MESSAGE_RATE, wanted);
             orders = orders
                 .into_iter()
-                .sample(&mut self.rng, allowed * MAX_ENTRIES);
+                .sample(&mut self.rng, allowed * MAX_ORDERS);
         }
         let messages = encode_orders(now, &orders, false);
         messages.map(|body| (ip, body)).collect()
@@ -186,10 +206,10 @@
 
     /// Sends revocations to the judges, which send them to all: many instances may revoke the same order
     /// at once.
-    fn announce_revoked(&self, now: Duration, orders: &[Order]) -> Effects {
+    fn announce_revoked(&self, now: Duration, change: Change, orders: &[Order]) -> Effects {
         let mut effects = Effects::default();
         for order in orders {
-            effects.changes.push((Change::Revoked, *order));
+            effects.changes.push((change, *order));
             for judge in self.judges(now, order.suspect) {
                 let orders = std::slice::from_ref(order);
                 match judge {
@@ -223,7 +243,7 @@
 
 /// Returns messages with `orders`. `spread` says whether their receivers send them to all instances.
 fn encode_orders(now: Duration, orders: &[Order], spread: bool) -> impl Iterator<Item = Body> {
-    orders.chunks(MAX_ENTRIES).map(move |orders| {
+    orders.chunks(MAX_ORDERS).map(move |orders| {
         let entries = orders.iter().map(|o| OrderEntry::new(now, o)).collect();
         Body::Orders(Orders { entries, spread })
     })
--- a/crates/sesamebarrow_routing/src/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/quarantine.rs
@@ -7,11 +7,14 @@
 //! |---|---|
 //! | an upstream has crashed under a request | its suspects are blamed for that crash, unless acquitted |
 //! | complete answer | its suspects are acquitted of crashes until [`ACQUITTAL_TIME`] later, and released |
+//! | complete answers to several requests | their common suspects are proven to be sound |
 //! | one request met all crashes for which a part is blamed | they count as one against the part |
 //! | a suspect is blamed for [`SUSPICION_CRASHES`] | requests with it that met a crash are not repeated |
 //! | a suspect is blamed for [`QUARANTINE_CRASHES`] | an order: requests with it are refused in the whole fleet |
 //! | all blame comes from one customer's requests | the order binds only this customer, until others meet crashes |
+//! | orders on a proven suspect and on others have crashes in common | the proven one is released, once |
 //! | some time after an order | one request of the fleet is a trial; each further delay is longer |
+//! | several requests may be a trial | the one with the fewest suspects is ([`admission`]) |
 //!
 //! A crash under a long prompt that no answer acquits blames many parts, most of which never come again. They are
 //! remembered apart ([`once::Once`]) until a second crash blames them too, so that they displace nothing.
@@ -20,22 +23,29 @@
 //! rendezvous weights for a suspect, its judges, collect blame from all others. Orders are sent to all instances,
 //! and again to those whose [`Quarantine::digest`] differs.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
+use crate::quarantine::admission::Contest;
 use crate::quarantine::allowance::Allowance;
+use crate::quarantine::answers::Answers;
 use crate::quarantine::case::Case;
 use crate::quarantine::once::Once;
 use crate::quarantine::report::Report;
 
+pub mod admission;
 pub mod allowance;
+mod answers;
 mod case;
+pub mod crashes;
 pub mod message;
 mod once;
 mod order;
 mod report;
 pub mod suspect;
 
+pub use admission::{Admission, Trial};
+pub use answers::ACQUITTAL_TIME;
 pub use order::Order;
 pub use suspect::{Kind, Suspect, Suspects};
 
@@ -45,20 +55,13 @@
 /// Number of crashes for which a suspect must be blamed to be quarantined.
 pub const QUARANTINE_CRASHES: usize = 3;
 
-/// Time after a complete answer in which its suspects are not blamed. A request that crashes upstreams has no
-/// complete answers, unlike those that run beside it.
-pub const ACQUITTAL_TIME: Duration = Duration::from_secs(10);
-
 /// Time for which blame is kept. A request that comes once a minute must not go unnoticed.
 const BLAME_LIFETIME: Duration = Duration::from_secs(600);
 
 /// Maximum age of blame, unless it is older than this process. What this process knew of answers since then may
-/// be gone, and it has had the earlier reports.
+/// be gone, and it has had the earlier reports. Answers are kept for longer.
 const MAX_BLAME_AGE: Duration = Duration::from_secs(25);
 
-/// Time for which an answer is kept, longer than [`MAX_BLAME_AGE`]; also to object to orders that arrive late.
-const ANSWER_LIFETIME: Duration = Duration::from_secs(30);
-
 /// Maximum number of suspects of one kind that are blamed.
 const MAX_BLAMED: usize = 512;
 
@@ -69,9 +72,6 @@
 /// restarts and crashes again needs longer.
 const SAME_CRASH_TIME: Duration = Duration::from_millis(500);
 
-/// Maximum number of suspects whose last answer is kept; a long prompt has some thousands.
-const MAX_ANSWERED: usize = 32_768;
-
 /// Number of suspects up to which one crash under a request blames all of them at once. More are remembered apart
 /// until they are blamed again.
 const MANY_SUSPECTS: usize = 33;
@@ -101,17 +101,11 @@
     fn is_of_same_crash(&self, other: &Self) -> bool {
         (self.run, self.earlier_crashes) == (other.run, other.earlier_crashes)
     }
-}
 
-/// Whether a request may be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Admission {
-    /// It may.
-    Allowed,
-    /// It must not: this suspect is quarantined.
-    Quarantined(Suspect),
-    /// It must not, unless the first judge of this quarantined suspect grants a trial.
-    TrialDue(Suspect),
+    /// Returns the short id of the crash.
+    fn crash_id(&self) -> u32 {
+        crashes::short_id(self.run, self.earlier_crashes)
+    }
 }
 
 /// Crashes of what is published as one run of an upstream: it may restart before the platform says so.
@@ -129,10 +123,12 @@
     cases: HashMap<Suspect, Case>,
     /// Suspects that were blamed for one crash, together with many others.
     once: Once,
-    /// When requests with a suspect were last answered completely; at most [`MAX_ANSWERED`].
-    answered: HashMap<Suspect, Duration>,
+    /// Complete answers to requests of this instance.
+    answers: Answers,
     /// Orders, also those that were revoked; at most [`MAX_ORDERS`] of each kind.
     orders: HashMap<Suspect, Order>,
+    /// Requests for trials, of suspects that this instance judges; none without an order.
+    contests: HashMap<Suspect, Contest>,
     /// Crashes that this instance has noticed, by run; at most [`MAX_RUNS`].
     runs: HashMap<u64, RunCrashes>,
     /// Blame of this instance's own requests that is to be sent to the judges; with at most [`report::MAX_REPORTED`]
@@ -165,14 +161,19 @@
     fn collect(&mut self, now: Duration, age: Duration, blame: Blame) -> (bool, Option<Order>) {
         let (at, suspect) = (now.saturating_sub(age), blame.suspect);
         let is_late = MAX_BLAME_AGE <= age && age <= now;
-        if is_late || self.is_acquitted(suspect, at) {
+        if is_late || self.answers.acquit(suspect, at) {
             return (false, None);
         }
-        if let Some(order) = self.orders.get_mut(&suspect)
-            && order.in_force
-        {
-            order.last_crash_at = order.last_crash_at.max(at);
-            return (false, order.extend_to(blame.customer).then_some(*order));
+        if let Some(order) = self.orders.get_mut(&suspect) {
+            if order.in_force {
+                order.last_crash_at = order.last_crash_at.max(at);
+                let is_changed = order.extend_to(blame.customer) || order.record_failed_trial(at);
+                return (false, is_changed.then_some(*order));
+            }
+            // Reports are repeated.
+            if order.was_explained && order.crashes.contain(blame.crash_id()) {
+                return (false, None);
+            }
         }
         if !self.cases.contains_key(&suspect) {
             if blame.one_of_many && !self.once.is_of_another_crash(&blame) {
@@ -185,7 +186,12 @@
             case.add(at, &first);
         }
         let is_new = case.add(at, &blame);
-        let is_due = case.counted(suspect.kind) >= QUARANTINE_CRASHES;
+        let known = self.orders.get(&suspect);
+        let needed = match known.is_some_and(|o| o.is_explanation_refuted(at)) {
+            true => SUSPICION_CRASHES,
+            false => QUARANTINE_CRASHES,
+        };
+        let is_due = case.counted(suspect.kind) >= needed;
         // An order of the same moment must not displace another: requests with either are refused.
         if !is_new || !is_due || !self.has_place_for_order(now, suspect) {
             return (is_new, None);
@@ -194,6 +200,7 @@
             return (is_new, None);
         };
         let (customer, last_crash_at) = (case.only_customer(), case.last_at());
+        let crashes = case.crashes();
         self.cases.remove(&suspect);
         let known = self.orders.get(&suspect);
         let serial = known.map_or(1, |o| o.serial.saturating_add(1));
@@ -205,6 +212,8 @@
             trials: 0,
             since: now,
             last_crash_at,
+            crashes,
+            was_explained: known.is_some_and(|o| o.was_explained),
         };
         self.insert_order(order);
         (true, Some(order))
@@ -214,7 +223,7 @@
     /// the judges. Returns the orders that this leads to.
     pub fn record_crash(&mut self, now: Duration, run: u64, suspects: &Suspects) -> Vec<Order> {
         let earlier_crashes = self.count_crash(now, run);
-        let blamed = suspects.iter().filter(|s| !self.is_acquitted(*s, now));
+        let blamed = suspects.iter().filter(|s| !self.answers.acquit(*s, now));
         let blamed: Vec<Suspect> = blamed.collect();
         let Some(first) = blamed.first() else {
             return Vec::new();
@@ -273,7 +282,7 @@
             !report.suspects.is_empty()
         });
         for suspect in suspects.iter() {
-            self.answered.insert(suspect, now);
+            self.answers.record(now, suspect, suspects.request);
             self.cases.remove(&suspect);
             self.once.remove(suspect);
             if let Some(order) = self.orders.get_mut(&suspect)
@@ -283,39 +292,10 @@
                 revoked.push(*order);
             }
         }
-        if self.answered.len() > MAX_ANSWERED {
-            self.drop_old_answers(now);
-        }
+        self.answers.limit();
         revoked
     }
 
-    /// Returns whether a complete answer acquits a suspect of crashes at `at`.
-    fn is_acquitted(&self, suspect: Suspect, at: Duration) -> bool {
-        let answered = self.answered.get(&suspect);
-        answered.is_some_and(|answered| at < *answered + ACQUITTAL_TIME)
-    }
-
-    /// Returns whether a request may be sent.
-    pub fn admission(&self, now: Duration, suspects: &Suspects) -> Admission {
-        let mut admission = Admission::Allowed;
-        if self.orders.is_empty() {
-            return admission;
-        }
-        for suspect in suspects.iter() {
-            let Some(order) = self.orders.get(&suspect) else {
-                continue;
-            };
-            if !order.binds(suspects.customer) || self.is_acquitted(suspect, order.last_crash_at) {
-                continue;
-            }
-            if now < order.trial_due_at() {
-                return Admission::Quarantined(suspect);
-            }
-            admission = Admission::TrialDue(suspect);
-        }
-        admission
-    }
-
     /// Returns whether a request that met a crash must not be repeated: one of its suspects is blamed for
     /// several.
     pub fn is_suspected(&self, suspects: &Suspects) -> bool {
@@ -332,11 +312,46 @@
         if !order.in_force || now < order.trial_due_at() {
             return None;
         }
-        order.trials = order.trials.saturating_add(1);
-        order.since = now;
+        order.grant_trial(now);
         Some(*order)
     }
 
+    /// Releases each proven suspect that was quarantined for crashes which orders on unproven ones explain: requests
+    /// with it ran beside theirs, or had them too. Returns the orders that this revokes.
+    pub fn release_explained(&mut self, now: Duration) -> Vec<Order> {
+        let is_proven = |o: &Order| self.answers.prove(o.suspect);
+        let may_be_released = |o: &&Order| {
+            let is_untried = o.in_force && o.trials == 0 && !o.was_explained;
+            is_untried && is_proven(o)
+        };
+        let proven: Vec<Order> = self
+            .orders
+            .values()
+            .filter(may_be_released)
+            .copied()
+            .collect();
+        if proven.is_empty() {
+            return Vec::new();
+        }
+        let others = self.orders.values().filter(|o| o.in_force && !is_proven(o));
+        let explained: HashSet<u32> = others.flat_map(|o| o.crashes.ids()).collect();
+        let is_explained = |o: &Order| {
+            let unexplained = o.crashes.ids().filter(|id| !explained.contains(id));
+            // Orders of earlier versions name no crashes.
+            o.crashes.ids().count() == QUARANTINE_CRASHES && unexplained.count() < SUSPICION_CRASHES
+        };
+        let released = proven.into_iter().filter(is_explained).map(|mut order| {
+            order.revoke(now);
+            order.was_explained = true;
+            order
+        });
+        let released: Vec<Order> = released.collect();
+        for order in &released {
+            self.orders.insert(order.suspect, *order);
+        }
+        released
+    }
+
     /// Merges an order of another instance. Returns whether it was new, and the order that revokes it
     /// if this instance has an answer that acquits the suspect.
     pub fn merge_order(&mut self, now: Duration, order: Order) -> (bool, Option<Order>) {
@@ -350,7 +365,7 @@
         }
         self.cases.remove(&order.suspect);
         self.insert_order(order);
-        if !order.in_force || !self.is_acquitted(order.suspect, order.last_crash_at) {
+        if !order.in_force || !self.answers.acquit(order.suspect, order.last_crash_at) {
             return (true, None);
         }
         let mut revoked = order;
@@ -409,8 +424,10 @@
             self.runs.retain(|_, crashes| crashes.last_at > oldest);
         }
         self.orders.retain(|_, order| !order.is_expired(now));
-        self.answered
-            .retain(|_, at| now.saturating_sub(*at) < ANSWER_LIFETIME);
+        let orders = &self.orders;
+        self.contests
+            .retain(|suspect, _| orders.get(suspect).is_some_and(|o| o.in_force));
+        self.answers.remove_expired(now);
     }
 
     /// Drops the case with the least blame if there are too many, the oldest of several, so that made-up
@@ -429,12 +446,4 @@
             self.cases.remove(&suspect);
         }
     }
-
-    /// Drops the older half of the answers.
-    fn drop_old_answers(&mut self, now: Duration) {
-        let mut ages: Vec<Duration> = self.answered.values().copied().collect();
-        let (_, median, _) = ages.select_nth_unstable(MAX_ANSWERED / 2);
-        let (median, oldest) = (*median, now.saturating_sub(ANSWER_LIFETIME));
-        self.answered.retain(|_, at| *at > median.max(oldest));
-    }
 }
--- a/crates/sesamebarrow_routing/src/quarantine/case.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/case.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::quarantine::crashes::{self, Crashes};
 use crate::quarantine::{Blame, Kind};
 
 /// Maximum number of crashes that are kept for each suspect.
@@ -82,6 +83,12 @@
         customers.all(|c| c == first).then_some(first)
     }
 
+    /// Returns the crashes for an order.
+    pub(super) fn crashes(&self) -> Crashes {
+        let ids = self.crashes.iter();
+        Crashes::from_ids(ids.map(|c| crashes::short_id(c.run, c.earlier_crashes)))
+    }
+
     pub(super) fn last_at(&self) -> Duration {
         self.crashes.iter().map(|c| c.at).max().unwrap_or_default()
     }
--- a/crates/sesamebarrow_routing/src/quarantine/message.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/message.rs
@@ -3,11 +3,15 @@
 
 use std::time::Duration;
 
+use crate::quarantine::crashes::Crashes;
 use crate::quarantine::{Blame, Kind, Order, Suspect};
 
-/// Maximum number of entries in one message, so that its datagram stays below 512 bytes.
+/// Maximum number of entries in one message with blame, so that its datagram stays below 512 bytes.
 pub const MAX_ENTRIES: usize = 10;
 
+/// Maximum number of orders in one message, so that its datagram stays below 512 bytes.
+pub const MAX_ORDERS: usize = 8;
+
 /// Number of further suspects that take as much space as an entry without any: 8 bytes each, of 48.
 const SUSPECTS_PER_ENTRY: usize = 6;
 
@@ -57,7 +61,7 @@
 /// Orders, some of which may be new to the receiver.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Orders {
-    /// At most [`MAX_ENTRIES`].
+    /// At most [`MAX_ORDERS`].
     #[prost(message, repeated, tag = "1")]
     pub entries: Vec<OrderEntry>,
     /// Whether the receiver sends those that are new to it to all instances.
@@ -66,7 +70,7 @@
 }
 
 /// One [`Order`].
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq, prost::Message)]
 pub struct OrderEntry {
     /// Id of the suspect.
     #[prost(fixed64, tag = "1")]
@@ -92,6 +96,12 @@
     /// Kind of the suspect; earlier versions know only parts.
     #[prost(enumeration = "Kind", tag = "8")]
     pub kind: i32,
+    /// Short ids of the crashes that led to it; none from earlier versions.
+    #[prost(fixed32, repeated, tag = "9")]
+    pub crashes: Vec<u32>,
+    /// Whether its suspect was released once since other orders explain these crashes.
+    #[prost(bool, tag = "10")]
+    pub was_explained: bool,
 }
 
 /// Asks the first judge of a suspect for a trial.
@@ -106,6 +116,12 @@
     /// Kind of the suspect; earlier versions know only parts.
     #[prost(enumeration = "Kind", tag = "3")]
     pub kind: i32,
+    /// Number of suspects that may be to blame if an upstream crashes under the trial; 0 from earlier versions.
+    #[prost(uint32, tag = "4")]
+    pub ambiguity: u32,
+    /// Whether the trial is not taken: the sender has to ask other judges too.
+    #[prost(bool, tag = "5")]
+    pub is_question: bool,
 }
 
 /// Answers a [`TrialRequest`].
@@ -226,12 +242,14 @@
             age_ms: to_ms(now.saturating_sub(order.since)),
             crash_age_ms: to_ms(now.saturating_sub(order.last_crash_at)),
             kind: order.suspect.kind.into(),
+            crashes: order.crashes.ids().collect(),
+            was_explained: order.was_explained,
         }
     }
 
     /// Decodes the order, in the time of this process. Times before its start count as its start, which
     /// only delays what depends on them. Returns `None` if this version does not know the kind of its suspect.
-    pub fn decode(self, now: Duration) -> Option<Order> {
+    pub fn decode(&self, now: Duration) -> Option<Order> {
         Some(Order {
             suspect: decode_suspect(self.kind, self.suspect)?,
             customer: self.customer,
@@ -240,17 +258,21 @@
             trials: self.trials,
             since: now.saturating_sub(Duration::from_millis(self.age_ms)),
             last_crash_at: now.saturating_sub(Duration::from_millis(self.crash_age_ms)),
+            crashes: Crashes::from_ids(self.crashes.iter().copied()),
+            was_explained: self.was_explained,
         })
     }
 }
 
 impl TrialRequest {
     /// Asks for a trial of `suspect`.
-    pub fn new(id: u64, suspect: Suspect) -> Self {
+    pub fn new(id: u64, suspect: Suspect, ambiguity: u32) -> Self {
         Self {
             id,
             suspect: suspect.id,
             kind: suspect.kind.into(),
+            ambiguity,
+            is_question: false,
         }
     }
 
--- a/crates/sesamebarrow_routing/src/quarantine/once.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/once.rs
@@ -17,6 +17,11 @@
 }
 
 impl Once {
+    /// Returns whether a suspect was blamed.
+    pub(super) fn contains(&self, suspect: Suspect) -> bool {
+        self.first.contains_key(&suspect)
+    }
+
     /// Returns whether the suspect of `blame` was blamed for another crash before.
     pub(super) fn is_of_another_crash(&self, blame: &Blame) -> bool {
         let first = self.first.get(&blame.suspect);
--- a/crates/sesamebarrow_routing/src/quarantine/order.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/order.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::quarantine::Suspect;
+use crate::quarantine::crashes::Crashes;
 use crate::rendezvous;
 
 /// Time after an order until a request may be a trial, if the suspect is shared: sound requests have it too.
@@ -24,6 +25,10 @@
 /// Time for which a revoked order is kept, so that no instance brings it back.
 const REVOKED_LIFETIME: Duration = Duration::from_secs(600);
 
+/// Time after a suspect was released in which upstreams may crash under requests that were sent before, with what
+/// explains its crashes.
+const EXPLAINED_TIME: Duration = Duration::from_secs(2);
+
 /// Number of values that [`digest`] has besides 0; they fit two bytes of a datagram.
 const DIGEST_VALUES: u64 = 16_383;
 
@@ -44,6 +49,11 @@
     pub since: Duration,
     /// When an upstream last crashed under a request with the suspect.
     pub last_crash_at: Duration,
+    /// The crashes that led to it.
+    pub crashes: Crashes,
+    /// Whether the suspect was released once since other orders explain these crashes. It never is again: whatever
+    /// crashes upstreams without those others is quarantined for good.
+    pub was_explained: bool,
 }
 
 impl Order {
@@ -54,12 +64,34 @@
 
     /// Returns when the next trial may be granted.
     pub fn trial_due_at(&self) -> Duration {
-        let factor = TRIAL_DELAY_FACTOR.pow(self.trials.min(MAX_DELAY_STEPS));
-        let delay = match self.suspect.kind.is_shared() {
+        self.since + self.trial_delay()
+    }
+
+    fn trial_delay(&self) -> Duration {
+        self.first_trial_delay() * TRIAL_DELAY_FACTOR.pow(self.trials.min(MAX_DELAY_STEPS))
+    }
+
+    fn first_trial_delay(&self) -> Duration {
+        match self.suspect.kind.is_shared() {
             true => SHARED_TRIAL_DELAY,
             false => SINGLE_TRIAL_DELAY,
-        };
-        self.since + delay * factor
+        }
+    }
+
+    /// Grants a trial.
+    pub fn grant_trial(&mut self, now: Duration) {
+        self.trials = self.trials.saturating_add(1);
+        self.since = now;
+    }
+
+    /// Records a crash under a request with the suspect. If a trial was due, the request was one of several suspects that
+    /// another judge granted. Returns whether it was.
+    pub fn record_failed_trial(&mut self, crashed_at: Duration) -> bool {
+        let was_due = crashed_at >= self.trial_due_at();
+        if was_due {
+            self.grant_trial(crashed_at);
+        }
+        was_due
     }
 
     /// Extends the order to all customers if it does not bind `customer`. Returns whether it did so.
@@ -79,6 +111,11 @@
         self.since = now;
     }
 
+    /// Returns whether its suspect was released, and a crash at `at` is none that others explain.
+    pub fn is_explanation_refuted(&self, at: Duration) -> bool {
+        self.was_explained && !self.in_force && at > self.since + EXPLAINED_TIME
+    }
+
     /// Returns whether this order replaces `known`, which is of the same suspect. Of two that were changed at the
     /// same time the stricter one counts.
     pub fn replaces(&self, known: &Self) -> bool {
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -48,3 +48,5 @@
 mod refusals;
 #[path = "decisions/repeated_requests.rs"]
 mod repeated_requests;
+#[path = "decisions/trials.rs"]
+mod trials;
--- a/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/quarantine.rs
@@ -7,7 +7,7 @@
 use sesamebarrow_routing::quarantine::message::{BlameEntry, OrderEntry, Orders};
 use sesamebarrow_routing::quarantine::{
     ACQUITTAL_TIME, Admission, Blame, Kind, Order, QUARANTINE_CRASHES, Quarantine, Suspect,
-    Suspects,
+    Suspects, Trial,
 };
 use sesamebarrow_routing::token;
 
@@ -44,6 +44,14 @@
     }
 }
 
+/// Returns a trial of one suspect, without others that may be to blame.
+pub fn trial_of(suspect: Suspect) -> Trial {
+    Trial {
+        suspects: vec![suspect],
+        ambiguity: 1,
+    }
+}
+
 /// Returns the suspects of a request with a prompt that has come only once.
 pub fn single(customer: u64, fingerprint: u64, parts: &[u64]) -> Suspects {
     Suspects::of_request(customer, (1 << 40) + fingerprint, &prompt(parts))
@@ -383,7 +391,7 @@
     let later = START + ms(4_000);
     assert_eq!(
         admission(&q, later, ROSA, &[HARMFUL, OWN]),
-        Admission::TrialDue(part(HARMFUL))
+        Admission::TrialDue(trial_of(part(HARMFUL)))
     );
     assert!(q.grant_trial(later, part(HARMFUL)).is_some());
     answer(&mut q, later + ms(300), ROSA, &[HARMFUL, OWN]);
--- a/crates/sesamebarrow_routing/tests/decisions/repeated_requests.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/repeated_requests.rs
@@ -5,7 +5,7 @@
 use sesamebarrow_routing::quarantine::{Admission, QUARANTINE_CRASHES, Quarantine, Suspects};
 
 use crate::fleet::ms;
-use crate::quarantine::{HARMFUL, OWN, ROSA, SHARED, START, part, prompt, request};
+use crate::quarantine::{HARMFUL, OWN, ROSA, SHARED, START, part, prompt, request, trial_of};
 
 /// Returns the suspects of a request that comes again.
 fn repeated(fingerprint: u64, parts: &[u64]) -> Suspects {
@@ -202,5 +202,5 @@
     }
     let admission = |seconds| q.admission(START + Duration::from_secs(seconds), &harmful);
     assert_eq!(admission(45), Admission::Quarantined(request(7)));
-    assert_eq!(admission(50), Admission::TrialDue(request(7)));
+    assert_eq!(admission(50), Admission::TrialDue(trial_of(request(7))));
 }
--- a/crates/sesamebarrow_trial/src/containment.rs
+++ b/crates/sesamebarrow_trial/src/containment.rs
@@ -21,9 +21,9 @@
 
 pub use experiment::{Experiment, Harm, Policy, Report, Served};
 
-/// Id of the harmful part.
+/// First id of the harmful parts.
 const HARMFUL_PART: u64 = 0xbad;
-/// Id of the part that nearly all prompts share.
+/// First id of the parts that nearly all prompts share.
 const COMMON_PART: u64 = 1;
 /// First id of the parts that some prompts share.
 const SUBJECTS: u64 = 10_000;
@@ -53,12 +53,13 @@
 const FANOUT: usize = 7;
 /// Time until a crashed upstream or a restarted instance is back.
 const DOWN_TIME: Duration = Duration::from_secs(4);
-/// Time that a sound request runs.
-const RUN_TIME: Duration = Duration::from_millis(900);
 /// Time until an upstream begins to answer a harmful request.
 const BEGIN_TIME: Duration = Duration::from_millis(250);
 /// Seconds before the end in which no sound requests begin, so that those that have begun can end.
 const LAST_SECONDS: f64 = 2.0;
+/// Every so many instances restart if a third do, and if all do.
+const SOME: usize = 3;
+const ALL: usize = 1;
 /// Fraction of requests that are forwarded to another region.
 const HOP_FRACTION: f64 = 0.2;
 
@@ -96,10 +97,15 @@
     Sound,
     Begin(u64),
     Finish(u64),
-    Deliver { from: usize, to: usize, body: Body },
+    Deliver {
+        from: usize,
+        to: usize,
+        body: Body,
+    },
     UpstreamBack(usize),
     OwnCrash,
-    Restart,
+    /// Every so many instances restart.
+    Restart(usize),
     InstanceBack(usize),
     Round,
 }
@@ -122,6 +128,9 @@
     requests: HashMap<u64, Request>,
     /// When the crash came from which the users' rule counts.
     counted_crash_at: Option<Duration>,
+    last_crash_at: Option<Duration>,
+    /// When sound requests were sent after the warm-up, and whether they began.
+    sound: Vec<(Duration, bool)>,
     /// When sound suspects were quarantined, while they are.
     wrong_since: HashMap<Suspect, Duration>,
     sent_bytes: u64,
@@ -142,6 +151,7 @@
     for since in std::mem::take(&mut run.wrong_since).into_values() {
         run.report.longest_wrong = run.report.longest_wrong.max(end.saturating_sub(since));
     }
+    run.report.begun_after = run.begun_after();
     // CAST: sizes and counts are small.
     run.report.bytes_per_s = run.sent_bytes as f64 / cfg.instances as f64 / cfg.seconds;
     run.report
@@ -160,6 +170,8 @@
             upstreams: Vec::new(),
             requests: HashMap::new(),
             counted_crash_at: None,
+            last_crash_at: None,
+            sound: Vec::new(),
             wrong_since: HashMap::new(),
             sent_bytes: 0,
             report: Report::default(),
@@ -189,8 +201,12 @@
         if cfg.own_crashes_per_min > 0.0 {
             run.schedule(Duration::ZERO, Event::OwnCrash);
         }
-        if let Some(at) = cfg.restart {
-            run.schedule(WARM_UP + Duration::from_secs_f64(at), Event::Restart);
+        let restarts = [(cfg.restart, SOME), (cfg.restart_of_all, ALL)];
+        for (at, stride) in restarts.into_iter().filter_map(|(at, n)| Some((at?, n))) {
+            run.schedule(
+                WARM_UP + Duration::from_secs_f64(at),
+                Event::Restart(stride),
+            );
         }
         run
     }
@@ -227,6 +243,21 @@
         }
     }
 
+    /// Returns the sound requests that count after the counted crash.
+    fn begun_after(&self) -> Served {
+        let Some(counted_at) = self.counted_crash_at.or(self.last_crash_at) else {
+            return Served::default();
+        };
+        let counted = self
+            .sound
+            .iter()
+            .filter(|(at, _)| *at > counted_at + CONTACT_TIME * 2);
+        Served {
+            asked: counted.clone().count() as u64,
+            served: counted.filter(|(_, began)| *began).count() as u64,
+        }
+    }
+
     fn served(&mut self, phase: Phase) -> &mut Served {
         match phase {
             Phase::Before => &mut self.report.before,
@@ -255,6 +286,7 @@
                 if let Some(request) = self.requests.get(&id) {
                     let upstream = request.upstream;
                     self.report.crashes += 1;
+                    self.last_crash_at = Some(self.now);
                     if self.report.crashes == self.cfg.harm.counted_crashes() {
                         self.counted_crash_at = Some(self.now);
                     }
@@ -275,8 +307,8 @@
                     self.crash(index);
                 }
             }
-            Event::Restart => {
-                for index in (0..self.instances.len()).step_by(3) {
+            Event::Restart(stride) => {
+                for index in (0..self.instances.len()).step_by(stride) {
                     self.instances[index].up = false;
                     self.requests.retain(|_, r| r.instance != index);
                     self.schedule(DOWN_TIME, Event::InstanceBack(index));
--- a/crates/sesamebarrow_trial/src/containment/exchange.rs
+++ b/crates/sesamebarrow_trial/src/containment/exchange.rs
@@ -8,7 +8,7 @@
 
 use crate::containment::experiment::Policy;
 use crate::containment::{
-    DELAYS, Event, FANOUT, HARMFUL_PART, HARMFUL_REQUESTS, REGIONS, ROUND, Run, instance,
+    DELAYS, Event, FANOUT, HARMFUL_PART, HARMFUL_REQUESTS, REGIONS, ROUND, Run, SUBJECTS, instance,
 };
 
 impl Run<'_> {
@@ -115,7 +115,7 @@
 
 fn is_harmful(suspect: Suspect) -> bool {
     match suspect.kind {
-        Kind::Part => suspect.id == HARMFUL_PART,
+        Kind::Part => (HARMFUL_PART..SUBJECTS).contains(&suspect.id),
         Kind::Request => suspect.id >= HARMFUL_REQUESTS,
     }
 }
--- a/crates/sesamebarrow_trial/src/containment/experiment.rs
+++ b/crates/sesamebarrow_trial/src/containment/experiment.rs
@@ -42,8 +42,18 @@
     pub harmful_per_s: f64,
     /// Spans in seconds after the warm-up in which harmful requests come.
     pub harmful_spans: Vec<(f64, f64)>,
+    /// Number of different harmful parts, of which each harmful request has one.
+    pub harmful_parts: u64,
+    /// Number of parts that all prompts share.
+    pub common_parts: u64,
+    /// Whether prompts have a part that few others have.
+    pub subjects: bool,
     /// Sound requests per second.
     pub sound_per_s: f64,
+    /// Span in seconds after the warm-up in which no sound requests come.
+    pub sound_pause: Option<(f64, f64)>,
+    /// Time that a sound request runs.
+    pub run_time: Duration,
     /// Crashes per minute that no request causes.
     pub own_crashes_per_min: f64,
     /// Fraction of messages that are lost.
@@ -52,6 +62,8 @@
     pub cut: Option<(f64, f64)>,
     /// Time in seconds after the warm-up at which a third of the instances restart.
     pub restart: Option<f64>,
+    /// The same for all instances.
+    pub restart_of_all: Option<f64>,
     /// Whether requests may be repeated after a crash.
     pub repeatable: bool,
     /// Position of a harmful part: 0 for the first.
@@ -70,11 +82,17 @@
             batch: 16,
             harmful_per_s: 4.0,
             harmful_spans: vec![(0.0, 60.0)],
+            harmful_parts: 1,
+            common_parts: 1,
+            subjects: true,
             sound_per_s: 100.0,
+            sound_pause: None,
+            run_time: Duration::from_millis(900),
             own_crashes_per_min: 0.0,
             loss: 0.0,
             cut: None,
             restart: None,
+            restart_of_all: None,
             repeatable: true,
             position: 1,
             seconds: 60.0,
@@ -118,6 +136,9 @@
     pub meanwhile: Served,
     /// The same after that.
     pub after: Served,
+    /// Sound requests sent and begun later than twice [`CONTACT_TIME`](super::CONTACT_TIME) after crash number
+    /// [`Harm::counted_crashes`], or the last one if there are fewer.
+    pub begun_after: Served,
     /// Sound requests refused as harmful.
     pub wrongly_refused: u64,
     /// Longest time for which a sound suspect was quarantined anywhere.
--- a/crates/sesamebarrow_trial/src/containment/request.rs
+++ b/crates/sesamebarrow_trial/src/containment/request.rs
@@ -6,13 +6,13 @@
 use rand::seq::{IndexedRandom, IteratorRandom};
 use sesamebarrow_routing::board::quarantine::Judge;
 use sesamebarrow_routing::cache::PromptPart;
-use sesamebarrow_routing::quarantine::{Admission, Suspects};
+use sesamebarrow_routing::quarantine::{Admission, Suspect, Suspects};
 
 use crate::containment::experiment::{Harm, Policy};
 use crate::containment::{
     BEGIN_TIME, COMMON_PART, CONTACT_TIME, CUSTOMERS, DOWN_TIME, Event, HARMFUL_PART,
-    HARMFUL_REQUESTS, HOP_FRACTION, LAST_SECONDS, OWN_PARTS, READS, REGIONS, RUN_TIME, Request,
-    Run, SUBJECTS, SUBJECTS_PER_INSTANCE, instance,
+    HARMFUL_REQUESTS, HOP_FRACTION, LAST_SECONDS, OWN_PARTS, READS, REGIONS, Request, Run,
+    SUBJECTS, SUBJECTS_PER_INSTANCE, instance,
 };
 
 impl Run<'_> {
@@ -39,9 +39,17 @@
             let read = self.rng.random_range(0..self.cfg.repeated_reads);
             return repeated(READS + read, &[]);
         }
-        let mut ids = vec![COMMON_PART, subject, own];
+        let mut ids: Vec<u64> = (0..self.cfg.common_parts)
+            .map(|n| COMMON_PART + n)
+            .collect();
+        ids.extend(self.cfg.subjects.then_some(subject));
+        ids.push(own);
         if harmful {
-            ids.insert(self.cfg.position, HARMFUL_PART);
+            let number = match self.cfg.harmful_parts {
+                1 => 0,
+                parts => self.rng.random_range(0..parts),
+            };
+            ids.insert(self.cfg.position, HARMFUL_PART + number);
         }
         let ids = match self.policy {
             Policy::FirstPart => vec![ids[0], own],
@@ -68,21 +76,27 @@
     pub(super) fn send_sound(&mut self) {
         let pause = self.pause(self.cfg.sound_per_s);
         self.schedule(pause, Event::Sound);
-        let left = self.cfg.seconds - self.seconds();
-        if left < LAST_SECONDS {
+        let seconds = self.seconds();
+        let left = self.cfg.seconds - seconds;
+        let is_paused = |(start, end): (f64, f64)| (start..end).contains(&seconds);
+        if left < LAST_SECONDS || self.cfg.sound_pause.is_some_and(is_paused) {
             return;
         }
         let phase = self.phase();
         self.served(phase).asked += 1;
-        self.send(false);
+        let began = self.send(false);
+        if seconds >= 0.0 {
+            self.sound.push((self.now, began));
+        }
     }
 
-    pub(super) fn send(&mut self, harmful: bool) {
+    /// Sends a new request. Returns whether an upstream begins to run it.
+    pub(super) fn send(&mut self, harmful: bool) -> bool {
         let up: Vec<usize> = (0..self.instances.len())
             .filter(|i| self.instances[*i].up)
             .collect();
         let Some(&entry) = up.choose(&mut self.rng) else {
-            return;
+            return false;
         };
         let suspects = self.suspects(harmful);
         let mut request = Request {
@@ -96,7 +110,7 @@
         };
         if !self.admit(&mut request) {
             self.report.wrongly_refused += u64::from(!harmful);
-            return;
+            return false;
         }
         if !request.is_trial && self.rng.random_bool(HOP_FRACTION) {
             let others = up.iter().filter(|i| **i % REGIONS != entry % REGIONS);
@@ -106,11 +120,11 @@
                 request.instance = other;
                 if !self.admit(&mut request) {
                     self.report.wrongly_refused += u64::from(!harmful);
-                    return;
+                    return false;
                 }
             }
         }
-        self.start(request);
+        self.start(request)
     }
 
     /// Returns whether a request may be sent by its instance, if need be as a trial.
@@ -121,28 +135,43 @@
         let index = request.instance;
         let now = self.process_time(index);
         let board = &self.instances[index].board;
-        let suspect = match board.quarantine.admission(now, &request.suspects) {
+        let trial = match board.quarantine.admission(now, &request.suspects) {
             Admission::Allowed => return true,
             Admission::Quarantined(_) => return false,
-            Admission::TrialDue(suspect) => suspect,
+            Admission::TrialDue(trial) => trial,
         };
-        let judge = match board.judges(now, suspect).first() {
+        let judge_of = |suspect: &Suspect| match board.judges(now, *suspect).first() {
             Some(Judge::Other(ip)) => instance::index_of(*ip),
             _ => index,
         };
-        let is_answered = self.reaches(index, judge) && self.reaches(judge, index);
-        if !is_answered || (self.policy == Policy::Instance && judge != index) {
+        let judges: Vec<usize> = trial.asked().iter().map(judge_of).collect();
+        let answers = |judge: &usize| {
+            let is_answered = self.reaches(index, *judge) && self.reaches(*judge, index);
+            is_answered && (self.policy != Policy::Instance || *judge == index)
+        };
+        if !judges.iter().all(answers) {
             return false;
         }
-        let judge_now = self.process_time(judge);
-        let (granted, effects) = self.instances[judge].board.grant_trial(judge_now, suspect);
-        self.apply(judge, effects);
-        request.is_trial = granted;
-        granted
+        let asked: Vec<(Suspect, usize)> = trial.asked().iter().copied().zip(judges).collect();
+        for (suspect, judge) in &asked {
+            let now = self.process_time(*judge);
+            let quarantine = &mut self.instances[*judge].board.quarantine;
+            if !quarantine.is_preferred(now, *suspect, trial.ambiguity) {
+                return false;
+            }
+        }
+        for (suspect, judge) in asked {
+            let now = self.process_time(judge);
+            let board = &mut self.instances[judge].board;
+            let (_, effects) = board.grant_trial(now, suspect, trial.ambiguity);
+            self.apply(judge, effects);
+        }
+        request.is_trial = true;
+        true
     }
 
-    /// Sends a request to an upstream of its instance's region that has a free slot.
-    pub(super) fn start(&mut self, mut request: Request) {
+    /// Sends a request to an upstream of its instance's region that has a free slot. Returns whether there is one.
+    pub(super) fn start(&mut self, mut request: Request) -> bool {
         let region = request.instance % REGIONS;
         let batch = self.cfg.batch;
         let is_free = |u: &usize| {
@@ -151,7 +180,7 @@
         };
         let free = (0..self.upstreams.len()).filter(is_free);
         let Some(index) = free.choose(&mut self.rng) else {
-            return;
+            return false;
         };
         let id = self.new_id();
         request.upstream = index;
@@ -162,10 +191,11 @@
             let delay = BEGIN_TIME.mul_f64(self.rng.random_range(0.2..2.0));
             self.schedule(delay, Event::Begin(id));
         } else {
-            let delay = RUN_TIME.mul_f64(self.rng.random_range(0.5..1.5));
+            let delay = self.cfg.run_time.mul_f64(self.rng.random_range(0.5..1.5));
             self.schedule(delay, Event::Finish(id));
         }
         self.requests.insert(id, request);
+        true
     }
 
     pub(super) fn crash(&mut self, index: usize) {
--- a/crates/sesamebarrow_trial/tests/containment.rs
+++ b/crates/sesamebarrow_trial/tests/containment.rs
@@ -1,6 +1,8 @@
 //! Tests that harm by requests is bounded over a whole fleet, over virtual time, and that planted faults are
 //! seen. More seeds: `cargo run --release -p sesamebarrow_trial --example containment -- --seeds 200`.
 
+use std::time::Duration;
+
 use sesamebarrow_trial::containment::{self, Experiment, Harm, Policy, Report};
 
 /// Number of harmful requests that the users' rule allows later than 6 s after the crash from which it counts.
@@ -200,6 +202,87 @@
     };
 }
 
+/// Part of the sound requests that must begin from 12 s after the counted crash on, by the users' rule.
+const MIN_BEGUN: f64 = 0.5;
+
+/// Checks that sound requests that come again after a pause, together with harmful ones, are served.
+fn check_go_on_after_pause(cfg: &Experiment, max_crashes: u64) {
+    for (seed, report) in reports(cfg, Policy::Fleet).iter().enumerate() {
+        let begun = report.begun_after.fraction();
+        println!("seed {seed}: {report:?}");
+        assert!(begun >= MIN_BEGUN, "seed {seed}: {begun}");
+        assert!(
+            report.late <= ALLOWED_LATE * cfg.harmful_parts,
+            "seed {seed}: {} late",
+            report.late
+        );
+        assert!(
+            report.crashes <= max_crashes * cfg.harmful_parts,
+            "seed {seed}: {} crashes",
+            report.crashes
+        );
+    }
+}
+
+/// Long streams of one customer with the same first parts pause. When they come again, harmful ones come too, so that
+/// none is answered before upstreams crash.
+fn paused() -> Experiment {
+    Experiment {
+        subjects: false,
+        harmful_per_s: 5.0,
+        harmful_spans: vec![(20.0, 75.0)],
+        sound_pause: Some((0.0, 20.0)),
+        sound_per_s: 6.0,
+        run_time: Duration::from_secs(6),
+        upstreams: 9,
+        batch: 64,
+        seconds: 75.0,
+        ..small()
+    }
+}
+
+fn paused_large() -> Experiment {
+    Experiment {
+        instances: 350,
+        upstreams: 420,
+        sound_per_s: 200.0,
+        batch: 8,
+        ..paused()
+    }
+}
+
+/// Defines a test of sound requests after a pause.
+macro_rules! pause_test {
+    ($($name:ident: $max_crashes:expr, $cfg:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            check_go_on_after_pause(&$cfg, $max_crashes);
+        }
+    )*};
+}
+
+pause_test! {
+    sound_first_part_is_not_refused_after_a_pause: MAX_CRASHES_SMALL, paused();
+    two_sound_first_parts_are_not_refused_after_a_pause: MAX_CRASHES_SMALL, Experiment { common_parts: 2, ..paused() };
+    sound_part_behind_a_harmful_one_is_not_refused_after_a_pause: MAX_CRASHES_SMALL, Experiment {
+        position: 0, ..paused()
+    };
+    sound_part_beside_two_harmful_ones_is_not_refused_after_a_pause: MAX_CRASHES_SMALL, Experiment {
+        harmful_parts: 2, ..paused()
+    };
+    sound_part_is_not_refused_after_a_restart_of_all: MAX_CRASHES_SMALL, Experiment {
+        restart_of_all: Some(10.0), ..paused()
+    };
+    two_sound_parts_are_not_refused_after_a_restart_of_all: MAX_CRASHES_SMALL, Experiment {
+        common_parts: 2, restart_of_all: Some(10.0), ..paused()
+    };
+    sound_part_with_rare_ones_is_not_refused_after_a_pause: MAX_CRASHES_SMALL, Experiment { subjects: true, ..paused() };
+    sound_part_is_not_refused_after_a_pause_in_a_large_fleet: MAX_CRASHES_LARGE, paused_large();
+    sound_part_is_not_refused_after_a_restart_of_all_in_a_large_fleet: MAX_CRASHES_LARGE, Experiment {
+        restart_of_all: Some(10.0), ..paused_large()
+    };
+}
+
 #[test]
 fn blame_at_each_instance_by_itself_is_not_enough() {
     let late = reports(&small(), Policy::Instance)
