Give back trials of quarantined suspects that no upstream ran

Cause: a trial counted as failed once it was granted. Nothing told the judge that its request had reached no upstream.

A trial that an upstream may have run still counts: an impatient caller must not buy further crashes. The callers' interface does the same with its own trials.

--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -301,6 +301,7 @@
         limit::count_send(job, history.sends.count());
     }
     history.sends.record();
+    history.update_trial();
     job.reservation.set_consumed(true);
     let sent = tokio::select! {
         sent = tokio::time::timeout(job.time_left(), connection.send(req)) => sent,
@@ -335,6 +336,7 @@
 /// Records that the latest send of `job` has not run and will not.
 fn withdraw_send(job: &Job, history: &mut AttemptHistory, evidence: Evidence) {
     history.sends.withdraw(evidence);
+    history.update_trial();
     job.reservation
         .set_consumed(history.sends.possible_runs() > 0);
 }
--- a/crates/sesamebarrow_gateway/src/quarantine/trial.rs
+++ b/crates/sesamebarrow_gateway/src/quarantine/trial.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use sesamebarrow_routing::board::quarantine::Judge;
-use sesamebarrow_routing::quarantine::message::{TrialGrant, TrialRequest};
+use sesamebarrow_routing::quarantine::message::{TrialGrant, TrialRequest, TrialReturn};
 use sesamebarrow_routing::quarantine::{Order, Suspect, Trial};
 use sesamebarrow_routing::token::Body;
 use tokio::sync::oneshot;
@@ -37,9 +37,13 @@
     }
 }
 
-/// A trial that was granted to one request.
+/// A trial that was granted to one request. It is given back unless an upstream may have run the request.
 pub struct Permit {
+    shared: Arc<Shared>,
     tried: Vec<Suspect>,
+    /// Those of the suspects whose judges have granted it.
+    granted: Vec<Suspect>,
+    may_have_run: bool,
 }
 
 impl Permit {
@@ -47,6 +51,21 @@
     pub fn tried(&self) -> &[Suspect] {
         &self.tried
     }
+
+    /// Sets whether an upstream may have run the request.
+    pub fn set_may_have_run(&mut self, may_have_run: bool) {
+        self.may_have_run = may_have_run;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if !self.may_have_run {
+            for suspect in &self.granted {
+                give_back(&self.shared, *suspect);
+            }
+        }
+    }
 }
 
 /// Asks for a trial. Returns `None` unless all judges that have to grant it.
@@ -64,15 +83,20 @@
             }
         }
     }
+    let mut permit = Permit {
+        shared: shared.clone(),
+        tried: trial.suspects.clone(),
+        granted: Vec::new(),
+        may_have_run: false,
+    };
     for suspect in asked {
         let request = TrialRequest::new(0, *suspect, trial.ambiguity);
         if !ask_judge(shared, *suspect, request).await {
             return None;
         }
+        permit.granted.push(*suspect);
     }
-    Some(Permit {
-        tried: trial.suspects.clone(),
-    })
+    Some(permit)
 }
 
 /// Sends `request` to the first judge of `suspect`. Returns whether it is granted.
@@ -131,22 +155,44 @@
     granted
 }
 
+fn give_back(shared: &Shared, suspect: Suspect) {
+    match first_judge(shared, suspect) {
+        Some(Judge::Own) => take_back(shared, suspect),
+        Some(Judge::Other(ip)) => {
+            send(shared, ip, Body::TrialReturn(TrialReturn::new(suspect)));
+        }
+        None => {}
+    }
+}
+
+fn take_back(shared: &Shared, suspect: Suspect) {
+    let effects = shared.board().take_back_trial(shared.now(), suspect);
+    apply(shared, effects);
+}
+
 /// Handles a request for a trial, and returns the answer.
 pub fn handle_request(shared: &Shared, request: TrialRequest) -> TrialGrant {
     let suspect = request.decode();
     let granted = suspect.is_some_and(|s| decide(shared, s, request));
-    TrialGrant {
-        id: request.id,
-        granted,
-    }
+    TrialGrant::new(request, granted)
 }
 
-/// Handles the answer to a request for a trial.
+/// Handles the answer to a request for a trial. A trial that nobody waits for any more is given back.
 pub fn handle_grant(shared: &Shared, grant: TrialGrant) {
     let pending = shared.trials.pending().remove(&grant.id);
-    if let Some(pending) = pending {
-        // Fails if the client left just now.
-        let _ = pending.tx.send(grant.granted);
+    let is_taken = pending.is_some_and(|p| p.tx.send(grant.granted).is_ok());
+    if !is_taken
+        && grant.granted
+        && let Some(suspect) = grant.decode_suspect()
+    {
+        give_back(shared, suspect);
+    }
+}
+
+/// Handles a trial that is given back.
+pub fn handle_return(shared: &Shared, returned: TrialReturn) {
+    if let Some(suspect) = returned.decode() {
+        take_back(shared, suspect);
     }
 }
 
--- a/crates/sesamebarrow_gateway/src/selection.rs
+++ b/crates/sesamebarrow_gateway/src/selection.rs
@@ -74,6 +74,14 @@
         self.trial.is_some()
     }
 
+    /// Notes in the trial whether an upstream may have run the request.
+    pub fn update_trial(&mut self) {
+        let may_have_run = self.sends.possible_runs() > 0;
+        if let Some(trial) = &mut self.trial {
+            trial.set_may_have_run(may_have_run);
+        }
+    }
+
     /// Waits until it is known whether the upstream of the last attempt has crashed.
     pub async fn finish_examination(&mut self) {
         if let Some(examination) = self.examination.take()
--- a/crates/sesamebarrow_gateway/src/token.rs
+++ b/crates/sesamebarrow_gateway/src/token.rs
@@ -344,6 +344,7 @@
             shared.tokens.send(from, Body::TrialGrant(grant));
         }
         Ok(Some(Body::TrialGrant(grant))) => quarantine::trial::handle_grant(shared, grant),
+        Ok(Some(Body::TrialReturn(returned))) => quarantine::trial::handle_return(shared, returned),
         Ok(Some(Body::PermitRequest(request))) => {
             let answer = limit::handle_permit_request(shared, &request, from);
             shared.tokens.send(from, Body::PermitAnswer(answer));
--- a/crates/sesamebarrow_policy/src/pipeline/settle.rs
+++ b/crates/sesamebarrow_policy/src/pipeline/settle.rs
@@ -196,4 +196,8 @@
     if let Some(reservation) = &request.reservation {
         limit::settle(board, reservation, spent_tokens);
     }
+    let is_unsent = matches!(request.stage, Stage::Waiting | Stage::Dispatching);
+    if request.is_trial && is_unsent && !request.may_have_run {
+        quarantine::take_back_trial(board, &request.suspects);
+    }
 }
--- a/crates/sesamebarrow_policy/src/quarantine.rs
+++ b/crates/sesamebarrow_policy/src/quarantine.rs
@@ -69,6 +69,14 @@
     }
 }
 
+/// Takes back the trial of a request that no upstream ran.
+pub(crate) fn take_back_trial(board: &mut Board, suspects: &Suspects) {
+    let now = board.now();
+    let take_back = |suspect| board.quarantine.take_back_trial(now, suspect);
+    let orders: Vec<Order> = suspects.iter().filter_map(take_back).collect();
+    announce(board, Change::TrialReturned, &orders);
+}
+
 /// Releases suspects that are proven to be sound, and whose crashes others explain.
 fn release_explained(board: &mut Board) {
     let now = board.now();
--- a/crates/sesamebarrow_routing/src/board/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/board/quarantine.rs
@@ -47,6 +47,8 @@
     Explained,
     /// Another instance revoked the order.
     Unlearned,
+    /// A trial that this instance granted was given back.
+    TrialReturned,
 }
 
 /// What follows from an event: messages to send, and changes to log.
@@ -171,6 +173,12 @@
         (order.is_some(), effects)
     }
 
+    /// Takes back a trial of a quarantined suspect that no upstream ran.
+    pub fn take_back_trial(&mut self, now: Duration, suspect: Suspect) -> Effects {
+        let order = self.quarantine.take_back_trial(now, suspect);
+        self.announce(now, Change::TrialReturned, order.as_slice())
+    }
+
     /// Returns messages with all orders for the instance at `ip`, if `digest`, that of its orders,
     /// differs; a sample if there are more than [`ORDER_MESSAGE_RATE`] allows. Instances of earlier versions
     /// send none.
--- a/crates/sesamebarrow_routing/src/quarantine.rs
+++ b/crates/sesamebarrow_routing/src/quarantine.rs
@@ -316,6 +316,12 @@
         Some(*order)
     }
 
+    /// Takes back a trial that no upstream ran. Returns the changed order.
+    pub fn take_back_trial(&mut self, now: Duration, suspect: Suspect) -> Option<Order> {
+        let order = self.orders.get_mut(&suspect)?;
+        order.take_back_trial(now).then_some(*order)
+    }
+
     /// Releases each proven suspect that was quarantined for crashes which orders on unproven ones explain: requests
     /// with it ran beside theirs, or had them too. Returns the orders that this revokes.
     pub fn release_explained(&mut self, now: Duration) -> Vec<Order> {
--- a/crates/sesamebarrow_routing/src/quarantine/message.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/message.rs
@@ -133,6 +133,23 @@
     /// Whether one request with the suspect may be sent.
     #[prost(bool, tag = "2")]
     pub granted: bool,
+    /// Id of the suspect; 0 from earlier versions, and in the answer to a question.
+    #[prost(fixed64, tag = "3")]
+    pub suspect: u64,
+    /// Kind of the suspect.
+    #[prost(enumeration = "Kind", tag = "4")]
+    pub kind: i32,
+}
+
+/// Gives back a trial to the first judge of its suspect, since no upstream ran it.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct TrialReturn {
+    /// Id of the suspect.
+    #[prost(fixed64, tag = "1")]
+    pub suspect: u64,
+    /// Kind of the suspect.
+    #[prost(enumeration = "Kind", tag = "2")]
+    pub kind: i32,
 }
 
 fn to_ms(duration: Duration) -> u64 {
@@ -264,6 +281,41 @@
     }
 }
 
+impl TrialReturn {
+    /// Gives back a trial of `suspect`.
+    pub fn new(suspect: Suspect) -> Self {
+        Self {
+            suspect: suspect.id,
+            kind: suspect.kind.into(),
+        }
+    }
+
+    /// Returns the suspect; `None` if this version does not know its kind.
+    pub fn decode(self) -> Option<Suspect> {
+        decode_suspect(self.kind, self.suspect)
+    }
+}
+
+impl TrialGrant {
+    /// Answers `request`.
+    pub fn new(request: TrialRequest, granted: bool) -> Self {
+        Self {
+            id: request.id,
+            granted,
+            suspect: match request.is_question {
+                true => 0,
+                false => request.suspect,
+            },
+            kind: request.kind,
+        }
+    }
+
+    /// Returns the suspect; `None` if this version does not know its kind, or the sender does not say.
+    pub fn decode_suspect(self) -> Option<Suspect> {
+        decode_suspect(self.kind, self.suspect).filter(|s| s.id != 0)
+    }
+}
+
 impl TrialRequest {
     /// Asks for a trial of `suspect`.
     pub fn new(id: u64, suspect: Suspect, ambiguity: u32) -> Self {
--- a/crates/sesamebarrow_routing/src/quarantine/order.rs
+++ b/crates/sesamebarrow_routing/src/quarantine/order.rs
@@ -94,6 +94,19 @@
         was_due
     }
 
+    /// Takes back the last trial, which no upstream ran. The next one is due soon. Returns whether there was one under
+    /// which no upstream has crashed.
+    pub fn take_back_trial(&mut self, now: Duration) -> bool {
+        if !self.in_force || self.trials == 0 || self.last_crash_at > self.since {
+            return false;
+        }
+        self.trials -= 1;
+        self.serial = self.serial.saturating_add(1);
+        // With few trials before, the time may lie before the start of this process.
+        self.since = (now + self.first_trial_delay()).saturating_sub(self.trial_delay());
+        true
+    }
+
     /// Extends the order to all customers if it does not bind `customer`. Returns whether it did so.
     pub fn extend_to(&mut self, customer: u64) -> bool {
         if self.binds(customer) {
--- a/crates/sesamebarrow_routing/src/token.rs
+++ b/crates/sesamebarrow_routing/src/token.rs
@@ -5,13 +5,16 @@
 
 use crate::dispatch::message::{Answer, Notices, PlaceRequest};
 use crate::limit::message::{Observed, PermitAnswer, PermitRequest, States};
-use crate::quarantine::message::{Blames, Orders, TrialGrant, TrialRequest};
+use crate::quarantine::message::{Blames, Orders, TrialGrant, TrialRequest, TrialReturn};
 
 /// A datagram, one of several kinds.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Datagram {
     /// Content; `None` for kinds that this version does not know.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(
+        oneof = "Body",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+    )]
     pub body: Option<Body>,
 }
 
@@ -60,6 +63,9 @@
     /// Reports what happened to dispatched requests.
     #[prost(message, tag = "14")]
     Notices(Notices),
+    /// Gives back a trial of a quarantined suspect.
+    #[prost(message, tag = "15")]
+    TrialReturn(TrialReturn),
 }
 
 /// Asks the holder of a bucket for tokens.
--- a/crates/sesamebarrow_routing/tests/decisions/trials.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/trials.rs
@@ -232,3 +232,37 @@
         .collect();
     assert_eq!(trials, [1, 1]);
 }
+
+/// The upstreams may refuse a trial, or its caller may leave before it is sent.
+#[test]
+fn trial_that_no_upstream_ran_is_given_back() {
+    let mut q = Quarantine::default();
+    crash_both(&mut q, START, (1, 2));
+    let due = START + TRIAL_DELAY;
+    assert!(q.grant_trial(due, part(1)).is_some());
+    assert!(q.take_back_trial(due + ms(100), part(1)).is_some());
+    let soon = due + ms(100) + TRIAL_DELAY;
+    assert_eq!(ambiguity(&q, soon, &[1, OWN]), Some(1));
+    // A crash is an answer, and so is none of the trials of before.
+    assert!(q.grant_trial(soon, part(1)).is_some());
+    crash(&mut q, soon + ms(100), 80, ROSA, &[1, OWN]);
+    assert_eq!(q.take_back_trial(soon + ms(200), part(1)), None);
+    assert_eq!(q.take_back_trial(soon + ms(200), part(7)), None);
+}
+
+#[test]
+fn trial_that_is_given_back_after_others_is_due_soon() {
+    let mut q = Quarantine::default();
+    crash_both(&mut q, START, (1, 2));
+    let mut now = START;
+    for run in 0..2 {
+        now += Duration::from_secs(2_000);
+        assert!(q.grant_trial(now, part(1)).is_some());
+        crash(&mut q, now, 90 + run, ROSA, &[1, OWN]);
+    }
+    now += Duration::from_secs(2_000);
+    assert!(q.grant_trial(now, part(1)).is_some());
+    q.take_back_trial(now, part(1));
+    assert_eq!(q.grant_trial(now + TRIAL_DELAY - ms(1), part(1)), None);
+    assert!(q.grant_trial(now + TRIAL_DELAY, part(1)).is_some());
+}
