Put seeds and other settings in force when they are reloaded

Cause: a reload applied the limits only.

Change: the settings in force are one value that a reload replaces: seeds, failure domains, the store's address and the times of a shutdown beside the limits. What cannot be replaced stays and is named in the log line. Upstreams of a new failure domain are taken from the catalog.

--- a/crates/sesamebarrow_gateway/src/directory.rs
+++ b/crates/sesamebarrow_gateway/src/directory.rs
@@ -21,7 +21,7 @@
     }
     let query = directory::decode_query(req.uri().query().unwrap_or_default());
     let now = shared.now();
-    let port = shared.settings.listen.callers.port();
+    let port = shared.listen.callers.port();
     let placement = place::place(&shared.board(), now, &query.host, &query.region);
     if placement.instances.is_empty() {
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/sesamebarrow_gateway/src/dispatch/client.rs
+++ b/crates/sesamebarrow_gateway/src/dispatch/client.rs
@@ -86,7 +86,7 @@
 /// Sends a datagram, or handles it if it is for this instance.
 pub fn deliver(shared: &Shared, to: Ipv4Addr, body: Body) {
     if to != shared.identity.ip {
-        let port = shared.settings.listen.tokens.port();
+        let port = shared.listen.tokens.port();
         shared
             .tokens
             .send(SocketAddr::new(IpAddr::V4(to), port), body);
--- a/crates/sesamebarrow_gateway/src/gossip.rs
+++ b/crates/sesamebarrow_gateway/src/gossip.rs
@@ -46,16 +46,8 @@
 }
 
 async fn send_round(shared: &Arc<Shared>, socket: &UdpSocket) {
-    let (port, own_ip) = (shared.settings.listen.gossip.port(), shared.identity.ip);
-    let seeds: Vec<Ipv4Addr> = shared
-        .settings
-        .seeds
-        .iter()
-        .filter_map(|seed| match seed {
-            SocketAddr::V4(seed) if *seed.ip() != own_ip => Some(*seed.ip()),
-            _ => None,
-        })
-        .collect();
+    let port = shared.listen.gossip.port();
+    let seeds = shared.settings().other_seeds();
     let datagrams: Vec<_> = {
         let now = shared.now();
         let mut board = shared.board();
@@ -88,7 +80,7 @@
 /// Announces a newer revision to the region's other instances without waiting for the next
 /// round.
 async fn send_revision(shared: &Shared, socket: &UdpSocket) {
-    let port = shared.settings.listen.gossip.port();
+    let port = shared.listen.gossip.port();
     let (peers, bytes) = {
         let now = shared.now();
         let board = shared.board();
--- a/crates/sesamebarrow_gateway/src/hop.rs
+++ b/crates/sesamebarrow_gateway/src/hop.rs
@@ -93,7 +93,7 @@
 
 /// Returns the address at which the instance at `ip` accepts forwarded requests.
 pub fn address(shared: &Shared, ip: Ipv4Addr) -> SocketAddr {
-    SocketAddr::new(ip.into(), shared.settings.listen.hop.port())
+    SocketAddr::new(ip.into(), shared.listen.hop.port())
 }
 
 fn to_millis(duration: Duration) -> u64 {
--- a/crates/sesamebarrow_gateway/src/intake.rs
+++ b/crates/sesamebarrow_gateway/src/intake.rs
@@ -259,7 +259,7 @@
 /// Returns whether this instance may accept a client's request that takes up to `timeout`. A stream that is expected to
 /// outlast a stop is left to another instance from the start of the stop on.
 fn may_accept(shared: &Shared, route: &Route, timeout: Duration, output_tokens: u64) -> bool {
-    let notice = shared.settings.shutdown.notice;
+    let notice = shared.settings().shutdown.notice;
     let is_stream = route.kind == RequestKind::Streaming;
     if !is_stream || !shared.board().has_ready_instance(shared.now()) {
         return may_accept_within(shared, timeout, notice);
@@ -279,7 +279,7 @@
 
 fn may_accept_within(shared: &Shared, timeout: Duration, notice: Duration) -> bool {
     // Its own time-out is answered before the process answers what is left.
-    let limit = shared.settings.shutdown.limit.saturating_sub(ANSWER_TIME);
+    let limit = shared.settings().shutdown.limit.saturating_sub(ANSWER_TIME);
     let schedule = Schedule { notice, limit };
     let draining_for = shared.board().draining_for(shared.now());
     draining_for.is_none_or(|draining_for| drain::accepts(schedule, draining_for, timeout))
--- a/crates/sesamebarrow_gateway/src/limit.rs
+++ b/crates/sesamebarrow_gateway/src/limit.rs
@@ -258,7 +258,7 @@
 }
 
 fn send(shared: &Shared, ip: Ipv4Addr, body: Body) {
-    let address = SocketAddr::new(IpAddr::V4(ip), shared.settings.listen.tokens.port());
+    let address = SocketAddr::new(IpAddr::V4(ip), shared.listen.tokens.port());
     shared.tokens.send(address, body);
 }
 
--- a/crates/sesamebarrow_gateway/src/quarantine.rs
+++ b/crates/sesamebarrow_gateway/src/quarantine.rs
@@ -173,7 +173,7 @@
 }
 
 fn send(shared: &Shared, ip: Ipv4Addr, body: Body) {
-    let address = SocketAddr::new(IpAddr::V4(ip), shared.settings.listen.tokens.port());
+    let address = SocketAddr::new(IpAddr::V4(ip), shared.listen.tokens.port());
     shared.tokens.send(address, body);
 }
 
--- a/crates/sesamebarrow_gateway/src/run.rs
+++ b/crates/sesamebarrow_gateway/src/run.rs
@@ -211,19 +211,33 @@
     on_file(path, modified).await.flatten()
 }
 
-/// Reloads the settings file and applies its limits. All other changes require a restart; the log line names
-/// their fields.
+/// Reloads the settings file. The log line names the fields whose changes require a restart.
 async fn reload(shared: &Shared, path: &Path) {
     let Some(loaded) = on_file(path, Settings::load).await else {
         log::error!("cannot read settings in time, keeping the old ones");
         return;
     };
     match loaded {
-        Ok(settings) => {
-            shared.board().set_parameters(settings.parameters());
-            let fields = shared.settings.restart_fields(&settings);
+        Ok(new) => {
+            let old = shared.settings();
+            let fields = old.restart_fields(&new);
             let restart = !fields.is_empty();
-            log::info!(restart, restart_for = fields.join(",").as_str(); "limits reloaded");
+            let settings = old.with_reloaded(new);
+            let seeds = settings.other_seeds().len();
+            let (seeds_changed, domains_changed) =
+                (old.seeds != settings.seeds, old.domains != settings.domains);
+            shared.board().set_parameters(settings.parameters());
+            if domains_changed {
+                shared.board().set_regions(settings.domains.clone());
+            }
+            shared.set_settings(settings);
+            if domains_changed {
+                store::apply_unknown_upstreams(shared);
+            }
+            log::info!(
+                restart, restart_for = fields.join(",").as_str(), seeds, seeds_changed, domains_changed;
+                "settings reloaded"
+            );
         }
         Err(error) => log::error!(error:% = error; "cannot reload settings, keeping the old ones"),
     }
@@ -233,7 +247,7 @@
 /// shortly before the notice ends, closes idle connections when it ends, and then waits for
 /// active requests until the limit. What is unanswered shortly before it is answered by this instance.
 async fn drain(shared: &Shared) {
-    let shutdown = shared.settings.shutdown;
+    let shutdown = shared.settings().shutdown;
     let drain_started_at = shared.now();
     shared.board().draining_since = Some(drain_started_at);
     shared.closes_connections.store(true, Ordering::Relaxed);
--- a/crates/sesamebarrow_gateway/src/settings.rs
+++ b/crates/sesamebarrow_gateway/src/settings.rs
@@ -288,18 +288,15 @@
         Ok(settings)
     }
 
-    /// Returns the fields in which `new` differs and that take effect only after a restart. The limits take
+    /// Returns the fields in which `new` differs and that take effect only after a restart. The others take
     /// effect at once.
     pub fn restart_fields(&self, new: &Self) -> Vec<&'static str> {
         let changes = [
             ("name", self.name != new.name),
             ("domain", self.domain != new.domain),
             ("ip", self.ip != new.ip),
-            ("seeds", self.seeds != new.seeds),
-            ("domains", self.domains != new.domains),
+            ("domains", !self.can_replace_domains(new)),
             ("listen", self.listen != new.listen),
-            ("store", self.store != new.store),
-            ("shutdown", self.shutdown != new.shutdown),
             ("memory", self.memory != new.memory),
             ("log", self.log != new.log),
         ];
@@ -307,6 +304,37 @@
         changed.map(|(field, _)| field).collect()
     }
 
+    /// Returns these settings with what takes effect at once from `new`.
+    pub fn with_reloaded(&self, new: Self) -> Self {
+        let domains = match self.can_replace_domains(&new) {
+            true => new.domains,
+            false => self.domains.clone(),
+        };
+        Self {
+            seeds: new.seeds,
+            domains,
+            store: new.store,
+            limits: new.limits,
+            shutdown: new.shutdown,
+            dispatch: new.dispatch,
+            ..self.clone()
+        }
+    }
+
+    /// Returns whether this instance stays in its region with the failure domains of `new`.
+    fn can_replace_domains(&self, new: &Self) -> bool {
+        new.domains.get(&self.domain) == self.domains.get(&self.domain)
+    }
+
+    /// Returns the addresses of the seeds other than this instance.
+    pub fn other_seeds(&self) -> Vec<Ipv4Addr> {
+        let ips = self.seeds.iter().filter_map(|seed| match seed {
+            SocketAddr::V4(seed) => Some(*seed.ip()),
+            SocketAddr::V6(_) => None,
+        });
+        ips.filter(|ip| *ip != self.ip).collect()
+    }
+
     /// Validates what the types do not ensure.
     pub fn check(&self) -> Result<(), Error> {
         let limits = &self.limits;
--- a/crates/sesamebarrow_gateway/src/shared.rs
+++ b/crates/sesamebarrow_gateway/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
 use sesamebarrow_routing::{Board, Catalog, Identity};
@@ -18,13 +18,15 @@
 use crate::memory::Budget;
 use crate::pool::Pool;
 use crate::quarantine::trial::Trials;
-use crate::settings::Settings;
+use crate::settings::{Listen, Settings};
 use crate::token::Tokens;
 
 /// State that all tasks of the process share.
 pub struct Shared {
-    /// The settings at the start of the process; a reload does not change them.
-    pub settings: Settings,
+    /// The settings in force.
+    settings: RwLock<Arc<Settings>>,
+    /// The addresses that this process listens on.
+    pub listen: Listen,
     /// Identifies this instance.
     pub identity: Identity,
     /// The board. Its lock is held for one decision at a time and never across an `await`.
@@ -81,7 +83,8 @@
         let memory = Budget::new(settings.memory.budget_bytes());
         Self {
             memory,
-            settings,
+            listen: settings.listen,
+            settings: RwLock::new(Arc::new(settings)),
             identity,
             board: Mutex::new(board),
             catalog: Mutex::default(),
@@ -110,6 +113,18 @@
         clock::now().saturating_sub(self.started_at)
     }
 
+    /// Returns the settings in force.
+    pub fn settings(&self) -> Arc<Settings> {
+        let settings = self.settings.read();
+        settings.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Puts settings in force. What the board keeps of them must be updated by the caller.
+    pub fn set_settings(&self, settings: Settings) {
+        let current = self.settings.write();
+        *current.unwrap_or_else(PoisonError::into_inner) = Arc::new(settings);
+    }
+
     /// Locks the board.
     pub fn board(&self) -> MutexGuard<'_, Board> {
         // A panic while the lock is held ends only one task. The tables remain usable.
--- a/crates/sesamebarrow_gateway/src/store.rs
+++ b/crates/sesamebarrow_gateway/src/store.rs
@@ -1,5 +1,6 @@
 //! Reads the platform's store and applies its changes to the catalog and the board.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -63,6 +64,8 @@
     EarlierEra(u16),
     #[error("the store does not return the changes that were made while it was read")]
     ChangesMissing,
+    #[error("the settings name another address")]
+    AddressChanged,
     #[error("invalid response: {0}")]
     Response(#[from] platform_store::Error),
 }
@@ -177,12 +180,14 @@
 
 /// A connection to the store.
 struct Client {
+    address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     meter: Meter,
 }
 
 async fn connect(shared: &Shared) -> Result<Client, Error> {
-    let stream = socket::connect(shared.settings.store.address, CALL_TIMEOUT).await?;
+    let address = shared.settings().store.address;
+    let stream = socket::connect(address, CALL_TIMEOUT).await?;
     let (stream, meter) = Metered::new(stream);
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(async move {
@@ -190,7 +195,11 @@
             log::debug!(error:% = error; "store connection failed");
         }
     });
-    Ok(Client { sender, meter })
+    Ok(Client {
+        address,
+        sender,
+        meter,
+    })
 }
 
 /// Calls the store, which was in `era`, and returns the body of its response.
@@ -205,8 +214,10 @@
     if let Ok(uri) = path.parse() {
         *req.uri_mut() = uri;
     }
-    let host = shared.settings.store.address.to_string();
-    if let Ok(host) = host.parse() {
+    if client.address != shared.settings().store.address {
+        return Err(Error::AddressChanged);
+    }
+    if let Ok(host) = client.address.to_string().parse() {
         req.headers_mut().insert(HOST, host);
     }
     metrics::counter!("sesamebarrow_store_calls_total").increment(1);
@@ -390,6 +401,25 @@
     }
 }
 
+/// Applies the published upstreams that the board does not know. Their failure domains were unknown before.
+pub fn apply_unknown_upstreams(shared: &Shared) {
+    let catalog = shared.catalog();
+    for (key, item) in &catalog.items {
+        if let Key::Upstream(id) = item::parse_key(key)
+            && shared.board().upstreams.key(id).is_none()
+        {
+            apply_change(
+                shared,
+                &Change {
+                    key: key.clone(),
+                    item: Some(item.clone()),
+                    revision: item.revision,
+                },
+            );
+        }
+    }
+}
+
 fn apply_change(shared: &Shared, change: &Change) {
     let now = shared.now();
     let value = change.item.as_ref().map(|i| i.value.as_slice());
--- a/crates/sesamebarrow_gateway/src/sync.rs
+++ b/crates/sesamebarrow_gateway/src/sync.rs
@@ -167,7 +167,7 @@
         let Some((name, ip)) = source else {
             continue;
         };
-        let address = SocketAddr::new(ip.into(), shared.settings.listen.sync.port());
+        let address = SocketAddr::new(ip.into(), shared.listen.sync.port());
         failed = match tokio::time::timeout(TRANSFER_TIMEOUT, fetch_catalog(&shared, address)).await
         {
             Ok(Ok(revision)) => {
--- a/crates/sesamebarrow_gateway/src/token.rs
+++ b/crates/sesamebarrow_gateway/src/token.rs
@@ -163,7 +163,7 @@
 }
 
 fn address(shared: &Shared, ip: Ipv4Addr) -> SocketAddr {
-    SocketAddr::new(ip.into(), shared.settings.listen.tokens.port())
+    SocketAddr::new(ip.into(), shared.listen.tokens.port())
 }
 
 /// Takes the tokens of a request from its customer's bucket. `tokens` is what the request
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -165,10 +165,7 @@
         regions: HashMap<SmolStr, SmolStr>,
         rng_seed: u64,
     ) -> Self {
-        let regions_by_hash = regions
-            .iter()
-            .map(|(domain, region)| (short_hash(domain), region.clone()))
-            .collect();
+        let regions_by_hash = by_hash(&regions);
         let quota = Quota::new(parameters.quota, region_count(&regions));
         Self {
             name_hash: short_hash(&identity.name),
@@ -208,11 +205,19 @@
     /// counted.
     pub fn set_parameters(&mut self, parameters: Parameters) {
         self.parameters = parameters;
+        self.members.set_stop_limit(parameters.stop_limit);
         self.quota.set_tolerance(parameters.quota);
         self.budget.set_limit(parameters.budget);
         self.update_dispatched();
     }
 
+    /// Replaces the regions of the failure domains. The region of this instance must not change.
+    pub fn set_regions(&mut self, regions: HashMap<SmolStr, SmolStr>) {
+        self.regions_by_hash = by_hash(&regions);
+        self.quota.set_regions(region_count(&regions));
+        self.regions = regions;
+    }
+
     /// Returns whether clients should be sent to this instance: it has a configuration, knows
     /// the other instances and is not draining. A draining instance still accepts requests for a while.
     pub fn is_ready(&self) -> bool {
@@ -449,6 +454,11 @@
     }
 }
 
+fn by_hash(regions: &HashMap<SmolStr, SmolStr>) -> HashMap<u32, SmolStr> {
+    let regions = regions.iter();
+    regions.map(|(d, r)| (short_hash(d), r.clone())).collect()
+}
+
 /// Returns the number of different regions.
 fn region_count(regions: &HashMap<SmolStr, SmolStr>) -> usize {
     regions.values().collect::<HashSet<_>>().len().max(1)
--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -305,10 +305,14 @@
 impl Members {
     /// Returns no instances; their stops last up to `stop_limit`.
     pub fn new(stop_limit: Duration) -> Self {
-        Self {
-            stop_time: stop_limit + RELAYED_AGE_ERROR,
-            ..Self::default()
-        }
+        let mut members = Self::default();
+        members.set_stop_limit(stop_limit);
+        members
+    }
+
+    /// Sets the maximum duration of a stop.
+    pub fn set_stop_limit(&mut self, stop_limit: Duration) {
+        self.stop_time = stop_limit + RELAYED_AGE_ERROR;
     }
 
     fn limits(&self) -> GossipLimits {
--- a/crates/sesamebarrow_routing/src/quota.rs
+++ b/crates/sesamebarrow_routing/src/quota.rs
@@ -143,6 +143,12 @@
         }
     }
 
+    /// Replaces the number of regions, which have equal parts of each rate.
+    pub fn set_regions(&mut self, regions: usize) {
+        // CAST: the number of regions is small.
+        self.regions = regions.max(1) as f64;
+    }
+
     /// Replaces the tolerance.
     pub fn set_tolerance(&mut self, tolerance: Tolerance) {
         self.tolerance = tolerance;
