Ask lost instances again, so that seeds are not the only way back

Cause: members that are silent for 30 s are removed, with their address. Only their name was kept, for the shares of limits.

Evidence: lost_members over virtual time: halves of a fleet, of a region, of 120 instances, and eight instances that were each cut off.

Change: the address of a lost member is kept for the ten minutes for which it counts. Rounds that would ask a seed ask a lost member every other time, so that no more datagrams are sent; an instance that knows nobody asks some of them all.

--- a/crates/sesamebarrow_routing/src/member.rs
+++ b/crates/sesamebarrow_routing/src/member.rs
@@ -278,6 +278,8 @@
 #[derive(Debug)]
 struct LostMember {
     region: SmolStr,
+    /// Its address, at which it may be reached again.
+    ip: Ipv4Addr,
     removed_at: Duration,
 }
 
@@ -498,6 +500,7 @@
         for (name, member) in lost.filter(|(_, m)| m.draining_since.is_none()) {
             let lost = LostMember {
                 region: member.region.clone(),
+                ip: member.ip(),
                 removed_at: now,
             };
             self.lost.insert(name.clone(), lost);
@@ -524,8 +527,8 @@
     }
 
     /// Selects the addresses that receive this round's datagram: members, including those
-    /// that are not alive, and sometimes one of the `seeds`; all seeds while no member is
-    /// known.
+    /// that are not alive, and sometimes one of the `seeds` or of the lost members, since the seeds may be down for
+    /// good; all seeds and several lost members while no member is known.
     pub fn receivers(&self, region: &str, seeds: &[Ipv4Addr], rng: &mut impl Rng) -> Vec<Ipv4Addr> {
         // Instances of the same region share its upstreams and need each other's load most.
         let (same_region, other_regions): (Vec<_>, Vec<_>) =
@@ -541,13 +544,17 @@
             .map(Member::ip)
             .sample(rng, remaining);
         receivers.extend(same_region);
-        let unused_seeds = seeds.iter().copied().filter(|s| !receivers.contains(s));
-        let seed_count = match self.all.len() {
-            0 => seeds.len(),
-            _ => usize::from(rng.random_ratio(1, limits.rounds_per_seed_datagram)),
+        let (seed_count, lost_count) = match self.all.len() {
+            0 => (seeds.len(), FANOUT),
+            _ if !rng.random_ratio(1, limits.rounds_per_seed_datagram) => (0, 0),
+            _ if !self.lost.is_empty() && rng.random() => (0, 1),
+            _ => (1, 0),
         };
-        let selected_seeds = unused_seeds.sample(rng, seed_count);
-        receivers.extend(selected_seeds);
+        let unused_seeds = seeds.iter().copied().filter(|s| !receivers.contains(s));
+        receivers.extend(unused_seeds.sample(rng, seed_count));
+        let lost = self.lost.values().map(|l| l.ip);
+        let unused_lost = lost.filter(|ip| !receivers.contains(ip));
+        receivers.extend(unused_lost.sample(rng, lost_count));
         receivers
     }
 
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -34,6 +34,8 @@
 mod loads;
 #[path = "decisions/long_prompts.rs"]
 mod long_prompts;
+#[path = "decisions/lost_members.rs"]
+mod lost_members;
 #[path = "decisions/members.rs"]
 mod members;
 #[path = "decisions/memory.rs"]
--- a/crates/sesamebarrow_routing/tests/decisions/fleet.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/fleet.rs
@@ -161,6 +161,8 @@
     pub now: Duration,
     pub instances: Vec<Instance>,
     pub config: Config,
+    /// The instances that all settings name as seeds.
+    pub seeds: Vec<usize>,
     /// Total size of the datagrams sent, in bytes.
     pub sent_bytes: u64,
     /// Number of messages about tokens.
@@ -177,6 +179,7 @@
             now: Duration::ZERO,
             instances: Vec::new(),
             config,
+            seeds: Vec::new(),
             sent_bytes: 0,
             token_messages: 0,
             in_transit: Vec::new(),
@@ -215,6 +218,7 @@
                 });
             }
         }
+        fleet.seeds = vec![0, fleet.instances.len() - 1];
         fleet
     }
 
@@ -416,11 +420,8 @@
     fn send_round(&mut self, from: usize, process_time: Duration) {
         let addresses: Vec<_> = self.instances.iter().map(|i| i.board.identity.ip).collect();
         let own_address = addresses[from];
-        let seeds = [addresses[0], addresses[addresses.len() - 1]];
-        let seeds: Vec<_> = seeds
-            .into_iter()
-            .filter(|seed| *seed != own_address)
-            .collect();
+        let seeds = self.seeds.iter().map(|index| addresses[*index]);
+        let seeds: Vec<_> = seeds.filter(|seed| *seed != own_address).collect();
         let previous_version = self.instances[from].previous_version;
         let board = &mut self.instances[from].board;
         let mut datagram = board.begin_gossip_round(process_time);
