Use one belief about how many instances there are for all shared limits

Cause: quotas and limits of upstreams allowed for 350 instances while none was heard of, each by a copy of the condition; the limit of cold upstreams, the budget of retries and the idle connections counted one.

Change: Board::is_cut_off_since_start is the only such condition, instance_count and region_instance_count follow from it, and all five limits use them. A bucket's refill keeps 1/350 of the rate as before, whatever the regions are.

Tests: cut_off_since_start, five. Before, three fail: 32 requests to the cold upstream where 8 are allowed, retries and idle connections above their limits. The other two guard an instance that is alone by its settings, and the return to whole limits. tests/decisions/refusals.rs: its lone boards now say by their settings that they are alone. They had settings that name others, with which a lone board sends nothing to cold upstreams by intent; bounds and checks there are as they were.

Weighed and not taken: a slot of time for each of 350 instances, one request in 44 s from each.

--- a/crates/sesamebarrow_gateway/src/attempt.rs
+++ b/crates/sesamebarrow_gateway/src/attempt.rs
@@ -282,12 +282,13 @@
         let Target::Upstream(selected) = &self.target else {
             return None;
         };
+        let now = self.shared.now();
         let board = self.shared.board();
         let upstream = board.upstreams.all.get(selected.key)?;
         let serves = upstream.entry.ready && !upstream.availability.leaving;
         serves.then(|| Endpoint {
             address: selected.address,
-            max_idle: board.max_idle_connections(&upstream.entry.service),
+            max_idle: board.max_idle_connections(now, &upstream.entry.service),
             run: upstream.run_hash,
         })
     }
@@ -323,7 +324,7 @@
                 let upstream = board.upstreams.all.get(selected.key);
                 leaving = upstream.is_none_or(|u| u.availability.leaving);
                 if let Some(service) = upstream.map(|u| u.entry.service.clone()) {
-                    max_idle = board.max_idle_connections(&service);
+                    max_idle = board.max_idle_connections(now, &service);
                     let warmup = board.warmup(&service);
                     let change = board.upstreams.finish_attempt(
                         now,
--- a/crates/sesamebarrow_gateway/src/exchange.rs
+++ b/crates/sesamebarrow_gateway/src/exchange.rs
@@ -199,12 +199,12 @@
         // No upstream was sent the request yet, so the next attempt is not a retry.
         return true;
     }
+    let now = shared.now();
     let mut board = shared.board();
-    let instances = board.instance_count();
-    let granted =
-        board
-            .budget
-            .try_spend(shared.now(), &job.policy.service, instances, rand::random());
+    let instances = board.instance_count(now);
+    let granted = board
+        .budget
+        .try_spend(now, &job.policy.service, instances, rand::random());
     telemetry::count_retry(granted);
     granted
 }
@@ -290,7 +290,7 @@
     if history.sends.count() == 0 && !job.policy.from_instance {
         let now = shared.now();
         let mut board = shared.board();
-        let instances = board.instance_count();
+        let instances = board.instance_count(now);
         board
             .budget
             .record_first_attempt(now, &job.policy.service, instances);
--- a/crates/sesamebarrow_routing/src/admit.rs
+++ b/crates/sesamebarrow_routing/src/admit.rs
@@ -371,7 +371,7 @@
     }
     let same_region = |m: &&crate::member::Member| m.region == board.identity.region;
     let alive: Vec<_> = board.members.alive(now).filter(same_region).collect();
-    let known_count = board.region_instance_count();
+    let known_count = board.region_instance_count(now);
     let id = upstream.entry.id.as_bytes();
     let own_weight = rendezvous::weight(id, &board.identity.name);
     let is_owner = alive
--- a/crates/sesamebarrow_routing/src/board.rs
+++ b/crates/sesamebarrow_routing/src/board.rs
@@ -19,7 +19,7 @@
 use crate::gossip::short_hash;
 use crate::holder;
 use crate::limit::Limits;
-use crate::member::{Member, Members};
+use crate::member::{LOST_LIFETIME, Member, Members};
 use crate::quarantine::Quarantine;
 use crate::quarantine::allowance::Allowance;
 use crate::quota::{self, Quota};
@@ -71,6 +71,10 @@
     pub expects_others: bool,
 }
 
+/// Number of instances that the system is designed for. If all of them start without reaching each other, they use each
+/// limit once.
+pub const MAX_INSTANCES: usize = 350;
+
 /// Time after an outage of the store in which entries that expired during the outage may be
 /// published again. The store's documentation gives about two seconds.
 pub const REPUBLISH_GRACE: Duration = Duration::from_millis(2_500);
@@ -389,7 +393,7 @@
 
     /// Returns how many idle connections this instance may keep to an upstream of
     /// `service`, so that the connections of all instances in the region fit its limit.
-    pub fn max_idle_connections(&self, service: &str) -> usize {
+    pub fn max_idle_connections(&self, now: Duration, service: &str) -> usize {
         let config = self.config.as_ref();
         let limits = config.and_then(|c| c.services.get(service));
         match limits.map_or(0, |s| s.max_connections) {
@@ -397,7 +401,7 @@
             max_connections => {
                 // CAST: the number of connections is small.
                 let total = (f64::from(max_connections) * IDLE_CONNECTION_FRACTION) as usize;
-                let instances = self.region_instance_count();
+                let instances = self.region_instance_count(now);
                 let has_remainder = self.rank_in_region(service) < total % instances;
                 (total / instances + usize::from(has_remainder)).min(MAX_IDLE_CONNECTIONS)
             }
@@ -430,14 +434,28 @@
         region_count(&self.regions)
     }
 
-    /// Returns the number of instances, including this one and those that are lost. Limits that all
-    /// share are divided by it.
-    pub fn instance_count(&self) -> usize {
+    /// Returns whether this instance has heard from no other since its start, although its settings name some. They are
+    /// then more likely cut off from it than absent.
+    pub fn is_cut_off_since_start(&self, now: Duration) -> bool {
+        let has_heard = !self.members.all.is_empty() || self.members.lost_count() > 0;
+        !has_heard && self.parameters.expects_others && now < LOST_LIFETIME
+    }
+
+    /// Returns the number of instances, including this one and those that are lost; the maximum if nothing is known of
+    /// the others. Limits that all share are divided by it.
+    pub fn instance_count(&self, now: Duration) -> usize {
+        if self.is_cut_off_since_start(now) {
+            return MAX_INSTANCES;
+        }
         self.members.all.len() + self.members.lost_count() + 1
     }
 
-    /// Returns the number of instances in this region, including this one and those that are lost.
-    pub fn region_instance_count(&self) -> usize {
+    /// Returns the number of instances in this region, including this one and those that are lost; the maximum if
+    /// nothing is known of the others.
+    pub fn region_instance_count(&self, now: Duration) -> usize {
+        if self.is_cut_off_since_start(now) {
+            return MAX_INSTANCES;
+        }
         let region = &self.identity.region;
         let same_region = |m: &&Member| m.region == *region;
         let known = self.members.all.values().filter(same_region).count();
--- a/crates/sesamebarrow_routing/src/board/absence.rs
+++ b/crates/sesamebarrow_routing/src/board/absence.rs
@@ -49,7 +49,7 @@
             (
                 key,
                 entry.address,
-                self.max_idle_connections(&entry.service),
+                self.max_idle_connections(now, &entry.service),
             )
         };
         due.into_iter().map(probe).collect()
--- a/crates/sesamebarrow_routing/src/board/limit.rs
+++ b/crates/sesamebarrow_routing/src/board/limit.rs
@@ -15,7 +15,7 @@
 
 use smol_str::SmolStr;
 
-use crate::board::Board;
+use crate::board::{Board, MAX_INSTANCES};
 use crate::gossip::short_hash;
 use crate::limit::message::{
     Decision, MAX_STATES, Observed, PermitAnswer, PermitRequest, State, States, is_valid,
@@ -31,9 +31,6 @@
 /// instances whose views differ for a while.
 const SPLIT_RATIO: f64 = 1.4;
 
-/// Largest number of instances for which the system is designed.
-const MAX_INSTANCES: usize = 350;
-
 /// Time after which an instance that is not the owner may be asked again, because the views of the instances
 /// have become the same.
 const OTHER_OWNER_TIME: Duration = Duration::from_millis(150);
@@ -169,8 +166,7 @@
     /// Returns the number of instances that may share the limits of this region, this one included. Failure
     /// domains of which nothing is known since the start of this process count like the known ones.
     fn expected_limit_members(&self, now: Duration) -> usize {
-        let knows_none = self.members.all.is_empty() && self.members.lost_count() == 0;
-        if knows_none && self.parameters.expects_others {
+        if self.is_cut_off_since_start(now) {
             return MAX_INSTANCES;
         }
         let region = &self.identity.region;
--- a/crates/sesamebarrow_routing/src/holder.rs
+++ b/crates/sesamebarrow_routing/src/holder.rs
@@ -20,7 +20,7 @@
 use smol_str::SmolStr;
 
 use crate::board::Board;
-use crate::member::{DISCOVERY_TIME, LOST_LIFETIME, Member};
+use crate::member::{DISCOVERY_TIME, Member};
 use crate::quota::LoanNeed;
 use crate::rendezvous;
 
@@ -33,10 +33,6 @@
 /// Maximum time after its start in which an instance waits until no new members appear.
 const MAX_DISCOVERY_TIME: Duration = Duration::from_secs(6);
 
-/// Number of instances that the system is designed for. If all of them start without reaching each
-/// other, they refill each rate once.
-const MAX_INSTANCES: f64 = 350.0;
-
 /// Number of instances per region that refill a customer's bucket. With two, the region
 /// keeps half of its part while the failure of one is being detected.
 pub const REFILLED_PER_REGION: usize = 2;
@@ -141,12 +137,7 @@
         .filter(same_region)
         .map(|m| m.name_hash)
         .collect();
-    let refill_fraction = refill_fraction(board, now);
-    // CAST: small numbers.
-    let count = |n: usize| n as f64;
-    let reached_fraction = count(known.len() + 1) / count(board.region_instance_count());
-    let own_part =
-        refill_fraction * reached_fraction / count(REFILLED_PER_REGION.min(known.len() + 1));
+    let own_part = own_part(board, now, known.len() + 1);
     let rank = |customer: u64, others: &[u32]| {
         let own_weight = weight(customer, own_hash);
         let before = |hash: &&u32| weight(customer, **hash) > own_weight;
@@ -164,6 +155,18 @@
     }
 }
 
+/// Returns the fraction of a rate at which this instance refills a bucket, of `known` known instances of its region.
+fn own_part(board: &Board, now: Duration, known: usize) -> f64 {
+    // CAST: small numbers.
+    let count = |n: usize| n as f64;
+    if board.discovery_done && board.is_cut_off_since_start(now) {
+        // The number of regions is of no use: all instances may be in this one.
+        return 1.0 / count(board.instance_count(now));
+    }
+    let reached_fraction = count(known) / count(board.region_instance_count(now));
+    refill_fraction(board) * reached_fraction / count(REFILLED_PER_REGION.min(known))
+}
+
 /// Returns whether this instance knows the others of its region, or has no more reason to
 /// wait for them.
 fn is_discovery_done(board: &Board, now: Duration) -> bool {
@@ -176,7 +179,7 @@
 }
 
 /// Returns the fraction of a rate that refills one region's bucket.
-fn refill_fraction(board: &Board, now: Duration) -> f64 {
+fn refill_fraction(board: &Board) -> f64 {
     if !board.discovery_done {
         return 0.0;
     }
@@ -184,11 +187,6 @@
     let count = |n: usize| n as f64;
     let region_fraction = 1.0 / count(board.region_count());
     let members = &board.members;
-    let never_heard_others = members.all.is_empty() && members.lost_count() == 0;
-    if never_heard_others && board.parameters.expects_others && now < LOST_LIFETIME {
-        // The others are more likely cut off from this instance than absent.
-        return 1.0 / MAX_INSTANCES;
-    }
     let previous_version = members.all.values().filter(|m| !m.record.keeps_buckets);
     match previous_version.count() {
         0 => region_fraction,
--- a/crates/sesamebarrow_routing/tests/decisions.rs
+++ b/crates/sesamebarrow_routing/tests/decisions.rs
@@ -12,6 +12,8 @@
 mod catalogs;
 #[path = "decisions/cold_upstreams.rs"]
 mod cold_upstreams;
+#[path = "decisions/cut_off_since_start.rs"]
+mod cut_off_since_start;
 #[path = "decisions/dispatch.rs"]
 mod dispatch;
 #[path = "decisions/dispatchers.rs"]
--- a/crates/sesamebarrow_routing/tests/decisions/members.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/members.rs
@@ -30,7 +30,7 @@
             let mut fleet = fleet($count);
             fleet.advance(ms($time));
             for instance in &fleet.instances {
-                let known = instance.board.instance_count();
+                let known = instance.board.instance_count(fleet.now);
                 assert_eq!(known, 3 * $count, "{}", instance.board.identity.name);
             }
             for region in ["a", "b", "c"] {
@@ -83,7 +83,11 @@
 fn idle_connections_of_a_region_fit_the_limit_of_an_upstream() {
     let mut fleet = fleet(25);
     fleet.advance(ms(6_000));
-    let max_idle = |index: usize| fleet.instances[index].board.max_idle_connections(MODEL);
+    let max_idle = |index: usize| {
+        fleet.instances[index]
+            .board
+            .max_idle_connections(fleet.now, MODEL)
+    };
     let total: usize = (0..25).map(max_idle).sum();
     assert!(
         (25..=300).contains(&total),
@@ -98,7 +102,11 @@
     service.max_connections = 96;
     let mut fleet = Fleet::new(&[("a", 117)], config);
     fleet.advance(ms(6_000));
-    let max_idle = |index: usize| fleet.instances[index].board.max_idle_connections(MODEL);
+    let max_idle = |index: usize| {
+        fleet.instances[index]
+            .board
+            .max_idle_connections(fleet.now, MODEL)
+    };
     let total: usize = (0..117).map(max_idle).sum();
     assert!(
         total <= 48,
@@ -193,7 +201,7 @@
         let known = fleet
             .instances
             .iter()
-            .map(|i| i.board.instance_count())
+            .map(|i| i.board.instance_count(fleet.now))
             .min();
         println!("{mean:.4} not considered alive, at least {known:?} known");
         assert!(mean <= 0.01, "fraction {mean:.4} not considered alive");
@@ -212,7 +220,10 @@
         let mean = dead.sum::<f64>() / fleet.instances.len() as f64;
         println!("{mean:.4} not considered alive");
         assert!(mean <= 0.01, "fraction {mean:.4} not considered alive");
-        let known = fleet.instances.iter().map(|i| i.board.instance_count());
+        let known = fleet
+            .instances
+            .iter()
+            .map(|i| i.board.instance_count(fleet.now));
         assert_eq!(known.min(), Some(fleet.instances.len()));
     }
 }
--- a/crates/sesamebarrow_routing/tests/decisions/refusals.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/refusals.rs
@@ -5,11 +5,12 @@
 
 use sesamebarrow_routing::admit::{self, Rejection, RequestSpec, SelectedUpstream};
 use sesamebarrow_routing::availability::{Change, Notice};
+use sesamebarrow_routing::board::Parameters;
 use sesamebarrow_routing::refusal::Refusals;
 use sesamebarrow_routing::upstream::{AttemptOutcome, Entry, Key};
 use sesamebarrow_routing::{Board, Config};
 
-use crate::fleet::{Fleet, MODEL, config, entry, ms, route};
+use crate::fleet::{Fleet, MODEL, config, entry, ms, parameters, route};
 
 const START: Duration = Duration::from_secs(10);
 
@@ -50,6 +51,11 @@
     let mut boards: Vec<Board> = fleet.instances.into_iter().map(|i| i.board).collect();
     for board in &mut boards {
         (0..upstreams).for_each(|number| board.put_upstream(Duration::ZERO, up(number)));
+        let expects_others = instances > 1;
+        board.set_parameters(Parameters {
+            expects_others,
+            ..parameters()
+        });
     }
     boards
 }
--- a/crates/sesamebarrow_trial/src/limits/request.rs
+++ b/crates/sesamebarrow_trial/src/limits/request.rs
@@ -134,7 +134,7 @@
         let share = match self.policy {
             Policy::None => return Permission::Unlimited,
             // CAST: small numbers.
-            Policy::EqualPart => 1.0 / board.region_instance_count() as f64,
+            Policy::EqualPart => 1.0 / board.region_instance_count(now) as f64,
             _ => 1.0,
         };
         let Some(rate) = board.limits.in_force(run).and_then(|limit| limit.rate) else {
