--- a/crates/sesamebarrow_routing/tests/decisions/cut_off_since_start.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/cut_off_since_start.rs
@@ -66,6 +66,7 @@
     sent
 }
 
+/// Each instance that knew no other used half of the limit.
 #[test]
 fn cold_upstream_is_not_overrun_by_instances_that_each_seem_to_own_it() {
     let limit = parameters().cold;
@@ -75,12 +76,14 @@
     assert!(sent <= allowed, "{sent} sent, {allowed} allowed");
 }
 
+/// One whose settings name no others is not cut off from them.
 #[test]
 fn only_instance_that_is_configured_uses_a_cold_upstream() {
     let mut fleet = restarted(false);
     assert!(sent_to_cold_upstream(&mut fleet) > 0);
 }
 
+/// Each instance that knew no other had the whole budget.
 #[test]
 fn retries_of_all_stay_within_the_budget() {
     let mut fleet = restarted(true);
@@ -104,6 +107,7 @@
     assert!(granted <= slack, "{granted} retries, {slack} allowed");
 }
 
+/// Each instance that knew no other kept as many connections as all together may.
 #[test]
 fn idle_connections_of_all_fit_the_limit_of_an_upstream() {
     let fleet = restarted(true);
@@ -116,6 +120,7 @@
     assert!(idle(0) * 350 <= MAX_CONNECTIONS);
 }
 
+/// The small parts end as soon as others are heard from.
 #[test]
 fn instances_that_find_each_other_use_the_whole_of_each_limit() {
     let mut fleet = restarted(true);
--- a/crates/sesamebarrow_routing/tests/decisions/lost_members.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/lost_members.rs
@@ -48,6 +48,7 @@
 }
 
 long_cut_test! {
+    // After 30 s of silence each side forgot the addresses of the other, and the seeds were down.
     halves_that_a_long_cut_separated_join_without_seeds: &[("a", 5), ("b", 5)], 5;
     halves_of_a_region_that_a_long_cut_separated_join_without_seeds: &[("a", 9)], 5;
     large_halves_that_a_long_cut_separated_join_without_seeds: &[("a", 60), ("b", 60)], 60;
--- a/crates/sesamebarrow_routing/tests/decisions/trials.rs
+++ b/crates/sesamebarrow_routing/tests/decisions/trials.rs
@@ -174,6 +174,7 @@
     }
 }
 
+/// Callers that make up names must not cost others their defence.
 #[test]
 fn made_up_parts_do_not_displace_proofs() {
     let mut q = Quarantine::default();
@@ -186,6 +187,7 @@
     assert_eq!(admission(&q, now, ROSA, &[1, OWN]), Admission::Allowed);
 }
 
+/// Fingerprints were blamed for what ran beside them, as parts were.
 #[test]
 fn repeated_request_that_ran_beside_a_harmful_one_is_released_after_a_pause() {
     let mut q = Quarantine::default();
@@ -218,6 +220,7 @@
     assert_eq!(ambiguity(&q, due, &[1, 6, OWN]), Some(2));
 }
 
+/// Otherwise a request with several harmful parts could be a trial of each in turn.
 #[test]
 fn crash_under_a_trial_of_several_parts_delays_the_next_of_each() {
     let mut q = Quarantine::default();
@@ -250,6 +253,7 @@
     assert_eq!(q.take_back_trial(soon + ms(200), part(7)), None);
 }
 
+/// Trials before it must not lengthen the wait.
 #[test]
 fn trial_that_is_given_back_after_others_is_due_soon() {
     let mut q = Quarantine::default();
